--- /dev/null
+++ b/base/buffer.h
@@ -0,0 +1,48 @@
+/**
+ * @file
+ * A growing byte buffer that owns its memory.
+ */
+#ifndef EG_BASE_BUFFER_H
+#define EG_BASE_BUFFER_H
+
+#include "base/decls.h"
+#include "base/str.h"
+
+EG_BEGIN_DECLS
+
+/** Bytes under construction; zero-initialised memory is an empty buffer. */
+struct eg_buffer
+{
+  char *data;
+  size_t len;
+  size_t capacity;
+};
+
+/** Makes an empty buffer. */
+void eg_buffer_init (struct eg_buffer *self);
+
+/** Frees the bytes and leaves the buffer empty. */
+void eg_buffer_finish (struct eg_buffer *self);
+
+/** Forgets the content and keeps the memory. */
+void eg_buffer_clear (struct eg_buffer *self);
+
+/** Appends the bytes of @p s. */
+void eg_buffer_append (struct eg_buffer *self, struct eg_str s);
+
+/** Appends formatted text. */
+void eg_buffer_printf (struct eg_buffer *self, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+/** Removes the first @p len bytes. */
+void eg_buffer_consume (struct eg_buffer *self, size_t len);
+
+/** Returns a view of the content, valid until the next change. */
+struct eg_str eg_buffer_view (const struct eg_buffer *self);
+
+/** Returns the content as zero-terminated text, valid until the next change. */
+const char *eg_buffer_text (struct eg_buffer *self);
+
+EG_END_DECLS
+
+#endif
--- /dev/null
+++ b/base/log.c
@@ -0,0 +1,92 @@
+#include "base/log.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LINE_BYTES 2048
+#define FACILITY_DAEMON (3 << 3)
+
+static const char *log_program = "eelgrasswood";
+static enum eg_log_level log_level = EG_LOG_INFO;
+
+static const struct
+{
+  const char *name;
+  enum eg_log_level level;
+} level_names[] = {
+    {"error", EG_LOG_ERROR},   {"warning", EG_LOG_WARNING},
+    {"notice", EG_LOG_NOTICE}, {"info", EG_LOG_INFO},
+    {"debug", EG_LOG_DEBUG},
+};
+
+void
+eg_log_configure (const char *program, enum eg_log_level level)
+{
+  log_program = program;
+  log_level = level;
+}
+
+int
+eg_log_level_from_name (const char *name)
+{
+  for (size_t i = 0; i < sizeof level_names / sizeof level_names[0]; i++)
+    if (strcmp (level_names[i].name, name) == 0)
+      return (int) level_names[i].level;
+  return -1;
+}
+
+static size_t
+write_prefix (char *line, enum eg_log_level level, const char *module)
+{
+  struct timespec now;
+  struct tm utc;
+  char stamp[32];
+  int len;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  gmtime_r (&now.tv_sec, &utc);
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
+  len = snprintf (line, LINE_BYTES,
+                  "<%d>1 %s.%03ldZ %s[%d] %s: ", FACILITY_DAEMON | (int) level,
+                  stamp, now.tv_nsec / 1000000, log_program, (int) getpid (),
+                  module);
+  return (size_t) len;
+}
+
+/* A caller's bytes must not be able to start a line of their own. */
+static void
+mask_control_bytes (char *text, size_t len)
+{
+  for (size_t i = 0; i < len; i++)
+    if ((unsigned char) text[i] < ' ' || text[i] == 0x7f)
+      text[i] = '?';
+}
+
+void
+eg_log (enum eg_log_level level, const char *module, const char *format, ...)
+{
+  char line[LINE_BYTES];
+  size_t len;
+  va_list args;
+  int written;
+
+  if (level > log_level)
+    return;
+  len = write_prefix (line, level, module);
+  va_start (args, format);
+  written = vsnprintf (line + len, sizeof line - len - 1, format, args);
+  va_end (args);
+  if (written < 0)
+    return;
+  len += (size_t) written;
+  if (len > sizeof line - 2)
+    len = sizeof line - 2;
+  mask_control_bytes (line, len);
+  line[len++] = '\n';
+  /* One write a line keeps the lines of several threads whole. */
+  if (write (STDERR_FILENO, line, len) < 0)
+    return;
+}
--- /dev/null
+++ b/base/toml_document.h
@@ -0,0 +1,57 @@
+/**
+ * @file
+ * Reads a TOML file into a flat list of keys; the one place that knows the
+ * TOML library.
+ */
+#ifndef EG_BASE_TOML_DOCUMENT_H
+#define EG_BASE_TOML_DOCUMENT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/decls.h"
+#include "base/status.h"
+
+EG_BEGIN_DECLS
+
+/** The kinds of value that settings use. */
+enum eg_toml_kind
+{
+  EG_TOML_STRING,
+  EG_TOML_INTEGER,
+  EG_TOML_BOOLEAN,
+  EG_TOML_OTHER,
+};
+
+/** One value, under its dotted key. */
+struct eg_toml_entry
+{
+  char *key;
+  enum eg_toml_kind kind;
+  char *text; /**< The string, or "" for another kind. */
+  int64_t integer;
+  unsigned line;
+};
+
+/** All values of one file, in no stated order. */
+struct eg_toml_document
+{
+  struct eg_toml_entry *entries;
+  size_t count;
+};
+
+/**
+ * Reads the file at @p path.
+ * @return EG_OK; EG_NOT_FOUND or EG_INVALID with a message that names file,
+ *         line and cause.
+ */
+enum eg_status eg_toml_document_init (struct eg_toml_document *self,
+                                      const char *path,
+                                      struct eg_error *error);
+
+/** Frees the values. */
+void eg_toml_document_finish (struct eg_toml_document *self);
+
+EG_END_DECLS
+
+#endif
--- /dev/null
+++ b/policy/admission.h
@@ -0,0 +1,102 @@
+/**
+ * @file
+ * Bounded queues before one service: strict classes with a floor, and deficit
+ * round robin among the organisations of a class.
+ */
+#ifndef EG_POLICY_ADMISSION_H
+#define EG_POLICY_ADMISSION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/decls.h"
+#include "policy/request.h"
+
+EG_BEGIN_DECLS
+
+/** One traffic class. */
+struct eg_admission_class
+{
+  char name[EG_NAME_BYTES];
+  int priority;     /**< A lower number is served first. */
+  double floor;     /**< Share of the service kept for it, from 0 to 1. */
+  size_t queue_max; /**< Requests that may wait in this class. */
+};
+
+/** Settings of the queues before one service. */
+struct eg_admission_config
+{
+  struct eg_admission_class classes[EG_CLASSES_MAX];
+  size_t class_count;
+  size_t organisation_queue_max; /**< Waiting requests of one organisation. */
+  uint64_t quantum; /**< Cost that one organisation gains each round. */
+};
+
+/** A request that waits; a value, copied in and out. */
+struct eg_admission_item
+{
+  uint64_t request;
+  unsigned class_index;
+  struct eg_str organisation; /**< Copied by the queue. */
+  uint64_t cost;              /**< Expected work, in tokens; at least 1. */
+  int64_t arrived_us;
+  int64_t deadline_us; /**< The first byte of the answer is due by then. */
+};
+
+struct eg_admission;
+
+/** Makes empty queues; NULL if memory could not be had. */
+struct eg_admission *
+eg_admission_new (const struct eg_admission_config *config);
+
+/** Frees the queues. */
+void eg_admission_free (struct eg_admission *self);
+
+/** Takes new settings; waiting requests keep their place. */
+void eg_admission_configure (struct eg_admission *self,
+                             const struct eg_admission_config *config);
+
+/**
+ * Queues @p item, or refuses it: its class or organisation has no room, or the
+ * work ahead of it cannot be done by its deadline at the rate observed.
+ * @param[out] retry_after_us when asking again makes sense.
+ * @return EG_REFUSAL_NONE, EG_REFUSAL_QUEUE_FULL or EG_REFUSAL_DEADLINE.
+ */
+enum eg_refusal eg_admission_offer (struct eg_admission *self,
+                                    const struct eg_admission_item *item,
+                                    int64_t now_us,
+                                    int64_t *retry_after_us);
+
+/** Puts a request back at the head of its organisation's queue. */
+void eg_admission_return (struct eg_admission *self,
+                          const struct eg_admission_item *item);
+
+/**
+ * Takes the request to serve next.
+ * The organisation in @p item stays valid until the next call.
+ * @return false if nothing waits.
+ */
+bool eg_admission_take (struct eg_admission *self,
+                        int64_t now_us,
+                        struct eg_admission_item *item);
+
+/** Takes one request whose deadline has passed; false if there is none. */
+bool eg_admission_take_expired (struct eg_admission *self,
+                                int64_t now_us,
+                                struct eg_admission_item *item);
+
+/** Removes a request whose caller left; false if it does not wait. */
+bool eg_admission_remove (struct eg_admission *self, uint64_t request);
+
+/** Reports finished work, from which the rate is estimated. */
+void
+eg_admission_served (struct eg_admission *self, uint64_t cost, int64_t now_us);
+
+/** Returns how many requests wait in a class. */
+size_t eg_admission_depth (const struct eg_admission *self,
+                           unsigned class_index);
+
+EG_END_DECLS
+
+#endif
--- /dev/null
+++ b/test/test_base.c
@@ -0,0 +1,196 @@
+/* Tests of base/. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/buffer.h"
+#include "base/hash.h"
+#include "base/histogram.h"
+#include "base/random.h"
+#include "base/ring.h"
+#include "base/settings.h"
+
+struct sample_settings
+{
+  int64_t port;
+  bool enabled;
+  char name[8];
+  char address[24];
+};
+
+static const struct eg_setting sample_rows[] = {
+    {"port", EG_SETTING_INTEGER, "", 1, 100, "7",
+     offsetof (struct sample_settings, port), "Port"},
+    {"a.enabled", EG_SETTING_BOOLEAN, "", 0, 0, "true",
+     offsetof (struct sample_settings, enabled), "Switch"},
+    {"a.name", EG_SETTING_TEXT, "", 1, 8, NULL,
+     offsetof (struct sample_settings, name), "Name"},
+    {"a.address", EG_SETTING_ADDRESS, "", 0, 24, "127.0.0.1:80",
+     offsetof (struct sample_settings, address), "Address"},
+};
+static const struct eg_setting_table sample_table = {sample_rows, 4};
+
+static enum eg_status
+load_text (const char *text,
+           struct sample_settings *settings,
+           struct eg_error *error)
+{
+  char path[] = "/tmp/eg_settings_XXXXXX";
+  int fd = mkstemp (path);
+  enum eg_status status;
+
+  assert_true (fd >= 0);
+  assert_int_equal (write (fd, text, strlen (text)), (ssize_t) strlen (text));
+  close (fd);
+  status = eg_settings_load (&sample_table, path, settings, error);
+  unlink (path);
+  return status;
+}
+
+static void
+test_settings_defaults_and_values (void **state)
+{
+  struct sample_settings settings;
+  struct eg_error error;
+
+  (void) state;
+  assert_int_equal (
+      load_text ("[a]\nname = \"bkk\"\nenabled = false\n", &settings, &error),
+      EG_OK);
+  assert_int_equal (settings.port, 7);
+  assert_false (settings.enabled);
+  assert_string_equal (settings.name, "bkk");
+  assert_string_equal (settings.address, "127.0.0.1:80");
+}
+
+static void
+test_settings_errors_name_line_and_key (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    const char *message;
+  } cases[] = {
+      {"[a]\nname = \"x\"\ncolour = 1\n", ":3: a.colour: unknown key"},
+      {"port = \"x\"\na.name = \"x\"\n", ":1: port: expected an integer"},
+      {"port = 0\na.name = \"x\"\n", "from 1 to 100, found 0"},
+      {"a.name = \"12345678\"\n", ":1: a.name: expected text of 1 to 7"},
+      {"a.name = \"x\"\na.address = \"localhost:1\"\n", ":2: a.address"},
+      {"port = 3\n", "a.name: must be given"},
+      {"port = = 3\n", ":1: not valid TOML"},
+  };
+  struct sample_settings settings;
+  struct eg_error error;
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      assert_int_equal (load_text (cases[i].text, &settings, &error),
+                        EG_INVALID);
+      if (!strstr (error.message, cases[i].message))
+        fail_msg ("case %zu: %s", i, error.message);
+    }
+}
+
+static void
+test_str (void **state)
+{
+  struct eg_str rest = EG_STR ("a=b");
+  int64_t value;
+
+  (void) state;
+  assert_true (eg_str_equal (eg_str_cut (&rest, '='), EG_STR ("a")));
+  assert_true (eg_str_equal (rest, EG_STR ("b")));
+  assert_true (eg_str_equal (eg_str_trim (EG_STR (" x \n")), EG_STR ("x")));
+  assert_true (eg_str_to_int64 (EG_STR ("-9223372036854775808"), &value));
+  assert_true (value == INT64_MIN);
+  assert_false (eg_str_to_int64 (EG_STR ("9223372036854775808"), &value));
+  assert_false (eg_str_to_int64 (EG_STR ("1x"), &value));
+  assert_false (eg_str_to_int64 (EG_STR (""), &value));
+}
+
+static void
+test_histogram_quantiles (void **state)
+{
+  struct eg_histogram histogram;
+
+  (void) state;
+  eg_histogram_init (&histogram);
+  for (int i = 1; i <= 1000; i++)
+    eg_histogram_add (&histogram, i);
+  assert_in_range (eg_histogram_quantile (&histogram, 0.5), 500, 563);
+  assert_in_range (eg_histogram_quantile (&histogram, 0.99), 990, 1000);
+  assert_int_equal (eg_histogram_quantile (&histogram, 1.0), 1000);
+  assert_int_equal (eg_histogram_count_to (&histogram, 7), 7);
+}
+
+static void
+test_ring_keeps_order_and_bound (void **state)
+{
+  struct eg_ring ring;
+  int items[4];
+
+  (void) state;
+  assert_true (eg_ring_init (&ring, 4));
+  for (int i = 0; i < 3; i++)
+    assert_true (eg_ring_push (&ring, &items[i]));
+  assert_false (eg_ring_push (&ring, &items[3]));
+  for (int i = 0; i < 3; i++)
+    assert_ptr_equal (eg_ring_pop (&ring), &items[i]);
+  assert_null (eg_ring_pop (&ring));
+  eg_ring_finish (&ring);
+}
+
+static void
+test_buffer_consume (void **state)
+{
+  struct eg_buffer buffer;
+
+  (void) state;
+  eg_buffer_init (&buffer);
+  eg_buffer_printf (&buffer, "%s-%d", "ab", 12);
+  eg_buffer_consume (&buffer, 2);
+  assert_string_equal (eg_buffer_text (&buffer), "-12");
+  eg_buffer_finish (&buffer);
+}
+
+static void
+test_random_is_reproducible (void **state)
+{
+  struct eg_random a;
+  struct eg_random b;
+
+  (void) state;
+  eg_random_init (&a, 42);
+  eg_random_init (&b, 42);
+  for (int i = 0; i < 100; i++)
+    {
+      uint64_t bounded = eg_random_below (&a, 10);
+
+      assert_true (bounded < 10);
+      assert_int_equal (bounded, eg_random_below (&b, 10));
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_settings_defaults_and_values),
+      cmocka_unit_test (test_settings_errors_name_line_and_key),
+      cmocka_unit_test (test_str),
+      cmocka_unit_test (test_histogram_quantiles),
+      cmocka_unit_test (test_ring_keeps_order_and_bound),
+      cmocka_unit_test (test_buffer_consume),
+      cmocka_unit_test (test_random_is_reproducible),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
