--- /dev/null
+++ b/standin/engine_calls.h
@@ -0,0 +1,43 @@
+/**
+ * @file
+ * The calls of an engine beside the streams.
+ */
+#ifndef EG_STANDIN_ENGINE_CALLS_H
+#define EG_STANDIN_ENGINE_CALLS_H
+
+#include "base/decls.h"
+#include "standin/engine.h"
+
+EG_BEGIN_DECLS
+
+/** Answers `GET /v1/load`. */
+void eg_engine_answer_load (struct eg_engine *self,
+                            struct eg_exchange *exchange);
+
+/** Answers `POST /v1/cancel`. */
+void eg_engine_cancel (struct eg_engine *self, struct eg_exchange *exchange);
+
+/** Answers `POST /v1/kv/export`. */
+void eg_engine_export_kv (struct eg_engine *self, struct eg_exchange *exchange);
+
+/** Answers `POST /v1/kv/import`. */
+void eg_engine_import_kv (struct eg_engine *self, struct eg_exchange *exchange);
+
+/** Answers `POST /v1/orders`. */
+void eg_engine_order (struct eg_engine *self, struct eg_exchange *exchange);
+
+/** Answers `GET /v1/cache-events`. */
+void eg_engine_answer_cache_events (struct eg_engine *self,
+                                    struct eg_exchange *exchange);
+
+/** Answers `POST /standin/stage`: one step for a head of another process. */
+void eg_engine_serve_stage (struct eg_engine *self,
+                            struct eg_exchange *exchange);
+
+/** Answers `POST /standin/stage/close`. */
+void eg_engine_close_stage (struct eg_engine *self,
+                            struct eg_exchange *exchange);
+
+EG_END_DECLS
+
+#endif
--- /dev/null
+++ b/standin/engine_remote.c
@@ -0,0 +1,219 @@
+#include "standin/engine_calls.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "standin/engine_stage.h"
+#include "standin/fields.h"
+
+#define COUNT_OF(array) (sizeof (array) / sizeof *(array))
+
+/* A step asked for by a head of another process. */
+struct step_body
+{
+  const char *request;
+  int64_t attempt;
+  int64_t position;
+  int64_t wait_ms;
+  json_t *open;
+};
+
+static const struct eg_field step_fields[] = {
+    {"request", EG_FIELD_TEXT, true, 1, EG_FIELD_NAME_MAX,
+     offsetof (struct step_body, request)},
+    {"attempt", EG_FIELD_INTEGER, true, 1, UINT32_MAX,
+     offsetof (struct step_body, attempt)},
+    {"position", EG_FIELD_INTEGER, true, 1, UINT32_MAX,
+     offsetof (struct step_body, position)},
+    {"wait_ms", EG_FIELD_INTEGER, true, 0, 600000,
+     offsetof (struct step_body, wait_ms)},
+    {"open", EG_FIELD_OBJECT, false, 0, 0, offsetof (struct step_body, open)},
+};
+
+static const struct eg_field close_fields[] = {
+    {"request", EG_FIELD_TEXT, true, 1, EG_FIELD_NAME_MAX,
+     offsetof (struct step_body, request)},
+    {"attempt", EG_FIELD_INTEGER, true, 1, UINT32_MAX,
+     offsetof (struct step_body, attempt)},
+};
+
+/* What opens a run, beside the request and the attempt. */
+struct opening
+{
+  int64_t priority;
+  const char *prompt;
+  int64_t committed;
+  int64_t max_tokens;
+  struct eg_layers layers;
+};
+
+static const struct eg_field opening_fields[] = {
+    {"priority", EG_FIELD_INTEGER, true, -1000000, 1000000,
+     offsetof (struct opening, priority)},
+    {"prompt", EG_FIELD_TEXT, true, 0, EG_FIELD_TEXT_MAX,
+     offsetof (struct opening, prompt)},
+    {"committed", EG_FIELD_INTEGER, true, 0, UINT32_MAX,
+     offsetof (struct opening, committed)},
+    {"max_tokens", EG_FIELD_INTEGER, true, 0, UINT32_MAX,
+     offsetof (struct opening, max_tokens)},
+    {"layers", EG_FIELD_LAYERS, true, 1, 10000,
+     offsetof (struct opening, layers)},
+};
+
+static void
+end_run (struct eg_stage_run *run)
+{
+  if (!run)
+    return;
+  eg_stage_close (run);
+  free (run);
+}
+
+/* Takes the run of @request out of the table, unless a step of it goes on. */
+static struct eg_stage_run *
+take_run (struct eg_engine *self, const char *name, int64_t attempt)
+{
+  struct eg_engine_request *request =
+      eg_engine_requests_find (&self->requests, name);
+  struct eg_stage_run *run;
+
+  if (!request || !request->remote
+      || request->remote->params.attempt != attempt)
+    return NULL;
+  run = request->remote;
+  request->remote = NULL;
+  return run;
+}
+
+/* Puts @run back for the next step; returns what is to be ended instead. */
+static struct eg_stage_run *
+put_run (struct eg_stage_run *run)
+{
+  struct eg_engine_request *request = run->request;
+  struct eg_stage_run *old = request->remote;
+
+  if (eg_stage_ended_by (run) != EG_STEP_DONE)
+    return run;
+  request->remote = run;
+  return old;
+}
+
+static enum eg_step
+open_run (struct eg_engine *self,
+          const struct step_body *body,
+          const struct opening *opening,
+          struct eg_stage_run **run)
+{
+  struct eg_stage_params params = {
+      .request = body->request,
+      .attempt = body->attempt,
+      .priority = opening->priority,
+      .prompt = eg_str_from (opening->prompt),
+      .committed = opening->committed,
+      .max_tokens = opening->max_tokens,
+      .layers = opening->layers,
+  };
+  enum eg_step step;
+
+  *run = calloc (1, sizeof **run);
+  EG_INVARIANT (*run != NULL);
+  step = eg_stage_open (*run, self, &params);
+  if (step != EG_STEP_DONE)
+    {
+      free (*run);
+      *run = NULL;
+    }
+  return step;
+}
+
+static bool
+is_gone (void *context)
+{
+  return eg_exchange_is_gone (context);
+}
+
+static void
+answer_step (struct eg_exchange *exchange, enum eg_step step)
+{
+  int status = step == EG_STEP_DONE ? 200 : step == EG_STEP_WAITING ? 202 : 409;
+
+  if (step == EG_STEP_DIED)
+    eg_exchange_cut (exchange);
+  else
+    eg_exchange_answer_json (
+        exchange, status, json_pack ("{s:s}", "cause", eg_step_cause (step)));
+}
+
+static bool
+read_bodies (struct eg_exchange *exchange,
+             struct step_body *body,
+             struct opening *opening)
+{
+  struct eg_error error = {0};
+
+  if (!eg_exchange_read_json (exchange))
+    return false;
+  if (eg_fields_read (step_fields, COUNT_OF (step_fields), exchange->json, body,
+                      "body", &error)
+          == EG_OK
+      && (!body->open
+          || eg_fields_read (opening_fields, COUNT_OF (opening_fields),
+                             body->open, opening, "open", &error)
+                 == EG_OK))
+    return true;
+  eg_exchange_refuse (exchange, 400, "%s", error.message);
+  return false;
+}
+
+void
+eg_engine_serve_stage (struct eg_engine *self, struct eg_exchange *exchange)
+{
+  struct step_body body = {0};
+  struct opening opening = {0};
+  struct eg_stage_run *run = NULL;
+  struct eg_stage_run *ended;
+  enum eg_step step = EG_STEP_REFUSED;
+
+  if (!read_bodies (exchange, &body, &opening))
+    return;
+  pthread_mutex_lock (&self->lock);
+  run = take_run (self, body.request, body.attempt);
+  pthread_mutex_unlock (&self->lock);
+  if (!run && body.open)
+    step = open_run (self, &body, &opening, &run);
+  if (run)
+    {
+      run->params.is_gone = is_gone;
+      run->params.context = exchange;
+      step = eg_stage_step (run, body.position,
+                            eg_clock_now_us () + body.wait_ms * EG_US_PER_MS);
+      pthread_mutex_lock (&self->lock);
+      ended = put_run (run);
+      pthread_mutex_unlock (&self->lock);
+      end_run (ended);
+    }
+  answer_step (exchange, step);
+}
+
+void
+eg_engine_close_stage (struct eg_engine *self, struct eg_exchange *exchange)
+{
+  struct step_body body = {0};
+  struct eg_error error = {0};
+  struct eg_stage_run *run;
+
+  if (!eg_exchange_read_json (exchange))
+    return;
+  if (eg_fields_read (close_fields, COUNT_OF (close_fields), exchange->json,
+                      &body, "body", &error)
+      != EG_OK)
+    {
+      eg_exchange_refuse (exchange, 400, "%s", error.message);
+      return;
+    }
+  pthread_mutex_lock (&self->lock);
+  run = take_run (self, body.request, body.attempt);
+  pthread_mutex_unlock (&self->lock);
+  end_run (run);
+  eg_exchange_answer_json (exchange, 200, json_object ());
+}
--- /dev/null
+++ b/standin/engine_requests.c
@@ -0,0 +1,174 @@
+#include "standin/engine_requests.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "base/status.h"
+#include "base/str.h"
+
+#define MAX_REQUESTS 50000
+
+void
+eg_engine_requests_init (struct eg_engine_requests *self, int64_t kv_total)
+{
+  memset (self, 0, sizeof *self);
+  for (int i = 0; i < EG_REQUEST_BUCKETS; i++)
+    LIST_INIT (&self->buckets[i]);
+  TAILQ_INIT (&self->ages);
+  self->kv_total = kv_total;
+}
+
+static void
+free_request (struct eg_engine_request *request)
+{
+  free (request->name);
+  free (request);
+}
+
+static void
+detach (struct eg_engine_requests *self, struct eg_engine_request *request)
+{
+  LIST_REMOVE (request, bucket_link);
+  TAILQ_REMOVE (&self->ages, request, age_link);
+  self->count--;
+  self->kv_used -= request->kv_prompt + request->kv_upto;
+  request->kv_prompt = 0;
+  request->kv_upto = 0;
+  request->is_detached = true;
+  if (request->runs == 0)
+    free_request (request);
+}
+
+void
+eg_engine_requests_clear (struct eg_engine_requests *self)
+{
+  struct eg_engine_request *request;
+
+  while ((request = TAILQ_FIRST (&self->ages)) != NULL)
+    detach (self, request);
+}
+
+static struct eg_request_bucket *
+bucket_of (const struct eg_engine_requests *self, const char *name)
+{
+  uint64_t hash = eg_hash_str (eg_str_from (name));
+
+  return (struct eg_request_bucket *) &self->buckets[hash % EG_REQUEST_BUCKETS];
+}
+
+struct eg_engine_request *
+eg_engine_requests_find (const struct eg_engine_requests *self,
+                         const char *name)
+{
+  struct eg_engine_request *request;
+
+  LIST_FOREACH (request, bucket_of (self, name), bucket_link)
+  if (strcmp (request->name, name) == 0)
+    return request;
+  return NULL;
+}
+
+static void
+forget_oldest (struct eg_engine_requests *self)
+{
+  struct eg_engine_request *request;
+
+  TAILQ_FOREACH (request, &self->ages, age_link)
+  {
+    if (request->runs > 0)
+      continue;
+    detach (self, request);
+    return;
+  }
+}
+
+static struct eg_engine_request *
+add (struct eg_engine_requests *self, const char *name)
+{
+  struct eg_engine_request *request = calloc (1, sizeof *request);
+
+  EG_INVARIANT (request != NULL);
+  request->name = strdup (name);
+  EG_INVARIANT (request->name != NULL);
+  if (self->count >= MAX_REQUESTS)
+    forget_oldest (self);
+  LIST_INSERT_HEAD (bucket_of (self, name), request, bucket_link);
+  TAILQ_INSERT_TAIL (&self->ages, request, age_link);
+  self->count++;
+  return request;
+}
+
+struct eg_engine_request *
+eg_engine_requests_hold (struct eg_engine_requests *self, const char *name)
+{
+  struct eg_engine_request *request = eg_engine_requests_find (self, name);
+
+  if (!request)
+    request = add (self, name);
+  request->runs++;
+  return request;
+}
+
+void
+eg_engine_requests_drop (struct eg_engine_requests *self,
+                         struct eg_engine_request *request)
+{
+  request->runs--;
+  if (request->is_detached)
+    {
+      if (request->runs == 0)
+        free_request (request);
+      return;
+    }
+  TAILQ_REMOVE (&self->ages, request, age_link);
+  TAILQ_INSERT_TAIL (&self->ages, request, age_link);
+}
+
+static void
+make_room (struct eg_engine_requests *self)
+{
+  struct eg_engine_request *request;
+
+  TAILQ_FOREACH (request, &self->ages, age_link)
+  {
+    if (self->kv_used <= self->kv_total)
+      return;
+    if (request->runs > 0)
+      continue;
+    self->kv_used -= request->kv_prompt + request->kv_upto;
+    request->kv_prompt = 0;
+    request->kv_upto = 0;
+  }
+}
+
+void
+eg_engine_requests_set_kv (struct eg_engine_requests *self,
+                           struct eg_engine_request *request,
+                           int64_t prompt,
+                           int64_t upto)
+{
+  int64_t before = request->kv_prompt + request->kv_upto;
+
+  if (request->is_detached)
+    return;
+  request->kv_prompt = prompt;
+  request->kv_upto = upto;
+  self->kv_used += prompt + upto - before;
+  if (self->kv_used > self->kv_total)
+    make_room (self);
+}
+
+bool
+eg_engine_requests_fits (const struct eg_engine_requests *self, int64_t tokens)
+{
+  const struct eg_engine_request *request;
+  int64_t held = 0;
+
+  if (self->kv_used + tokens <= self->kv_total)
+    return true;
+  TAILQ_FOREACH (request, &self->ages, age_link)
+  if (request->runs > 0)
+    held += request->kv_prompt + request->kv_upto;
+  return held + tokens <= self->kv_total;
+}
--- /dev/null
+++ b/standin/exchange.h
@@ -0,0 +1,104 @@
+/**
+ * @file
+ * One HTTP request and its answer, over CivetWeb.
+ */
+#ifndef EG_STANDIN_EXCHANGE_H
+#define EG_STANDIN_EXCHANGE_H
+
+#include <jansson.h>
+
+#include "base/buffer.h"
+#include "base/decls.h"
+#include "base/status.h"
+#include "base/str.h"
+
+EG_BEGIN_DECLS
+
+struct mg_connection;
+
+/** A request being answered; lives until its handler returns. */
+struct eg_exchange
+{
+  struct mg_connection *conn;
+  const char *method;
+  const char *path;  /**< Decoded. */
+  const char *query; /**< NULL where there is none. */
+  int port;          /**< Of the listener. */
+  struct eg_buffer body;
+  struct eg_buffer out; /**< Scratch for the answer. */
+  json_t *json;         /**< The body, once read as JSON; owned. */
+  int status;           /**< What was answered; 0 before. */
+  bool failed;          /**< The caller's connection no longer takes bytes. */
+};
+
+/** Reads a request, has it handled, and returns the status for CivetWeb. */
+int eg_exchange_run (struct mg_connection *conn,
+                     void (*handle) (void *context,
+                                     struct eg_exchange *exchange),
+                     void *context);
+
+/** CivetWeb's callback for a new connection. */
+int eg_exchange_init_connection (const struct mg_connection *conn, void **data);
+
+/** CivetWeb's callback for an ended connection. */
+void eg_exchange_close_connection (const struct mg_connection *conn);
+
+/** Returns the request header @p name, or NULL. */
+const char *eg_exchange_header (const struct eg_exchange *self,
+                                const char *name);
+
+/** Tells whether the method is @p method and the path is @p path. */
+bool eg_exchange_is (const struct eg_exchange *self,
+                     const char *method,
+                     const char *path);
+
+/**
+ * Finds the parameter @p name of the query.
+ * @return false if it is absent or too long for @p capacity.
+ */
+bool eg_exchange_query (const struct eg_exchange *self,
+                        const char *name,
+                        char *value,
+                        size_t capacity);
+
+/** Reads the body as JSON into self->json; answers 400 if it isn't. */
+bool eg_exchange_read_json (struct eg_exchange *self);
+
+/**
+ * Answers in whole.
+ * @param headers further header lines, each ended by CR LF; "" for none.
+ */
+void eg_exchange_answer (struct eg_exchange *self,
+                         int status,
+                         const char *type,
+                         struct eg_str body,
+                         const char *headers);
+
+/** Answers with @p value, which it takes over. */
+void
+eg_exchange_answer_json (struct eg_exchange *self, int status, json_t *value);
+
+/** Answers `{"error": MESSAGE}`. */
+void eg_exchange_refuse (struct eg_exchange *self,
+                         int status,
+                         const char *format,
+                         ...) __attribute__ ((format (printf, 3, 4)));
+
+/** Starts an answer whose length isn't known. */
+void eg_exchange_begin (struct eg_exchange *self, const char *type);
+
+/** Sends a part of such an answer, in one write. */
+bool eg_exchange_send (struct eg_exchange *self, struct eg_str part);
+
+/** Ends such an answer. */
+void eg_exchange_end (struct eg_exchange *self);
+
+/** Closes the connection without an answer, or in the middle of one. */
+void eg_exchange_cut (struct eg_exchange *self);
+
+/** Tells whether the caller has closed the connection; a system call. */
+bool eg_exchange_is_gone (struct eg_exchange *self);
+
+EG_END_DECLS
+
+#endif
--- /dev/null
+++ b/standin/service.c
@@ -0,0 +1,332 @@
+#include "standin/service.h"
+
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+
+#define EXTRA_THREADS 32
+#define POLL_US (20 * EG_US_PER_MS)
+#define NS_PER_US 1000
+
+/* A call on its way. */
+struct call
+{
+  struct eg_service *service;
+  struct eg_exchange *exchange;
+  uint64_t generation;
+};
+
+static bool
+is_interrupted (void *context)
+{
+  struct call *call = context;
+
+  return call->generation != call->service->generation
+         || eg_exchange_is_gone (call->exchange);
+}
+
+/* Lets a moment pass, without the lock. */
+static void
+sleep_a_while (struct eg_service *self, int64_t duration_us)
+{
+  struct timespec duration = {.tv_sec = duration_us / EG_US_PER_S,
+                              .tv_nsec = duration_us % EG_US_PER_S * NS_PER_US};
+
+  pthread_mutex_unlock (&self->lock);
+  clock_nanosleep (CLOCK_MONOTONIC, 0, &duration, NULL);
+  pthread_mutex_lock (&self->lock);
+}
+
+/* Returns whether the call came to its end; with the lock held. */
+static bool
+pass_time (struct call *call)
+{
+  struct eg_service *self = call->service;
+  int64_t due = eg_clock_now_us ()
+                + (int64_t) ((double) (self->config->latency_ms * EG_US_PER_MS)
+                             * self->slow);
+
+  for (;;)
+    {
+      int64_t left = due - eg_clock_now_us ();
+
+      if (call->generation != self->generation)
+        return false;
+      if (left <= 0 && !self->is_hung)
+        return true;
+      if (self->is_hung && eg_exchange_is_gone (call->exchange))
+        return false;
+      if (left <= 0 || left > POLL_US)
+        left = POLL_US;
+      sleep_a_while (self, left);
+    }
+}
+
+static void
+set_header (json_t *run,
+            const char *name,
+            const struct eg_exchange *exchange,
+            const char *header)
+{
+  const char *value = eg_exchange_header (exchange, header);
+
+  json_object_set_new (run, name, value ? json_string (value) : json_null ());
+}
+
+static void
+record_run (struct eg_service *self, const struct eg_exchange *exchange)
+{
+  json_t *run;
+
+  if ((int64_t) json_array_size (self->runs) >= self->config->record_max)
+    {
+      self->dropped++;
+      return;
+    }
+  run = json_pack ("{s:s,s:s}", "method", exchange->method, "path",
+                   exchange->path);
+  set_header (run, "key", exchange, "Idempotency-Key");
+  set_header (run, "request_id", exchange, "X-Request-Id");
+  set_header (run, "organisation", exchange, "X-Organisation");
+  json_array_append_new (self->runs, run);
+}
+
+/* Runs a call in a slot, with the lock held. */
+static bool
+run_call (struct call *call, bool *is_lost)
+{
+  struct eg_service *self = call->service;
+  struct eg_batch_rank rank = eg_batch_rank (&self->batch, 0);
+  bool has_run = false;
+  bool has_slot;
+
+  self->queued++;
+  has_slot = eg_batch_acquire (&self->batch, rank, is_interrupted, call);
+  if (call->generation == self->generation)
+    self->queued--;
+  if (!has_slot)
+    return false;
+  if (call->generation == self->generation)
+    self->running++;
+  has_run = pass_time (call);
+  if (has_run)
+    {
+      record_run (self, call->exchange);
+      *is_lost = self->lost_replies > 0;
+      if (*is_lost)
+        self->lost_replies--;
+    }
+  if (call->generation == self->generation)
+    self->running--;
+  eg_batch_release (&self->batch);
+  return has_run;
+}
+
+static void
+echo (const struct eg_service *self, struct eg_exchange *exchange)
+{
+  const char *type = eg_exchange_header (exchange, "Content-Type");
+
+  if (exchange->body.len > 0)
+    eg_exchange_answer (exchange, 200, type ? type : "application/octet-stream",
+                        eg_buffer_view (&exchange->body), "");
+  else
+    eg_exchange_answer_json (
+        exchange, 200,
+        json_pack ("{s:s,s:s,s:s}", "service", self->config->service, "method",
+                   exchange->method, "path", exchange->path));
+}
+
+static void
+answer_call (struct eg_service *self, struct eg_exchange *exchange)
+{
+  struct call call = {.service = self, .exchange = exchange};
+  bool is_refused;
+  bool is_lost = false;
+  bool has_run = false;
+
+  pthread_mutex_lock (&self->lock);
+  self->calls++;
+  call.generation = self->generation;
+  is_refused = self->is_draining
+               || (self->batch.busy >= self->batch.slots
+                   && self->queued >= self->config->queue_max);
+  if (is_refused)
+    self->refused++;
+  else
+    has_run = run_call (&call, &is_lost);
+  pthread_mutex_unlock (&self->lock);
+  if (is_refused)
+    eg_exchange_answer_json (
+        exchange, 503,
+        json_pack ("{s:s,s:s}", "ran", "no", "error", "draining or full"));
+  else if (has_run && !is_lost)
+    echo (self, exchange);
+  else
+    eg_exchange_cut (exchange);
+}
+
+static void
+answer_health (struct eg_service *self, struct eg_exchange *exchange)
+{
+  json_t *report;
+
+  pthread_mutex_lock (&self->lock);
+  self->health_calls++;
+  while (self->is_hung && !eg_exchange_is_gone (exchange))
+    sleep_a_while (self, POLL_US);
+  report = json_pack ("{s:s,s:I,s:I,s:b}", "service", self->config->service,
+                      "running", self->running, "queued", self->queued,
+                      "draining", self->is_draining);
+  pthread_mutex_unlock (&self->lock);
+  eg_exchange_answer_json (exchange, 200, report);
+}
+
+static void
+handle (void *context, struct eg_exchange *exchange)
+{
+  struct eg_service *self = context;
+
+  if (eg_exchange_is (exchange, "GET", "/health"))
+    answer_health (self, exchange);
+  else
+    answer_call (self, exchange);
+}
+
+static void
+die (struct eg_service *self)
+{
+  if (self->is_dead)
+    return;
+  self->is_dead = true;
+  self->is_hung = false;
+  self->generation++;
+  self->running = 0;
+  self->queued = 0;
+  eg_batch_wake (&self->batch);
+  eg_listener_cut (&self->standin.listener);
+}
+
+static enum eg_status
+revive (struct eg_service *self, struct eg_error *error)
+{
+  pthread_mutex_lock (&self->lock);
+  self->is_dead = false;
+  self->is_hung = false;
+  pthread_mutex_unlock (&self->lock);
+  return eg_listener_open (&self->standin.listener, error);
+}
+
+static enum eg_status
+apply_fault (void *context,
+             const struct eg_fault *fault,
+             struct eg_error *error)
+{
+  struct eg_service *self = context;
+
+  if (fault->kind == EG_FAULT_REVIVE)
+    return revive (self, error);
+  pthread_mutex_lock (&self->lock);
+  if (fault->kind == EG_FAULT_DIE)
+    die (self);
+  else if (fault->kind == EG_FAULT_HANG)
+    self->is_hung = true;
+  else if (fault->kind == EG_FAULT_SLOW)
+    self->slow = fault->factor;
+  else if (fault->kind == EG_FAULT_DRAIN)
+    self->is_draining = true;
+  else if (fault->kind == EG_FAULT_LOSE_REPLY)
+    self->lost_replies = fault->count;
+  pthread_mutex_unlock (&self->lock);
+  return EG_OK;
+}
+
+static enum eg_status
+clear_faults (void *context, struct eg_error *error)
+{
+  struct eg_service *self = context;
+
+  pthread_mutex_lock (&self->lock);
+  self->slow = 1;
+  self->is_draining = false;
+  self->lost_replies = 0;
+  pthread_mutex_unlock (&self->lock);
+  return revive (self, error);
+}
+
+static void
+write_record (void *context, struct eg_exchange *exchange)
+{
+  struct eg_service *self = context;
+  json_t *record;
+
+  pthread_mutex_lock (&self->lock);
+  record = json_pack ("{s:o,s:I}", "runs", json_deep_copy (self->runs),
+                      "dropped", self->dropped);
+  pthread_mutex_unlock (&self->lock);
+  eg_exchange_answer_json (exchange, 200, record);
+}
+
+static void
+clear_record (void *context)
+{
+  struct eg_service *self = context;
+
+  pthread_mutex_lock (&self->lock);
+  json_array_clear (self->runs);
+  self->dropped = 0;
+  pthread_mutex_unlock (&self->lock);
+}
+
+static json_t *
+counts (void *context)
+{
+  struct eg_service *self = context;
+  json_t *object;
+
+  pthread_mutex_lock (&self->lock);
+  object = json_pack ("{s:I,s:I,s:I}", "calls", self->calls, "health",
+                      self->health_calls, "refused", self->refused);
+  pthread_mutex_unlock (&self->lock);
+  return object;
+}
+
+static const struct eg_standin_ops ops = {
+    .kind = EG_STANDIN_SERVICE,
+    .name = "service",
+    .handle = handle,
+    .apply_fault = apply_fault,
+    .clear_faults = clear_faults,
+    .write_record = write_record,
+    .clear_record = clear_record,
+    .counts = counts,
+};
+
+void
+eg_service_init (struct eg_service *self,
+                 const struct eg_service_config *config)
+{
+  int64_t threads = config->threads;
+
+  memset (self, 0, sizeof *self);
+  self->config = config;
+  self->slow = 1;
+  self->runs = json_array ();
+  pthread_mutex_init (&self->lock, NULL);
+  eg_batch_init (&self->batch, config->slots, &self->lock);
+  if (threads == 0)
+    threads = config->slots + config->queue_max + EXTRA_THREADS;
+  eg_standin_init (&self->standin, &ops, self, config->listen, threads);
+}
+
+void
+eg_service_finish (struct eg_service *self)
+{
+  pthread_mutex_lock (&self->lock);
+  die (self);
+  pthread_mutex_unlock (&self->lock);
+  eg_listener_finish (&self->standin.listener);
+  json_decref (self->runs);
+  pthread_mutex_destroy (&self->lock);
+}
