--- a/standin/engine.c
+++ b/standin/engine.c
@@ -6,12 +6,12 @@
 #include "base/clock.h"
 #include "standin/engine_calls.h"
 #include "standin/engine_generate.h"
+#include "standin/pause.h"
 
 /* Threads beyond those of the streams: load reports, orders, cancellations. */
 #define EXTRA_THREADS 32
 #define RECORD_PART_ENTRIES 512
-#define HANG_POLL_NS 50000000
-#define NS_PER_S 1000000000
+#define HANG_POLL_US (50 * EG_US_PER_MS)
 
 static const char *const call_names[EG_ENGINE_CALLS] = {
     [EG_ENGINE_LOAD] = "load",
@@ -257,13 +257,7 @@
   pthread_mutex_lock (&self->lock);
   while (self->faults.is_hung && self->generation == generation)
     {
-      struct timespec until;
-
-      clock_gettime (CLOCK_REALTIME, &until);
-      until.tv_nsec += HANG_POLL_NS;
-      until.tv_sec += until.tv_nsec / NS_PER_S;
-      until.tv_nsec %= NS_PER_S;
-      pthread_cond_timedwait (&self->changed, &self->lock, &until);
+      eg_pause_on (&self->changed, &self->lock, HANG_POLL_US);
       if (eg_exchange_is_gone (exchange))
         break;
     }
@@ -364,7 +358,6 @@
   self->faults.is_hung = false;
   eg_engine_die (self);
   pthread_mutex_unlock (&self->lock);
-  eg_listener_finish (&self->standin.listener);
 }
 
 void
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -87,10 +87,10 @@
                                                 const char *address),
                      void *find_context);
 
-/** Closes the listener and ends all streams. */
+/** Closes the listener and ends all streams, without waiting for them. */
 void eg_engine_stop (struct eg_engine *self);
 
-/** Frees an engine, once all engines that may call it have stopped. */
+/** Frees a stopped engine, once the listeners of all engines are finished. */
 void eg_engine_finish (struct eg_engine *self);
 
 /** Forgets all state and cuts all connections; with the lock held. */
--- a/standin/engine_batch.c
+++ b/standin/engine_batch.c
@@ -1,11 +1,10 @@
 #include "standin/engine_batch.h"
 
-#include <time.h>
-
 #include "base/clock.h"
+#include "standin/pause.h"
 
-#define NS_PER_MS 1000000
-#define NS_PER_S 1000000000
+/* How long a wait goes on before its interruption is looked at again. */
+#define POLL_US (100 * EG_US_PER_MS)
 
 struct eg_batch_waiter
 {
@@ -56,18 +55,6 @@
   *place = waiter->next;
 }
 
-static void
-wait_a_while (struct eg_batch *self, struct eg_batch_waiter *waiter)
-{
-  struct timespec until;
-
-  clock_gettime (CLOCK_REALTIME, &until);
-  until.tv_nsec += EG_BATCH_POLL_MS * NS_PER_MS;
-  until.tv_sec += until.tv_nsec / NS_PER_S;
-  until.tv_nsec %= NS_PER_S;
-  pthread_cond_timedwait (&waiter->changed, self->lock, &until);
-}
-
 bool
 eg_batch_acquire (struct eg_batch *self,
                   struct eg_batch_rank rank,
@@ -84,7 +71,7 @@
   pthread_cond_init (&waiter.changed, NULL);
   insert_waiter (self, &waiter);
   while (!waiter.is_granted && !is_interrupted (context))
-    wait_a_while (self, &waiter);
+    eg_pause_on (&waiter.changed, self->lock, POLL_US);
   if (!waiter.is_granted)
     remove_waiter (self, &waiter);
   pthread_cond_destroy (&waiter.changed);
--- a/standin/engine_batch.h
+++ b/standin/engine_batch.h
@@ -15,9 +15,6 @@
 
 EG_BEGIN_DECLS
 
-/** How long a wait goes on before its interruption is looked at again. */
-#define EG_BATCH_POLL_MS 100
-
 /** A stream's place in the order of grants. */
 struct eg_batch_rank
 {
--- a/standin/engine_cache.c
+++ b/standin/engine_cache.c
@@ -8,7 +8,7 @@
 #include "base/hash.h"
 #include "base/status.h"
 
-#define BLOCK_BYTES (EG_CACHE_BLOCK_TOKENS * EG_PROMPT_TOKEN_BYTES)
+#define BLOCK_BYTES ((size_t) EG_CACHE_BLOCK_TOKENS * EG_PROMPT_TOKEN_BYTES)
 #define HASH_TEXT_BYTES 17
 
 /* Every so many events, one isn't published, so that gaps occur. */
--- a/standin/engine_chain.c
+++ b/standin/engine_chain.c
@@ -116,8 +116,9 @@
   enum eg_step step;
   json_t *reply;
 
+  /* Over a connection that broke, libcurl tries anew before it gives up. */
   if (outcome == CURLE_COULDNT_CONNECT)
-    return EG_STEP_UNREACHABLE;
+    return stage->is_open ? EG_STEP_DIED : EG_STEP_UNREACHABLE;
   if (outcome == CURLE_OPERATION_TIMEDOUT)
     return EG_STEP_TIMEOUT;
   if (outcome != CURLE_OK)
--- a/standin/engine_generate.c
+++ b/standin/engine_generate.c
@@ -109,7 +109,8 @@
     return eg_error_set (error, EG_INVALID,
                          "chain: layers must end at %" PRId64,
                          engine->config->model_layers);
-  if (strcmp (links[0].address, engine->config->listen) != 0)
+  if (!links[0].address
+      || strcmp (links[0].address, engine->config->listen) != 0)
     return eg_error_set (error, EG_INVALID,
                          "chain[0]: the head must be %s itself",
                          engine->config->listen);
--- a/standin/engine_record.c
+++ b/standin/engine_record.c
@@ -65,7 +65,7 @@
 {
   if (self->request_count == self->request_capacity)
     self->requests =
-        grow (self->requests, &self->request_capacity, sizeof *self->requests);
+        grow (self->requests, &self->request_capacity, sizeof (char *));
   self->requests[self->request_count] = quote (request);
   return (uint32_t) self->request_count++;
 }
@@ -106,8 +106,8 @@
   if (index == 0)
     {
       if (block == self->block_capacity)
-        self->blocks =
-            grow (self->blocks, &self->block_capacity, sizeof *self->blocks);
+        self->blocks = grow ((void *) self->blocks, &self->block_capacity,
+                             sizeof (struct eg_record_block *));
       self->blocks[block] = malloc (sizeof **self->blocks);
       EG_INVARIANT (self->blocks[block] != NULL);
     }
--- a/standin/engine_requests.c
+++ b/standin/engine_requests.c
@@ -43,10 +43,15 @@
 void
 eg_engine_requests_clear (struct eg_engine_requests *self)
 {
-  struct eg_engine_request *request;
+  struct eg_engine_request *request = TAILQ_FIRST (&self->ages);
 
-  while ((request = TAILQ_FIRST (&self->ages)) != NULL)
-    detach (self, request);
+  while (request)
+    {
+      struct eg_engine_request *next = TAILQ_NEXT (request, age_link);
+
+      detach (self, request);
+      request = next;
+    }
 }
 
 static struct eg_request_bucket *
--- a/standin/engine_stage.c
+++ b/standin/engine_stage.c
@@ -1,18 +1,16 @@
 #include "standin/engine_stage.h"
 
 #include <string.h>
-#include <time.h>
 
 #include "base/clock.h"
+#include "standin/pause.h"
 
 /* Pauses are cut into parts, so that an interruption is soon seen. */
 #define PAUSE_PART_US (20 * EG_US_PER_MS)
-#define NS_PER_US 1000
 
 /* A wake-up this late is made good in the next pause. */
 #define MAX_LATENESS_US 1000
-#define HANG_POLL_NS 50000000
-#define NS_PER_S 1000000000
+#define HANG_POLL_US (50 * EG_US_PER_MS)
 
 static const char *const causes[EG_STEP_COUNT] = {
     [EG_STEP_DONE] = "done",
@@ -196,11 +194,8 @@
 static void
 sleep_until (struct eg_engine *engine, int64_t until_us)
 {
-  struct timespec until = {.tv_sec = until_us / EG_US_PER_S,
-                           .tv_nsec = until_us % EG_US_PER_S * NS_PER_US};
-
   pthread_mutex_unlock (&engine->lock);
-  clock_nanosleep (CLOCK_MONOTONIC, TIMER_ABSTIME, &until, NULL);
+  eg_pause_until (until_us);
   pthread_mutex_lock (&engine->lock);
 }
 
@@ -270,13 +265,7 @@
 
   while (engine->faults.is_hung && self->interruption == EG_STEP_DONE)
     {
-      struct timespec until;
-
-      clock_gettime (CLOCK_REALTIME, &until);
-      until.tv_nsec += HANG_POLL_NS;
-      until.tv_sec += until.tv_nsec / NS_PER_S;
-      until.tv_nsec %= NS_PER_S;
-      pthread_cond_timedwait (&engine->changed, &engine->lock, &until);
+      eg_pause_on (&engine->changed, &engine->lock, HANG_POLL_US);
       if (is_ended (self))
         return;
       if (self->params.is_gone && self->params.is_gone (self->params.context))
--- a/standin/host.c
+++ b/standin/host.c
@@ -9,7 +9,7 @@
 #include "standin/platform.h"
 #include "standin/service.h"
 
-#define THREAD_STACK_BYTES (256 * 1024)
+#define THREAD_STACK_BYTES ((size_t) 256 * 1024)
 #define ADMIN_THREADS 16
 #define CONTROL_PREFIX "/standin/"
 
@@ -102,9 +102,9 @@
   const struct eg_config *config = &self->config;
   size_t count = config->engine_count + config->service_count + 1;
 
-  self->standins = allocate (count * sizeof *self->standins);
-  self->engines = allocate (count * sizeof *self->engines);
-  self->services = allocate (count * sizeof *self->services);
+  self->standins = allocate (count * sizeof (struct eg_standin *));
+  self->engines = allocate (count * sizeof (struct eg_engine *));
+  self->services = allocate (count * sizeof (struct eg_service *));
   if (config->has_platform)
     {
       self->platform = allocate (sizeof *self->platform);
@@ -177,6 +177,8 @@
     eg_listener_finish (&self->admin);
   for (size_t i = 0; i < self->config.engine_count; i++)
     eg_engine_stop (self->engines[i]);
+  for (size_t i = 0; i < self->config.engine_count; i++)
+    eg_listener_finish (&self->engines[i]->standin.listener);
   for (size_t i = 0; i < self->config.engine_count; i++)
     {
       eg_engine_finish (self->engines[i]);
--- a/standin/listener.c
+++ b/standin/listener.c
@@ -92,12 +92,20 @@
   return mg_start (&callbacks, self, options);
 }
 
+/* Without the lock: the threads being waited for may want to cut again. */
 static void
 join_stopper (struct eg_listener *self)
 {
-  if (self->has_stopper)
-    pthread_join (self->stopper, NULL);
+  pthread_t stopper;
+  bool has_stopper;
+
+  pthread_mutex_lock (&self->lock);
+  stopper = self->stopper;
+  has_stopper = self->has_stopper;
   self->has_stopper = false;
+  pthread_mutex_unlock (&self->lock);
+  if (has_stopper)
+    pthread_join (stopper, NULL);
 }
 
 enum eg_status
@@ -105,10 +113,10 @@
 {
   enum eg_status status = EG_OK;
 
+  join_stopper (self);
   pthread_mutex_lock (&self->lock);
   if (!self->server)
     {
-      join_stopper (self);
       self->server = start_server (self);
       if (!self->server)
         status = eg_error_set (error, EG_SYSTEM, "can't listen on %s",
@@ -153,7 +161,6 @@
   if (self->server)
     {
       shut_sockets (self->port);
-      join_stopper (self);
       self->has_stopper =
           pthread_create (&self->stopper, NULL, stop_server, self->server) == 0;
       EG_INVARIANT (self->has_stopper);
--- /dev/null
+++ b/standin/pause.h
@@ -0,0 +1,25 @@
+/**
+ * @file
+ * Waits with a bound, in microseconds of the monotonic clock.
+ */
+#ifndef EG_STANDIN_PAUSE_H
+#define EG_STANDIN_PAUSE_H
+
+#include <pthread.h>
+#include <stdint.h>
+
+#include "base/decls.h"
+
+EG_BEGIN_DECLS
+
+/** Sleeps until eg_clock_now_us() reaches @p until_us. */
+void eg_pause_until (int64_t until_us);
+
+/** Waits for @p condition, but no longer than @p bound_us. */
+void eg_pause_on (pthread_cond_t *condition,
+                  pthread_mutex_t *lock,
+                  int64_t bound_us);
+
+EG_END_DECLS
+
+#endif
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -4,18 +4,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "base/clock.h"
+#include "standin/pause.h"
 
 #define MAX_VALUE_BYTES (1 << 20)
 #define MAX_WAIT_MS 600000
 #define OBJECTS_PATH "/objects"
 #define HEADER_BYTES 64
 #define QUERY_BYTES 512
-#define POLL_NS 50000000
-#define NS_PER_S 1000000000
-#define NS_PER_MS 1000000
+#define POLL_US (50 * EG_US_PER_MS)
 
 static const char *const call_names[EG_PLATFORM_CALLS] = {
     [EG_PLATFORM_GET] = "get",       [EG_PLATFORM_PUT] = "put",
@@ -23,19 +21,6 @@
     [EG_PLATFORM_VMS] = "vms",       [EG_PLATFORM_REFUSED] = "refused",
 };
 
-/* Waits for a change, but not for long; with the lock held. */
-static void
-wait_a_while (struct eg_platform *self)
-{
-  struct timespec until;
-
-  clock_gettime (CLOCK_REALTIME, &until);
-  until.tv_nsec += POLL_NS;
-  until.tv_sec += until.tv_nsec / NS_PER_S;
-  until.tv_nsec %= NS_PER_S;
-  pthread_cond_timedwait (&self->changed, &self->lock, &until);
-}
-
 /* Reads a version as in an ETag: a number in quotes. */
 static bool
 read_etag (const char *text, int64_t *version)
@@ -248,7 +233,7 @@
         }
       if (changes || (eg_clock_now_us () >= until && !self->is_silent))
         break;
-      wait_a_while (self);
+      eg_pause_on (&self->changed, &self->lock, POLL_US);
       eg_exchange_is_gone (exchange);
     }
   if (!self->is_down && !self->is_closing && !exchange->failed)
@@ -293,7 +278,6 @@
        enum eg_platform_call call)
 {
   bool is_write = call == EG_PLATFORM_PUT || call == EG_PLATFORM_DELETE;
-  struct timespec delay;
   int64_t delay_ms;
   bool is_down;
   bool is_over;
@@ -303,7 +287,7 @@
   is_over = is_over_rate (is_write ? &self->writes : &self->reads);
   while (self->is_silent && !self->is_closing
          && !eg_exchange_is_gone (exchange))
-    wait_a_while (self);
+    eg_pause_on (&self->changed, &self->lock, POLL_US);
   delay_ms = self->config->latency_ms + self->slow_ms;
   is_down = self->is_down || self->is_closing;
   if (is_down || is_over)
@@ -311,9 +295,7 @@
   pthread_mutex_unlock (&self->lock);
   if (exchange->failed)
     return false;
-  delay = (struct timespec){.tv_sec = delay_ms / 1000,
-                            .tv_nsec = delay_ms % 1000 * NS_PER_MS};
-  clock_nanosleep (CLOCK_MONOTONIC, 0, &delay, NULL);
+  eg_pause_until (eg_clock_now_us () + delay_ms * EG_US_PER_MS);
   if (is_down)
     eg_exchange_refuse (exchange, 503, "the store is down");
   else if (is_over)
--- a/standin/platform_store.c
+++ b/standin/platform_store.c
@@ -274,8 +274,8 @@
 {
   size_t first = lower_bound (self, prefix);
   size_t count = 0;
-  const struct object **found =
-      (const struct object **) calloc (self->count + 1, sizeof *found);
+  const struct object **found = (const struct object **) calloc (
+      self->count + 1, sizeof (struct object *));
 
   EG_INVARIANT (found != NULL);
   for (size_t i = first; i < self->count; i++)
@@ -287,7 +287,7 @@
       if (object->version > after && (after > 0 || object->value))
         found[count++] = object;
     }
-  qsort ((void *) found, count, sizeof *found, compare_versions);
+  qsort ((void *) found, count, sizeof (struct object *), compare_versions);
   for (size_t i = 0; i < count; i++)
     add_change (changes, prefix, found[i], found[i]->version, found[i]->value);
   free ((void *) found);
--- a/standin/service.c
+++ b/standin/service.c
@@ -1,13 +1,12 @@
 #include "standin/service.h"
 
 #include <string.h>
-#include <time.h>
 
 #include "base/clock.h"
+#include "standin/pause.h"
 
 #define EXTRA_THREADS 32
 #define POLL_US (20 * EG_US_PER_MS)
-#define NS_PER_US 1000
 
 /* A call on its way. */
 struct call
@@ -30,11 +29,8 @@
 static void
 sleep_a_while (struct eg_service *self, int64_t duration_us)
 {
-  struct timespec duration = {.tv_sec = duration_us / EG_US_PER_S,
-                              .tv_nsec = duration_us % EG_US_PER_S * NS_PER_US};
-
   pthread_mutex_unlock (&self->lock);
-  clock_nanosleep (CLOCK_MONOTONIC, 0, &duration, NULL);
+  eg_pause_until (eg_clock_now_us () + duration_us);
   pthread_mutex_lock (&self->lock);
 }
 
