--- a/standin/exchange.c
+++ b/standin/exchange.c
@@ -17,31 +17,15 @@
 /* Descriptors are given out from below; a long row of unused ones ends them. */
 #define MAX_UNUSED_FDS 1024
 
-/* What is kept for a connection. */
-struct connection
-{
-  int fd; /* -1 until it is looked up */
-};
-
+/* What is kept for a connection is its socket plus 1, as a pointer. */
 int
 eg_exchange_init_connection (const struct mg_connection *conn, void **data)
 {
-  struct connection *connection = malloc (sizeof *connection);
-
   (void) conn;
-  EG_INVARIANT (connection != NULL);
-  connection->fd = -1;
-  *data = connection;
+  *data = NULL;
   return 0;
 }
 
-void
-eg_exchange_close_connection (const struct mg_connection *conn)
-{
-  free (mg_get_user_connection_data (conn));
-  mg_set_user_connection_data (conn, NULL);
-}
-
 /* CivetWeb shows no socket; its two ports name it. */
 static int
 find_fd (const struct mg_request_info *info)
@@ -70,11 +54,14 @@
 static int
 socket_of (struct eg_exchange *self)
 {
-  struct connection *connection = mg_get_user_connection_data (self->conn);
-
-  if (connection->fd < 0)
-    connection->fd = find_fd (mg_get_request_info (self->conn));
-  return connection->fd;
+  intptr_t kept = (intptr_t) mg_get_user_connection_data (self->conn);
+  int fd;
+
+  if (kept > 0)
+    return (int) kept - 1;
+  fd = find_fd (mg_get_request_info (self->conn));
+  mg_set_user_connection_data (self->conn, (void *) (intptr_t) (fd + 1));
+  return fd;
 }
 
 static bool
--- a/standin/exchange.h
+++ b/standin/exchange.h
@@ -40,9 +40,6 @@
 /** CivetWeb's callback for a new connection. */
 int eg_exchange_init_connection (const struct mg_connection *conn, void **data);
 
-/** CivetWeb's callback for an ended connection. */
-void eg_exchange_close_connection (const struct mg_connection *conn);
-
 /** Returns the request header @p name, or NULL. */
 const char *eg_exchange_header (const struct eg_exchange *self,
                                 const char *name);
--- a/standin/listener.c
+++ b/standin/listener.c
@@ -69,7 +69,6 @@
       .log_access = drop_message,
       .init_thread = init_thread,
       .init_connection = eg_exchange_init_connection,
-      .connection_closed = eg_exchange_close_connection,
   };
   char threads[OPTION_TEXT_BYTES];
   const char *options[] = {"listening_ports",
--- a/test/test_standin.c
+++ b/test/test_standin.c
@@ -751,7 +751,7 @@
   (void) state;
   for (int i = 0; i < 100; i++)
     eg_load_history_add (&history, (struct eg_load){.running = i},
-                         i * 10 * EG_US_PER_MS);
+                         10 * EG_US_PER_MS * i);
   assert_int_equal (eg_load_history_at (&history, 505 * EG_US_PER_MS).running,
                     50);
   assert_int_equal (eg_load_history_at (&history, 500 * EG_US_PER_MS).running,
