--- a/test/test_base.c
+++ b/test/test_base.c
@@ -13,6 +13,7 @@
 #include "base/buffer.h"
 #include "base/hash.h"
 #include "base/histogram.h"
+#include "base/map.h"
 #include "base/random.h"
 #include "base/ring.h"
 #include "base/settings.h"
@@ -179,6 +180,37 @@
     }
 }
 
+static void
+test_map_against_array (void **state)
+{
+  enum
+  {
+    KEYS = 200,
+    STEPS = 20000
+  };
+  int values[KEYS];
+  bool present[KEYS] = {false};
+  struct eg_map map;
+  struct eg_random random;
+
+  (void) state;
+  eg_map_init (&map);
+  eg_random_init (&random, 7);
+  for (int step = 0; step < STEPS; step++)
+    {
+      size_t key = eg_random_below (&random, KEYS);
+
+      assert_ptr_equal (eg_map_get (&map, key),
+                        present[key] ? &values[key] : NULL);
+      if (present[key])
+        assert_ptr_equal (eg_map_remove (&map, key), &values[key]);
+      else
+        eg_map_put (&map, key, &values[key]);
+      present[key] = !present[key];
+    }
+  eg_map_finish (&map);
+}
+
 int
 main (void)
 {
@@ -189,6 +221,7 @@
       cmocka_unit_test (test_histogram_quantiles),
       cmocka_unit_test (test_ring_keeps_order_and_bound),
       cmocka_unit_test (test_buffer_consume),
+      cmocka_unit_test (test_map_against_array),
       cmocka_unit_test (test_random_is_reproducible),
   };
 
