router, backend, platform: threads and adapters of the daemon

Work on the path: the request lifecycle, the back-end thread with the engine and service protocols, the platform thread, settings, calls and metrics.

--- a/base/ring.c
+++ b/base/ring.c
@@ -66,6 +66,12 @@
   return item;
 }
 
+unsigned
+eg_ring_count (const struct eg_ring *self)
+{
+  return ck_ring_size (&self->ring);
+}
+
 bool
 eg_ring_prepare_wait (struct eg_ring *self)
 {
--- a/base/ring.h
+++ b/base/ring.h
@@ -41,6 +41,9 @@
 /** Takes the oldest item, or returns NULL; for the consumer alone. */
 void *eg_ring_pop (struct eg_ring *self);
 
+/** Returns how many items wait; may be out of date at once. */
+unsigned eg_ring_count (const struct eg_ring *self);
+
 /**
  * Sleeps until an item arrives, eg_ring_wake() is called or the time is over;
  * for the consumer alone.
--- a/http/client.c
+++ b/http/client.c
@@ -348,6 +348,7 @@
   curl_easy_getinfo (transfer->easy, CURLINFO_CONTENT_TYPE, &content_type);
   result.outcome = outcome_of (transfer->easy, message->data.result);
   result.status = (int) status;
+  result.timed_out = message->data.result == CURLE_OPERATION_TIMEDOUT;
   result.detail = curl_easy_strerror (message->data.result);
   result.body = eg_buffer_view (&transfer->answer);
   eg_str_copy (eg_str_from (content_type), result.content_type,
--- a/http/client.h
+++ b/http/client.h
@@ -33,7 +33,8 @@
 struct eg_http_result
 {
   enum eg_http_outcome outcome;
-  int status; /**< HTTP status, or 0 if none came. */
+  int status;     /**< HTTP status, or 0 if none came. */
+  bool timed_out; /**< Whether silence ended it, before or after it was sent. */
   char content_type[EG_HTTP_VALUE_BYTES];
   char etag[EG_HTTP_VALUE_BYTES];
   struct eg_str body; /**< Empty if @c on_data took it. */
--- /dev/null
+++ b/http/json.c
@@ -0,0 +1,127 @@
+#include "http/json.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+json_t *
+eg_json_parse (struct eg_str text, struct eg_error *error)
+{
+  json_error_t failure;
+  json_t *value =
+      json_loadb (text.data ? text.data : "", text.len,
+                  JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL, &failure);
+
+  if (!value)
+    eg_error_set (error, EG_INVALID, "not valid JSON: line %d, column %d: %s",
+                  failure.line, failure.column, failure.text);
+  return value;
+}
+
+static const struct eg_json_member *
+find_member (const struct eg_json_member *members,
+             size_t count,
+             const char *name)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (members[i].name, name) == 0)
+      return &members[i];
+  return NULL;
+}
+
+static const char *const kind_names[] = {
+    [EG_JSON_TEXT] = "a string",
+    [EG_JSON_VIEW] = "a string",
+    [EG_JSON_INTEGER] = "an integer, 0 or more",
+    [EG_JSON_BOOLEAN] = "true or false",
+    [EG_JSON_ARRAY] = "an array",
+};
+
+static bool
+store (const struct eg_json_member *member, json_t *value)
+{
+  struct eg_str text = {json_string_value (value), json_string_length (value)};
+
+  switch (member->kind)
+    {
+    case EG_JSON_TEXT:
+      return json_is_string (value) && !memchr (text.data, '\0', text.len)
+             && eg_str_copy (text, member->target, member->capacity);
+    case EG_JSON_VIEW:
+      if (json_is_string (value))
+        *(struct eg_str *) member->target = text;
+      return json_is_string (value);
+    case EG_JSON_INTEGER:
+      if (!json_is_integer (value) || json_integer_value (value) < 0)
+        return false;
+      *(int64_t *) member->target = json_integer_value (value);
+      return true;
+    case EG_JSON_BOOLEAN:
+      *(bool *) member->target = json_is_true (value);
+      return json_is_boolean (value);
+    case EG_JSON_ARRAY:
+      *(json_t **) member->target = value;
+      return json_is_array (value);
+    }
+  return false;
+}
+
+enum eg_status
+eg_json_read (json_t *object,
+              const struct eg_json_member *members,
+              size_t count,
+              struct eg_error *error)
+{
+  const char *name;
+  json_t *value;
+
+  if (!json_is_object (object))
+    return eg_error_set (error, EG_INVALID, "expected a JSON object");
+  json_object_foreach (object, name, value)
+  {
+    const struct eg_json_member *member = find_member (members, count, name);
+
+    if (!member)
+      return eg_error_set (error, EG_INVALID, "unknown field \"%.64s\"", name);
+    if (!store (member, value))
+      return eg_error_set (error, EG_INVALID, "field \"%s\": expected %s%s",
+                           name, kind_names[member->kind],
+                           member->capacity ? " that is short enough" : "");
+  }
+  for (size_t i = 0; i < count; i++)
+    if (members[i].required && !json_object_get (object, members[i].name))
+      return eg_error_set (error, EG_INVALID, "field \"%s\" is missing",
+                           members[i].name);
+  return EG_OK;
+}
+
+static int
+append_bytes (const char *bytes, size_t len, void *context)
+{
+  eg_buffer_append (context, (struct eg_str){bytes, len});
+  return 0;
+}
+
+static json_t *
+masked_string (struct eg_str text)
+{
+  char *copy = malloc (text.len + 1);
+  json_t *value;
+
+  EG_INVARIANT (copy != NULL);
+  for (size_t i = 0; i < text.len; i++)
+    copy[i] = (unsigned char) text.data[i] < 0x80 ? text.data[i] : '?';
+  value = json_stringn (copy, text.len);
+  free (copy);
+  return value;
+}
+
+void
+eg_json_append_string (struct eg_buffer *buffer, struct eg_str text)
+{
+  json_t *value = json_stringn (text.data ? text.data : "", text.len);
+
+  if (!value)
+    value = masked_string (text);
+  json_dump_callback (value, append_bytes, buffer, JSON_ENCODE_ANY);
+  json_decref (value);
+}
--- /dev/null
+++ b/policy/lifecycle.c
@@ -0,0 +1,859 @@
+#include "policy/lifecycle.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/map.h"
+#include "base/status.h"
+#include "policy/action_queue.h"
+#include "policy/target.h"
+
+#define NO_CAPACITY_RETRY_AFTER_US EG_US_PER_S
+#define STOPPING_RETRY_AFTER_US EG_US_PER_S
+
+enum request_phase
+{
+  PHASE_QUEUED,  /* In the target's admission queue. */
+  PHASE_WAITING, /* In the target's list of attempts to be repeated. */
+  PHASE_RUNNING, /* In the list of running attempts. */
+};
+
+struct eg_request_state
+{
+  struct eg_lifecycle_request info;
+  char organisation[EG_NAME_BYTES];
+  struct eg_target *target;
+  enum request_phase phase;
+  uint32_t attempt;
+  int64_t committed; /* Tokens handed to the caller. */
+  struct eg_chain chain;
+  enum eg_ran ran;     /* The most that any attempt so far may have done. */
+  int64_t progress_us; /* When the attempt began or last gave a token. */
+  bool attempt_progressed;
+  int64_t retry_at_us;
+  uint32_t excluded[EG_EXCLUDED_MAX];
+  size_t excluded_count;
+  struct eg_request_state *previous;
+  struct eg_request_state *next;
+};
+
+struct eg_lifecycle
+{
+  struct eg_lifecycle_config config;
+  struct eg_servers *servers;
+  struct eg_random random;
+  struct eg_limits *limits;
+  struct eg_quarantine *quarantine;
+  struct eg_target_table targets;
+  struct eg_map requests;
+  struct eg_request_state *running;
+  struct eg_action_queue actions;
+  struct eg_lifecycle_counts counts;
+  bool stopping;
+};
+
+struct eg_lifecycle *
+eg_lifecycle_new (const struct eg_lifecycle_config *config,
+                  struct eg_servers *servers,
+                  uint64_t seed)
+{
+  struct eg_lifecycle *self = calloc (1, sizeof *self);
+
+  if (!self)
+    return NULL;
+  self->config = *config;
+  self->servers = servers;
+  eg_random_init (&self->random, seed);
+  self->limits = eg_limits_new (&config->default_limit);
+  self->quarantine = eg_quarantine_new (&config->quarantine);
+  if (self->limits && self->quarantine)
+    return self;
+  eg_lifecycle_free (self);
+  return NULL;
+}
+
+void
+eg_lifecycle_free (struct eg_lifecycle *self)
+{
+  size_t cursor = 0;
+  struct eg_request_state *request;
+
+  if (!self)
+    return;
+  while ((request = eg_map_next (&self->requests, &cursor)))
+    free (request);
+  eg_map_finish (&self->requests);
+  eg_target_table_finish (&self->targets);
+  eg_limits_free (self->limits);
+  eg_quarantine_free (self->quarantine);
+  eg_action_queue_finish (&self->actions);
+  free (self);
+}
+
+/* Lists of requests. */
+
+static void
+list_add (struct eg_request_state **head, struct eg_request_state *request)
+{
+  request->previous = NULL;
+  request->next = *head;
+  if (*head)
+    (*head)->previous = request;
+  *head = request;
+}
+
+static void
+list_remove (struct eg_request_state **head, struct eg_request_state *request)
+{
+  if (request->previous)
+    request->previous->next = request->next;
+  else
+    *head = request->next;
+  if (request->next)
+    request->next->previous = request->previous;
+}
+
+/* Takes the request out of what its phase keeps it in. */
+static void
+leave_phase (struct eg_lifecycle *self, struct eg_request_state *request)
+{
+  switch (request->phase)
+    {
+    case PHASE_QUEUED:
+      eg_admission_remove (request->target->admission, request->info.id);
+      self->counts.queued--;
+      return;
+    case PHASE_WAITING:
+      list_remove (&request->target->waiting, request);
+      self->counts.queued--;
+      return;
+    case PHASE_RUNNING:
+      list_remove (&self->running, request);
+      self->counts.running--;
+      return;
+    }
+}
+
+/* Outcomes. */
+
+static void
+push_refusal (struct eg_lifecycle *self,
+              uint64_t id,
+              enum eg_refusal refusal,
+              enum eg_ran ran,
+              int64_t retry_after_us)
+{
+  struct eg_action action = {
+      .kind = EG_ACTION_REFUSE,
+      .request = id,
+      .refusal = refusal,
+      .ran = ran,
+      .retry_after_us = retry_after_us,
+  };
+
+  self->counts.refused++;
+  eg_action_queue_push (&self->actions, &action);
+}
+
+/* Forgets a request that has left its phase. */
+static void
+forget (struct eg_lifecycle *self, struct eg_request_state *request)
+{
+  struct eg_str organisation = eg_str_from (request->organisation);
+
+  eg_limits_end (self->limits, organisation);
+  eg_map_remove (&self->requests, request->info.id);
+  free (request);
+}
+
+static void
+refuse (struct eg_lifecycle *self,
+        struct eg_request_state *request,
+        enum eg_refusal refusal,
+        int64_t retry_after_us)
+{
+  enum eg_ran ran = request->committed > 0 ? EG_RAN_YES : request->ran;
+
+  push_refusal (self, request->info.id, refusal, ran, retry_after_us);
+  forget (self, request);
+}
+
+static void
+push_cancel (struct eg_lifecycle *self, const struct eg_request_state *request)
+{
+  struct eg_action action = {
+      .kind = EG_ACTION_CANCEL,
+      .request = request->info.id,
+      .attempt = request->attempt,
+      .chain = request->chain,
+  };
+
+  eg_action_queue_push (&self->actions, &action);
+}
+
+/* Attempts. */
+
+static void
+start_attempt (struct eg_lifecycle *self,
+               struct eg_request_state *request,
+               const struct eg_chain *chain,
+               int64_t now_us)
+{
+  struct eg_action action = {.kind = EG_ACTION_START};
+
+  request->phase = PHASE_RUNNING;
+  request->chain = *chain;
+  request->attempt++;
+  request->progress_us = now_us;
+  request->attempt_progressed = false;
+  list_add (&self->running, request);
+  for (size_t i = 0; i < chain->count; i++)
+    eg_servers_begin (self->servers, chain->stages[i].server, now_us);
+  self->counts.running++;
+  self->counts.attempts++;
+  if (request->attempt == 1)
+    eg_retry_budget_earn (&request->target->retries);
+  else
+    self->counts.retries++;
+  if (request->committed > 0)
+    self->counts.resumed++;
+  action.request = request->info.id;
+  action.attempt = request->attempt;
+  action.chain = *chain;
+  eg_action_queue_push (&self->actions, &action);
+}
+
+/* Counts the end of an attempt on each of its servers. */
+static void
+end_attempt (struct eg_lifecycle *self,
+             struct eg_request_state *request,
+             uint32_t failed_server,
+             int64_t now_us)
+{
+  leave_phase (self, request);
+  for (size_t i = 0; i < request->chain.count; i++)
+    {
+      uint32_t server = request->chain.stages[i].server;
+
+      eg_servers_end (self->servers, server, server == failed_server, now_us);
+    }
+}
+
+static void
+exclude (struct eg_request_state *request, uint32_t server)
+{
+  if (server == EG_SERVER_NONE)
+    return;
+  for (size_t i = 0; i < request->excluded_count; i++)
+    if (request->excluded[i] == server)
+      return;
+  if (request->excluded_count == EG_EXCLUDED_MAX)
+    {
+      memmove (request->excluded, request->excluded + 1,
+               sizeof request->excluded - sizeof request->excluded[0]);
+      request->excluded_count--;
+    }
+  request->excluded[request->excluded_count++] = server;
+}
+
+static enum eg_placement_result
+choose (struct eg_lifecycle *self,
+        struct eg_request_state *request,
+        int64_t now_us,
+        struct eg_chain *chain)
+{
+  struct eg_placement_query query = {.prefix_hash = request->info.prefix_hash};
+  enum eg_placement_result result;
+
+  if (request->info.plain)
+    query.service = request->info.target;
+  else
+    query.model = request->info.target;
+  memcpy (query.excluded, request->excluded, sizeof query.excluded);
+  query.excluded_count = request->excluded_count;
+  result = eg_placement_choose (&self->config.placement, self->servers, &query,
+                                &self->random, now_us, chain);
+  if (result == EG_PLACEMENT_FOUND || request->excluded_count == 0)
+    return result;
+  /* Better a server that failed once than none at all. */
+  request->excluded_count = 0;
+  query.excluded_count = 0;
+  return eg_placement_choose (&self->config.placement, self->servers, &query,
+                              &self->random, now_us, chain);
+}
+
+/* Dispatch. */
+
+static void
+note_capacity (struct eg_target *target,
+               enum eg_placement_result result,
+               int64_t now_us)
+{
+  if (result == EG_PLACEMENT_FOUND || result == EG_PLACEMENT_BUSY)
+    target->no_capacity_since_us = 0;
+  else if (target->no_capacity_since_us == 0)
+    target->no_capacity_since_us = now_us;
+}
+
+/* Starts the attempts whose back-off is over; they go before the queue, as
+   their callers have waited longest. Returns false where no room was left. */
+static bool
+dispatch_waiting (struct eg_lifecycle *self,
+                  struct eg_target *target,
+                  int64_t now_us)
+{
+  struct eg_request_state *request = target->waiting;
+
+  while (request)
+    {
+      struct eg_request_state *next = request->next;
+      struct eg_chain chain;
+      enum eg_placement_result result;
+
+      if (request->retry_at_us <= now_us)
+        {
+          result = choose (self, request, now_us, &chain);
+          note_capacity (target, result, now_us);
+          if (result != EG_PLACEMENT_FOUND)
+            return false;
+          leave_phase (self, request);
+          start_attempt (self, request, &chain, now_us);
+        }
+      request = next;
+    }
+  return true;
+}
+
+static void
+dispatch_queue (struct eg_lifecycle *self,
+                struct eg_target *target,
+                int64_t now_us)
+{
+  struct eg_admission_item item;
+
+  while (eg_admission_take (target->admission, now_us, &item))
+    {
+      struct eg_request_state *request =
+          eg_map_get (&self->requests, item.request);
+      struct eg_chain chain;
+      enum eg_placement_result result;
+
+      EG_INVARIANT (request != NULL);
+      result = choose (self, request, now_us, &chain);
+      note_capacity (target, result, now_us);
+      if (result != EG_PLACEMENT_FOUND)
+        {
+          eg_admission_return (target->admission, &item);
+          return;
+        }
+      self->counts.queued--;
+      start_attempt (self, request, &chain, now_us);
+    }
+}
+
+static void
+dispatch (struct eg_lifecycle *self, struct eg_target *target, int64_t now_us)
+{
+  if (dispatch_waiting (self, target, now_us))
+    dispatch_queue (self, target, now_us);
+}
+
+/* Arrival. */
+
+static enum eg_refusal
+find_target (struct eg_lifecycle *self,
+             struct eg_request_state *request,
+             int64_t now_us)
+{
+  struct eg_chain chain;
+
+  request->target = eg_target_table_find (&self->targets, request->info.plain,
+                                          request->info.target);
+  if (request->target)
+    return EG_REFUSAL_NONE;
+  if (choose (self, request, now_us, &chain) == EG_PLACEMENT_UNKNOWN)
+    return request->info.plain ? EG_REFUSAL_UNKNOWN_SERVICE
+                               : EG_REFUSAL_UNKNOWN_MODEL;
+  request->target = eg_target_table_add (&self->targets, request->info.plain,
+                                         request->info.target, &self->config);
+  return EG_REFUSAL_NONE;
+}
+
+static enum eg_refusal
+admit (struct eg_lifecycle *self,
+       struct eg_request_state *request,
+       int64_t now_us,
+       int64_t *retry_after_us)
+{
+  const struct eg_lifecycle_request *info = &request->info;
+  struct eg_admission_item item = {
+      .request = info->id,
+      .class_index = info->class_index,
+      .organisation = info->organisation,
+      .cost = info->cost,
+      .arrived_us = info->arrived_us,
+      .deadline_us = info->deadline_us,
+  };
+  enum eg_refusal refusal;
+
+  refusal = find_target (self, request, now_us);
+  if (refusal != EG_REFUSAL_NONE)
+    return refusal;
+  refusal = eg_limits_begin (self->limits, info->organisation, now_us,
+                             retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    return refusal;
+  refusal = eg_admission_offer (request->target->admission, &item, now_us,
+                                retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    eg_limits_end (self->limits, info->organisation);
+  return refusal;
+}
+
+/* Refusals that need no more than the request itself. */
+static enum eg_refusal
+check_arrival (struct eg_lifecycle *self,
+               const struct eg_lifecycle_request *info,
+               int64_t now_us,
+               int64_t *retry_after_us)
+{
+  if (self->stopping)
+    {
+      *retry_after_us = STOPPING_RETRY_AFTER_US;
+      return EG_REFUSAL_STOPPING;
+    }
+  if (self->requests.count >= self->config.requests_max)
+    {
+      *retry_after_us = NO_CAPACITY_RETRY_AFTER_US;
+      return EG_REFUSAL_QUEUE_FULL;
+    }
+  if (now_us >= info->deadline_us)
+    return EG_REFUSAL_DEADLINE;
+  if (eg_quarantine_holds (self->quarantine, info->fingerprint, now_us,
+                           retry_after_us))
+    return EG_REFUSAL_QUARANTINED;
+  return EG_REFUSAL_NONE;
+}
+
+static struct eg_request_state *
+new_request (const struct eg_lifecycle_request *info)
+{
+  struct eg_request_state *request = calloc (1, sizeof *request);
+
+  EG_INVARIANT (request != NULL);
+  request->info = *info;
+  eg_str_copy (info->organisation, request->organisation,
+               sizeof request->organisation);
+  request->info.organisation = eg_str_from (request->organisation);
+  request->phase = PHASE_QUEUED;
+  return request;
+}
+
+void
+eg_lifecycle_arrive (struct eg_lifecycle *self,
+                     const struct eg_lifecycle_request *info,
+                     int64_t now_us)
+{
+  int64_t retry_after_us = 0;
+  enum eg_refusal refusal;
+  struct eg_request_state *request = NULL;
+
+  self->counts.arrived++;
+  refusal = check_arrival (self, info, now_us, &retry_after_us);
+  if (refusal == EG_REFUSAL_NONE)
+    {
+      request = new_request (info);
+      refusal = admit (self, request, now_us, &retry_after_us);
+    }
+  if (refusal != EG_REFUSAL_NONE)
+    {
+      push_refusal (self, info->id, refusal, EG_RAN_NO, retry_after_us);
+      free (request);
+      return;
+    }
+  request->info.target = eg_str_from (request->target->name);
+  eg_map_put (&self->requests, info->id, request);
+  self->counts.queued++;
+  dispatch (self, request->target, now_us);
+}
+
+void
+eg_lifecycle_abandon (struct eg_lifecycle *self, uint64_t id, int64_t now_us)
+{
+  struct eg_request_state *request = eg_map_get (&self->requests, id);
+  struct eg_target *target;
+
+  if (!request)
+    return;
+  target = request->target;
+  self->counts.abandoned++;
+  if (request->phase == PHASE_RUNNING)
+    {
+      push_cancel (self, request);
+      end_attempt (self, request, EG_SERVER_NONE, now_us);
+    }
+  else
+    leave_phase (self, request);
+  forget (self, request);
+  dispatch (self, target, now_us);
+}
+
+/* Progress and end of attempts. */
+
+/* Returns the request if @p attempt is the one that runs. */
+static struct eg_request_state *
+running_attempt (const struct eg_lifecycle *self, uint64_t id, uint32_t attempt)
+{
+  struct eg_request_state *request = eg_map_get (&self->requests, id);
+
+  if (!request || request->phase != PHASE_RUNNING
+      || request->attempt != attempt)
+    return NULL;
+  return request;
+}
+
+bool
+eg_lifecycle_token (struct eg_lifecycle *self,
+                    uint64_t id,
+                    uint32_t attempt,
+                    int64_t position,
+                    int64_t now_us)
+{
+  struct eg_request_state *request = running_attempt (self, id, attempt);
+
+  if (!request || position != request->committed + 1)
+    {
+      self->counts.late_tokens++;
+      return false;
+    }
+  for (size_t i = 0; request->attempt_progressed && i < request->chain.count;
+       i++)
+    eg_servers_observe (self->servers, request->chain.stages[i].server,
+                        (now_us - request->progress_us)
+                            / (int64_t) request->chain.count);
+  request->committed++;
+  request->progress_us = now_us;
+  request->attempt_progressed = true;
+  return true;
+}
+
+void
+eg_lifecycle_attempt_done (struct eg_lifecycle *self,
+                           uint64_t id,
+                           uint32_t attempt,
+                           int64_t now_us)
+{
+  struct eg_request_state *request = running_attempt (self, id, attempt);
+  struct eg_action action = {.kind = EG_ACTION_FINISH, .request = id};
+  struct eg_target *target;
+
+  if (!request)
+    return;
+  target = request->target;
+  if (request->info.plain)
+    eg_servers_observe (self->servers, request->chain.stages[0].server,
+                        now_us - request->progress_us);
+  end_attempt (self, request, EG_SERVER_NONE, now_us);
+  eg_admission_served (target->admission, request->info.cost, now_us);
+  self->counts.finished++;
+  action.attempt = attempt;
+  action.ran = EG_RAN_YES;
+  eg_action_queue_push (&self->actions, &action);
+  forget (self, request);
+  dispatch (self, target, now_us);
+}
+
+static const struct
+{
+  enum eg_ran ran;
+  bool death; /* Whether the server may have died of the request. */
+} causes[] = {
+    [EG_ATTEMPT_NOT_SENT] = {EG_RAN_NO, false},
+    [EG_ATTEMPT_REFUSED] = {EG_RAN_NO, false},
+    [EG_ATTEMPT_BROKEN] = {EG_RAN_UNKNOWN, true},
+    [EG_ATTEMPT_STAGE] = {EG_RAN_UNKNOWN, true},
+    [EG_ATTEMPT_SILENT] = {EG_RAN_UNKNOWN, false},
+    [EG_ATTEMPT_INVALID] = {EG_RAN_UNKNOWN, false},
+};
+
+static void
+report_death (struct eg_lifecycle *self,
+              const struct eg_request_state *request,
+              uint32_t server,
+              int64_t now_us)
+{
+  struct eg_action action = {
+      .kind = EG_ACTION_QUARANTINE,
+      .fingerprint = request->info.fingerprint,
+      .until_us = now_us + self->config.quarantine.duration_us,
+  };
+
+  if (eg_quarantine_death (self->quarantine, request->info.fingerprint, server,
+                           now_us))
+    eg_action_queue_push (&self->actions, &action);
+}
+
+/* Decides what follows a failed attempt that has been ended. */
+static void
+retry_or_refuse (struct eg_lifecycle *self,
+                 struct eg_request_state *request,
+                 enum eg_refusal refusal,
+                 int64_t now_us)
+{
+  struct eg_retry_question question = {
+      .ran = request->ran,
+      .idempotent = request->info.idempotent,
+      .attempts = request->attempt,
+      .now_us = now_us,
+      .deadline_us = request->info.deadline_us,
+  };
+  int64_t retry_after_us = 0;
+  int64_t delay_us = 0;
+
+  if (eg_quarantine_holds (self->quarantine, request->info.fingerprint, now_us,
+                           &retry_after_us))
+    refuse (self, request, EG_REFUSAL_QUARANTINED, retry_after_us);
+  else if (!eg_retry_budget_spend (&request->target->retries, &question,
+                                   &self->random, &delay_us))
+    refuse (self, request, refusal, NO_CAPACITY_RETRY_AFTER_US);
+  else
+    {
+      request->phase = PHASE_WAITING;
+      request->retry_at_us = now_us + delay_us;
+      list_add (&request->target->waiting, request);
+      self->counts.queued++;
+    }
+}
+
+static void
+fail_attempt (struct eg_lifecycle *self,
+              struct eg_request_state *request,
+              enum eg_attempt_cause cause,
+              uint32_t server,
+              int64_t now_us)
+{
+  struct eg_target *target = request->target;
+
+  if (causes[cause].ran > request->ran)
+    request->ran = causes[cause].ran;
+  if (causes[cause].death)
+    report_death (self, request, server, now_us);
+  end_attempt (self, request, server, now_us);
+  exclude (request, server);
+  retry_or_refuse (self, request, EG_REFUSAL_BACKEND_FAILED, now_us);
+  dispatch (self, target, now_us);
+}
+
+void
+eg_lifecycle_attempt_failed (struct eg_lifecycle *self,
+                             uint64_t id,
+                             uint32_t attempt,
+                             const struct eg_attempt_failure *failure,
+                             int64_t now_us)
+{
+  struct eg_request_state *request = running_attempt (self, id, attempt);
+  uint32_t server;
+
+  if (!request)
+    return;
+  server = request->chain.stages[0].server;
+  if (failure->server.len > 0)
+    server = eg_servers_find (self->servers, failure->server);
+  fail_attempt (self, request, failure->cause, server, now_us);
+}
+
+static bool
+chain_has (const struct eg_chain *chain, uint32_t server)
+{
+  for (size_t i = 0; i < chain->count; i++)
+    if (chain->stages[i].server == server)
+      return true;
+  return false;
+}
+
+void
+eg_lifecycle_server_silent (struct eg_lifecycle *self,
+                            uint32_t server,
+                            int64_t now_us)
+{
+  struct eg_request_state *request = self->running;
+
+  while (request)
+    {
+      struct eg_request_state *next = request->next;
+
+      if (chain_has (&request->chain, server))
+        {
+          push_cancel (self, request);
+          fail_attempt (self, request, EG_ATTEMPT_SILENT, server, now_us);
+          /* Other attempts may have started; begin again from the front. */
+          next = self->running;
+        }
+      request = next;
+    }
+}
+
+void
+eg_lifecycle_servers_changed (struct eg_lifecycle *self, int64_t now_us)
+{
+  size_t cursor = 0;
+  struct eg_target *target;
+
+  while ((target = eg_target_table_next (&self->targets, &cursor)))
+    dispatch (self, target, now_us);
+}
+
+/* Time. */
+
+static void
+expire_waiting (struct eg_lifecycle *self,
+                struct eg_target *target,
+                int64_t now_us)
+{
+  struct eg_request_state *request = target->waiting;
+  struct eg_admission_item item;
+
+  while (request)
+    {
+      struct eg_request_state *next = request->next;
+
+      if (now_us >= request->info.deadline_us)
+        {
+          leave_phase (self, request);
+          refuse (self, request, EG_REFUSAL_DEADLINE, 0);
+        }
+      request = next;
+    }
+  while (eg_admission_take_expired (target->admission, now_us, &item))
+    {
+      request = eg_map_get (&self->requests, item.request);
+      EG_INVARIANT (request != NULL);
+      self->counts.queued--;
+      refuse (self, request, EG_REFUSAL_DEADLINE, 0);
+    }
+}
+
+/* A target without servers for long gives its callers their answer now. */
+static void
+refuse_without_capacity (struct eg_lifecycle *self,
+                         struct eg_target *target,
+                         int64_t now_us)
+{
+  struct eg_admission_item item;
+
+  if (target->no_capacity_since_us == 0
+      || now_us - target->no_capacity_since_us
+             < self->config.no_capacity_patience_us)
+    return;
+  while (target->waiting)
+    {
+      struct eg_request_state *request = target->waiting;
+
+      leave_phase (self, request);
+      refuse (self, request, EG_REFUSAL_NO_CAPACITY,
+              NO_CAPACITY_RETRY_AFTER_US);
+    }
+  while (eg_admission_take (target->admission, now_us, &item))
+    {
+      struct eg_request_state *request =
+          eg_map_get (&self->requests, item.request);
+
+      EG_INVARIANT (request != NULL);
+      self->counts.queued--;
+      refuse (self, request, EG_REFUSAL_NO_CAPACITY,
+              NO_CAPACITY_RETRY_AFTER_US);
+    }
+}
+
+static bool
+is_silent (const struct eg_lifecycle *self,
+           const struct eg_request_state *request,
+           int64_t now_us)
+{
+  int64_t allowed_us = request->attempt_progressed
+                           ? self->config.token_silence_us
+                           : self->config.first_token_silence_us;
+
+  return !request->info.plain && now_us - request->progress_us > allowed_us;
+}
+
+static void
+check_running (struct eg_lifecycle *self, int64_t now_us)
+{
+  struct eg_request_state *request = self->running;
+
+  while (request)
+    {
+      struct eg_request_state *next = request->next;
+
+      if (now_us >= request->info.deadline_us)
+        {
+          push_cancel (self, request);
+          end_attempt (self, request, EG_SERVER_NONE, now_us);
+          request->ran = EG_RAN_UNKNOWN;
+          refuse (self, request, EG_REFUSAL_DEADLINE, 0);
+        }
+      else if (is_silent (self, request, now_us))
+        {
+          push_cancel (self, request);
+          fail_attempt (self, request, EG_ATTEMPT_SILENT,
+                        request->chain.stages[0].server, now_us);
+          next = self->running;
+        }
+      request = next;
+    }
+}
+
+void
+eg_lifecycle_tick (struct eg_lifecycle *self, int64_t now_us)
+{
+  size_t cursor = 0;
+  struct eg_target *target;
+
+  check_running (self, now_us);
+  while ((target = eg_target_table_next (&self->targets, &cursor)))
+    {
+      expire_waiting (self, target, now_us);
+      dispatch (self, target, now_us);
+      refuse_without_capacity (self, target, now_us);
+    }
+}
+
+void
+eg_lifecycle_stop (struct eg_lifecycle *self)
+{
+  self->stopping = true;
+}
+
+bool
+eg_lifecycle_next_action (struct eg_lifecycle *self, struct eg_action *action)
+{
+  return eg_action_queue_pop (&self->actions, action);
+}
+
+int64_t
+eg_lifecycle_committed (const struct eg_lifecycle *self, uint64_t id)
+{
+  struct eg_request_state *request = eg_map_get (&self->requests, id);
+
+  return request ? request->committed : 0;
+}
+
+struct eg_lifecycle_counts
+eg_lifecycle_counts (const struct eg_lifecycle *self)
+{
+  return self->counts;
+}
+
+struct eg_limits *
+eg_lifecycle_limits (struct eg_lifecycle *self)
+{
+  return self->limits;
+}
+
+struct eg_quarantine *
+eg_lifecycle_quarantine (struct eg_lifecycle *self)
+{
+  return self->quarantine;
+}
--- /dev/null
+++ b/policy/target.h
@@ -0,0 +1,55 @@
+/**
+ * @file
+ * What requests are sent to: a model or a plain service, with its queues, its
+ * retry budget and the attempts that wait to be repeated.
+ */
+#ifndef EG_POLICY_TARGET_H
+#define EG_POLICY_TARGET_H
+
+#include "base/decls.h"
+#include "base/map.h"
+#include "policy/lifecycle.h"
+
+EG_BEGIN_DECLS
+
+struct eg_request_state;
+
+/** One model or plain service. */
+struct eg_target
+{
+  char name[EG_NAME_BYTES];
+  bool plain;
+  struct eg_admission *admission;
+  struct eg_retry_budget retries;
+  struct eg_request_state *waiting; /**< Requests that wait for a retry. */
+  int64_t no_capacity_since_us;     /**< 0 while there is a usable server. */
+};
+
+/** All targets of one entry VM; zero-initialised memory is an empty table. */
+struct eg_target_table
+{
+  struct eg_map by_name;
+};
+
+/** Frees the targets. */
+void eg_target_table_finish (struct eg_target_table *self);
+
+/** Finds a target; NULL if there is none of this name. */
+struct eg_target *eg_target_table_find (const struct eg_target_table *self,
+                                        bool plain,
+                                        struct eg_str name);
+
+/** Finds or makes a target. */
+struct eg_target *
+eg_target_table_add (struct eg_target_table *self,
+                     bool plain,
+                     struct eg_str name,
+                     const struct eg_lifecycle_config *config);
+
+/** Walks all targets; @p cursor is 0 at the start. */
+struct eg_target *eg_target_table_next (const struct eg_target_table *self,
+                                        size_t *cursor);
+
+EG_END_DECLS
+
+#endif
--- /dev/null
+++ b/router/call.c
@@ -0,0 +1,94 @@
+#include "router/call.h"
+
+#include <stdlib.h>
+
+#include "base/status.h"
+
+#define REPLY_SLOTS 64
+/* The last two replies always find room: gathered tokens and the end. */
+#define REPLY_SLOTS_FOR_TOKENS (REPLY_SLOTS - 4)
+
+struct eg_call *
+eg_call_new (uint64_t id)
+{
+  struct eg_call *self = calloc (1, sizeof *self);
+
+  if (!self)
+    return NULL;
+  atomic_init (&self->references, 1);
+  self->id = id;
+  if (eg_ring_init (&self->replies, REPLY_SLOTS))
+    return self;
+  free (self);
+  return NULL;
+}
+
+struct eg_call *
+eg_call_ref (struct eg_call *self)
+{
+  atomic_fetch_add (&self->references, 1);
+  return self;
+}
+
+void
+eg_call_unref (struct eg_call *self)
+{
+  struct eg_reply *reply;
+
+  if (!self)
+    return;
+  if (atomic_fetch_sub (&self->references, 1) > 1)
+    return;
+  while ((reply = eg_ring_pop (&self->replies)))
+    eg_reply_free (reply);
+  eg_ring_finish (&self->replies);
+  eg_reply_free (self->gathered);
+  eg_buffer_finish (&self->path);
+  eg_buffer_finish (&self->body);
+  eg_buffer_finish (&self->prompt);
+  eg_buffer_finish (&self->tokens);
+  free (self);
+}
+
+struct eg_reply *
+eg_reply_new (enum eg_reply_kind kind)
+{
+  struct eg_reply *self = calloc (1, sizeof *self);
+
+  EG_INVARIANT (self != NULL);
+  self->kind = kind;
+  return self;
+}
+
+void
+eg_reply_free (struct eg_reply *self)
+{
+  if (!self)
+    return;
+  eg_buffer_finish (&self->events);
+  eg_buffer_finish (&self->text);
+  free (self);
+}
+
+void
+eg_call_send_tokens (struct eg_call *self)
+{
+  if (!self->gathered
+      || eg_ring_count (&self->replies) >= REPLY_SLOTS_FOR_TOKENS)
+    return;
+  if (eg_ring_push (&self->replies, self->gathered))
+    self->gathered = NULL;
+}
+
+void
+eg_call_end (struct eg_call *self, struct eg_reply *reply)
+{
+  bool fits = true;
+
+  if (self->gathered)
+    fits = eg_ring_push (&self->replies, self->gathered);
+  self->gathered = NULL;
+  fits = fits && eg_ring_push (&self->replies, reply);
+  EG_INVARIANT (fits);
+  self->ended = true;
+}
--- /dev/null
+++ b/router/metrics.h
@@ -0,0 +1,62 @@
+/**
+ * @file
+ * Counters and histograms for each organisation and class, bounded in number.
+ */
+#ifndef EG_ROUTER_METRICS_H
+#define EG_ROUTER_METRICS_H
+
+#include "base/buffer.h"
+#include "base/histogram.h"
+#include "base/map.h"
+#include "policy/request.h"
+
+/** Pairs of organisation and class that are counted apart; the rest share one
+ *  series under the organisation "other". */
+#define EG_METRICS_SERIES_MAX 128
+
+/** What is counted for one organisation and class. */
+struct eg_metrics_series
+{
+  char organisation[EG_NAME_BYTES];
+  char class_name[EG_NAME_BYTES];
+  uint64_t requests;
+  uint64_t tokens;
+  uint64_t abandoned;
+  uint64_t outcomes[EG_REFUSAL_COUNT]; /**< NONE counts whole answers. */
+  struct eg_histogram first_token_us;
+  struct eg_histogram between_tokens_us;
+  struct eg_histogram total_us;
+};
+
+/** All series; zero-initialised memory is an empty set. */
+struct eg_metrics
+{
+  struct eg_map by_name;
+  size_t count;
+};
+
+/** One number that the whole process shows. */
+struct eg_metrics_gauge
+{
+  const char *name;
+  const char *type; /**< "counter" or "gauge". */
+  const char *help;
+  double value;
+};
+
+/** Frees the series. */
+void eg_metrics_finish (struct eg_metrics *self);
+
+/** Finds or makes the series of an organisation and class; never NULL. */
+struct eg_metrics_series *eg_metrics_series (struct eg_metrics *self,
+                                             struct eg_str organisation,
+                                             struct eg_str class_name);
+
+/** Appends one number in the Prometheus text format. */
+void eg_metrics_write_gauge (struct eg_buffer *text,
+                             const struct eg_metrics_gauge *gauge);
+
+/** Appends all series in the Prometheus text format. */
+void eg_metrics_write (const struct eg_metrics *self, struct eg_buffer *text);
+
+#endif
--- /dev/null
+++ b/router/settings.c
@@ -0,0 +1,62 @@
+#include "router/settings.h"
+
+#include <stddef.h>
+
+#define FIELD(name) offsetof (struct eg_router_settings, name)
+
+static const struct eg_setting rows[] = {
+    {"node.name", EG_SETTING_TEXT, "", 1, EG_NAME_BYTES, NULL, FIELD (name),
+     "Name of this entry VM, unique in the deployment"},
+    {"node.failure_domain", EG_SETTING_TEXT, "", 1, EG_NAME_BYTES, NULL,
+     FIELD (failure_domain), "Failure domain of this entry VM"},
+    {"listen.callers", EG_SETTING_ADDRESS, "", 0, EG_ADDRESS_BYTES, NULL,
+     FIELD (listen_callers), "Where callers come in"},
+    {"listen.operators", EG_SETTING_ADDRESS, "", 0, EG_ADDRESS_BYTES, NULL,
+     FIELD (listen_operators), "Where operators and metrics come in"},
+    {"platform.address", EG_SETTING_ADDRESS, "", 0, EG_ADDRESS_BYTES, NULL,
+     FIELD (platform_address), "The platform's object API"},
+    {"platform.vms_interval_ms", EG_SETTING_INTEGER, "ms", 100, 60000, "1000",
+     FIELD (vms_interval_ms), "Time between readings of the list of VMs"},
+    {"log.level", EG_SETTING_TEXT, "", 1, 16, "info", FIELD (log_level),
+     "Least severe level logged: error, warning, notice, info or debug"},
+    {"limits.caller_threads", EG_SETTING_INTEGER, "threads", 4, 4096, "1024",
+     FIELD (caller_threads), "Callers served at once"},
+    {"limits.body_bytes", EG_SETTING_INTEGER, "bytes", 1024, 16777216,
+     "1048576", FIELD (body_max), "Longest body of a request or an answer"},
+    {"limits.tokens", EG_SETTING_INTEGER, "tokens", 1, 65536, "4096",
+     FIELD (tokens_max), "Most tokens that one request may ask for"},
+    {"limits.requests", EG_SETTING_INTEGER, "requests", 1, 100000, "900",
+     FIELD (requests_max), "Requests held at once, waiting or running"},
+    {"limits.queue", EG_SETTING_INTEGER, "requests", 1, 100000, "300",
+     FIELD (queue_max), "Requests of one class that wait for one target"},
+    {"limits.organisation_queue", EG_SETTING_INTEGER, "requests", 1, 100000,
+     "200", FIELD (organisation_queue_max),
+     "Requests of one organisation and class that wait for one target"},
+    {"limits.organisation_rate", EG_SETTING_INTEGER, "requests/s", 0, 1000000,
+     "0", FIELD (organisation_rate),
+     "Requests a second of an organisation without a rule; 0 is no limit"},
+    {"limits.organisation_in_flight", EG_SETTING_INTEGER, "requests", 0, 100000,
+     "0", FIELD (organisation_in_flight),
+     "Requests in flight of an organisation without a rule; 0 is no limit"},
+    {"limits.deadline_ms", EG_SETTING_INTEGER, "ms", 1, 3600000, "60000",
+     FIELD (deadline_ms), "Budget of a request that names none"},
+    {"backend.poll_interval_ms", EG_SETTING_INTEGER, "ms", 50, 60000, "500",
+     FIELD (poll_interval_ms), "Time between two polls of a backend server"},
+    {"backend.poll_timeout_ms", EG_SETTING_INTEGER, "ms", 50, 60000, "600",
+     FIELD (poll_timeout_ms), "Longest wait for a load report"},
+    {"backend.connect_timeout_ms", EG_SETTING_INTEGER, "ms", 10, 60000, "400",
+     FIELD (connect_timeout_ms), "Longest wait for a connection"},
+    {"backend.first_token_silence_ms", EG_SETTING_INTEGER, "ms", 100, 3600000,
+     "20000", FIELD (first_token_silence_ms),
+     "Longest wait for the first token of an attempt"},
+    {"backend.token_silence_ms", EG_SETTING_INTEGER, "ms", 100, 3600000, "2000",
+     FIELD (token_silence_ms), "Longest wait between two tokens"},
+    {"backend.default_slots", EG_SETTING_INTEGER, "requests", 1, 10000, "8",
+     FIELD (default_slots),
+     "Requests at once on a backend server that reports no slots"},
+    {"stop.grace_ms", EG_SETTING_INTEGER, "ms", 0, 3600000, "120000",
+     FIELD (stop_grace_ms), "Longest wait for requests in flight at a stop"},
+};
+
+const struct eg_setting_table eg_router_setting_table = {
+    rows, sizeof rows / sizeof rows[0]};
--- /dev/null
+++ b/router/settings.h
@@ -0,0 +1,42 @@
+/**
+ * @file
+ * Settings of the daemon.
+ */
+#ifndef EG_ROUTER_SETTINGS_H
+#define EG_ROUTER_SETTINGS_H
+
+#include "base/settings.h"
+#include "policy/request.h"
+
+/** The daemon's settings, as its table describes them. */
+struct eg_router_settings
+{
+  char name[EG_NAME_BYTES];
+  char failure_domain[EG_NAME_BYTES];
+  char listen_callers[EG_ADDRESS_BYTES];
+  char listen_operators[EG_ADDRESS_BYTES];
+  char platform_address[EG_ADDRESS_BYTES];
+  char log_level[16];
+  int64_t caller_threads;
+  int64_t body_max;
+  int64_t tokens_max;
+  int64_t requests_max;
+  int64_t queue_max;
+  int64_t organisation_queue_max;
+  int64_t organisation_rate;
+  int64_t organisation_in_flight;
+  int64_t deadline_ms;
+  int64_t poll_interval_ms;
+  int64_t poll_timeout_ms;
+  int64_t connect_timeout_ms;
+  int64_t first_token_silence_ms;
+  int64_t token_silence_ms;
+  int64_t vms_interval_ms;
+  int64_t stop_grace_ms;
+  int64_t default_slots;
+};
+
+/** Every key that the daemon takes. */
+extern const struct eg_setting_table eg_router_setting_table;
+
+#endif
