--- /dev/null
+++ b/policy/admission.c
@@ -0,0 +1,705 @@
+#include "policy/admission.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/hash_table.h"
+#include "base/heap.h"
+#include "base/status.h"
+#include "policy/fair_queue.h"
+#include "policy/service_rate.h"
+
+/** Advice to callers while no rate has been observed. */
+#define RETRY_AFTER_UNKNOWN_US EG_US_PER_S
+#define RETRY_AFTER_MIN_US EG_US_PER_MS
+#define RETRY_AFTER_MAX_US (300 * EG_US_PER_S)
+/** Longest wait that is told apart from none at all. */
+#define WAIT_MAX_S 1e9
+
+/** A request that waits. */
+struct waiting
+{
+  struct eg_hash_node node;
+  struct eg_heap_node deadline; /**< Key: the deadline. */
+  struct eg_fair_request queued;
+  uint64_t request;
+  int64_t arrived_us;
+  unsigned class_index;
+};
+
+/** A class and its queue. */
+struct class_state
+{
+  struct eg_admission_class config;
+  struct eg_fair_queue queue;
+  double floor;  /**< The floor in force, after scaling. */
+  double credit; /**< Cost that it is owed to reach its floor. */
+};
+
+/** What eg_admission_return() needs to undo the last take. */
+struct last_take
+{
+  bool valid;
+  uint64_t request;
+  unsigned class_index;
+  double credits[EG_CLASSES_MAX];
+  struct eg_fair_turn turn;
+};
+
+struct eg_admission
+{
+  struct eg_admission_config config;
+  struct class_state classes[EG_CLASSES_MAX];
+  size_t class_count;
+  unsigned by_priority[EG_CLASSES_MAX]; /**< Class indexes, first to last. */
+  struct eg_hash_table requests;
+  struct eg_heap deadlines;
+  struct eg_service_rate rate;
+  struct last_take last;
+  /** Kept until the next call, since a caller may hold its name. */
+  struct eg_fair_organisation *emptied;
+};
+
+static void
+order_by_priority (struct eg_admission *self)
+{
+  for (unsigned i = 0; i < self->class_count; i++)
+    {
+      unsigned place = i;
+
+      for (; place > 0; place--)
+        {
+          unsigned before = self->by_priority[place - 1];
+
+          if (self->classes[before].config.priority
+              <= self->classes[i].config.priority)
+            break;
+          self->by_priority[place] = before;
+        }
+      self->by_priority[place] = i;
+    }
+}
+
+static void
+set_floors (struct eg_admission *self)
+{
+  double sum = 0;
+
+  for (size_t i = 0; i < self->class_count; i++)
+    if (self->classes[i].config.floor > 0)
+      sum += self->classes[i].config.floor;
+  for (size_t i = 0; i < self->class_count; i++)
+    {
+      struct class_state *class = &self->classes[i];
+
+      class->floor = class->config.floor > 0 ? class->config.floor : 0;
+      if (sum > 1)
+        class->floor /= sum;
+      if (class->floor <= 0)
+        class->credit = 0;
+    }
+}
+
+static bool
+init_classes (struct eg_admission *self,
+              const struct eg_admission_config *config)
+{
+  EG_INVARIANT (config->class_count >= 1
+                && config->class_count <= EG_CLASSES_MAX);
+  self->config = *config;
+  self->class_count = 0;
+  for (size_t i = 0; i < config->class_count; i++)
+    {
+      struct class_state *class = &self->classes[i];
+
+      *class = (struct class_state){.config = config->classes[i]};
+      if (!eg_fair_queue_init (&class->queue, config->quantum))
+        return false;
+      self->class_count++;
+    }
+  order_by_priority (self);
+  set_floors (self);
+  return true;
+}
+
+static void
+finish_classes (struct eg_admission *self)
+{
+  for (size_t i = 0; i < self->class_count; i++)
+    eg_fair_queue_finish (&self->classes[i].queue);
+}
+
+struct eg_admission *
+eg_admission_new (const struct eg_admission_config *config)
+{
+  struct eg_admission *self = calloc (1, sizeof *self);
+
+  if (!self)
+    return NULL;
+  eg_heap_init (&self->deadlines);
+  eg_service_rate_init (&self->rate);
+  if (eg_hash_table_init (&self->requests) && init_classes (self, config))
+    return self;
+  finish_classes (self);
+  eg_hash_table_finish (&self->requests);
+  free (self);
+  return NULL;
+}
+
+/** Frees an organisation later, when no caller can hold its name. */
+static void
+retire (struct eg_admission *self, struct eg_fair_organisation *emptied)
+{
+  if (!emptied)
+    return;
+  free (self->emptied);
+  self->emptied = emptied;
+}
+
+static struct waiting *
+waiting_of_deadline (struct eg_heap_node *node)
+{
+  return EG_CONTAINER_OF (node, struct waiting, deadline);
+}
+
+static struct waiting *
+waiting_of_queued (struct eg_fair_request *queued)
+{
+  return EG_CONTAINER_OF (queued, struct waiting, queued);
+}
+
+/** Takes a request out of the tables that do not decide its turn. */
+static void
+forget (struct eg_admission *self, struct waiting *waiting)
+{
+  eg_hash_table_remove (&self->requests, &waiting->node);
+  eg_heap_remove (&self->deadlines, &waiting->deadline);
+}
+
+/** A class with nothing waiting is owed nothing. */
+static void
+settle_credit (struct class_state *class)
+{
+  if (class->queue.count == 0 && class->credit > 0)
+    class->credit = 0;
+}
+
+static void
+drop (struct eg_admission *self, struct waiting *waiting)
+{
+  struct class_state *class = &self->classes[waiting->class_index];
+
+  forget (self, waiting);
+  retire (self, eg_fair_queue_remove (&class->queue, &waiting->queued));
+  settle_credit (class);
+}
+
+void
+eg_admission_free (struct eg_admission *self)
+{
+  if (!self)
+    return;
+  while (eg_heap_first (&self->deadlines))
+    {
+      struct waiting *waiting =
+          waiting_of_deadline (eg_heap_first (&self->deadlines));
+
+      drop (self, waiting);
+      free (waiting);
+    }
+  finish_classes (self);
+  eg_hash_table_finish (&self->requests);
+  eg_heap_finish (&self->deadlines);
+  free (self->emptied);
+  free (self);
+}
+
+static struct eg_str
+organisation_name (const struct eg_fair_organisation *organisation)
+{
+  return (struct eg_str){organisation->name, organisation->name_len};
+}
+
+/** Finds the class called as @p class is; the last one if there is none. */
+static unsigned
+match_class (const struct eg_admission *self,
+             const struct eg_admission_class *class)
+{
+  unsigned i = 0;
+
+  while (i + 1 < self->class_count
+         && strcmp (self->classes[i].config.name, class->name) != 0)
+    i++;
+  return i;
+}
+
+/** Moves all requests of @p from behind those of a class, in their turn. */
+static void
+move_requests (struct class_state *from,
+               struct eg_admission *self,
+               unsigned class_index)
+{
+  struct class_state *to = &self->classes[class_index];
+
+  while (from->queue.count)
+    {
+      struct eg_fair_organisation *emptied;
+      struct eg_fair_turn turn;
+      struct eg_fair_request *queued =
+          eg_fair_queue_take (&from->queue, &turn, &emptied);
+      bool queued_again;
+
+      queued_again = eg_fair_queue_push (
+          &to->queue, organisation_name (queued->organisation), queued);
+      EG_INVARIANT (queued_again);
+      waiting_of_queued (queued)->class_index = class_index;
+      free (emptied);
+    }
+}
+
+/** Gives the queue of @p from to the class of the same name. */
+static void
+keep_queue (struct eg_admission *self, struct class_state *from)
+{
+  unsigned index = match_class (self, &from->config);
+  struct class_state *to = &self->classes[index];
+  struct eg_fair_queue empty = to->queue;
+
+  if (strcmp (to->config.name, from->config.name) != 0)
+    return;
+  to->queue = from->queue;
+  to->credit = from->credit;
+  from->queue = empty;
+}
+
+/** Tells each request the new number of its class. */
+static void
+renumber_requests (struct eg_admission *self, const unsigned *new_index)
+{
+  for (size_t i = 0; i < self->deadlines.count; i++)
+    {
+      struct waiting *waiting = waiting_of_deadline (self->deadlines.nodes[i]);
+
+      waiting->class_index = new_index[waiting->class_index];
+    }
+}
+
+bool
+eg_admission_configure (struct eg_admission *self,
+                        const struct eg_admission_config *config)
+{
+  struct eg_admission old = *self;
+  unsigned new_index[EG_CLASSES_MAX];
+
+  if (!init_classes (self, config))
+    {
+      finish_classes (self);
+      *self = old;
+      return false;
+    }
+  for (size_t i = 0; i < old.class_count; i++)
+    {
+      new_index[i] = match_class (self, &old.classes[i].config);
+      keep_queue (self, &old.classes[i]);
+    }
+  renumber_requests (self, new_index);
+  for (size_t i = 0; i < self->class_count; i++)
+    eg_fair_queue_set_quantum (&self->classes[i].queue, config->quantum);
+  for (size_t i = 0; i < old.class_count; i++)
+    {
+      move_requests (&old.classes[i], self, (unsigned) self->class_count - 1);
+      eg_fair_queue_finish (&old.classes[i].queue);
+    }
+  set_floors (self);
+  self->last.valid = false;
+  return true;
+}
+
+static unsigned
+clamp_class (const struct eg_admission *self, unsigned class_index)
+{
+  unsigned last = (unsigned) self->class_count - 1;
+
+  return class_index < last ? class_index : last;
+}
+
+static uint64_t
+clamp_cost (uint64_t cost)
+{
+  if (cost < 1)
+    return 1;
+  return cost < EG_ADMISSION_COST_MAX ? cost : EG_ADMISSION_COST_MAX;
+}
+
+/** Sums what is served before, and what is kept from, one class. */
+static void
+sum_other_classes (const struct eg_admission *self,
+                   unsigned class_index,
+                   double *higher_cost,
+                   double *lower_cost,
+                   double *lower_floors)
+{
+  bool is_lower = false;
+
+  *higher_cost = 0;
+  *lower_cost = 0;
+  *lower_floors = 0;
+  for (size_t i = 0; i < self->class_count; i++)
+    {
+      const struct class_state *class = &self->classes[self->by_priority[i]];
+
+      if (self->by_priority[i] == class_index)
+        is_lower = true;
+      else if (!is_lower)
+        *higher_cost += (double) class->queue.waiting_cost;
+      else if (class->queue.count)
+        {
+          *lower_cost += (double) class->queue.waiting_cost;
+          *lower_floors += class->floor;
+        }
+    }
+}
+
+static double
+min_double (double a, double b)
+{
+  return a < b ? a : b;
+}
+
+/**
+ * Returns the seconds of work before a new request; below 0 if the rate is not
+ * known. Three bounds hold, and the least is taken: the class gets all that
+ * the floors of lower ones leave once the higher ones are done; it gets its
+ * own floor all the time; and nothing waits for more than all that waits.
+ */
+static double
+estimate_wait_s (const struct eg_admission *self,
+                 const struct eg_admission_item *item)
+{
+  unsigned index = clamp_class (self, item->class_index);
+  const struct class_state *class = &self->classes[index];
+  double rate = eg_service_rate_get (&self->rate);
+  double higher;
+  double lower;
+  double lower_floors;
+  double ahead;
+  double wait_s;
+
+  if (rate <= 0)
+    return -1;
+  sum_other_classes (self, index, &higher, &lower, &lower_floors);
+  ahead = (double) eg_fair_queue_cost_ahead (&class->queue, item->organisation,
+                                             clamp_cost (item->cost));
+  wait_s = (higher + ahead + lower) / rate;
+  if (lower_floors < 1)
+    wait_s =
+        min_double (wait_s, (higher + ahead) / (rate * (1 - lower_floors)));
+  if (class->floor > 0)
+    wait_s = min_double (wait_s, ahead / (rate * class->floor));
+  return min_double (wait_s, WAIT_MAX_S);
+}
+
+int64_t
+eg_admission_estimate (const struct eg_admission *self,
+                       const struct eg_admission_item *item)
+{
+  double wait_s = estimate_wait_s (self, item);
+
+  return wait_s < 0 ? -1 : (int64_t) (wait_s * EG_US_PER_S);
+}
+
+static bool
+has_room (const struct eg_admission *self, const struct eg_admission_item *item)
+{
+  const struct class_state *class =
+      &self->classes[clamp_class (self, item->class_index)];
+  const struct eg_fair_organisation *organisation =
+      eg_fair_queue_find (&class->queue, item->organisation);
+  size_t own = organisation ? organisation->count : 0;
+
+  return class->queue.count < class->config.queue_max
+         && own < self->config.organisation_queue_max;
+}
+
+static int64_t
+clamp_retry_after (int64_t wait_us)
+{
+  if (wait_us < RETRY_AFTER_MIN_US)
+    return RETRY_AFTER_MIN_US;
+  return wait_us < RETRY_AFTER_MAX_US ? wait_us : RETRY_AFTER_MAX_US;
+}
+
+/** Decides on a new request, and how long a refused one should stay away. */
+static enum eg_refusal
+decide (const struct eg_admission *self,
+        const struct eg_admission_item *item,
+        int64_t now_us,
+        int64_t *retry_after_us)
+{
+  int64_t wait_us = eg_admission_estimate (self, item);
+  int64_t budget_us = item->deadline_us - now_us;
+
+  *retry_after_us =
+      wait_us < 0 ? RETRY_AFTER_UNKNOWN_US : clamp_retry_after (wait_us);
+  if (item->deadline_us <= now_us)
+    return EG_REFUSAL_DEADLINE;
+  if (!has_room (self, item))
+    return EG_REFUSAL_QUEUE_FULL;
+  if (wait_us > budget_us)
+    {
+      *retry_after_us = clamp_retry_after (wait_us - budget_us);
+      return EG_REFUSAL_DEADLINE;
+    }
+  *retry_after_us = 0;
+  return EG_REFUSAL_NONE;
+}
+
+static struct waiting *
+find_waiting (const struct eg_admission *self, uint64_t request)
+{
+  /* The mixing is one-to-one, so that equal hashes mean equal requests. */
+  struct eg_hash_node *node =
+      eg_hash_table_find (&self->requests, eg_hash_mix (request));
+
+  return node ? EG_CONTAINER_OF (node, struct waiting, node) : NULL;
+}
+
+/** Makes a request that is known to the tables, but not queued yet. */
+static struct waiting *
+add_waiting (struct eg_admission *self, const struct eg_admission_item *item)
+{
+  struct waiting *waiting = calloc (1, sizeof *waiting);
+
+  EG_INVARIANT (!find_waiting (self, item->request));
+  if (!waiting)
+    return NULL;
+  waiting->request = item->request;
+  waiting->arrived_us = item->arrived_us;
+  waiting->class_index = clamp_class (self, item->class_index);
+  waiting->queued.cost = clamp_cost (item->cost);
+  waiting->deadline.key = item->deadline_us;
+  waiting->deadline.order = item->request;
+  if (!eg_heap_insert (&self->deadlines, &waiting->deadline))
+    {
+      free (waiting);
+      return NULL;
+    }
+  eg_hash_table_insert (&self->requests, &waiting->node,
+                        eg_hash_mix (item->request));
+  return waiting;
+}
+
+static void
+advance (struct eg_admission *self, int64_t now_us)
+{
+  eg_service_rate_advance (&self->rate, now_us, self->requests.count > 0);
+}
+
+enum eg_refusal
+eg_admission_offer (struct eg_admission *self,
+                    const struct eg_admission_item *item,
+                    int64_t now_us,
+                    int64_t *retry_after_us)
+{
+  struct waiting *waiting;
+  enum eg_refusal refusal;
+
+  advance (self, now_us);
+  refusal = decide (self, item, now_us, retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    return refusal;
+  waiting = add_waiting (self, item);
+  if (waiting
+      && eg_fair_queue_push (&self->classes[waiting->class_index].queue,
+                             item->organisation, &waiting->queued))
+    return EG_REFUSAL_NONE;
+  if (waiting)
+    forget (self, waiting);
+  free (waiting);
+  *retry_after_us = RETRY_AFTER_UNKNOWN_US;
+  return EG_REFUSAL_QUEUE_FULL;
+}
+
+/** Undoes the charges of the last take, if it was this one. */
+static const struct eg_fair_turn *
+undo_last_take (struct eg_admission *self, const struct waiting *waiting)
+{
+  if (!self->last.valid || self->last.request != waiting->request
+      || self->last.class_index != waiting->class_index)
+    return NULL;
+  self->last.valid = false;
+  for (size_t i = 0; i < self->class_count; i++)
+    self->classes[i].credit = self->last.credits[i];
+  return &self->last.turn;
+}
+
+void
+eg_admission_return (struct eg_admission *self,
+                     const struct eg_admission_item *item)
+{
+  struct waiting *waiting = add_waiting (self, item);
+  const struct eg_fair_turn *turn;
+  bool queued;
+
+  /* A request that was accepted cannot be refused for want of memory. */
+  EG_INVARIANT (waiting);
+  turn = undo_last_take (self, waiting);
+  queued = eg_fair_queue_return (&self->classes[waiting->class_index].queue,
+                                 item->organisation, &waiting->queued, turn);
+  EG_INVARIANT (queued);
+  for (size_t i = 0; i < self->class_count; i++)
+    settle_credit (&self->classes[i]);
+}
+
+/** Finds the class that is furthest behind its floor; NULL if none is. */
+static struct class_state *
+choose_owed (struct eg_admission *self)
+{
+  struct class_state *owed = NULL;
+
+  for (size_t i = 0; i < self->class_count; i++)
+    {
+      struct class_state *class = &self->classes[i];
+
+      if (class->queue.count && class->credit > 0
+          && (!owed || class->credit > owed->credit))
+        owed = class;
+    }
+  return owed;
+}
+
+static struct class_state *
+choose_by_priority (struct eg_admission *self)
+{
+  for (size_t i = 0; i < self->class_count; i++)
+    {
+      struct class_state *class = &self->classes[self->by_priority[i]];
+
+      if (class->queue.count)
+        return class;
+    }
+  return NULL;
+}
+
+/** Accounts for @p cost served to a class while the others waited. */
+static void
+charge (struct eg_admission *self,
+        struct class_state *served,
+        bool was_owed,
+        uint64_t cost)
+{
+  for (size_t i = 0; i < self->class_count; i++)
+    {
+      struct class_state *class = &self->classes[i];
+
+      if (class != served && class->queue.count)
+        class->credit += class->floor * (double) cost;
+    }
+  /* What a class gets by its priority does not count against its floor, or it
+     would go short later for having used idle capacity. */
+  if (was_owed)
+    served->credit -= (1 - served->floor) * (double) cost;
+}
+
+static void
+save_last_take (struct eg_admission *self,
+                const struct waiting *waiting,
+                const struct eg_fair_turn *turn,
+                const double *credits)
+{
+  self->last.valid = true;
+  self->last.request = waiting->request;
+  self->last.class_index = waiting->class_index;
+  self->last.turn = *turn;
+  memcpy (self->last.credits, credits, sizeof self->last.credits);
+}
+
+static void
+fill_item (const struct waiting *waiting, struct eg_admission_item *item)
+{
+  *item = (struct eg_admission_item){
+      .request = waiting->request,
+      .class_index = waiting->class_index,
+      .organisation = organisation_name (waiting->queued.organisation),
+      .cost = waiting->queued.cost,
+      .arrived_us = waiting->arrived_us,
+      .deadline_us = waiting->deadline.key,
+  };
+}
+
+bool
+eg_admission_take (struct eg_admission *self,
+                   int64_t now_us,
+                   struct eg_admission_item *item)
+{
+  struct class_state *owed = choose_owed (self);
+  struct class_state *class = owed ? owed : choose_by_priority (self);
+  struct eg_fair_organisation *emptied;
+  struct eg_fair_turn turn;
+  struct waiting *waiting;
+  double credits[EG_CLASSES_MAX];
+
+  advance (self, now_us);
+  if (!class)
+    return false;
+  for (size_t i = 0; i < EG_CLASSES_MAX; i++)
+    credits[i] = self->classes[i].credit;
+  waiting =
+      waiting_of_queued (eg_fair_queue_take (&class->queue, &turn, &emptied));
+  charge (self, class, owed != NULL, waiting->queued.cost);
+  settle_credit (class);
+  save_last_take (self, waiting, &turn, credits);
+  forget (self, waiting);
+  retire (self, emptied);
+  fill_item (waiting, item);
+  free (waiting);
+  return true;
+}
+
+bool
+eg_admission_take_expired (struct eg_admission *self,
+                           int64_t now_us,
+                           struct eg_admission_item *item)
+{
+  struct eg_heap_node *first = eg_heap_first (&self->deadlines);
+  struct waiting *waiting;
+
+  advance (self, now_us);
+  if (!first || first->key > now_us)
+    return false;
+  waiting = waiting_of_deadline (first);
+  drop (self, waiting);
+  fill_item (waiting, item);
+  free (waiting);
+  return true;
+}
+
+bool
+eg_admission_remove (struct eg_admission *self, uint64_t request)
+{
+  struct waiting *waiting = find_waiting (self, request);
+
+  if (!waiting)
+    return false;
+  drop (self, waiting);
+  free (waiting);
+  return true;
+}
+
+void
+eg_admission_served (struct eg_admission *self, uint64_t cost, int64_t now_us)
+{
+  advance (self, now_us);
+  if (self->requests.count)
+    eg_service_rate_add (&self->rate, cost);
+}
+
+size_t
+eg_admission_depth (const struct eg_admission *self, unsigned class_index)
+{
+  if (class_index >= self->class_count)
+    return 0;
+  return self->classes[class_index].queue.count;
+}
--- /dev/null
+++ b/policy/fair_queue.c
@@ -0,0 +1,327 @@
+#include "policy/fair_queue.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "base/status.h"
+
+bool
+eg_fair_queue_init (struct eg_fair_queue *self, uint64_t quantum)
+{
+  *self = (struct eg_fair_queue){0};
+  self->quantum = quantum ? quantum : 1;
+  eg_heap_init (&self->turns);
+  return eg_hash_table_init (&self->organisations);
+}
+
+void
+eg_fair_queue_finish (struct eg_fair_queue *self)
+{
+  EG_INVARIANT (self->count == 0);
+  eg_hash_table_finish (&self->organisations);
+  eg_heap_finish (&self->turns);
+}
+
+static struct eg_str
+name_of (const struct eg_fair_organisation *organisation)
+{
+  return (struct eg_str){organisation->name, organisation->name_len};
+}
+
+static struct eg_fair_organisation *
+organisation_of (struct eg_heap_node *turn)
+{
+  return EG_CONTAINER_OF (turn, struct eg_fair_organisation, turn);
+}
+
+static struct eg_fair_request *
+head_of (const struct eg_fair_organisation *organisation)
+{
+  return EG_CONTAINER_OF (organisation->requests.next, struct eg_fair_request,
+                          link);
+}
+
+/** Returns the round in which the deficit will cover the first request. */
+static int64_t
+round_of_turn (const struct eg_fair_queue *self,
+               const struct eg_fair_organisation *organisation)
+{
+  uint64_t cost = head_of (organisation)->cost;
+  uint64_t missing =
+      cost > organisation->deficit ? cost - organisation->deficit : 0;
+  uint64_t rounds = missing / self->quantum + (missing % self->quantum != 0);
+  int64_t round = organisation->granted_round + (int64_t) rounds;
+
+  return round > self->round ? round : self->round;
+}
+
+/** Adds the quantum of each round up to the present one. */
+static void
+grant (struct eg_fair_queue *self, struct eg_fair_organisation *organisation)
+{
+  if (organisation->granted_round >= self->round)
+    return;
+  organisation->deficit +=
+      (uint64_t) (self->round - organisation->granted_round) * self->quantum;
+  organisation->granted_round = self->round;
+}
+
+static void
+schedule (struct eg_fair_queue *self, struct eg_fair_organisation *organisation)
+{
+  organisation->turn.key = round_of_turn (self, organisation);
+  eg_heap_update (&self->turns, &organisation->turn);
+}
+
+void
+eg_fair_queue_set_quantum (struct eg_fair_queue *self, uint64_t quantum)
+{
+  if (quantum < 1)
+    quantum = 1;
+  if (quantum == self->quantum)
+    return;
+  for (size_t i = 0; i < self->turns.count; i++)
+    {
+      struct eg_fair_organisation *organisation =
+          organisation_of (self->turns.nodes[i]);
+
+      /* The present round is granted later, with the new quantum. */
+      if (organisation->granted_round < self->round - 1)
+        {
+          organisation->deficit +=
+              (uint64_t) (self->round - 1 - organisation->granted_round)
+              * self->quantum;
+          organisation->granted_round = self->round - 1;
+        }
+    }
+  self->quantum = quantum;
+  for (size_t i = 0; i < self->turns.count; i++)
+    organisation_of (self->turns.nodes[i])->turn.key =
+        round_of_turn (self, organisation_of (self->turns.nodes[i]));
+  eg_heap_rebuild (&self->turns);
+}
+
+struct eg_fair_organisation *
+eg_fair_queue_find (const struct eg_fair_queue *self, struct eg_str name)
+{
+  struct eg_hash_node *node =
+      eg_hash_table_find (&self->organisations, eg_hash_str (name));
+
+  for (; node; node = eg_hash_node_next (node))
+    {
+      struct eg_fair_organisation *organisation =
+          EG_CONTAINER_OF (node, struct eg_fair_organisation, node);
+
+      if (eg_str_equal (name_of (organisation), name))
+        return organisation;
+    }
+  return NULL;
+}
+
+static struct eg_fair_organisation *
+add_organisation (struct eg_fair_queue *self,
+                  struct eg_str name,
+                  const struct eg_fair_turn *turn)
+{
+  struct eg_fair_organisation *organisation =
+      calloc (1, sizeof *organisation + name.len);
+
+  if (!organisation)
+    return NULL;
+  organisation->turn.key = turn->granted_round;
+  organisation->turn.order = turn->order;
+  organisation->deficit = turn->deficit;
+  organisation->granted_round = turn->granted_round;
+  eg_list_init (&organisation->requests);
+  organisation->name_len = name.len;
+  if (name.len)
+    memcpy (organisation->name, name.data, name.len);
+  if (!eg_heap_insert (&self->turns, &organisation->turn))
+    {
+      free (organisation);
+      return NULL;
+    }
+  eg_hash_table_insert (&self->organisations, &organisation->node,
+                        eg_hash_str (name));
+  return organisation;
+}
+
+static struct eg_fair_organisation *
+find_or_add (struct eg_fair_queue *self, struct eg_str name)
+{
+  struct eg_fair_organisation *organisation = eg_fair_queue_find (self, name);
+  /* Its first turn is in the next round: if those that join had a turn in the
+     present one, a stream of them could keep it from ending. */
+  struct eg_fair_turn turn = {self->next_order, 0, self->round};
+
+  if (organisation)
+    return organisation;
+  self->next_order++;
+  return add_organisation (self, name, &turn);
+}
+
+/** Returns the number of bits of @p cost. */
+static unsigned
+bucket_of (uint64_t cost)
+{
+  return cost ? 64 - (unsigned) __builtin_clzll (cost) : 0;
+}
+
+/** Keeps the sums in step with the waiting cost of one organisation. */
+static void
+set_waiting (struct eg_fair_queue *self,
+             struct eg_fair_organisation *organisation,
+             uint64_t waiting_cost)
+{
+  unsigned before = bucket_of (organisation->waiting_cost);
+  unsigned after = bucket_of (waiting_cost);
+
+  if (organisation->waiting_cost)
+    {
+      self->bucket_counts[before]--;
+      self->bucket_costs[before] -= organisation->waiting_cost;
+    }
+  if (waiting_cost)
+    {
+      self->bucket_counts[after]++;
+      self->bucket_costs[after] += waiting_cost;
+    }
+  self->waiting_cost += waiting_cost - organisation->waiting_cost;
+  organisation->waiting_cost = waiting_cost;
+}
+
+static void
+count_in (struct eg_fair_queue *self,
+          struct eg_fair_organisation *organisation,
+          struct eg_fair_request *request)
+{
+  request->organisation = organisation;
+  organisation->count++;
+  self->count++;
+  set_waiting (self, organisation, organisation->waiting_cost + request->cost);
+  schedule (self, organisation);
+}
+
+bool
+eg_fair_queue_push (struct eg_fair_queue *self,
+                    struct eg_str name,
+                    struct eg_fair_request *request)
+{
+  struct eg_fair_organisation *organisation = find_or_add (self, name);
+
+  if (!organisation)
+    return false;
+  eg_list_append (&organisation->requests, &request->link);
+  count_in (self, organisation, request);
+  return true;
+}
+
+bool
+eg_fair_queue_return (struct eg_fair_queue *self,
+                      struct eg_str name,
+                      struct eg_fair_request *request,
+                      const struct eg_fair_turn *turn)
+{
+  struct eg_fair_organisation *organisation = eg_fair_queue_find (self, name);
+
+  if (!organisation && turn)
+    organisation = add_organisation (self, name, turn);
+  else
+    {
+      organisation = find_or_add (self, name);
+      if (organisation)
+        organisation->deficit += request->cost;
+    }
+  if (!organisation)
+    return false;
+  eg_list_prepend (&organisation->requests, &request->link);
+  count_in (self, organisation, request);
+  return true;
+}
+
+struct eg_fair_request *
+eg_fair_queue_first (const struct eg_fair_queue *self)
+{
+  struct eg_heap_node *turn = eg_heap_first (&self->turns);
+
+  return turn ? head_of (organisation_of (turn)) : NULL;
+}
+
+struct eg_fair_organisation *
+eg_fair_queue_remove (struct eg_fair_queue *self,
+                      struct eg_fair_request *request)
+{
+  struct eg_fair_organisation *organisation = request->organisation;
+
+  eg_list_remove (&request->link);
+  organisation->count--;
+  self->count--;
+  set_waiting (self, organisation, organisation->waiting_cost - request->cost);
+  if (organisation->count)
+    {
+      schedule (self, organisation);
+      return NULL;
+    }
+  eg_heap_remove (&self->turns, &organisation->turn);
+  eg_hash_table_remove (&self->organisations, &organisation->node);
+  return organisation;
+}
+
+struct eg_fair_request *
+eg_fair_queue_take (struct eg_fair_queue *self,
+                    struct eg_fair_turn *turn,
+                    struct eg_fair_organisation **emptied)
+{
+  struct eg_fair_organisation *organisation =
+      organisation_of (eg_heap_first (&self->turns));
+  struct eg_fair_request *request = head_of (organisation);
+
+  self->round = organisation->turn.key;
+  grant (self, organisation);
+  EG_INVARIANT (organisation->deficit >= request->cost);
+  turn->order = organisation->turn.order;
+  turn->deficit = organisation->deficit;
+  turn->granted_round = organisation->granted_round;
+  organisation->deficit -= request->cost;
+  *emptied = eg_fair_queue_remove (self, request);
+  return request;
+}
+
+static uint64_t
+min_cost (uint64_t a, uint64_t b)
+{
+  return a < b ? a : b;
+}
+
+/** Sums what each organisation waits for, none with more than @p limit. */
+static uint64_t
+sum_up_to (const struct eg_fair_queue *self, uint64_t limit)
+{
+  unsigned last = bucket_of (limit);
+  uint64_t sum = 0;
+
+  for (unsigned i = 0; i < EG_FAIR_QUEUE_BUCKETS; i++)
+    {
+      if (!self->bucket_counts[i])
+        continue;
+      if (i < last)
+        sum += self->bucket_costs[i];
+      else
+        sum += min_cost (self->bucket_costs[i], self->bucket_counts[i] * limit);
+    }
+  return sum;
+}
+
+uint64_t
+eg_fair_queue_cost_ahead (const struct eg_fair_queue *self,
+                          struct eg_str name,
+                          uint64_t cost)
+{
+  const struct eg_fair_organisation *organisation =
+      eg_fair_queue_find (self, name);
+  uint64_t own = organisation ? organisation->waiting_cost : 0;
+  uint64_t rounds = (own + cost + self->quantum - 1) / self->quantum;
+
+  return sum_up_to (self, rounds * self->quantum);
+}
--- a/policy/limit.h
+++ b/policy/limit.h
@@ -7,6 +7,7 @@
 #define EG_POLICY_LIMIT_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/decls.h"
@@ -18,20 +19,27 @@
 struct eg_limit_rule
 {
   double rate_per_s;      /**< Requests a second; 0 means no limit. */
-  double burst;           /**< Requests that may come at once. */
+  double burst;           /**< Requests that may come at once; at least 1. */
   uint32_t in_flight_max; /**< 0 means no limit. */
 };
 
 struct eg_limits;
 
-/** Makes an empty table with the rule for organisations not named. */
+/**
+ * Makes an empty table with the rule for organisations not named.
+ * @return NULL if memory could not be had.
+ */
 struct eg_limits *eg_limits_new (const struct eg_limit_rule *fallback);
 
 /** Frees the table. */
 void eg_limits_free (struct eg_limits *self);
 
-/** Sets or replaces the rule of @p organisation; its bucket keeps its level. */
-void eg_limits_set (struct eg_limits *self,
+/**
+ * Sets or replaces the rule of @p organisation; its bucket keeps its level.
+ * The time since its last request counts at the lower of the two rates.
+ * @return false if memory could not be had; no rule is then set.
+ */
+bool eg_limits_set (struct eg_limits *self,
                     struct eg_str organisation,
                     const struct eg_limit_rule *rule);
 
@@ -40,9 +48,11 @@
 
 /**
  * Admits one request, which counts as in flight until eg_limits_end().
- * @param[out] retry_after_us when the bucket will hold enough.
- * @return EG_REFUSAL_NONE, EG_REFUSAL_RATE_LIMIT or
- *         EG_REFUSAL_IN_FLIGHT_LIMIT.
+ * In any time t it admits at most burst + rate * t requests.
+ * @param[out] retry_after_us for EG_REFUSAL_RATE_LIMIT, how long until the
+ *             bucket will hold enough; otherwise 0.
+ * @return EG_REFUSAL_NONE, EG_REFUSAL_RATE_LIMIT, EG_REFUSAL_IN_FLIGHT_LIMIT,
+ *         or EG_REFUSAL_NO_CAPACITY if memory could not be had.
  */
 enum eg_refusal eg_limits_begin (struct eg_limits *self,
                                  struct eg_str organisation,
@@ -53,11 +63,16 @@
 void eg_limits_end (struct eg_limits *self, struct eg_str organisation);
 
 /**
- * Forgets organisations on the fallback rule that have been idle, so that the
- * table is bounded by the organisations in use.
+ * Forgets organisations on the fallback rule that have nothing in flight and a
+ * full bucket, which are the same as new ones. eg_limits_begin() does so each
+ * time the table has doubled, so that it is bounded by the organisations in
+ * use; call it now and then to free memory early.
  */
 void eg_limits_sweep (struct eg_limits *self, int64_t now_us);
 
+/** Returns how many organisations are in the table. */
+size_t eg_limits_count (const struct eg_limits *self);
+
 EG_END_DECLS
 
 #endif
--- a/policy/quarantine.h
+++ b/policy/quarantine.h
@@ -15,13 +15,18 @@
 
 EG_BEGIN_DECLS
 
+/** Most distinct servers that a quarantine may wait for. */
+#define EG_QUARANTINE_DEATHS_MAX 8
+
 /** Settings of the quarantine. */
 struct eg_quarantine_config
 {
-  unsigned deaths_max; /**< Distinct backend servers that may die first. */
+  /** Distinct backend servers whose deaths begin a quarantine; from 1 to
+      EG_QUARANTINE_DEATHS_MAX, and a value beyond is brought into range. */
+  unsigned deaths_max;
   int64_t memory_us;   /**< How long a death is remembered. */
   int64_t duration_us; /**< How long a fingerprint stays refused. */
-  size_t entries_max;  /**< Fingerprints remembered at most. */
+  size_t entries_max;  /**< Fingerprints remembered at most; at least 1. */
 };
 
 struct eg_quarantine;
@@ -40,7 +45,10 @@
 
 /**
  * Reports that backend server @p server died with the request in flight.
- * Deaths of the same server within @c memory_us count once.
+ * Deaths of the same server within @c memory_us count once. Once the
+ * quarantine has ended, earlier deaths no longer count.
+ * Where the table is full, ended quarantines make room first, then the
+ * suspect that has been quiet longest, then the quarantine that ends soonest.
  * @return true if this death began the quarantine, so that peers be told.
  */
 bool eg_quarantine_death (struct eg_quarantine *self,
@@ -48,7 +56,10 @@
                           uint64_t server,
                           int64_t now_us);
 
-/** Begins a quarantine that a peer or a rule told of. */
+/**
+ * Begins a quarantine that a peer or a rule told of; one that stands is
+ * extended and never shortened.
+ */
 void eg_quarantine_impose (struct eg_quarantine *self,
                            uint64_t fingerprint,
                            int64_t until_us);
@@ -65,6 +76,9 @@
                           int64_t now_us,
                           int64_t *retry_after_us);
 
+/** Returns how many fingerprints are remembered. */
+size_t eg_quarantine_count (const struct eg_quarantine *self);
+
 EG_END_DECLS
 
 #endif
