policy: server table, placement, chains and prefix hints

Choices need a table of backend servers that corrects lagging load reports by what this node sent and saw end, and an index of replicas so that one choice does not scan the table. Chains are found by the shortest path over layer boundaries among two random choices for each range and failure domain.

--- a/policy/placement.h
+++ b/policy/placement.h
@@ -8,12 +8,12 @@
 
 #include "base/decls.h"
 #include "base/random.h"
+#include "policy/chain.h"
+#include "policy/prefix.h"
 #include "policy/servers.h"
 
 EG_BEGIN_DECLS
 
-/** Longest chain of stages. */
-#define EG_CHAIN_MAX 32
 /** Servers that one request may exclude, after failures on them. */
 #define EG_EXCLUDED_MAX 8
 
@@ -43,6 +43,7 @@
   size_t accelerator_count;
   uint32_t default_slots;   /**< For servers that do not say. */
   double affinity_load_max; /**< Relative load up to which affinity holds. */
+  const struct eg_prefix_table *prefixes; /**< Hints; NULL for none. */
 };
 
 /** What is asked for. */
@@ -55,21 +56,6 @@
   size_t excluded_count;
 };
 
-/** One stage of a chain. */
-struct eg_chain_stage
-{
-  uint32_t server;
-  uint32_t first_layer;
-  uint32_t last_layer;
-};
-
-/** Stages in order; a plain service has one, with layers 0 to 0. */
-struct eg_chain
-{
-  struct eg_chain_stage stages[EG_CHAIN_MAX];
-  size_t count;
-};
-
 /** What a placement found. */
 enum eg_placement_result
 {
@@ -79,7 +65,12 @@
   EG_PLACEMENT_UNKNOWN, /**< No server ever reported this model or service. */
 };
 
-/** Chooses where an attempt runs; changes nothing but @p random. */
+/**
+ * Chooses where an attempt runs; changes nothing but @p random.
+ * A plain service stays in the entry VM's failure domain while a server there
+ * has room, and then goes to the nearest that has. A model gets the chain of
+ * least expected time, of one version, from the nearest failure domains.
+ */
 enum eg_placement_result
 eg_placement_choose (const struct eg_placement_config *config,
                      const struct eg_servers *servers,
@@ -88,9 +79,6 @@
                      int64_t now_us,
                      struct eg_chain *chain);
 
-/** Tells whether the stages cover layers 1 to @p layers, once and in order. */
-bool eg_chain_tiles (const struct eg_chain *chain, uint32_t layers);
-
 EG_END_DECLS
 
 #endif
--- a/policy/servers.h
+++ b/policy/servers.h
@@ -17,6 +17,8 @@
 
 /** No server; never the index of one. */
 #define EG_SERVER_NONE UINT32_MAX
+/** Most layers of a model. */
+#define EG_MODEL_LAYERS_MAX 1024
 
 /** Reasons for which a server gets no new work, as bits. */
 enum eg_server_stop
@@ -72,7 +74,11 @@
 /** Frees the table. */
 void eg_servers_free (struct eg_servers *self);
 
-/** Returns the index of the server at @p address, adding it if need be. */
+/**
+ * Returns the index of the server at @p address, adding it if need be.
+ * A known server takes the failure domain given; its stops stay as they are.
+ * @return EG_SERVER_NONE if the address is too long or memory ran out.
+ */
 uint32_t eg_servers_add (struct eg_servers *self,
                          struct eg_str address,
                          struct eg_str failure_domain);
@@ -87,8 +93,13 @@
 const struct eg_server *eg_servers_get (const struct eg_servers *self,
                                         uint32_t index);
 
-/** Takes in a load report; an older one than the last is dropped. */
-void eg_servers_report (struct eg_servers *self,
+/**
+ * Takes in a load report, and sets or clears EG_SERVER_LEAVING_REPORT by it.
+ * A report that is newer than the last failure ends the back-off.
+ * @return false if it was dropped: older than the last, or its layers are not
+ *         within 1 to model_layers (all 0 for a plain service).
+ */
+bool eg_servers_report (struct eg_servers *self,
                         uint32_t index,
                         const struct eg_server_report *report,
                         int64_t now_us);
@@ -102,7 +113,10 @@
 /** Counts an attempt that begins on the server. */
 void eg_servers_begin (struct eg_servers *self, uint32_t index, int64_t now_us);
 
-/** Counts the end of an attempt; @p failed backs the server off. */
+/**
+ * Counts the end of an attempt; @p failed backs the server off, and a success
+ * ends its back-off.
+ */
 void eg_servers_end (struct eg_servers *self,
                      uint32_t index,
                      bool failed,
@@ -116,7 +130,10 @@
 void
 eg_servers_observe (struct eg_servers *self, uint32_t index, int64_t took_us);
 
-/** Tells whether the server may get new work now. */
+/**
+ * Tells whether the server may get new work now. After a back-off it is a
+ * single attempt at a time, until one succeeds or a good report comes.
+ */
 bool eg_servers_usable (const struct eg_servers *self,
                         uint32_t index,
                         int64_t now_us);
@@ -127,7 +144,10 @@
  */
 uint32_t eg_servers_load (const struct eg_servers *self, uint32_t index);
 
-/** Forgets servers that are gone and have nothing in flight. */
+/**
+ * Forgets servers that are gone and have nothing in flight; their indexes
+ * are given to later servers, the longest free first.
+ */
 void eg_servers_sweep (struct eg_servers *self, int64_t now_us);
 
 EG_END_DECLS
