--- a/policy/sample.c
+++ b/policy/sample.c
@@ -24,12 +24,15 @@
 }
 
 static uint32_t
-slots_of (const struct eg_sampler *self, const struct eg_server *server)
+default_slots (const struct eg_sampler *self)
 {
-  uint32_t slots =
-      server->report.slots ? server->report.slots : self->config->default_slots;
+  return self->config->default_slots ? self->config->default_slots : 1;
+}
 
-  return slots ? slots : 1;
+static uint32_t
+slots_of (const struct eg_sampler *self, const struct eg_server *server)
+{
+  return server->report.slots ? server->report.slots : default_slots (self);
 }
 
 double
@@ -74,8 +77,8 @@
 static double
 set_capacity (const struct eg_sampler *self, const struct eg_replica_set *set)
 {
-  double slots = (double) set->slots
-                 + (double) set->unstated * self->config->default_slots;
+  double slots =
+      (double) set->slots + (double) set->unstated * default_slots (self);
 
   return slots * eg_sampler_weight (self, set->accelerator);
 }
@@ -116,8 +119,8 @@
   index = set->members[eg_random_below (self->random, set->count)];
   server = eg_servers_get (self->servers, index);
   slots = slots_of (self, server);
-  if (set->unstated && most < self->config->default_slots)
-    most = self->config->default_slots;
+  if (set->unstated && most < default_slots (self))
+    most = default_slots (self);
   if (is_stale (self, server))
     slots *= STALE_SHARE;
   if (slots < most && eg_random_unit (self->random) * most >= slots)
--- a/policy/servers.c
+++ b/policy/servers.c
@@ -428,9 +428,13 @@
                    uint32_t index,
                    int64_t now_us)
 {
-  const struct record *record = &self->records[index];
-  const struct eg_server *server = &record->server;
+  const struct record *record;
+  const struct eg_server *server;
 
+  if (index >= self->count)
+    return false;
+  record = &self->records[index];
+  server = &record->server;
   if (record->free || !server->reported || server->stops)
     return false;
   if (server->failures == 0)
