router: daemon with caller and operator listeners and one decision thread

Callers come in over CivetWeb threads, one thread owns the policy state, one does all back-end I/O and one talks to the platform; bounded rings join them.

--- a/router/call.h
+++ b/router/call.h
@@ -59,7 +59,7 @@
   uint64_t id;
   char request_id[EG_CALL_TEXT_BYTES];
   char organisation[EG_NAME_BYTES];
-  char class_name[EG_NAME_BYTES];
+  unsigned class_index;       /**< Into the classes in force. */
   char target[EG_NAME_BYTES]; /**< Model or plain service. */
   char key[EG_CALL_TEXT_BYTES];
   char ticket[EG_CALL_TEXT_BYTES];
@@ -70,11 +70,11 @@
   struct eg_buffer prompt;
   int64_t max_tokens;
   bool stream;
+  bool idempotent;
   int64_t arrived_us;
   int64_t budget_us; /**< 0 where the caller names none. */
 
   /* The decision thread's own. */
-  unsigned class_index;
   struct eg_reply *gathered; /**< Tokens that wait for room in the ring. */
   struct eg_buffer tokens;   /**< Committed, as the inside of a JSON array. */
   int64_t first_token_us;
--- /dev/null
+++ b/router/caller_request.h
@@ -0,0 +1,29 @@
+/**
+ * @file
+ * Reads a caller's HTTP request into a call, strictly.
+ */
+#ifndef EG_ROUTER_CALLER_REQUEST_H
+#define EG_ROUTER_CALLER_REQUEST_H
+
+#include <civetweb.h>
+
+#include "router/decision.h"
+#include "router/problem.h"
+
+/** Reads `POST /v1/completions`; false fills the refusal. */
+bool eg_caller_read_completion (struct mg_connection *connection,
+                                const struct eg_router_settings *settings,
+                                struct eg_decision *decision,
+                                struct eg_call *call,
+                                struct eg_problem *problem,
+                                struct eg_error *error);
+
+/** Reads a call of `/services/NAME/PATH`; false fills the refusal. */
+bool eg_caller_read_service (struct mg_connection *connection,
+                             const struct eg_router_settings *settings,
+                             struct eg_decision *decision,
+                             struct eg_call *call,
+                             struct eg_problem *problem,
+                             struct eg_error *error);
+
+#endif
--- /dev/null
+++ b/router/message.h
@@ -0,0 +1,48 @@
+/**
+ * @file
+ * Messages to the decision thread.
+ */
+#ifndef EG_ROUTER_MESSAGE_H
+#define EG_ROUTER_MESSAGE_H
+
+#include <semaphore.h>
+
+#include "backend/event.h"
+#include "platform/worker.h"
+#include "router/call.h"
+#include "router/decision.h"
+
+/** The kinds of message. */
+enum eg_message_kind
+{
+  EG_MESSAGE_CALL,     /**< A request came in. */
+  EG_MESSAGE_ABANDON,  /**< A caller left. */
+  EG_MESSAGE_BACKEND,  /**< A report of the back-end thread. */
+  EG_MESSAGE_PLATFORM, /**< A reply of the platform. */
+  EG_MESSAGE_INQUIRY,  /**< A question of the operators' listener. */
+  EG_MESSAGE_STOP,     /**< A planned stop begins. */
+  EG_MESSAGE_COUNT
+};
+
+/** A question that another thread waits on. */
+struct eg_inquiry
+{
+  void (*inquire) (void *context, const struct eg_decision_view *view);
+  void *context;
+  sem_t answered;
+};
+
+/** One message. */
+struct eg_message
+{
+  enum eg_message_kind kind;
+  union
+  {
+    struct eg_call *call; /**< Of CALL and ABANDON; owns a reference. */
+    struct eg_backend_event *backend;
+    struct eg_platform_reply *platform;
+    struct eg_inquiry *inquiry; /**< Owned by the thread that waits. */
+  };
+};
+
+#endif
--- /dev/null
+++ b/router/operators.h
@@ -0,0 +1,21 @@
+/**
+ * @file
+ * The listener for operators and metrics.
+ */
+#ifndef EG_ROUTER_OPERATORS_H
+#define EG_ROUTER_OPERATORS_H
+
+#include "router/decision.h"
+
+struct eg_operators;
+
+/** Starts listening; NULL with a message if it cannot. */
+struct eg_operators *
+eg_operators_new (const struct eg_router_settings *settings,
+                  struct eg_decision *decision,
+                  struct eg_error *error);
+
+/** Stops listening. */
+void eg_operators_free (struct eg_operators *self);
+
+#endif
