--- a/base/hash_table.h
+++ b/base/hash_table.h
@@ -1,6 +1,8 @@
 /**
  * @file
- * A hash table of nodes that the caller embeds in its own structs.
+ * A hash table of nodes that the caller embeds in its own structs, for things
+ * found by name: several may share a hash. See map.h for things found by
+ * number.
  */
 #ifndef EG_BASE_HASH_TABLE_H
 #define EG_BASE_HASH_TABLE_H
--- a/policy/admission.c
+++ b/policy/admission.c
@@ -4,9 +4,8 @@
 #include <string.h>
 
 #include "base/clock.h"
-#include "base/hash.h"
-#include "base/hash_table.h"
 #include "base/heap.h"
+#include "base/map.h"
 #include "base/status.h"
 #include "policy/fair_queue.h"
 #include "policy/service_rate.h"
@@ -21,7 +20,6 @@
 /** A request that waits. */
 struct waiting
 {
-  struct eg_hash_node node;
   struct eg_heap_node deadline; /**< Key: the deadline. */
   struct eg_fair_request queued;
   uint64_t request;
@@ -54,7 +52,7 @@
   struct class_state classes[EG_CLASSES_MAX];
   size_t class_count;
   unsigned by_priority[EG_CLASSES_MAX]; /**< Class indexes, first to last. */
-  struct eg_hash_table requests;
+  struct eg_map requests;               /**< By request number. */
   struct eg_heap deadlines;
   struct eg_service_rate rate;
   struct last_take last;
@@ -140,10 +138,10 @@
     return NULL;
   eg_heap_init (&self->deadlines);
   eg_service_rate_init (&self->rate);
-  if (eg_hash_table_init (&self->requests) && init_classes (self, config))
+  eg_map_init (&self->requests);
+  if (init_classes (self, config))
     return self;
   finish_classes (self);
-  eg_hash_table_finish (&self->requests);
   free (self);
   return NULL;
 }
@@ -174,7 +172,7 @@
 static void
 forget (struct eg_admission *self, struct waiting *waiting)
 {
-  eg_hash_table_remove (&self->requests, &waiting->node);
+  eg_map_remove (&self->requests, waiting->request);
   eg_heap_remove (&self->deadlines, &waiting->deadline);
 }
 
@@ -210,7 +208,7 @@
       free (waiting);
     }
   finish_classes (self);
-  eg_hash_table_finish (&self->requests);
+  eg_map_finish (&self->requests);
   eg_heap_finish (&self->deadlines);
   free (self->emptied);
   free (self);
@@ -456,23 +454,13 @@
   return EG_REFUSAL_NONE;
 }
 
-static struct waiting *
-find_waiting (const struct eg_admission *self, uint64_t request)
-{
-  /* The mixing is one-to-one, so that equal hashes mean equal requests. */
-  struct eg_hash_node *node =
-      eg_hash_table_find (&self->requests, eg_hash_mix (request));
-
-  return node ? EG_CONTAINER_OF (node, struct waiting, node) : NULL;
-}
-
 /** Makes a request that is known to the tables, but not queued yet. */
 static struct waiting *
 add_waiting (struct eg_admission *self, const struct eg_admission_item *item)
 {
   struct waiting *waiting = calloc (1, sizeof *waiting);
 
-  EG_INVARIANT (!find_waiting (self, item->request));
+  EG_INVARIANT (!eg_map_get (&self->requests, item->request));
   if (!waiting)
     return NULL;
   waiting->request = item->request;
@@ -486,8 +474,7 @@
       free (waiting);
       return NULL;
     }
-  eg_hash_table_insert (&self->requests, &waiting->node,
-                        eg_hash_mix (item->request));
+  eg_map_put (&self->requests, item->request, waiting);
   return waiting;
 }
 
@@ -679,7 +666,7 @@
 bool
 eg_admission_remove (struct eg_admission *self, uint64_t request)
 {
-  struct waiting *waiting = find_waiting (self, request);
+  struct waiting *waiting = eg_map_get (&self->requests, request);
 
   if (!waiting)
     return false;
--- a/policy/fair_queue.c
+++ b/policy/fair_queue.c
@@ -205,38 +205,38 @@
 
 bool
 eg_fair_queue_push (struct eg_fair_queue *self,
-                    struct eg_str name,
+                    struct eg_str organisation,
                     struct eg_fair_request *request)
 {
-  struct eg_fair_organisation *organisation = find_or_add (self, name);
+  struct eg_fair_organisation *entry = find_or_add (self, organisation);
 
-  if (!organisation)
+  if (!entry)
     return false;
-  eg_list_append (&organisation->requests, &request->link);
-  count_in (self, organisation, request);
+  eg_list_append (&entry->requests, &request->link);
+  count_in (self, entry, request);
   return true;
 }
 
 bool
 eg_fair_queue_return (struct eg_fair_queue *self,
-                      struct eg_str name,
+                      struct eg_str organisation,
                       struct eg_fair_request *request,
                       const struct eg_fair_turn *turn)
 {
-  struct eg_fair_organisation *organisation = eg_fair_queue_find (self, name);
+  struct eg_fair_organisation *entry = eg_fair_queue_find (self, organisation);
 
-  if (!organisation && turn)
-    organisation = add_organisation (self, name, turn);
+  if (!entry && turn)
+    entry = add_organisation (self, organisation, turn);
   else
     {
-      organisation = find_or_add (self, name);
-      if (organisation)
-        organisation->deficit += request->cost;
+      entry = find_or_add (self, organisation);
+      if (entry)
+        entry->deficit += request->cost;
     }
-  if (!organisation)
+  if (!entry)
     return false;
-  eg_list_prepend (&organisation->requests, &request->link);
-  count_in (self, organisation, request);
+  eg_list_prepend (&entry->requests, &request->link);
+  count_in (self, entry, request);
   return true;
 }
 
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 
 #include "base/hash.h"
-#include "base/hash_table.h"
 #include "base/list.h"
+#include "base/map.h"
 
 /** The last death of one server. */
 struct death
@@ -16,7 +16,6 @@
 /** What is remembered of one fingerprint. */
 struct entry
 {
-  struct eg_hash_node node;
   struct eg_list link; /**< In @c suspects or @c held. */
   uint64_t fingerprint;
   int64_t until_us; /**< End of the quarantine; 0 for a suspect. */
@@ -27,7 +26,7 @@
 struct eg_quarantine
 {
   struct eg_quarantine_config config;
-  struct eg_hash_table entries;
+  struct eg_map entries;   /**< By fingerprint. */
   struct eg_list suspects; /**< By their last death, the oldest first. */
   struct eg_list held;     /**< By @c until_us, the soonest first. */
   int64_t now_us;          /**< The latest time seen. */
@@ -62,11 +61,7 @@
 
   if (!self)
     return NULL;
-  if (!eg_hash_table_init (&self->entries))
-    {
-      free (self);
-      return NULL;
-    }
+  eg_map_init (&self->entries);
   self->config = *config;
   self->config.deaths_max = clamp_deaths (config->deaths_max);
   if (self->config.entries_max < 1)
@@ -86,7 +81,7 @@
 drop_entry (struct eg_quarantine *self, struct entry *entry)
 {
   eg_list_remove (&entry->link);
-  eg_hash_table_remove (&self->entries, &entry->node);
+  eg_map_remove (&self->entries, entry->fingerprint);
   free (entry);
 }
 
@@ -105,23 +100,14 @@
     drop_first (self, &self->suspects);
   while (!eg_list_is_empty (&self->held))
     drop_first (self, &self->held);
-  eg_hash_table_finish (&self->entries);
+  eg_map_finish (&self->entries);
   free (self);
 }
 
-/** Mixed again: a peer may send any number as a fingerprint. */
-static uint64_t
-hash_of (uint64_t fingerprint)
-{
-  return eg_hash_mix (fingerprint);
-}
-
-/** The mixing is one-to-one, so that equal hashes mean equal fingerprints. */
 static struct entry *
 find_entry (const struct eg_quarantine *self, uint64_t fingerprint)
 {
-  return (struct entry *) eg_hash_table_find (&self->entries,
-                                              hash_of (fingerprint));
+  return eg_map_get (&self->entries, fingerprint);
 }
 
 /** Forgets quarantines that have ended and deaths that are too old. */
@@ -166,7 +152,7 @@
     return NULL;
   entry->fingerprint = fingerprint;
   eg_list_append (&self->suspects, &entry->link);
-  eg_hash_table_insert (&self->entries, &entry->node, hash_of (fingerprint));
+  eg_map_put (&self->entries, fingerprint, entry);
   return entry;
 }
 
--- /dev/null
+++ b/test/property_admission.cc
@@ -0,0 +1,625 @@
+/* Properties of the queues before a service. */
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <cstring>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "policy/admission.h"
+#include "policy/fair_queue.h"
+
+namespace
+{
+
+const int64_t FAR_US = INT64_C (1) << 60;
+
+struct class_spec
+{
+  const char *name;
+  int priority;
+  double floor;
+};
+
+eg_admission_config
+make_config (const std::vector<class_spec> &classes, uint64_t quantum)
+{
+  eg_admission_config config = {};
+
+  for (const class_spec &spec : classes)
+    {
+      eg_admission_class &target = config.classes[config.class_count++];
+
+      std::strncpy (target.name, spec.name, sizeof target.name - 1);
+      target.priority = spec.priority;
+      target.floor = spec.floor;
+      target.queue_max = 1000000;
+    }
+  config.organisation_queue_max = 1000000;
+  config.quantum = quantum;
+  return config;
+}
+
+struct free_admission
+{
+  void
+  operator() (eg_admission *self) const
+  {
+    eg_admission_free (self);
+  }
+};
+using admission_ptr = std::unique_ptr<eg_admission, free_admission>;
+
+admission_ptr
+make_admission (const eg_admission_config &config)
+{
+  return admission_ptr (eg_admission_new (&config));
+}
+
+/** The item refers to the bytes of @p organisation. */
+eg_admission_item
+make_item (uint64_t request,
+           unsigned class_index,
+           const std::string &organisation,
+           uint64_t cost)
+{
+  eg_admission_item item = {};
+
+  item.request = request;
+  item.class_index = class_index;
+  item.organisation = {organisation.data (), organisation.size ()};
+  item.cost = cost;
+  item.deadline_us = FAR_US;
+  return item;
+}
+
+eg_refusal
+offer (eg_admission *admission, const eg_admission_item &item, int64_t now_us)
+{
+  int64_t retry_after_us = -1;
+  eg_refusal refusal =
+      eg_admission_offer (admission, &item, now_us, &retry_after_us);
+
+  RC_ASSERT ((refusal == EG_REFUSAL_NONE) == (retry_after_us == 0));
+  return refusal;
+}
+
+std::string
+text (eg_str s)
+{
+  return std::string (s.data, s.len);
+}
+
+int
+draw (int low, int high)
+{
+  return *rc::gen::inRange (low, high);
+}
+
+/** What a request that waits must look like when it leaves. */
+struct expected
+{
+  std::string organisation;
+  std::string class_name;
+  uint64_t cost;
+  int64_t deadline_us;
+};
+
+/** Random calls, checked against a map of what waits. */
+class conservation
+{
+public:
+  conservation ()
+      : configs{make_config ({{"a", 1, 0}, {"b", 2, 0.2}, {"c", 3, 0.1}}, 100),
+                make_config ({{"c", 1, 0.5}, {"a", 2, 0}}, 3),
+                make_config ({{"d", 1, 0}}, 5000)},
+        admission (make_admission (configs[0]))
+  {
+  }
+
+  void
+  step ()
+  {
+    static void (conservation::*const steps[]) () = {
+        &conservation::add,    &conservation::add,        &conservation::add,
+        &conservation::take,   &conservation::give_up,    &conservation::expire,
+        &conservation::remove, &conservation::reconfigure};
+
+    now_us += draw (0, 50);
+    (this->*steps[draw (0, 8)]) ();
+    check_depths ();
+  }
+
+  void
+  drain ()
+  {
+    while (!waiting.empty ())
+      take ();
+    take ();
+    check_depths ();
+  }
+
+private:
+  void
+  add ()
+  {
+    const eg_admission_config &config = configs[current];
+    unsigned index =
+        static_cast<unsigned> (draw (0, static_cast<int> (config.class_count)));
+    std::string name (1, static_cast<char> ('p' + draw (0, 4)));
+    eg_admission_item item = make_item (++last_request, index, name,
+                                        static_cast<uint64_t> (draw (1, 500)));
+
+    item.deadline_us = now_us + draw (-5, 500);
+    if (offer (admission.get (), item, now_us) != EG_REFUSAL_NONE)
+      RC_ASSERT (item.deadline_us <= now_us);
+    else
+      waiting[item.request] = {name, config.classes[index].name, item.cost,
+                               item.deadline_us};
+  }
+
+  void
+  leaves (const eg_admission_item &item)
+  {
+    auto found = waiting.find (item.request);
+
+    RC_ASSERT (found != waiting.end ());
+    RC_ASSERT (text (item.organisation) == found->second.organisation);
+    RC_ASSERT (configs[current].classes[item.class_index].name
+               == found->second.class_name);
+    RC_ASSERT (item.cost == found->second.cost);
+    RC_ASSERT (item.deadline_us == found->second.deadline_us);
+    waiting.erase (found);
+  }
+
+  void
+  take ()
+  {
+    eg_admission_item item;
+
+    RC_ASSERT (eg_admission_take (admission.get (), now_us, &item)
+               == !waiting.empty ());
+    if (waiting.size ())
+      leaves (item);
+  }
+
+  /** Takes two and returns them, which gives both to the queue again. */
+  void
+  give_up ()
+  {
+    eg_admission_item item;
+    std::string name;
+
+    if (!eg_admission_take (admission.get (), now_us, &item))
+      return;
+    name = text (item.organisation);
+    item.organisation = {name.data (), name.size ()};
+    take_if_any ();
+    eg_admission_return (admission.get (), &item);
+  }
+
+  void
+  take_if_any ()
+  {
+    eg_admission_item item;
+
+    if (eg_admission_take (admission.get (), now_us, &item))
+      leaves (item);
+  }
+
+  void
+  expire ()
+  {
+    eg_admission_item item;
+    int64_t first = FAR_US;
+
+    for (const auto &entry : waiting)
+      first = std::min (first, entry.second.deadline_us);
+    RC_ASSERT (eg_admission_take_expired (admission.get (), now_us, &item)
+               == (first <= now_us));
+    if (first > now_us)
+      return;
+    RC_ASSERT (item.deadline_us == first);
+    leaves (item);
+  }
+
+  void
+  remove ()
+  {
+    uint64_t request =
+        static_cast<uint64_t> (draw (1, static_cast<int> (last_request) + 2));
+
+    RC_ASSERT (eg_admission_remove (admission.get (), request)
+               == (waiting.erase (request) == 1));
+  }
+
+  void
+  reconfigure ()
+  {
+    current = static_cast<unsigned> (draw (0, 3));
+    RC_ASSERT (eg_admission_configure (admission.get (), &configs[current]));
+    for (auto &entry : waiting)
+      if (!has_class (entry.second.class_name))
+        entry.second.class_name =
+            configs[current].classes[configs[current].class_count - 1].name;
+  }
+
+  bool
+  has_class (const std::string &name) const
+  {
+    for (size_t i = 0; i < configs[current].class_count; i++)
+      if (name == configs[current].classes[i].name)
+        return true;
+    return false;
+  }
+
+  void
+  check_depths () const
+  {
+    for (unsigned i = 0; i < EG_CLASSES_MAX; i++)
+      {
+        auto in_class = [&] (const auto &entry) {
+          return i < configs[current].class_count
+                 && entry.second.class_name == configs[current].classes[i].name;
+        };
+
+        RC_ASSERT (eg_admission_depth (admission.get (), i)
+                   == static_cast<size_t> (std::count_if (
+                       waiting.begin (), waiting.end (), in_class)));
+      }
+  }
+
+  std::vector<eg_admission_config> configs;
+  unsigned current = 0;
+  admission_ptr admission;
+  std::map<uint64_t, expected> waiting;
+  uint64_t last_request = 0;
+  int64_t now_us = 0;
+};
+
+void
+every_request_leaves_once ()
+{
+  conservation run;
+
+  for (int i = 0; i < 150; i++)
+    run.step ();
+  run.drain ();
+}
+
+/** Organisations 0 and 1 always wait; the others leave and come back. */
+void
+organisations_share_by_cost ()
+{
+  const int quantum = draw (1, 300);
+  const int cost_max = draw (1, 400);
+  const int count = draw (2, 6);
+  admission_ptr admission = make_admission (
+      make_config ({{"a", 1, 0}}, static_cast<uint64_t> (quantum)));
+  std::vector<int64_t> served (static_cast<size_t> (count));
+  std::map<std::string, uint64_t> last_of;
+  uint64_t request = 0;
+  int64_t ahead_min = 0;
+  int64_t ahead_max = 0;
+  auto add = [&] (int organisation) {
+    uint64_t cost = static_cast<uint64_t> (draw (1, cost_max + 1));
+
+    RC_ASSERT (
+        offer (admission.get (),
+               make_item (++request, 0, std::to_string (organisation), cost), 0)
+        == EG_REFUSAL_NONE);
+  };
+
+  for (int i = 0; i < count; i++)
+    add (i);
+  add (0);
+  add (1);
+  for (int i = 0; i < 300; i++)
+    {
+      eg_admission_item item;
+      int taken;
+
+      RC_ASSERT (eg_admission_take (admission.get (), 0, &item));
+      RC_ASSERT (item.request > last_of[text (item.organisation)]);
+      last_of[text (item.organisation)] = item.request;
+      taken = std::atoi (text (item.organisation).c_str ());
+      served[static_cast<size_t> (taken)] += static_cast<int64_t> (item.cost);
+      add (taken);
+      ahead_min = std::min (ahead_min, served[0] - served[1]);
+      ahead_max = std::max (ahead_max, served[0] - served[1]);
+      RC_ASSERT (std::abs (served[0] - served[1]) < quantum + cost_max);
+      RC_ASSERT (ahead_max - ahead_min < quantum + 2 * cost_max);
+      for (int64_t other : served)
+        RC_ASSERT (other - served[0] <= quantum + 2 * cost_max);
+    }
+}
+
+void
+classes_get_their_floor_and_no_more ()
+{
+  const int count = draw (2, 5);
+  const int cost_max = draw (1, 200);
+  std::vector<class_spec> specs;
+  std::vector<std::string> names;
+  const char *const class_names[] = {"a", "b", "c", "d"};
+  uint64_t request = 0;
+
+  for (int i = 0; i < count; i++)
+    specs.push_back ({class_names[i], i, i ? draw (0, 34) / 100.0 : 0.0});
+  admission_ptr admission = make_admission (make_config (specs, 50));
+  std::vector<double> served (specs.size ());
+  std::vector<double> since_waiting (specs.size ());
+  double total = 0;
+  double lower_floors = 0;
+  for (const class_spec &spec : specs)
+    lower_floors += spec.floor;
+  for (int step = 0; step < 300; step++)
+    {
+      eg_admission_item item;
+      double lower = 0;
+
+      for (unsigned i = 0; i < specs.size (); i++)
+        {
+          bool absent = eg_admission_depth (admission.get (), i) == 0;
+
+          if (absent)
+            {
+              served[i] = 0;
+              since_waiting[i] = total;
+            }
+          /* The first class always waits; the others come and go. */
+          if ((absent && (i == 0 || draw (0, 4) == 0)) || draw (0, 3) == 0)
+            offer (admission.get (),
+                   make_item (++request, i, "x",
+                              static_cast<uint64_t> (draw (1, cost_max + 1))),
+                   0);
+        }
+      RC_ASSERT (eg_admission_take (admission.get (), 0, &item));
+      total += static_cast<double> (item.cost);
+      served[item.class_index] += static_cast<double> (item.cost);
+      if (item.class_index > 0)
+        RC_ASSERT (specs[item.class_index].floor > 0);
+      for (unsigned i = 0; i < specs.size (); i++)
+        {
+          double due = specs[i].floor * (total - since_waiting[i]);
+
+          if (i > 0)
+            lower += served[i];
+          if (eg_admission_depth (admission.get (), i) > 0)
+            RC_ASSERT (served[i] >= due - count * cost_max);
+        }
+      RC_ASSERT (lower <= lower_floors * total + (count - 1) * cost_max);
+    }
+}
+
+/** Serves at a steady rate, for long enough to be observed. */
+void
+observe_rate (eg_admission *admission, uint64_t rate_per_s, int64_t *now_us)
+{
+  const int64_t step_us = 10 * EG_US_PER_MS;
+
+  RC_ASSERT (offer (admission, make_item (UINT64_MAX, 0, "warm-up", 1), *now_us)
+             == EG_REFUSAL_NONE);
+  for (int i = 0; i < 300; i++)
+    {
+      *now_us += step_us;
+      eg_admission_served (admission, rate_per_s / 100, *now_us);
+    }
+  RC_ASSERT (eg_admission_remove (admission, UINT64_MAX));
+}
+
+/** One organisation in strict classes, where the work ahead is exact. */
+void
+what_cannot_meet_its_deadline_is_refused ()
+{
+  const uint64_t rate_per_s = 100 * static_cast<uint64_t> (draw (1, 1000));
+  const unsigned target = static_cast<unsigned> (draw (0, 3));
+  const int waiting = draw (0, 50);
+  admission_ptr admission = make_admission (
+      make_config ({{"a", 1, 0}, {"b", 2, 0}, {"c", 3, 0}}, 10));
+  const std::string name = "x";
+  eg_admission_item item = make_item (1000, target, name, 5);
+  int64_t now_us = EG_US_PER_S;
+  double ahead = 0;
+  double wait_us;
+
+  item.deadline_us = now_us;
+  RC_ASSERT (offer (admission.get (), item, now_us) == EG_REFUSAL_DEADLINE);
+  observe_rate (admission.get (), rate_per_s, &now_us);
+  for (int i = 0; i < waiting; i++)
+    {
+      unsigned index = static_cast<unsigned> (draw (0, 3));
+      uint64_t cost = static_cast<uint64_t> (draw (100, 2000));
+
+      offer (admission.get (),
+             make_item (static_cast<uint64_t> (i) + 1, index, "x", cost),
+             now_us);
+      if (index <= target)
+        ahead += static_cast<double> (cost);
+    }
+  wait_us = ahead * EG_US_PER_S / static_cast<double> (rate_per_s);
+  item.deadline_us = now_us + static_cast<int64_t> (wait_us * 0.9);
+  if (ahead > 0)
+    RC_ASSERT (offer (admission.get (), item, now_us) == EG_REFUSAL_DEADLINE);
+  item.deadline_us = now_us + static_cast<int64_t> (wait_us * 1.1) + 1;
+  RC_ASSERT (offer (admission.get (), item, now_us) == EG_REFUSAL_NONE);
+}
+
+/** What the estimate says of organisations in turn, against the real order. */
+void
+estimate_is_close_to_the_work_done_before ()
+{
+  const uint64_t rate_per_s = 1000;
+  const int quantum = draw (50, 200);
+  const int organisations = draw (1, 8);
+  admission_ptr admission = make_admission (
+      make_config ({{"a", 1, 0}}, static_cast<uint64_t> (quantum)));
+  const std::string name = "0";
+  eg_admission_item item = make_item (1000, 0, name, 40);
+  int64_t now_us = 0;
+  double before = 0;
+  double estimate;
+
+  observe_rate (admission.get (), rate_per_s, &now_us);
+  for (int i = 0; i < 100; i++)
+    offer (admission.get (),
+           make_item (static_cast<uint64_t> (i) + 1, 0,
+                      std::to_string (draw (0, organisations)),
+                      static_cast<uint64_t> (draw (1, 50))),
+           now_us);
+  estimate =
+      static_cast<double> (eg_admission_estimate (admission.get (), &item))
+      * static_cast<double> (rate_per_s) / EG_US_PER_S;
+  RC_ASSERT (offer (admission.get (), item, now_us) == EG_REFUSAL_NONE);
+  for (;;)
+    {
+      eg_admission_item taken;
+
+      RC_ASSERT (eg_admission_take (admission.get (), now_us, &taken));
+      if (taken.request == item.request)
+        break;
+      before += static_cast<double> (taken.cost);
+    }
+  /* For each other organisation, by a quantum and what one request costs; the
+     sums by powers of two may count another organisation twice over. */
+  RC_ASSERT (estimate >= before * 0.98 - organisations * (quantum + 50));
+  RC_ASSERT (estimate <= 2.04 * before + organisations * (quantum + 50));
+}
+
+void
+without_a_rate_nothing_is_refused_for_its_deadline ()
+{
+  const std::string name = "x";
+  admission_ptr admission = make_admission (make_config ({{"a", 1, 0}}, 10));
+
+  for (uint64_t i = 1; i <= 50; i++)
+    {
+      eg_admission_item item =
+          make_item (i, 0, "x", static_cast<uint64_t> (draw (1, 1 << 30)));
+
+      item.deadline_us = 1 + draw (0, 10);
+      RC_ASSERT (offer (admission.get (), item, 0) == EG_REFUSAL_NONE);
+    }
+}
+
+void
+queues_are_bounded ()
+{
+  eg_admission_config config = make_config ({{"a", 1, 0}, {"b", 1, 0}}, 10);
+  std::map<std::pair<unsigned, std::string>, size_t> own;
+  std::vector<size_t> depth (2);
+
+  config.classes[0].queue_max = static_cast<size_t> (draw (0, 30));
+  config.classes[1].queue_max = static_cast<size_t> (draw (0, 30));
+  config.organisation_queue_max = static_cast<size_t> (draw (0, 10));
+  admission_ptr admission = make_admission (config);
+  for (uint64_t i = 1; i <= 100; i++)
+    {
+      unsigned index = static_cast<unsigned> (draw (0, 2));
+      std::string name = std::to_string (draw (0, 5));
+      bool fits = depth[index] < config.classes[index].queue_max
+                  && own[{index, name}] < config.organisation_queue_max;
+
+      RC_ASSERT (offer (admission.get (), make_item (i, index, name, 1), 0)
+                 == (fits ? EG_REFUSAL_NONE : EG_REFUSAL_QUEUE_FULL));
+      depth[index] += fits;
+      own[{index, name}] += fits;
+    }
+}
+
+/** A take that is undone must not change what follows. */
+void
+a_return_undoes_the_last_take ()
+{
+  const eg_admission_config config =
+      make_config ({{"a", 1, 0}, {"b", 2, 0.3}, {"c", 3, 0.2}}, 20);
+  admission_ptr plain = make_admission (config);
+  admission_ptr disturbed = make_admission (config);
+
+  for (uint64_t i = 1; i <= 80; i++)
+    {
+      eg_admission_item item = make_item (
+          i, static_cast<unsigned> (draw (0, 3)), std::to_string (draw (0, 4)),
+          static_cast<uint64_t> (draw (1, 100)));
+
+      offer (plain.get (), item, 0);
+      offer (disturbed.get (), item, 0);
+    }
+  for (int i = 0; i < 80; i++)
+    {
+      eg_admission_item item;
+      eg_admission_item other;
+
+      for (int undone = draw (0, 3); undone > 0; undone--)
+        {
+          RC_ASSERT (eg_admission_take (disturbed.get (), 0, &item));
+          eg_admission_return (disturbed.get (), &item);
+        }
+      RC_ASSERT (eg_admission_take (plain.get (), 0, &item));
+      RC_ASSERT (eg_admission_take (disturbed.get (), 0, &other));
+      RC_ASSERT (item.request == other.request);
+    }
+}
+
+void
+table_holds_only_organisations_that_wait ()
+{
+  eg_fair_queue queue;
+  std::vector<eg_fair_request> requests (200);
+  std::vector<eg_fair_request *> waiting;
+
+  RC_ASSERT (eg_fair_queue_init (&queue, 10));
+  for (eg_fair_request &request : requests)
+    {
+      std::string name = std::to_string (draw (0, 150));
+
+      request.cost = static_cast<uint64_t> (draw (1, 50));
+      RC_ASSERT (
+          eg_fair_queue_push (&queue, {name.data (), name.size ()}, &request));
+      waiting.push_back (&request);
+    }
+  while (!waiting.empty ())
+    {
+      size_t i = *rc::gen::inRange<size_t> (0, waiting.size ());
+
+      std::free (eg_fair_queue_remove (&queue, waiting[i]));
+      waiting.erase (waiting.begin () + static_cast<std::ptrdiff_t> (i));
+      RC_ASSERT (queue.organisations.count <= waiting.size ());
+      RC_ASSERT (queue.organisations.bucket_count
+                 <= 16 + 16 * queue.organisations.count);
+      RC_ASSERT (queue.turns.count == queue.organisations.count);
+    }
+  RC_ASSERT (queue.waiting_cost == 0);
+  eg_fair_queue_finish (&queue);
+}
+
+} // namespace
+
+int
+main ()
+{
+  bool passed = true;
+
+  passed &= rc::check ("every request leaves exactly once",
+                       every_request_leaves_once);
+  passed &=
+      rc::check ("organisations share by cost", organisations_share_by_cost);
+  passed &= rc::check ("classes get their floor and no more",
+                       classes_get_their_floor_and_no_more);
+  passed &= rc::check ("what cannot meet its deadline is refused",
+                       what_cannot_meet_its_deadline_is_refused);
+  passed &= rc::check ("the estimate is close to the work done before",
+                       estimate_is_close_to_the_work_done_before);
+  passed &= rc::check ("without a rate nothing is refused for its deadline",
+                       without_a_rate_nothing_is_refused_for_its_deadline);
+  passed &= rc::check ("queues are bounded", queues_are_bounded);
+  passed &= rc::check ("a return undoes the last take",
+                       a_return_undoes_the_last_take);
+  passed &= rc::check ("the table holds only organisations that wait",
+                       table_holds_only_organisations_that_wait);
+  return passed ? EXIT_SUCCESS : EXIT_FAILURE;
+}
