load: tool that sends a scenario's requests and checks every answer

The experiments need open-loop load whose every answer is checked byte for byte, so that a lost, doubled or mixed-up answer can't pass for throughput.

--- /dev/null
+++ b/standin/load_call.h
@@ -0,0 +1,35 @@
+/**
+ * @file
+ * One request: its body, its headers and the check of its answer.
+ */
+#ifndef EG_STANDIN_LOAD_CALL_H
+#define EG_STANDIN_LOAD_CALL_H
+
+#include "base/decls.h"
+#include "standin/load_arrivals.h"
+#include "standin/load_client.h"
+#include "standin/load_results.h"
+#include "standin/load_targets.h"
+
+EG_BEGIN_DECLS
+
+/** What all requests of a run share; the caller owns it. */
+struct eg_load_calls
+{
+  const struct eg_load_scenario *scenario;
+  struct eg_load_results *results;
+  struct eg_load_client *client;
+  struct eg_load_targets *targets;
+  uint64_t seed;
+  int64_t start_us; /**< Clock time at the start of the run. */
+  size_t in_flight;
+};
+
+/** Sends the arrival at which @p arrivals stands; it frees itself. */
+void eg_load_call_start (struct eg_load_calls *calls,
+                         size_t stream,
+                         const struct eg_load_arrivals *arrivals);
+
+EG_END_DECLS
+
+#endif
--- /dev/null
+++ b/standin/load_faults.c
@@ -0,0 +1,159 @@
+#include "standin/load_faults.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#define POST_TIMEOUT_US (5 * EG_US_PER_S)
+#define PID_TEXT_BYTES 32
+
+struct post
+{
+  struct eg_load_fault_result *result;
+  const char *label;
+};
+
+struct eg_load_faults
+{
+  const struct eg_load_scenario *scenario;
+  struct eg_load_client *client;
+  struct eg_load_results *results;
+  struct post *posts;
+  struct curl_slist *headers;
+  size_t next;
+};
+
+struct eg_load_faults *
+eg_load_faults_new (const struct eg_load_scenario *scenario,
+                    struct eg_load_client *client,
+                    struct eg_load_results *results)
+{
+  struct eg_load_faults *self = calloc (1, sizeof *self);
+
+  EG_INVARIANT (self != NULL);
+  self->scenario = scenario;
+  self->client = client;
+  self->results = results;
+  self->headers = curl_slist_append (NULL, "Content-Type: application/json");
+  self->posts = calloc (scenario->n_faults + 1, sizeof *self->posts);
+  EG_INVARIANT (self->posts != NULL);
+  return self;
+}
+
+void
+eg_load_faults_free (struct eg_load_faults *self)
+{
+  if (!self)
+    return;
+  curl_slist_free_all (self->headers);
+  free (self->posts);
+  free (self);
+}
+
+enum eg_status
+eg_load_faults_read_pid (const char *path, int64_t *pid, struct eg_error *error)
+{
+  char text[PID_TEXT_BYTES];
+  FILE *file = fopen (path, "re");
+  size_t len;
+
+  if (!file)
+    return eg_error_set (error, EG_NOT_FOUND, "%s: %s", path, strerror (errno));
+  len = fread (text, 1, sizeof text, file);
+  fclose (file);
+  if (!eg_str_to_int64 (eg_str_trim ((struct eg_str){text, len}), pid)
+      || *pid < 2 || *pid > INT32_MAX)
+    return eg_error_set (error, EG_INVALID, "%s: no process id", path);
+  return EG_OK;
+}
+
+static void
+fail (struct eg_load_fault_result *result, const char *label, const char *why)
+{
+  result->done = false;
+  eg_str_copy (eg_str_from (why), result->detail, sizeof result->detail);
+  eg_log (EG_LOG_ERROR, "load", "event=fault-failed label=\"%s\" cause=\"%s\"",
+          label, why);
+}
+
+static void
+send_signal (const struct eg_load_fault *fault,
+             struct eg_load_fault_result *result)
+{
+  struct eg_error error;
+  int64_t pid;
+
+  if (eg_load_faults_read_pid (fault->pid_file, &pid, &error) != EG_OK)
+    fail (result, fault->label, error.message);
+  else if (kill ((pid_t) pid, fault->signal) != 0)
+    fail (result, fault->label, strerror (errno));
+}
+
+static void
+ignore_body (void *context, int http_status, struct eg_str bytes)
+{
+  (void) context;
+  (void) http_status;
+  (void) bytes;
+}
+
+/* An engine that dies on order may close the connection without an answer. */
+static void
+end_post (void *context, const struct eg_load_end *end)
+{
+  struct post *post = context;
+
+  if (end->refused || end->http_status >= 300)
+    fail (post->result, post->label,
+          end->transport ? end->transport : "refused by the listener");
+}
+
+static void
+send_post (struct eg_load_faults *self, size_t index)
+{
+  const struct eg_load_fault *fault = &self->scenario->faults[index];
+  struct post *post = &self->posts[index];
+  struct eg_load_exchange exchange = {
+      .method = "POST",
+      .url = fault->url,
+      .headers = self->headers,
+      .body = eg_str_from (fault->body),
+      .timeout_us = POST_TIMEOUT_US,
+      .on_body = ignore_body,
+      .on_end = end_post,
+      .context = post,
+  };
+
+  *post = (struct post){&self->results->faults[index], fault->label};
+  eg_load_client_start (self->client, &exchange);
+}
+
+void
+eg_load_faults_run (struct eg_load_faults *self, int64_t now_us)
+{
+  for (; eg_load_faults_next_us (self) <= now_us; self->next++)
+    {
+      const struct eg_load_fault *fault = &self->scenario->faults[self->next];
+      struct eg_load_fault_result *result = &self->results->faults[self->next];
+
+      result->done = true;
+      result->done_us = now_us;
+      if (*fault->pid_file)
+        send_signal (fault, result);
+      else
+        send_post (self, self->next);
+    }
+}
+
+int64_t
+eg_load_faults_next_us (const struct eg_load_faults *self)
+{
+  return self->next < self->scenario->n_faults
+             ? self->scenario->faults[self->next].at_us
+             : INT64_MAX;
+}
--- /dev/null
+++ b/standin/load_faults.h
@@ -0,0 +1,38 @@
+/**
+ * @file
+ * Brings about a scenario's faults at their times.
+ */
+#ifndef EG_STANDIN_LOAD_FAULTS_H
+#define EG_STANDIN_LOAD_FAULTS_H
+
+#include "base/decls.h"
+#include "standin/load_client.h"
+#include "standin/load_results.h"
+
+EG_BEGIN_DECLS
+
+struct eg_load_faults;
+
+/** Makes the list of faults still to come. */
+struct eg_load_faults *
+eg_load_faults_new (const struct eg_load_scenario *scenario,
+                    struct eg_load_client *client,
+                    struct eg_load_results *results);
+
+/** Frees the list; its exchanges must have ended. */
+void eg_load_faults_free (struct eg_load_faults *self);
+
+/** Brings about the faults that are due at @p now_us. */
+void eg_load_faults_run (struct eg_load_faults *self, int64_t now_us);
+
+/** Returns when the next fault is due, or INT64_MAX. */
+int64_t eg_load_faults_next_us (const struct eg_load_faults *self);
+
+/** Reads a process id of 2 or more, alone in the file at @p path. */
+enum eg_status eg_load_faults_read_pid (const char *path,
+                                        int64_t *pid,
+                                        struct eg_error *error);
+
+EG_END_DECLS
+
+#endif
--- /dev/null
+++ b/standin/load_report.h
@@ -0,0 +1,36 @@
+/**
+ * @file
+ * Reports of a run: a table, JSON and a plot.
+ */
+#ifndef EG_STANDIN_LOAD_REPORT_H
+#define EG_STANDIN_LOAD_REPORT_H
+
+#include <jansson.h>
+#include <stdio.h>
+
+#include "base/buffer.h"
+#include "base/decls.h"
+#include "standin/load_results.h"
+
+EG_BEGIN_DECLS
+
+/** Returns the run as a new JSON object; docs/LOAD.md lists its keys. */
+json_t *eg_load_report_json (const struct eg_load_results *results,
+                             uint64_t seed);
+
+/** Writes the run as tables for a terminal. */
+void eg_load_report_table (const struct eg_load_results *results, FILE *stream);
+
+/** Appends a plot of the run as an SVG document. */
+void eg_load_report_svg (const struct eg_load_results *results,
+                         struct eg_buffer *svg);
+
+/** Returns tokens received in each second of the measured time. */
+double eg_load_report_tokens_per_s (const struct eg_load_results *results);
+
+/** Tells whether every fault of the scenario was brought about. */
+bool eg_load_report_faults_done (const struct eg_load_results *results);
+
+EG_END_DECLS
+
+#endif
--- /dev/null
+++ b/standin/load_results.c
@@ -0,0 +1,268 @@
+#include "standin/load_results.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+#define MIN_RECORDS 1024
+
+static size_t
+find_group (struct eg_load_results *self, const struct eg_load_stream *stream)
+{
+  struct eg_load_group *group;
+
+  for (size_t i = 0; i < self->n_groups; i++)
+    if (strcmp (self->groups[i].organisation, stream->organisation) == 0
+        && strcmp (self->groups[i].class_name, stream->class_name) == 0)
+      return i;
+  group = &self->groups[self->n_groups];
+  group->organisation = stream->organisation;
+  group->class_name = stream->class_name;
+  return self->n_groups++;
+}
+
+static void *
+zeroed (size_t count, size_t bytes)
+{
+  void *memory = calloc (count + 1, bytes);
+
+  EG_INVARIANT (memory != NULL);
+  return memory;
+}
+
+void
+eg_load_results_init (struct eg_load_results *self,
+                      const struct eg_load_scenario *scenario)
+{
+  int64_t whole_us = eg_load_scenario_end_us (scenario) + scenario->drain_us;
+
+  *self = (struct eg_load_results){.scenario = scenario};
+  self->n_buckets = (size_t) (whole_us / EG_LOAD_BUCKET_US) + 1;
+  self->buckets = zeroed (self->n_buckets, sizeof *self->buckets);
+  self->first_token_us = zeroed (self->n_buckets, sizeof *self->first_token_us);
+  self->groups = zeroed (scenario->n_streams, sizeof *self->groups);
+  self->group_of_stream =
+      zeroed (scenario->n_streams, sizeof *self->group_of_stream);
+  self->faults = zeroed (scenario->n_faults, sizeof *self->faults);
+  for (size_t i = 0; i < scenario->n_streams; i++)
+    self->group_of_stream[i] = find_group (self, &scenario->streams[i]);
+}
+
+void
+eg_load_results_finish (struct eg_load_results *self)
+{
+  free (self->buckets);
+  free (self->first_token_us);
+  free (self->groups);
+  free (self->group_of_stream);
+  free (self->faults);
+  free (self->records);
+  free (self->causes);
+  *self = (struct eg_load_results){0};
+}
+
+static size_t
+bucket_index (const struct eg_load_results *self, int64_t time_us)
+{
+  size_t index = time_us > 0 ? (size_t) (time_us / EG_LOAD_BUCKET_US) : 0;
+
+  return index < self->n_buckets ? index : self->n_buckets - 1;
+}
+
+static bool
+is_measured (const struct eg_load_results *self, int64_t time_us)
+{
+  return time_us >= self->scenario->warm_up_us
+         && time_us < eg_load_scenario_end_us (self->scenario);
+}
+
+static struct eg_load_group *
+group_of (struct eg_load_results *self, const struct eg_load_record *record)
+{
+  return &self->groups[self->group_of_stream[record->stream]];
+}
+
+size_t
+eg_load_results_arrival (struct eg_load_results *self,
+                         size_t stream,
+                         int64_t arrival_us,
+                         int64_t sent_us)
+{
+  struct eg_load_record *record;
+
+  if (self->n_records == self->records_capacity)
+    {
+      self->records_capacity =
+          self->records_capacity ? 2 * self->records_capacity : MIN_RECORDS;
+      self->records = realloc (self->records,
+                               self->records_capacity * sizeof *self->records);
+      EG_INVARIANT (self->records != NULL);
+    }
+  record = &self->records[self->n_records];
+  *record = (struct eg_load_record){
+      .arrival_us = arrival_us, .end_us = -1, .stream = (uint16_t) stream};
+  self->buckets[bucket_index (self, arrival_us)].arrivals++;
+  if (is_measured (self, arrival_us))
+    {
+      group_of (self, record)->arrivals++;
+      eg_histogram_add (&self->send_lag_us, sent_us - arrival_us);
+    }
+  return self->n_records++;
+}
+
+void
+eg_load_results_token (struct eg_load_results *self,
+                       size_t record_number,
+                       int64_t previous_us,
+                       int64_t now_us)
+{
+  struct eg_load_record *record = &self->records[record_number];
+  struct eg_load_group *group = group_of (self, record);
+  bool measured = is_measured (self, record->arrival_us);
+
+  eg_load_results_tokens_at_once (self, record_number, 1, now_us);
+  if (previous_us < 0)
+    eg_histogram_add (
+        &self->first_token_us[bucket_index (self, record->arrival_us)],
+        now_us - record->arrival_us);
+  if (!measured)
+    return;
+  if (previous_us < 0)
+    eg_histogram_add (&group->first_token_us, now_us - record->arrival_us);
+  else
+    eg_histogram_add (&group->between_tokens_us, now_us - previous_us);
+}
+
+void
+eg_load_results_tokens_at_once (struct eg_load_results *self,
+                                size_t record_number,
+                                int64_t count,
+                                int64_t now_us)
+{
+  struct eg_load_record *record = &self->records[record_number];
+
+  self->buckets[bucket_index (self, now_us)].tokens += (uint32_t) count;
+  if (is_measured (self, now_us))
+    self->tokens_in_measured_time += (uint64_t) count;
+  if (is_measured (self, record->arrival_us))
+    group_of (self, record)->tokens += (uint64_t) count;
+}
+
+static void
+count_cause (struct eg_load_results *self,
+             const struct eg_load_verdict *verdict)
+{
+  for (size_t i = 0; i < self->n_causes; i++)
+    {
+      const struct eg_load_verdict *known = &self->causes[i].verdict;
+
+      if (known->outcome == verdict->outcome
+          && known->http_status == verdict->http_status
+          && strcmp (known->cause, verdict->cause) == 0
+          && strcmp (known->ran, verdict->ran) == 0)
+        {
+          self->causes[i].count++;
+          return;
+        }
+    }
+  self->causes =
+      realloc (self->causes, (self->n_causes + 1) * sizeof *self->causes);
+  EG_INVARIANT (self->causes != NULL);
+  self->causes[self->n_causes++] =
+      (struct eg_load_cause){.verdict = *verdict, .count = 1};
+}
+
+void
+eg_load_results_end (struct eg_load_results *self,
+                     size_t record_number,
+                     const struct eg_load_verdict *verdict,
+                     int64_t now_us)
+{
+  struct eg_load_record *record = &self->records[record_number];
+  struct eg_load_bucket *arrived =
+      &self->buckets[bucket_index (self, record->arrival_us)];
+  struct eg_load_bucket *ended = &self->buckets[bucket_index (self, now_us)];
+  bool whole = verdict->outcome == EG_LOAD_WHOLE;
+
+  record->end_us = now_us;
+  record->outcome = (uint8_t) verdict->outcome;
+  ended->ended++;
+  ended->ended_whole += whole;
+  arrived->arrived_whole += whole;
+  self->wrong += verdict->outcome == EG_LOAD_WRONG;
+  self->whole_in_measured_time += whole && is_measured (self, now_us);
+  if (!whole)
+    count_cause (self, verdict);
+  if (!is_measured (self, record->arrival_us))
+    return;
+  group_of (self, record)->outcomes[verdict->outcome]++;
+  if (whole)
+    eg_histogram_add (&group_of (self, record)->total_us,
+                      now_us - record->arrival_us);
+}
+
+static void
+count_in_flight (const struct eg_load_results *self,
+                 struct eg_load_fault_result *fault)
+{
+  for (size_t i = 0; i < self->n_records; i++)
+    {
+      const struct eg_load_record *record = &self->records[i];
+
+      if (record->arrival_us > fault->done_us
+          || record->end_us <= fault->done_us)
+        continue;
+      fault->in_flight++;
+      fault->in_flight_whole += record->outcome == EG_LOAD_WHOLE;
+    }
+}
+
+/* A fault's effects are looked at until the next fault that is measured. */
+static int64_t
+next_measured (const struct eg_load_scenario *scenario, size_t index)
+{
+  for (size_t i = index + 1; i < scenario->n_faults; i++)
+    if (scenario->faults[i].measured
+        && scenario->faults[i].at_us > scenario->faults[index].at_us)
+      return scenario->faults[i].at_us;
+  return eg_load_scenario_end_us (scenario);
+}
+
+void
+eg_load_results_conclude (struct eg_load_results *self)
+{
+  const struct eg_load_scenario *scenario = self->scenario;
+  struct eg_load_series series = {self->buckets, self->n_buckets};
+
+  for (size_t i = 0; i < scenario->n_faults; i++)
+    {
+      struct eg_load_fault_result *fault = &self->faults[i];
+
+      if (!fault->done || !scenario->faults[i].measured)
+        continue;
+      count_in_flight (self, fault);
+      eg_load_recovery_compute (&series, &scenario->recovery,
+                                scenario->warm_up_us, fault->done_us,
+                                next_measured (scenario, i), &fault->recovery);
+    }
+}
+
+void
+eg_load_results_total (const struct eg_load_results *self,
+                       struct eg_load_group *total)
+{
+  *total = (struct eg_load_group){0};
+  for (size_t i = 0; i < self->n_groups; i++)
+    {
+      const struct eg_load_group *group = &self->groups[i];
+
+      total->arrivals += group->arrivals;
+      total->tokens += group->tokens;
+      for (int j = 0; j < EG_LOAD_OUTCOMES; j++)
+        total->outcomes[j] += group->outcomes[j];
+      eg_histogram_merge (&total->first_token_us, &group->first_token_us);
+      eg_histogram_merge (&total->between_tokens_us, &group->between_tokens_us);
+      eg_histogram_merge (&total->total_us, &group->total_us);
+    }
+}
--- /dev/null
+++ b/test/test_load.c
@@ -0,0 +1,366 @@
+/* Tests of the load tool's parts that need no network. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/buffer.h"
+#include "base/clock.h"
+#include "standin/load_arrivals.h"
+#include "standin/load_check.h"
+#include "standin/load_recovery.h"
+#include "standin/load_scenario.h"
+#include "standin/load_sse.h"
+#include "standin/token.h"
+
+#define PROMPT "Where does the name come from?"
+#define STREAM(extra)                                                          \
+  "{\"name\":\"s\",\"organisation\":\"o\",\"rate_per_s\":100" extra "}"
+#define SCENARIO(streams, extra)                                               \
+  "{\"name\":\"n\",\"duration_ms\":5000,\"targets\":[{\"address\":"            \
+  "\"127.0.0.1:8000\"}],\"streams\":[" streams "]" extra "}"
+
+static void
+record_event (void *context, struct eg_str event, struct eg_str data)
+{
+  eg_buffer_printf (context, "<%.*s|%.*s>", EG_STR_ARGS (event),
+                    EG_STR_ARGS (data));
+}
+
+static void
+test_sse_is_the_same_for_every_split (void **state)
+{
+  static const char text[] = "data: one\n\n: comment\r\nevent: error\r\n"
+                             "data:two\r\n\r\ndata: a\ndata: b\n\n\ndata: cut";
+
+  (void) state;
+  for (size_t i = 0; i <= sizeof text - 1; i++)
+    for (size_t j = i; j <= sizeof text - 1; j++)
+      {
+        struct eg_load_sse sse;
+        struct eg_buffer seen = {0};
+
+        eg_load_sse_init (&sse, record_event, &seen);
+        eg_load_sse_feed (&sse, (struct eg_str){text, i});
+        eg_load_sse_feed (&sse, (struct eg_str){text + i, j - i});
+        eg_load_sse_feed (&sse, (struct eg_str){text + j, sizeof text - 1 - j});
+        assert_string_equal (eg_buffer_text (&seen),
+                             "<|one><error|two><|a\nb>");
+        assert_true (eg_load_sse_is_partial (&sse));
+        eg_load_sse_finish (&sse);
+        eg_buffer_finish (&seen);
+      }
+}
+
+static void
+give_token (struct eg_load_check *check, int64_t position, int64_t of_position)
+{
+  char token[EG_TOKEN_BYTES];
+  char data[64];
+
+  eg_token_text (EG_STR (PROMPT), of_position, token);
+  snprintf (data, sizeof data, "{\"position\":%d,\"token\":\"%s\"}",
+            (int) position, token);
+  eg_load_check_event (check, EG_STR (""), eg_str_from (data));
+}
+
+/* Gives the tokens at positions, ended by 0, of an answer of three. */
+static struct eg_load_verdict
+verdict_of (const int64_t *positions, const char *last, const char *transport)
+{
+  struct eg_load_check check;
+  struct eg_load_verdict verdict;
+
+  eg_load_check_init (&check, EG_LOAD_ANSWER_STREAM, EG_STR (PROMPT), 3);
+  for (; *positions; positions++)
+    give_token (&check, *positions, *positions);
+  if (last)
+    eg_load_check_event (&check, EG_STR (""), eg_str_from (last));
+  eg_load_check_end (&check, 200, transport, EG_STR (""), &verdict);
+  return verdict;
+}
+
+static void
+test_check_names_what_is_wrong (void **state)
+{
+  static const struct
+  {
+    int64_t positions[5];
+    const char *last;
+    const char *transport;
+    enum eg_load_outcome outcome;
+    const char *cause;
+  } cases[] = {
+      {{1, 2, 3}, "[DONE]", NULL, EG_LOAD_WHOLE, ""},
+      {{1, 3}, "[DONE]", NULL, EG_LOAD_WRONG, "gap"},
+      {{2}, "[DONE]", NULL, EG_LOAD_WRONG, "gap"},
+      {{1, 2, 2, 3}, "[DONE]", NULL, EG_LOAD_WRONG, "repeat"},
+      {{1, 2, 3}, NULL, NULL, EG_LOAD_WRONG, "missing-end"},
+      {{1, 2}, "[DONE]", NULL, EG_LOAD_WRONG, "wrong-length"},
+      {{1, 2, 3, 4}, "[DONE]", NULL, EG_LOAD_WRONG, "wrong-length"},
+      {{1, 2}, NULL, "connection-lost", EG_LOAD_TRANSPORT, "connection-lost"},
+      {{1, 3}, NULL, "connection-lost", EG_LOAD_WRONG, "gap"},
+      {{1},
+       "{\"position\":2,\"token\":\"t00000000 \"}",
+       NULL,
+       EG_LOAD_WRONG,
+       "foreign-token"},
+      {{1}, "{}", NULL, EG_LOAD_WRONG, "malformed-event"},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct eg_load_verdict verdict =
+          verdict_of (cases[i].positions, cases[i].last, cases[i].transport);
+
+      assert_int_equal (verdict.outcome, cases[i].outcome);
+      assert_string_equal (verdict.cause, cases[i].cause);
+    }
+}
+
+static void
+test_check_tells_broken_from_wrong (void **state)
+{
+  struct eg_load_check check;
+  struct eg_load_verdict verdict;
+  struct eg_str problem = EG_STR ("{\"type\":\"deadline\",\"ran\":\"yes\"}");
+
+  (void) state;
+  eg_load_check_init (&check, EG_LOAD_ANSWER_STREAM, EG_STR (PROMPT), 3);
+  give_token (&check, 1, 1);
+  eg_load_check_event (&check, EG_STR ("error"), problem);
+  eg_load_check_end (&check, 200, NULL, EG_STR (""), &verdict);
+  assert_int_equal (verdict.outcome, EG_LOAD_BROKEN);
+  assert_string_equal (verdict.cause, "deadline");
+  assert_string_equal (verdict.ran, "yes");
+
+  eg_load_check_event (&check, EG_STR (""), EG_STR ("[DONE]"));
+  eg_load_check_end (&check, 200, NULL, EG_STR (""), &verdict);
+  assert_int_equal (verdict.outcome, EG_LOAD_WRONG);
+  assert_string_equal (verdict.cause, "event-after-end");
+
+  eg_load_check_init (&check, EG_LOAD_ANSWER_STREAM, EG_STR (PROMPT), 3);
+  eg_load_check_end (&check, 429, NULL, problem, &verdict);
+  assert_int_equal (verdict.outcome, EG_LOAD_REFUSED);
+  assert_int_equal (verdict.http_status, 429);
+}
+
+static struct eg_load_verdict
+object_verdict (const char *text, int tokens)
+{
+  struct eg_load_check check;
+  struct eg_load_verdict verdict;
+  char body[256];
+
+  snprintf (body, sizeof body, "{\"text\":\"%s\",\"tokens\":%d}", text, tokens);
+  eg_load_check_init (&check, EG_LOAD_ANSWER_OBJECT, EG_STR (PROMPT), 2);
+  eg_load_check_end (&check, 200, NULL, eg_str_from (body), &verdict);
+  return verdict;
+}
+
+static void
+test_check_of_an_object_covers_every_byte (void **state)
+{
+  char first[EG_TOKEN_BYTES];
+  char second[EG_TOKEN_BYTES];
+  char text[64];
+
+  (void) state;
+  eg_token_text (EG_STR (PROMPT), 1, first);
+  eg_token_text (EG_STR (PROMPT), 2, second);
+  snprintf (text, sizeof text, "%s%s", first, second);
+  assert_int_equal (object_verdict (text, 2).outcome, EG_LOAD_WHOLE);
+  assert_string_equal (object_verdict (text, 3).cause, "wrong-length");
+  assert_string_equal (object_verdict (first, 1).cause, "wrong-length");
+  snprintf (text, sizeof text, "%s%s", second, first);
+  assert_string_equal (object_verdict (text, 2).cause, "foreign-token");
+  snprintf (text, sizeof text, "%s%s.", first, second);
+  assert_string_equal (object_verdict (text, 2).cause, "foreign-token");
+  assert_string_equal (object_verdict ("\",\"text\":1,\"x\":\"", 2).cause,
+                       "malformed-object");
+}
+
+static size_t
+list_arrivals (const char *scenario_text,
+               uint64_t seed,
+               int64_t *times,
+               size_t capacity)
+{
+  struct eg_load_scenario scenario;
+  struct eg_load_arrivals arrivals;
+  struct eg_error error;
+  size_t count = 0;
+
+  assert_int_equal (eg_load_scenario_init (&scenario, scenario_text, &error),
+                    EG_OK);
+  eg_load_arrivals_init (&arrivals, &scenario, 0, seed);
+  for (; arrivals.next_us != EG_LOAD_NEVER && count < capacity; count++)
+    {
+      times[count] = arrivals.next_us;
+      eg_load_arrivals_advance (&arrivals);
+    }
+  eg_load_scenario_finish (&scenario);
+  return count;
+}
+
+static void
+test_arrivals_follow_the_seed_and_the_rate (void **state)
+{
+  static const char poisson[] = SCENARIO (STREAM (",\"model\":\"m\""), "");
+  int64_t first[1000];
+  int64_t second[1000];
+  size_t count = list_arrivals (poisson, 7, first, 1000);
+
+  (void) state;
+  assert_in_range (count, 430, 570); /* 500 expected, 3 deviations of 22 */
+  assert_int_equal (list_arrivals (poisson, 7, second, 1000), count);
+  assert_memory_equal (first, second, count * sizeof *first);
+  list_arrivals (poisson, 8, second, 1000);
+  assert_memory_not_equal (first, second, sizeof *first);
+}
+
+static void
+test_arrivals_follow_the_phases (void **state)
+{
+  static const char ramp[] =
+      SCENARIO (STREAM (",\"model\":\"m\",\"arrivals\":\"uniform\""),
+                ",\"phases\":[{\"at_ms\":1000,\"rate_factor\":0},"
+                "{\"at_ms\":2000,\"rate_factor\":2}]");
+  int64_t times[1000];
+  size_t count = list_arrivals (ramp, 1, times, 1000);
+
+  (void) state;
+  /* 99 or 100 in the first second, none in the next, 200 in each of three. */
+  assert_in_range (count, 698, 700);
+  for (size_t i = 0; i < count; i++)
+    assert_false (times[i] > EG_US_PER_S && times[i] < 2 * EG_US_PER_S);
+  assert_int_equal (times[0], 10 * EG_US_PER_MS);
+}
+
+#define BUCKETS 200
+
+static void
+fill (struct eg_load_bucket *buckets,
+      size_t from,
+      size_t to,
+      uint32_t whole,
+      uint32_t tokens)
+{
+  for (size_t i = from; i < to; i++)
+    buckets[i] = (struct eg_load_bucket){10, whole, 10, whole, tokens};
+}
+
+static struct eg_load_recovery
+recovery_of (const struct eg_load_bucket *buckets)
+{
+  static const struct eg_load_recovery_rule rule = {EG_US_PER_S,
+                                                    3 * EG_US_PER_S, 0.95};
+  struct eg_load_series series = {buckets, BUCKETS};
+  struct eg_load_recovery recovery;
+
+  eg_load_recovery_compute (&series, &rule, EG_US_PER_S, 5 * EG_US_PER_S,
+                            20 * EG_US_PER_S, &recovery);
+  return recovery;
+}
+
+static void
+test_recovery_time (void **state)
+{
+  struct eg_load_bucket buckets[BUCKETS];
+  struct eg_load_recovery recovery;
+
+  (void) state;
+  fill (buckets, 0, BUCKETS, 10, 100);
+  recovery = recovery_of (buckets);
+  assert_true (recovery.measured && recovery.recovered);
+  assert_int_equal (recovery.time_us, 0);
+
+  /* No answers for 2 s, too few tokens for 3 s: a window of ten buckets with
+     one of them at 40 % lies below 95 %. */
+  fill (buckets, 50, 70, 0, 0);
+  fill (buckets, 70, 80, 10, 40);
+  recovery = recovery_of (buckets);
+  assert_true (recovery.recovered);
+  assert_int_equal (recovery.time_us, 3 * EG_US_PER_S);
+  assert_true (recovery.lowest_success == 0);
+  assert_true (recovery.tokens_per_s_before == 1000);
+
+  /* A good spell shorter than a window beyond the first does not count. */
+  fill (buckets, 80, 95, 10, 100);
+  fill (buckets, 95, 100, 4, 100);
+  assert_int_equal (recovery_of (buckets).time_us, 5 * EG_US_PER_S);
+
+  fill (buckets, 50, BUCKETS, 9, 100);
+  assert_false (recovery_of (buckets).recovered);
+}
+
+static void
+test_scenario_errors_name_the_key (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    const char *message;
+  } cases[] = {
+      {"{", "line 1"},
+      {"{\"name\":\"n\",\"duration_ms\":1}", "streams: must be given"},
+      {SCENARIO ("", ""), "streams: must not be empty"},
+      {SCENARIO (STREAM (""), ""), "streams[0]: give one of"},
+      {SCENARIO (STREAM (",\"model\":1"), ""), "streams[0].model: expected"},
+      {SCENARIO (STREAM (",\"modle\":\"m\""), ""),
+       "streams[0].modle: unknown key"},
+      {SCENARIO (STREAM (",\"model\":\"m\",\"max_tokens\":{\"min\":3,"
+                         "\"max\":2}"),
+                 ""),
+       "streams[0].max_tokens: expected a count"},
+      {SCENARIO (STREAM (",\"direct\":{\"chain\":[{\"address\":"
+                         "\"127.0.0.1:1\",\"layers\":[2,1]}]}"),
+                 ""),
+       "streams[0].direct.chain[0].layers: expected [FIRST, LAST]"},
+      {SCENARIO (STREAM (",\"model\":\"m\""),
+                 ",\"faults\":[{\"at_ms\":1,\"label\":\"x\"}]"),
+       "faults[0]: give one of \"post\" and \"kill\""},
+      {SCENARIO (STREAM (",\"model\":\"m\""),
+                 ",\"faults\":[{\"at_ms\":1,\"label\":\"x\",\"kill\":"
+                 "{\"pid_file\":\"p\",\"signal\":\"HUP\"}}]"),
+       "faults[0].kill.signal: expected \"TERM\""},
+      {SCENARIO (STREAM (",\"model\":\"m\""), ",\"warm_up_ms\":-1"),
+       "warm_up_ms: expected an integer of milliseconds from 0"},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct eg_load_scenario scenario;
+      struct eg_error error = {0};
+
+      assert_int_equal (
+          eg_load_scenario_init (&scenario, cases[i].text, &error), EG_INVALID);
+      if (!strstr (error.message, cases[i].message))
+        fail_msg ("%s: got \"%s\"", cases[i].message, error.message);
+      eg_load_scenario_finish (&scenario);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_sse_is_the_same_for_every_split),
+      cmocka_unit_test (test_check_names_what_is_wrong),
+      cmocka_unit_test (test_check_tells_broken_from_wrong),
+      cmocka_unit_test (test_check_of_an_object_covers_every_byte),
+      cmocka_unit_test (test_arrivals_follow_the_seed_and_the_rate),
+      cmocka_unit_test (test_arrivals_follow_the_phases),
+      cmocka_unit_test (test_recovery_time),
+      cmocka_unit_test (test_scenario_errors_name_the_key),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_load_run.c
@@ -0,0 +1,213 @@
+/* Tests of the load tool's run against a small entry VM in this process. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <civetweb.h>
+#include <cmocka.h>
+#include <jansson.h>
+
+#include "standin/load_report.h"
+#include "standin/load_run.h"
+#include "standin/token.h"
+
+#define LISTEN "127.0.0.1:8971"
+#define REFUSING "127.0.0.1:8972"
+#define BODY_BYTES 4096
+#define EXPECTED_ARRIVALS 20
+
+struct answer_fault
+{
+  const char *model;
+  int status;
+  int skipped; /* position left out, or 0 */
+  bool end;
+};
+
+/* The model's name chooses what goes wrong. */
+static const struct answer_fault answer_faults[] = {
+    {"whole", 200, 0, true},
+    {"gap", 200, 2, true},
+    {"cut", 200, 0, false},
+    {"refused", 503, 0, false},
+};
+
+static void
+send_tokens (struct mg_connection *connection,
+             const struct answer_fault *fault,
+             const char *prompt,
+             int count)
+{
+  char token[EG_TOKEN_BYTES];
+  char event[128];
+
+  for (int position = 1; position <= count; position++)
+    {
+      eg_token_text (eg_str_from (prompt), position, token);
+      snprintf (event, sizeof event,
+                "data: {\"position\":%d,\"token\":\"%s\"}\n\n", position,
+                token);
+      if (position != fault->skipped)
+        mg_send_chunk (connection, event, (unsigned) strlen (event));
+    }
+  if (fault->end)
+    mg_send_chunk (connection, "data: [DONE]\n\n", 14);
+  mg_send_chunk (connection, "", 0);
+}
+
+static int
+answer (struct mg_connection *connection, void *context)
+{
+  static const char problem[] = "{\"type\":\"no-capacity\",\"ran\":\"no\"}";
+  char text[BODY_BYTES];
+  int len = mg_read (connection, text, sizeof text);
+  json_t *body = json_loadb (text, len > 0 ? (size_t) len : 0, 0, NULL);
+  const char *model = json_string_value (json_object_get (body, "model"));
+  const struct answer_fault *fault = answer_faults;
+
+  (void) context;
+  for (size_t i = 0; model && i < sizeof answer_faults / sizeof *answer_faults;
+       i++)
+    if (strcmp (answer_faults[i].model, model) == 0)
+      fault = &answer_faults[i];
+  if (fault->status != 200)
+    mg_printf (connection,
+               "HTTP/1.1 %d Refused\r\nContent-Length: %zu\r\n\r\n%s",
+               fault->status, sizeof problem - 1, problem);
+  else
+    {
+      mg_printf (connection,
+                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                 "X-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+                 mg_get_header (connection, "X-Request-Id"));
+      send_tokens (
+          connection, fault,
+          json_string_value (json_object_get (body, "prompt")),
+          (int) json_integer_value (json_object_get (body, "max_tokens")));
+    }
+  json_decref (body);
+  return fault->status;
+}
+
+static int
+start_server (void **state)
+{
+  static const char *options[] = {"listening_ports",
+                                  LISTEN,
+                                  "num_threads",
+                                  "8",
+                                  "enable_keep_alive",
+                                  "yes",
+                                  "keep_alive_timeout_ms",
+                                  "1000",
+                                  NULL};
+  struct mg_context *server = mg_start (NULL, NULL, options);
+
+  if (!server)
+    return -1;
+  mg_set_request_handler (server, "/v1/completions", answer, NULL);
+  *state = server;
+  return 0;
+}
+
+static int
+stop_server (void **state)
+{
+  mg_stop (*state);
+  return 0;
+}
+
+static void
+run_model (const char *model,
+           const char *targets,
+           struct eg_load_scenario *scenario,
+           struct eg_load_results *results)
+{
+  char text[1024];
+  struct eg_error error = {0};
+
+  snprintf (text, sizeof text,
+            "{\"name\":\"test\",\"duration_ms\":210,\"fail_over\":true,"
+            "\"targets\":[%s],\"streams\":[{\"name\":\"s\","
+            "\"organisation\":\"o\",\"class\":\"counter\",\"model\":\"%s\","
+            "\"rate_per_s\":100,\"arrivals\":\"uniform\",\"max_tokens\":5}]}",
+            targets, model);
+  assert_int_equal (eg_load_scenario_init (scenario, text, &error), EG_OK);
+  assert_int_equal (eg_load_run (scenario, 3, NULL, NULL, results, &error),
+                    EG_OK);
+}
+
+static void
+test_each_request_ends_in_its_way (void **state)
+{
+  static const struct
+  {
+    const char *model;
+    enum eg_load_outcome outcome;
+    const char *cause;
+  } cases[] = {
+      {"whole", EG_LOAD_WHOLE, NULL},
+      {"gap", EG_LOAD_WRONG, "gap"},
+      {"cut", EG_LOAD_WRONG, "missing-end"},
+      {"refused", EG_LOAD_REFUSED, "no-capacity"},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct eg_load_scenario scenario;
+      struct eg_load_results results;
+      struct eg_load_group total;
+
+      run_model (cases[i].model, "{\"address\":\"" LISTEN "\"}", &scenario,
+                 &results);
+      eg_load_results_total (&results, &total);
+      assert_int_equal (total.arrivals, EXPECTED_ARRIVALS);
+      assert_int_equal (total.outcomes[cases[i].outcome], EXPECTED_ARRIVALS);
+      if (cases[i].cause)
+        assert_string_equal (results.causes[0].verdict.cause, cases[i].cause);
+      else
+        assert_int_equal (total.tokens, 5 * EXPECTED_ARRIVALS);
+      eg_load_results_finish (&results);
+      eg_load_scenario_finish (&scenario);
+    }
+}
+
+static void
+test_a_refused_connection_fails_over (void **state)
+{
+  struct eg_load_scenario scenario;
+  struct eg_load_results results;
+  struct eg_load_group total;
+  json_t *report;
+
+  (void) state;
+  run_model ("whole",
+             "{\"address\":\"" REFUSING "\"},{\"address\":\"" LISTEN "\"}",
+             &scenario, &results);
+  eg_load_results_total (&results, &total);
+  assert_int_equal (total.outcomes[EG_LOAD_WHOLE], EXPECTED_ARRIVALS);
+  report = eg_load_report_json (&results, 3);
+  assert_non_null (report);
+  assert_int_equal (json_integer_value (json_object_get (
+                        json_object_get (report, "total"), "whole")),
+                    EXPECTED_ARRIVALS);
+  json_decref (report);
+  eg_load_results_finish (&results);
+  eg_load_scenario_finish (&scenario);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_each_request_ends_in_its_way),
+      cmocka_unit_test (test_a_refused_connection_fails_over),
+  };
+
+  return cmocka_run_group_tests (tests, start_server, stop_server);
+}
