policy: request lifecycle tells the outcome of attempts; properties

Cause: the property that no attempt starts past its deadline failed: an attempt that failed during a tick let the queue of its target move on before the expired requests had been taken out of it. Change: dispatch itself refuses what is too late. Attempts are reported to the outcome module, which alone decides on `ran: no`.

--- a/backend/worker.c
+++ b/backend/worker.c
@@ -8,6 +8,7 @@
 #include "backend/engine.h"
 #include "backend/service.h"
 #include "base/clock.h"
+#include "base/list.h"
 #include "base/log.h"
 #include "base/map.h"
 #include "base/status.h"
@@ -16,11 +17,12 @@
 
 #define RING_SLOTS 16384
 #define IDLE_WAIT_US (100 * EG_US_PER_MS)
-#define POLL_ANSWER_MAX (64 * 1024)
+#define POLL_ANSWER_MAX ((size_t) 64 * 1024)
 
 /* One attempt, poll or cancellation under way. */
 struct job
 {
+  struct eg_list link; /* In the worker's jobs. */
   struct eg_backend_worker *worker;
   struct eg_backend_command *command;
   struct eg_http_transfer *transfer;
@@ -28,8 +30,6 @@
   struct eg_engine_event event;
   struct eg_backend_event *tokens; /* Gathered while bytes are parsed. */
   bool ended;                      /* Its last report has gone out. */
-  struct job *previous;
-  struct job *next;
 };
 
 struct eg_backend_worker
@@ -38,7 +38,7 @@
   struct eg_backend_sink sink;
   struct eg_http_client *http;
   struct eg_ring ring;
-  struct job *jobs;
+  struct eg_list jobs;
   struct eg_map attempts; /* Those of attempts, by request. */
   pthread_t thread;
   unsigned stopping;
@@ -88,12 +88,7 @@
 
   if (is_attempt (job) && eg_map_get (attempts, job->command->request) == job)
     eg_map_remove (attempts, job->command->request);
-  if (job->previous)
-    job->previous->next = job->next;
-  else
-    job->worker->jobs = job->next;
-  if (job->next)
-    job->next->previous = job->previous;
+  eg_list_remove (&job->link);
   free_job (job);
 }
 
@@ -105,10 +100,7 @@
   EG_INVARIANT (job != NULL);
   job->worker = self;
   job->command = command;
-  job->next = self->jobs;
-  if (self->jobs)
-    self->jobs->previous = job;
-  self->jobs = job;
+  eg_list_append (&self->jobs, &job->link);
   if (is_attempt (job))
     eg_map_put (&self->attempts, command->request, job);
   return job;
@@ -342,6 +334,7 @@
       .header_count = write_headers (command, headers),
       .connect_timeout_us = self->config.connect_timeout_us,
       .timeout_us = command->timeout_us,
+      .send_by_us = command->send_by_us,
       .body_max = command->kind == EG_BACKEND_CALL ? self->config.answer_max
                                                    : POLL_ANSWER_MAX,
       .at_most_once = command->at_most_once,
@@ -419,6 +412,7 @@
     return NULL;
   self->config = *config;
   self->sink = *sink;
+  eg_list_init (&self->jobs);
   self->ring.event_fd = -1;
   self->http = eg_http_client_new ();
   if (!self->http || !eg_ring_init (&self->ring, RING_SLOTS))
@@ -443,8 +437,8 @@
   eg_ring_wake (&self->ring);
   pthread_join (self->thread, NULL);
   eg_http_client_free (self->http);
-  while (self->jobs)
-    remove_job (self->jobs);
+  while (!eg_list_is_empty (&self->jobs))
+    remove_job (EG_CONTAINER_OF (self->jobs.next, struct job, link));
   eg_map_finish (&self->attempts);
   while ((command = eg_ring_pop (&self->ring)))
     eg_backend_command_free (command);
--- a/backend/worker.h
+++ b/backend/worker.h
@@ -36,6 +36,7 @@
   char organisation[EG_NAME_BYTES];
   bool at_most_once;
   int64_t timeout_us;
+  int64_t send_by_us; /**< No byte leaves later; 0 for no bound. */
 };
 
 /** Times and bounds of the back-end I/O. */
--- a/http/client.c
+++ b/http/client.c
@@ -24,6 +24,8 @@
   struct curl_slist *headers;
   char *body;
   size_t body_max;
+  int64_t send_by_us; /* 0 for no bound. */
+  bool held_back;     /* Too late, so that no byte left. */
   struct eg_buffer answer;
   char etag[EG_HTTP_VALUE_BYTES];
   void (*on_data) (void *context, struct eg_str bytes);
@@ -195,6 +197,25 @@
   return size * count;
 }
 
+/* Called when the connection stands and the first byte is about to leave. */
+static int
+on_before_send (void *context,
+                char *remote_ip,
+                char *local_ip,
+                int remote_port,
+                int local_port)
+{
+  struct eg_http_transfer *transfer = context;
+
+  (void) remote_ip;
+  (void) local_ip;
+  (void) remote_port;
+  (void) local_port;
+  transfer->held_back =
+      transfer->send_by_us > 0 && eg_clock_now_us () > transfer->send_by_us;
+  return transfer->held_back ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static void
 add_headers (struct eg_http_transfer *transfer,
              const struct eg_http_request *request)
@@ -268,6 +289,8 @@
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout_ms (request->timeout_us));
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT,
                     request->at_most_once ? 1L : 0);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
@@ -292,6 +315,7 @@
       return NULL;
     }
   transfer->body_max = request->body_max;
+  transfer->send_by_us = request->send_by_us;
   transfer->on_data = request->on_data;
   transfer->on_done = request->on_done;
   transfer->context = request->context;
@@ -346,7 +370,9 @@
                      (char **) &transfer);
   curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (transfer->easy, CURLINFO_CONTENT_TYPE, &content_type);
-  result.outcome = outcome_of (transfer->easy, message->data.result);
+  result.outcome = transfer->held_back
+                       ? EG_HTTP_NOT_SENT
+                       : outcome_of (transfer->easy, message->data.result);
   result.status = (int) status;
   result.timed_out = message->data.result == CURLE_OPERATION_TIMEDOUT;
   result.detail = curl_easy_strerror (message->data.result);
--- a/http/client.h
+++ b/http/client.h
@@ -59,7 +59,9 @@
   struct eg_str body; /**< `data` NULL for no body. */
   int64_t connect_timeout_us;
   int64_t timeout_us; /**< For the whole transfer; 0 for none. */
-  size_t body_max;    /**< Longest answer taken, in bytes; 0 for no bound. */
+  /** No byte leaves after this monotonic time; 0 for no bound. */
+  int64_t send_by_us;
+  size_t body_max; /**< Longest answer taken, in bytes; 0 for no bound. */
 
   /**
    * Whether the request must go out at most once. It gets a connection of its
--- a/http/sse.h
+++ b/http/sse.h
@@ -11,7 +11,7 @@
 EG_BEGIN_DECLS
 
 /** Longest event taken, in bytes. */
-#define EG_SSE_EVENT_MAX (64 * 1024)
+#define EG_SSE_EVENT_MAX ((size_t) 64 * 1024)
 
 /** One event; the views are valid during the call. */
 struct eg_sse_event
--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/list.h"
 #include "base/map.h"
 #include "base/status.h"
 #include "policy/action_queue.h"
@@ -34,8 +35,7 @@
   int64_t retry_at_us;
   uint32_t excluded[EG_EXCLUDED_MAX];
   size_t excluded_count;
-  struct eg_request_state *previous;
-  struct eg_request_state *next;
+  struct eg_list link; /* In the list of its phase. */
 };
 
 struct eg_lifecycle
@@ -47,7 +47,7 @@
   struct eg_quarantine *quarantine;
   struct eg_target_table targets;
   struct eg_map requests;
-  struct eg_request_state *running;
+  struct eg_list running;
   struct eg_action_queue actions;
   struct eg_lifecycle_counts counts;
   bool stopping;
@@ -64,6 +64,7 @@
     return NULL;
   self->config = *config;
   self->servers = servers;
+  eg_list_init (&self->running);
   eg_random_init (&self->random, seed);
   self->limits = eg_limits_new (&config->default_limit);
   self->quarantine = eg_quarantine_new (&config->quarantine);
@@ -91,27 +92,10 @@
   free (self);
 }
 
-/* Lists of requests. */
-
-static void
-list_add (struct eg_request_state **head, struct eg_request_state *request)
-{
-  request->previous = NULL;
-  request->next = *head;
-  if (*head)
-    (*head)->previous = request;
-  *head = request;
-}
-
-static void
-list_remove (struct eg_request_state **head, struct eg_request_state *request)
+static struct eg_request_state *
+request_of (struct eg_list *link)
 {
-  if (request->previous)
-    request->previous->next = request->next;
-  else
-    *head = request->next;
-  if (request->next)
-    request->next->previous = request->previous;
+  return EG_CONTAINER_OF (link, struct eg_request_state, link);
 }
 
 /* Takes the request out of what its phase keeps it in. */
@@ -125,11 +109,11 @@
       self->counts.queued--;
       return;
     case PHASE_WAITING:
-      list_remove (&request->target->waiting, request);
+      eg_list_remove (&request->link);
       self->counts.queued--;
       return;
     case PHASE_RUNNING:
-      list_remove (&self->running, request);
+      eg_list_remove (&request->link);
       self->counts.running--;
       return;
     }
@@ -173,9 +157,8 @@
         enum eg_refusal refusal,
         int64_t retry_after_us)
 {
-  enum eg_ran ran = request->committed > 0 ? EG_RAN_YES : request->ran;
-
-  push_refusal (self, request->info.id, refusal, ran, retry_after_us);
+  push_refusal (self, request->info.id, refusal,
+                eg_outcome_ran (request->info.outcome), retry_after_us);
   forget (self, request);
 }
 
@@ -207,9 +190,10 @@
   request->attempt++;
   request->progress_us = now_us;
   request->attempt_progressed = false;
-  list_add (&self->running, request);
+  eg_list_append (&self->running, &request->link);
   for (size_t i = 0; i < chain->count; i++)
     eg_servers_begin (self->servers, chain->stages[i].server, now_us);
+  eg_outcome_event (request->info.outcome, EG_OUTCOME_EVENT_HANDED);
   self->counts.running++;
   self->counts.attempts++;
   if (request->attempt == 1)
@@ -303,24 +287,23 @@
                   struct eg_target *target,
                   int64_t now_us)
 {
-  struct eg_request_state *request = target->waiting;
+  struct eg_list *link = target->waiting.next;
 
-  while (request)
+  while (link != &target->waiting)
     {
-      struct eg_request_state *next = request->next;
+      struct eg_request_state *request = request_of (link);
       struct eg_chain chain;
       enum eg_placement_result result;
 
-      if (request->retry_at_us <= now_us)
-        {
-          result = choose (self, request, now_us, &chain);
-          note_capacity (target, result, now_us);
-          if (result != EG_PLACEMENT_FOUND)
-            return false;
-          leave_phase (self, request);
-          start_attempt (self, request, &chain, now_us);
-        }
-      request = next;
+      link = link->next;
+      if (request->retry_at_us > now_us || now_us >= request->info.deadline_us)
+        continue;
+      result = choose (self, request, now_us, &chain);
+      note_capacity (target, result, now_us);
+      if (result != EG_PLACEMENT_FOUND)
+        return false;
+      leave_phase (self, request);
+      start_attempt (self, request, &chain, now_us);
     }
   return true;
 }
@@ -340,6 +323,12 @@
       enum eg_placement_result result;
 
       EG_INVARIANT (request != NULL);
+      if (now_us >= request->info.deadline_us)
+        {
+          self->counts.queued--;
+          refuse (self, request, EG_REFUSAL_DEADLINE, 0);
+          continue;
+        }
       result = choose (self, request, now_us, &chain);
       note_capacity (target, result, now_us);
       if (result != EG_PLACEMENT_FOUND)
@@ -468,7 +457,8 @@
     }
   if (refusal != EG_REFUSAL_NONE)
     {
-      push_refusal (self, info->id, refusal, EG_RAN_NO, retry_after_us);
+      push_refusal (self, info->id, refusal, eg_outcome_ran (info->outcome),
+                    retry_after_us);
       free (request);
       return;
     }
@@ -532,6 +522,7 @@
     eg_servers_observe (self->servers, request->chain.stages[i].server,
                         (now_us - request->progress_us)
                             / (int64_t) request->chain.count);
+  eg_outcome_event (request->info.outcome, EG_OUTCOME_EVENT_RAN);
   request->committed++;
   request->progress_us = now_us;
   request->attempt_progressed = true;
@@ -555,6 +546,7 @@
     eg_servers_observe (self->servers, request->chain.stages[0].server,
                         now_us - request->progress_us);
   end_attempt (self, request, EG_SERVER_NONE, now_us);
+  eg_outcome_event (request->info.outcome, EG_OUTCOME_EVENT_RAN);
   eg_admission_served (target->admission, request->info.cost, now_us);
   self->counts.finished++;
   action.attempt = attempt;
@@ -566,15 +558,15 @@
 
 static const struct
 {
-  enum eg_ran ran;
+  enum eg_outcome_event event;
   bool death; /* Whether the server may have died of the request. */
 } causes[] = {
-    [EG_ATTEMPT_NOT_SENT] = {EG_RAN_NO, false},
-    [EG_ATTEMPT_REFUSED] = {EG_RAN_NO, false},
-    [EG_ATTEMPT_BROKEN] = {EG_RAN_UNKNOWN, true},
-    [EG_ATTEMPT_STAGE] = {EG_RAN_UNKNOWN, true},
-    [EG_ATTEMPT_SILENT] = {EG_RAN_UNKNOWN, false},
-    [EG_ATTEMPT_INVALID] = {EG_RAN_UNKNOWN, false},
+    [EG_ATTEMPT_NOT_SENT] = {EG_OUTCOME_EVENT_NOT_SENT, false},
+    [EG_ATTEMPT_REFUSED] = {EG_OUTCOME_EVENT_NOT_RUN, false},
+    [EG_ATTEMPT_BROKEN] = {EG_OUTCOME_EVENT_LOST, true},
+    [EG_ATTEMPT_STAGE] = {EG_OUTCOME_EVENT_LOST, true},
+    [EG_ATTEMPT_SILENT] = {EG_OUTCOME_EVENT_LOST, false},
+    [EG_ATTEMPT_INVALID] = {EG_OUTCOME_EVENT_LOST, false},
 };
 
 static void
@@ -602,8 +594,8 @@
                  int64_t now_us)
 {
   struct eg_retry_question question = {
-      .ran = request->ran,
-      .idempotent = request->info.idempotent,
+      .ran = eg_outcome_ran (request->info.outcome),
+      .idempotent = request->info.outcome->kind == EG_OUTCOME_IDEMPOTENT,
       .attempts = request->attempt,
       .now_us = now_us,
       .deadline_us = request->info.deadline_us,
@@ -614,14 +606,16 @@
   if (eg_quarantine_holds (self->quarantine, request->info.fingerprint, now_us,
                            &retry_after_us))
     refuse (self, request, EG_REFUSAL_QUARANTINED, retry_after_us);
-  else if (!eg_retry_budget_spend (&request->target->retries, &question,
-                                   &self->random, &delay_us))
+  else if (!eg_outcome_may_send (request->info.outcome)
+           || now_us >= request->info.send_by_us
+           || !eg_retry_budget_spend (&request->target->retries, &question,
+                                      &self->random, &delay_us))
     refuse (self, request, refusal, NO_CAPACITY_RETRY_AFTER_US);
   else
     {
       request->phase = PHASE_WAITING;
       request->retry_at_us = now_us + delay_us;
-      list_add (&request->target->waiting, request);
+      eg_list_append (&request->target->waiting, &request->link);
       self->counts.queued++;
     }
 }
@@ -635,8 +629,7 @@
 {
   struct eg_target *target = request->target;
 
-  if (causes[cause].ran > request->ran)
-    request->ran = causes[cause].ran;
+  eg_outcome_event (request->info.outcome, causes[cause].event);
   if (causes[cause].death)
     report_death (self, request, server, now_us);
   end_attempt (self, request, server, now_us);
@@ -677,20 +670,18 @@
                             uint32_t server,
                             int64_t now_us)
 {
-  struct eg_request_state *request = self->running;
+  struct eg_list *link = self->running.next;
 
-  while (request)
+  /* Attempts that start meanwhile join at the end and avoid the server. */
+  while (link != &self->running)
     {
-      struct eg_request_state *next = request->next;
+      struct eg_request_state *request = request_of (link);
 
-      if (chain_has (&request->chain, server))
-        {
-          push_cancel (self, request);
-          fail_attempt (self, request, EG_ATTEMPT_SILENT, server, now_us);
-          /* Other attempts may have started; begin again from the front. */
-          next = self->running;
-        }
-      request = next;
+      link = link->next;
+      if (!chain_has (&request->chain, server))
+        continue;
+      push_cancel (self, request);
+      fail_attempt (self, request, EG_ATTEMPT_SILENT, server, now_us);
     }
 }
 
@@ -711,23 +702,24 @@
                 struct eg_target *target,
                 int64_t now_us)
 {
-  struct eg_request_state *request = target->waiting;
+  struct eg_list *link = target->waiting.next;
   struct eg_admission_item item;
 
-  while (request)
+  while (link != &target->waiting)
     {
-      struct eg_request_state *next = request->next;
+      struct eg_request_state *request = request_of (link);
 
-      if (now_us >= request->info.deadline_us)
-        {
-          leave_phase (self, request);
-          refuse (self, request, EG_REFUSAL_DEADLINE, 0);
-        }
-      request = next;
+      link = link->next;
+      if (now_us < request->info.deadline_us)
+        continue;
+      leave_phase (self, request);
+      refuse (self, request, EG_REFUSAL_DEADLINE, 0);
     }
   while (eg_admission_take_expired (target->admission, now_us, &item))
     {
-      request = eg_map_get (&self->requests, item.request);
+      struct eg_request_state *request =
+          eg_map_get (&self->requests, item.request);
+
       EG_INVARIANT (request != NULL);
       self->counts.queued--;
       refuse (self, request, EG_REFUSAL_DEADLINE, 0);
@@ -746,9 +738,9 @@
       || now_us - target->no_capacity_since_us
              < self->config.no_capacity_patience_us)
     return;
-  while (target->waiting)
+  while (!eg_list_is_empty (&target->waiting))
     {
-      struct eg_request_state *request = target->waiting;
+      struct eg_request_state *request = request_of (target->waiting.next);
 
       leave_phase (self, request);
       refuse (self, request, EG_REFUSAL_NO_CAPACITY,
@@ -781,17 +773,18 @@
 static void
 check_running (struct eg_lifecycle *self, int64_t now_us)
 {
-  struct eg_request_state *request = self->running;
+  struct eg_list *link = self->running.next;
 
-  while (request)
+  while (link != &self->running)
     {
-      struct eg_request_state *next = request->next;
+      struct eg_request_state *request = request_of (link);
 
+      link = link->next;
       if (now_us >= request->info.deadline_us)
         {
           push_cancel (self, request);
           end_attempt (self, request, EG_SERVER_NONE, now_us);
-          request->ran = EG_RAN_UNKNOWN;
+          eg_outcome_event (request->info.outcome, EG_OUTCOME_EVENT_LOST);
           refuse (self, request, EG_REFUSAL_DEADLINE, 0);
         }
       else if (is_silent (self, request, now_us))
@@ -799,9 +792,7 @@
           push_cancel (self, request);
           fail_attempt (self, request, EG_ATTEMPT_SILENT,
                         request->chain.stages[0].server, now_us);
-          next = self->running;
         }
-      request = next;
     }
 }
 
--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -12,6 +12,7 @@
 #include "base/decls.h"
 #include "policy/admission.h"
 #include "policy/limit.h"
+#include "policy/outcome.h"
 #include "policy/placement.h"
 #include "policy/quarantine.h"
 #include "policy/retry.h"
@@ -43,10 +44,11 @@
   struct eg_str target; /**< Model, or name of a plain service. */
   uint64_t fingerprint;
   uint64_t prefix_hash;
-  uint64_t cost; /**< Expected work, in tokens; at least 1. */
-  bool idempotent;
+  uint64_t cost;              /**< Expected work, in tokens; at least 1. */
+  struct eg_outcome *outcome; /**< Told of attempts; outlives the request. */
   int64_t arrived_us;
   int64_t deadline_us; /**< The whole answer is due by then. */
+  int64_t send_by_us;  /**< No attempt begins later; INT64_MAX for no bound. */
 };
 
 /** How an attempt failed. */
--- a/policy/target.c
+++ b/policy/target.c
@@ -47,6 +47,7 @@
   EG_INVARIANT (target != NULL);
   eg_str_copy (name, target->name, sizeof target->name);
   target->plain = plain;
+  eg_list_init (&target->waiting);
   target->admission = eg_admission_new (&config->admission);
   EG_INVARIANT (target->admission != NULL);
   eg_retry_budget_init (&target->retries, &config->retry);
--- a/policy/target.h
+++ b/policy/target.h
@@ -7,13 +7,12 @@
 #define EG_POLICY_TARGET_H
 
 #include "base/decls.h"
+#include "base/list.h"
 #include "base/map.h"
 #include "policy/lifecycle.h"
 
 EG_BEGIN_DECLS
 
-struct eg_request_state;
-
 /** One model or plain service. */
 struct eg_target
 {
@@ -21,8 +20,8 @@
   bool plain;
   struct eg_admission *admission;
   struct eg_retry_budget retries;
-  struct eg_request_state *waiting; /**< Requests that wait for a retry. */
-  int64_t no_capacity_since_us;     /**< 0 while there is a usable server. */
+  struct eg_list waiting;       /**< Requests that wait for a retry. */
+  int64_t no_capacity_since_us; /**< 0 while there is a usable server. */
 };
 
 /** All targets of one entry VM; zero-initialised memory is an empty table. */
--- a/router/call.h
+++ b/router/call.h
@@ -75,6 +75,7 @@
   int64_t budget_us; /**< 0 where the caller names none. */
 
   /* The decision thread's own. */
+  struct eg_outcome outcome;
   struct eg_reply *gathered; /**< Tokens that wait for room in the ring. */
   struct eg_buffer tokens;   /**< Committed, as the inside of a JSON array. */
   int64_t first_token_us;
--- a/router/caller_request.c
+++ b/router/caller_request.c
@@ -8,7 +8,7 @@
 #include "base/clock.h"
 #include "http/json.h"
 
-#define DEADLINE_MAX_MS (24 * 3600 * INT64_C (1000))
+#define DEADLINE_MAX_MS INT64_C (86400000)
 #define BODY_CHUNK_BYTES 4096
 #define DEFAULT_MAX_TOKENS 256
 
--- a/router/decision.c
+++ b/router/decision.c
@@ -457,11 +457,15 @@
       .fingerprint = fingerprint_of (call),
       .cost = (uint64_t) call->max_tokens
               + call->prompt.len / COST_BYTES_PER_TOKEN + 1,
-      .idempotent = call->idempotent,
+      .outcome = &call->outcome,
+      .send_by_us = INT64_MAX,
       .arrived_us = call->arrived_us,
       .deadline_us = call->arrived_us + call->budget_us,
   };
 
+  eg_outcome_init (&call->outcome, call->idempotent
+                                       ? EG_OUTCOME_IDEMPOTENT
+                                       : EG_OUTCOME_NON_IDEMPOTENT);
   eg_map_put (&self->calls, call->id, call);
   series_of (self, call)->requests++;
   eg_lifecycle_arrive (self->lifecycle, &request, eg_clock_now_us ());
