--- a/policy/quarantine.h
+++ b/policy/quarantine.h
@@ -64,7 +64,10 @@
                            uint64_t fingerprint,
                            int64_t until_us);
 
-/** Ends a quarantine; false if there was none. */
+/**
+ * Ends a quarantine; false if there was none. One that has ended by time counts
+ * until it is forgotten.
+ */
 bool eg_quarantine_release (struct eg_quarantine *self, uint64_t fingerprint);
 
 /**
--- a/test/property_admission.cc
+++ b/test/property_admission.cc
@@ -354,13 +354,14 @@
   std::vector<double> served (specs.size ());
   std::vector<double> since_waiting (specs.size ());
   double total = 0;
+  double lower = 0;
   double lower_floors = 0;
+
   for (const class_spec &spec : specs)
     lower_floors += spec.floor;
   for (int step = 0; step < 300; step++)
     {
       eg_admission_item item;
-      double lower = 0;
 
       for (unsigned i = 0; i < specs.size (); i++)
         {
@@ -382,13 +383,14 @@
       total += static_cast<double> (item.cost);
       served[item.class_index] += static_cast<double> (item.cost);
       if (item.class_index > 0)
-        RC_ASSERT (specs[item.class_index].floor > 0);
+        {
+          RC_ASSERT (specs[item.class_index].floor > 0);
+          lower += static_cast<double> (item.cost);
+        }
       for (unsigned i = 0; i < specs.size (); i++)
         {
           double due = specs[i].floor * (total - since_waiting[i]);
 
-          if (i > 0)
-            lower += served[i];
           if (eg_admission_depth (admission.get (), i) > 0)
             RC_ASSERT (served[i] >= due - count * cost_max);
         }
@@ -542,9 +544,10 @@
 
   for (uint64_t i = 1; i <= 80; i++)
     {
-      eg_admission_item item = make_item (
-          i, static_cast<unsigned> (draw (0, 3)), std::to_string (draw (0, 4)),
-          static_cast<uint64_t> (draw (1, 100)));
+      const std::string name = std::to_string (draw (0, 4));
+      eg_admission_item item =
+          make_item (i, static_cast<unsigned> (draw (0, 3)), name,
+                     static_cast<uint64_t> (draw (1, 100)));
 
       offer (plain.get (), item, 0);
       offer (disturbed.get (), item, 0);
--- /dev/null
+++ b/test/property_quarantine.cc
@@ -0,0 +1,171 @@
+/* Properties of the quarantine. */
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <memory>
+
+#include "policy/quarantine.h"
+
+namespace
+{
+
+struct free_quarantine
+{
+  void
+  operator() (eg_quarantine *self) const
+  {
+    eg_quarantine_free (self);
+  }
+};
+using quarantine_ptr = std::unique_ptr<eg_quarantine, free_quarantine>;
+
+int
+draw (int low, int high)
+{
+  return *rc::gen::inRange (low, high);
+}
+
+uint64_t
+draw_number (int count)
+{
+  return static_cast<uint64_t> (draw (0, count));
+}
+
+/** A table that never fills, against a plain model of deaths. */
+void
+quarantine_needs_distinct_servers ()
+{
+  const unsigned deaths_max = static_cast<unsigned> (draw (1, 5));
+  const eg_quarantine_config config = {deaths_max, 100, 150, 1000};
+  quarantine_ptr quarantine (eg_quarantine_new (&config));
+  std::map<uint64_t, std::map<uint64_t, int64_t> > deaths;
+  std::map<uint64_t, int64_t> until;
+  int64_t now_us = 1;
+
+  for (int i = 0; i < 200; i++)
+    {
+      uint64_t fingerprint = draw_number (3);
+      uint64_t server = draw_number (6);
+      std::map<uint64_t, int64_t> &own = deaths[fingerprint];
+      int64_t retry_after_us;
+      bool held;
+
+      now_us += draw (0, 20);
+      held = until[fingerprint] > now_us;
+      RC_ASSERT (eg_quarantine_holds (quarantine.get (), fingerprint, now_us,
+                                      &retry_after_us)
+                 == held);
+      RC_ASSERT (retry_after_us == (held ? until[fingerprint] - now_us : 0));
+      if (draw (0, 10) == 0)
+        {
+          /* One that has ended may still be in the table. */
+          RC_ASSERT (eg_quarantine_release (quarantine.get (), fingerprint)
+                         == held
+                     || !held);
+          if (held)
+            until[fingerprint] = 0;
+          continue;
+        }
+      if (draw (0, 20) == 0)
+        {
+          int64_t imposed_us = now_us + draw (1, 300);
+
+          eg_quarantine_impose (quarantine.get (), fingerprint, imposed_us);
+          until[fingerprint] = std::max (until[fingerprint], imposed_us);
+          own.clear ();
+          continue;
+        }
+      for (auto death = own.begin (); death != own.end ();)
+        death = now_us - death->second > config.memory_us ? own.erase (death)
+                                                          : std::next (death);
+      if (!held)
+        own[server] = now_us;
+      RC_ASSERT (
+          eg_quarantine_death (quarantine.get (), fingerprint, server, now_us)
+          == (!held && own.size () >= deaths_max));
+      if (!held && own.size () >= deaths_max)
+        {
+          until[fingerprint] = now_us + config.duration_us;
+          own.clear ();
+        }
+    }
+}
+
+/** Suspects come and go; what is refused stays refused. */
+void
+suspects_make_room_before_quarantines ()
+{
+  const size_t entries_max = static_cast<size_t> (draw (2, 30));
+  const eg_quarantine_config config = {2, 1000000, 1000000, entries_max};
+  quarantine_ptr quarantine (eg_quarantine_new (&config));
+  const uint64_t held = draw_number (static_cast<int> (entries_max));
+
+  for (uint64_t i = 0; i < held; i++)
+    eg_quarantine_impose (quarantine.get (), i, 500000 + draw (0, 1000));
+  for (uint64_t i = 0; i < 200; i++)
+    {
+      eg_quarantine_death (quarantine.get (), 1000 + i, 1, draw (1, 100));
+      RC_ASSERT (eg_quarantine_count (quarantine.get ()) <= entries_max);
+    }
+  for (uint64_t i = 0; i < held; i++)
+    RC_ASSERT (eg_quarantine_holds (quarantine.get (), i, 100, nullptr));
+  /* The newest suspects are those that were kept. */
+  RC_ASSERT (eg_quarantine_death (quarantine.get (), 1199, 2, 100));
+  RC_ASSERT (!eg_quarantine_death (quarantine.get (), 1000, 2, 100));
+}
+
+void
+full_table_drops_the_quarantine_that_ends_soonest ()
+{
+  const uint64_t entries_max = static_cast<uint64_t> (draw (1, 10));
+  const eg_quarantine_config config = {2, 100, 100, entries_max};
+  quarantine_ptr quarantine (eg_quarantine_new (&config));
+  std::map<int64_t, uint64_t> by_end;
+
+  for (uint64_t i = 0; i < 50; i++)
+    {
+      int64_t until_us = draw (1, 100000) * 50 + static_cast<int64_t> (i);
+
+      eg_quarantine_impose (quarantine.get (), i, until_us);
+      if (by_end.size () == entries_max)
+        by_end.erase (by_end.begin ());
+      by_end[until_us] = i;
+      RC_ASSERT (eg_quarantine_count (quarantine.get ()) == by_end.size ());
+    }
+  for (const auto &entry : by_end)
+    RC_ASSERT (
+        eg_quarantine_holds (quarantine.get (), entry.second, 1, nullptr));
+}
+
+void
+ended_entries_are_forgotten ()
+{
+  const eg_quarantine_config config = {2, 100, 100, 1000};
+  quarantine_ptr quarantine (eg_quarantine_new (&config));
+
+  for (uint64_t i = 0; i < 100; i++)
+    eg_quarantine_death (quarantine.get (), i / 2, draw_number (3),
+                         draw (1, 50));
+  eg_quarantine_death (quarantine.get (), 5000, 1, 1000);
+  RC_ASSERT (eg_quarantine_count (quarantine.get ()) == 1U);
+}
+
+} // namespace
+
+int
+main ()
+{
+  bool passed = true;
+
+  passed &= rc::check ("a quarantine needs distinct servers",
+                       quarantine_needs_distinct_servers);
+  passed &= rc::check ("suspects make room before quarantines",
+                       suspects_make_room_before_quarantines);
+  passed &= rc::check ("a full table drops the quarantine that ends soonest",
+                       full_table_drops_the_quarantine_that_ends_soonest);
+  passed &=
+      rc::check ("ended entries are forgotten", ended_entries_are_forgotten);
+  return passed ? EXIT_SUCCESS : EXIT_FAILURE;
+}
