--- a/policy/claim.c
+++ b/policy/claim.c
@@ -124,11 +124,11 @@
   bool final = refusal == EG_REFUSAL_KEY_REUSED;
 
   if (step->now_us > self->stale_us)
-    eg_outcome_event (self->outcome, EG_OUTCOME_EVENT_FOREIGN);
+    eg_outcome_update (self->outcome, EG_OUTCOME_EVENT_FOREIGN);
   action->refusal = refusal;
   action->ran = eg_outcome_ran (self->outcome);
   action->retry_after_us = final ? 0 : self->config->retry_after_us;
-  eg_outcome_event (self->outcome, EG_OUTCOME_EVENT_CLOSE);
+  eg_outcome_update (self->outcome, EG_OUTCOME_EVENT_CLOSE);
 }
 
 /* Once another sending holds the object, no delayed write of ours can take
@@ -150,7 +150,7 @@
 {
   self->writable = true;
   self->version = version;
-  eg_outcome_event (self->outcome, EG_OUTCOME_EVENT_HELD);
+  eg_outcome_update (self->outcome, EG_OUTCOME_EVENT_HELD);
   if (step->now_us >= self->dispatch_by_us)
     {
       refuse (self, step, EG_REFUSAL_DEADLINE);
@@ -210,8 +210,8 @@
 {
   bool ran = record->ran == EG_RAN_YES;
 
-  eg_outcome_event (self->outcome, ran ? EG_OUTCOME_EVENT_FOREIGN_RAN
-                                       : EG_OUTCOME_EVENT_FOREIGN);
+  eg_outcome_update (self->outcome, ran ? EG_OUTCOME_EVENT_FOREIGN_RAN
+                                        : EG_OUTCOME_EVENT_FOREIGN);
   if (ran && record->answer.kept)
     add_action (step, EG_CLAIM_ACTION_ANSWER)->answer = record->answer;
   else
@@ -229,7 +229,7 @@
 
   if (record->fingerprint != self->record.fingerprint)
     {
-      eg_outcome_event (self->outcome, EG_OUTCOME_EVENT_OTHER_BODY);
+      eg_outcome_update (self->outcome, EG_OUTCOME_EVENT_OTHER_BODY);
       refuse (self, step, EG_REFUSAL_KEY_REUSED);
       close_claim (self);
     }
@@ -410,11 +410,11 @@
 }
 
 void
-eg_claim_event (struct eg_claim *self,
-                const struct eg_claim_event *event,
-                int64_t now_us,
-                struct eg_random *random,
-                struct eg_claim_actions *actions)
+eg_claim_update (struct eg_claim *self,
+                 const struct eg_claim_event *event,
+                 int64_t now_us,
+                 struct eg_random *random,
+                 struct eg_claim_actions *actions)
 {
   struct step step = {event, now_us, random, actions};
 
--- a/policy/claim.h
+++ b/policy/claim.h
@@ -155,11 +155,11 @@
 void eg_claim_finish (struct eg_claim *self);
 
 /** Takes in one event; @p actions gets what must be done, in order. */
-void eg_claim_event (struct eg_claim *self,
-                     const struct eg_claim_event *event,
-                     int64_t now_us,
-                     struct eg_random *random,
-                     struct eg_claim_actions *actions);
+void eg_claim_update (struct eg_claim *self,
+                      const struct eg_claim_event *event,
+                      int64_t now_us,
+                      struct eg_random *random,
+                      struct eg_claim_actions *actions);
 
 /** Returns when EG_CLAIM_EVENT_TIME is due, or EG_CLAIM_NO_WAKE. */
 int64_t eg_claim_wake_us (const struct eg_claim *self);
--- a/policy/outcome.c
+++ b/policy/outcome.c
@@ -27,7 +27,7 @@
         [RETRIED] = {RETRIED, RETRIED, RAN, RETRIED, RETRIED, RETRIED, DOUBT,
                      DOUBT, DOUBT, RAN, DOUBT},
         [RAN] = {RAN, RAN, RAN, RAN, RAN, RAN, RAN, RAN, RAN, RAN, RAN},
-        [NEVER] = {NEVER, NEVER, NEVER, NEVER, DOUBT, DOUBT, NEVER, NEVER,
+        [NEVER] = {NEVER, NEVER, CLOSED, NEVER, DOUBT, DOUBT, NEVER, NEVER,
                    DOUBT, RAN, NEVER},
         [CLOSED] = {CLOSED, CLOSED, RAN, CLOSED, DOUBT, DOUBT, CLOSED, CLOSED,
                     DOUBT, RAN, CLOSED},
@@ -65,7 +65,7 @@
 }
 
 void
-eg_outcome_event (struct eg_outcome *self, enum eg_outcome_event event)
+eg_outcome_update (struct eg_outcome *self, enum eg_outcome_event event)
 {
   bool closes_alone = event == EG_OUTCOME_EVENT_CLOSE && self->state == READY
                       && stands_alone (self->kind);
--- a/policy/outcome.h
+++ b/policy/outcome.h
@@ -69,7 +69,7 @@
  * Takes in one event.
  * An event that does not fit the state leaves at most more doubt.
  */
-void eg_outcome_event (struct eg_outcome *self, enum eg_outcome_event event);
+void eg_outcome_update (struct eg_outcome *self, enum eg_outcome_event event);
 
 /** Returns what the caller may be told now. */
 enum eg_ran eg_outcome_ran (const struct eg_outcome *self);
--- a/policy/ticket.c
+++ b/policy/ticket.c
@@ -316,8 +316,8 @@
 {
   bool ran = entry->state == FINISHED;
 
-  eg_outcome_event (outcome, ran ? EG_OUTCOME_EVENT_FOREIGN_RAN
-                                 : EG_OUTCOME_EVENT_FOREIGN);
+  eg_outcome_update (outcome, ran ? EG_OUTCOME_EVENT_FOREIGN_RAN
+                                  : EG_OUTCOME_EVENT_FOREIGN);
   if (!ran || !entry->kept)
     {
       refuse (verdict, EG_REFUSAL_CLAIM_CONFLICT, outcome, 0);
@@ -340,11 +340,11 @@
            struct eg_outcome *outcome,
            struct eg_ticket_verdict *verdict)
 {
-  eg_outcome_event (outcome, EG_OUTCOME_EVENT_HELD);
+  eg_outcome_update (outcome, EG_OUTCOME_EVENT_HELD);
   if (now_us >= entry->expires_us)
     {
       refuse (verdict, EG_REFUSAL_CLAIM_CONFLICT, outcome, 0);
-      eg_outcome_event (outcome, EG_OUTCOME_EVENT_CLOSE);
+      eg_outcome_update (outcome, EG_OUTCOME_EVENT_CLOSE);
       return;
     }
   entry->state = RUNNING;
@@ -363,7 +363,7 @@
 {
   if (entry->bound && entry->fingerprint != fingerprint)
     {
-      eg_outcome_event (outcome, EG_OUTCOME_EVENT_OTHER_BODY);
+      eg_outcome_update (outcome, EG_OUTCOME_EVENT_OTHER_BODY);
       refuse (verdict, EG_REFUSAL_KEY_REUSED, outcome, 0);
     }
   else if (entry->state == GIVEN)
@@ -389,7 +389,7 @@
   *verdict = (struct eg_ticket_verdict){0};
   if (!eg_ticket_parse (&verdict->ticket, text))
     {
-      eg_outcome_event (outcome, EG_OUTCOME_EVENT_OTHER_BODY);
+      eg_outcome_update (outcome, EG_OUTCOME_EVENT_OTHER_BODY);
       refuse (verdict, EG_REFUSAL_MALFORMED, outcome, 0);
       return;
     }
@@ -439,11 +439,11 @@
     return;
   if (eg_outcome_may_send (outcome))
     {
-      eg_outcome_event (outcome, EG_OUTCOME_EVENT_CLOSE);
+      eg_outcome_update (outcome, EG_OUTCOME_EVENT_CLOSE);
       entry->state = GIVEN;
       return;
     }
-  eg_outcome_event (outcome, EG_OUTCOME_EVENT_CLOSE);
+  eg_outcome_update (outcome, EG_OUTCOME_EVENT_CLOSE);
   entry->state = eg_outcome_ran (outcome) == EG_RAN_YES ? FINISHED : IN_DOUBT;
   entry->expires_us = now_us + self->config.keep_us;
   if (entry->state == FINISHED && answer != NULL)
