--- a/standin/load_faults.c
+++ b/standin/load_faults.c
@@ -85,8 +85,8 @@
 send_signal (const struct eg_load_fault *fault,
              struct eg_load_fault_result *result)
 {
-  struct eg_error error;
-  int64_t pid;
+  struct eg_error error = {0};
+  int64_t pid = 0;
 
   if (eg_load_faults_read_pid (fault->pid_file, &pid, &error) != EG_OK)
     fail (result, fault->label, error.message);
--- a/standin/load_fields.h
+++ b/standin/load_fields.h
@@ -40,10 +40,10 @@
 {
   const char *key;
   enum eg_load_field_kind kind;
+  bool required;
   size_t offset;
   double min; /**< Least number, or least bytes of text. */
   double max; /**< Greatest number, or bytes of the array that takes a text. */
-  bool required;
   eg_load_field_reader read; /**< For nested fields alone. */
 };
 
--- a/standin/load_results.c
+++ b/standin/load_results.c
@@ -7,18 +7,24 @@
 
 #define MIN_RECORDS 1024
 
-static size_t
-find_group (struct eg_load_results *self, const struct eg_load_stream *stream)
+static bool
+share_group (const struct eg_load_stream *a, const struct eg_load_stream *b)
 {
-  struct eg_load_group *group;
+  return strcmp (a->organisation, b->organisation) == 0
+         && strcmp (a->class_name, b->class_name) == 0;
+}
 
-  for (size_t i = 0; i < self->n_groups; i++)
-    if (strcmp (self->groups[i].organisation, stream->organisation) == 0
-        && strcmp (self->groups[i].class_name, stream->class_name) == 0)
-      return i;
-  group = &self->groups[self->n_groups];
-  group->organisation = stream->organisation;
-  group->class_name = stream->class_name;
+static size_t
+find_group (struct eg_load_results *self, size_t index)
+{
+  const struct eg_load_stream *streams = self->scenario->streams;
+  struct eg_load_group *group = &self->groups[self->n_groups];
+
+  for (size_t i = 0; i < index; i++)
+    if (share_group (&streams[i], &streams[index]))
+      return self->group_of_stream[i];
+  group->organisation = streams[index].organisation;
+  group->class_name = streams[index].class_name;
   return self->n_groups++;
 }
 
@@ -46,7 +52,7 @@
       zeroed (scenario->n_streams, sizeof *self->group_of_stream);
   self->faults = zeroed (scenario->n_faults, sizeof *self->faults);
   for (size_t i = 0; i < scenario->n_streams; i++)
-    self->group_of_stream[i] = find_group (self, &scenario->streams[i]);
+    self->group_of_stream[i] = find_group (self, i);
 }
 
 void
--- a/standin/load_scenario.c
+++ b/standin/load_scenario.c
@@ -78,8 +78,8 @@
              struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"address", EG_LOAD_FIELD_ADDRESS, FIELD (eg_load_target, address), 1,
-       EG_LOAD_ADDRESS_BYTES, true, NULL},
+      {"address", EG_LOAD_FIELD_ADDRESS, true, FIELD (eg_load_target, address),
+       1, EG_LOAD_ADDRESS_BYTES, NULL},
   };
   static const struct eg_load_fields table = TABLE (rows);
 
@@ -125,9 +125,9 @@
 read_chain (json_t *value, const char *path, void *item, struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"address", EG_LOAD_FIELD_ADDRESS, 0, 1, EG_LOAD_ADDRESS_BYTES, true,
+      {"address", EG_LOAD_FIELD_ADDRESS, true, 0, 1, EG_LOAD_ADDRESS_BYTES,
        NULL},
-      {"layers", EG_LOAD_FIELD_NESTED, 0, 0, 0, true, read_layers},
+      {"layers", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_layers},
   };
   static const struct eg_load_fields table = TABLE (rows);
   struct eg_load_chain *chain = item;
@@ -188,10 +188,10 @@
              struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"chains", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_chains},
-      {"chain", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_one_chain},
-      {"priority", EG_LOAD_FIELD_INTEGER, FIELD (eg_load_stream, priority), 0,
-       MAX_PRIORITY, false, NULL},
+      {"chains", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_chains},
+      {"chain", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_one_chain},
+      {"priority", EG_LOAD_FIELD_INTEGER, false,
+       FIELD (eg_load_stream, priority), 0, MAX_PRIORITY, NULL},
   };
   static const struct eg_load_fields table = TABLE (rows);
   struct eg_load_stream *stream = target;
@@ -210,10 +210,10 @@
                  struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"min", EG_LOAD_FIELD_INTEGER, FIELD (eg_load_stream, min_tokens), 1,
-       MAX_TOKENS, true, NULL},
-      {"max", EG_LOAD_FIELD_INTEGER, FIELD (eg_load_stream, max_tokens), 1,
-       MAX_TOKENS, true, NULL},
+      {"min", EG_LOAD_FIELD_INTEGER, true, FIELD (eg_load_stream, min_tokens),
+       1, MAX_TOKENS, NULL},
+      {"max", EG_LOAD_FIELD_INTEGER, true, FIELD (eg_load_stream, max_tokens),
+       1, MAX_TOKENS, NULL},
   };
   static const struct eg_load_fields table = TABLE (rows);
   struct eg_load_stream *stream = target;
@@ -264,37 +264,37 @@
 }
 
 static const struct eg_load_field stream_rows[] = {
-    {"name", EG_LOAD_FIELD_TEXT, FIELD (eg_load_stream, name), 1,
-     EG_LOAD_NAME_BYTES, true, NULL},
-    {"organisation", EG_LOAD_FIELD_TEXT, FIELD (eg_load_stream, organisation),
-     1, EG_LOAD_NAME_BYTES, true, NULL},
-    {"class", EG_LOAD_FIELD_TEXT, FIELD (eg_load_stream, class_name), 1,
-     EG_LOAD_NAME_BYTES, false, NULL},
-    {"model", EG_LOAD_FIELD_TEXT, FIELD (eg_load_stream, model), 1,
-     EG_LOAD_NAME_BYTES, false, NULL},
-    {"path", EG_LOAD_FIELD_TEXT, FIELD (eg_load_stream, path), 1,
-     EG_LOAD_PATH_OR_URL_BYTES, false, NULL},
-    {"method", EG_LOAD_FIELD_TEXT, FIELD (eg_load_stream, method), 1,
-     EG_LOAD_NAME_BYTES, false, NULL},
-    {"body", EG_LOAD_FIELD_TEXT, FIELD (eg_load_stream, body), 0,
-     EG_LOAD_BODY_BYTES, false, NULL},
-    {"rate_per_s", EG_LOAD_FIELD_NUMBER, FIELD (eg_load_stream, rate_per_s), 0,
-     MAX_RATE, true, NULL},
-    {"arrivals", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_arrivals},
-    {"stream", EG_LOAD_FIELD_BOOLEAN, FIELD (eg_load_stream, streamed), 0, 0,
-     false, NULL},
-    {"idempotency_key", EG_LOAD_FIELD_BOOLEAN,
-     FIELD (eg_load_stream, idempotency_key), 0, 0, false, NULL},
-    {"prompt_bytes", EG_LOAD_FIELD_INTEGER,
-     FIELD (eg_load_stream, prompt_bytes), 1, MAX_PROMPT_BYTES, false, NULL},
-    {"max_tokens", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_max_tokens},
-    {"deadline_ms", EG_LOAD_FIELD_TIME_MS, FIELD (eg_load_stream, deadline_us),
-     1, MAX_TIME_MS, false, NULL},
-    {"start_ms", EG_LOAD_FIELD_TIME_MS, FIELD (eg_load_stream, start_us), 0,
-     MAX_TIME_MS, false, NULL},
-    {"end_ms", EG_LOAD_FIELD_TIME_MS, FIELD (eg_load_stream, end_us), 1,
-     MAX_TIME_MS, false, NULL},
-    {"direct", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_direct},
+    {"name", EG_LOAD_FIELD_TEXT, true, FIELD (eg_load_stream, name), 1,
+     EG_LOAD_NAME_BYTES, NULL},
+    {"organisation", EG_LOAD_FIELD_TEXT, true,
+     FIELD (eg_load_stream, organisation), 1, EG_LOAD_NAME_BYTES, NULL},
+    {"class", EG_LOAD_FIELD_TEXT, false, FIELD (eg_load_stream, class_name), 1,
+     EG_LOAD_NAME_BYTES, NULL},
+    {"model", EG_LOAD_FIELD_TEXT, false, FIELD (eg_load_stream, model), 1,
+     EG_LOAD_NAME_BYTES, NULL},
+    {"path", EG_LOAD_FIELD_TEXT, false, FIELD (eg_load_stream, path), 1,
+     EG_LOAD_PATH_OR_URL_BYTES, NULL},
+    {"method", EG_LOAD_FIELD_TEXT, false, FIELD (eg_load_stream, method), 1,
+     EG_LOAD_NAME_BYTES, NULL},
+    {"body", EG_LOAD_FIELD_TEXT, false, FIELD (eg_load_stream, body), 0,
+     EG_LOAD_BODY_BYTES, NULL},
+    {"rate_per_s", EG_LOAD_FIELD_NUMBER, true,
+     FIELD (eg_load_stream, rate_per_s), 0, MAX_RATE, NULL},
+    {"arrivals", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_arrivals},
+    {"stream", EG_LOAD_FIELD_BOOLEAN, false, FIELD (eg_load_stream, streamed),
+     0, 0, NULL},
+    {"idempotency_key", EG_LOAD_FIELD_BOOLEAN, false,
+     FIELD (eg_load_stream, idempotency_key), 0, 0, NULL},
+    {"prompt_bytes", EG_LOAD_FIELD_INTEGER, false,
+     FIELD (eg_load_stream, prompt_bytes), 1, MAX_PROMPT_BYTES, NULL},
+    {"max_tokens", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_max_tokens},
+    {"deadline_ms", EG_LOAD_FIELD_TIME_MS, false,
+     FIELD (eg_load_stream, deadline_us), 1, MAX_TIME_MS, NULL},
+    {"start_ms", EG_LOAD_FIELD_TIME_MS, false, FIELD (eg_load_stream, start_us),
+     0, MAX_TIME_MS, NULL},
+    {"end_ms", EG_LOAD_FIELD_TIME_MS, false, FIELD (eg_load_stream, end_us), 1,
+     MAX_TIME_MS, NULL},
+    {"direct", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_direct},
 };
 
 static enum eg_status
@@ -335,10 +335,10 @@
 read_phase (json_t *value, const char *path, void *item, struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"at_ms", EG_LOAD_FIELD_TIME_MS, FIELD (eg_load_phase, at_us), 0,
-       MAX_TIME_MS, true, NULL},
-      {"rate_factor", EG_LOAD_FIELD_NUMBER, FIELD (eg_load_phase, rate_factor),
-       0, MAX_RATE, true, NULL},
+      {"at_ms", EG_LOAD_FIELD_TIME_MS, true, FIELD (eg_load_phase, at_us), 0,
+       MAX_TIME_MS, NULL},
+      {"rate_factor", EG_LOAD_FIELD_NUMBER, true,
+       FIELD (eg_load_phase, rate_factor), 0, MAX_RATE, NULL},
   };
   static const struct eg_load_fields table = TABLE (rows);
 
@@ -378,9 +378,9 @@
            struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"url", EG_LOAD_FIELD_TEXT, FIELD (eg_load_fault, url), 1,
-       EG_LOAD_PATH_OR_URL_BYTES, true, NULL},
-      {"body", EG_LOAD_FIELD_NESTED, 0, 0, 0, true, read_fault_body},
+      {"url", EG_LOAD_FIELD_TEXT, true, FIELD (eg_load_fault, url), 1,
+       EG_LOAD_PATH_OR_URL_BYTES, NULL},
+      {"body", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_fault_body},
   };
   static const struct eg_load_fields table = TABLE (rows);
 
@@ -424,9 +424,9 @@
            struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"pid_file", EG_LOAD_FIELD_TEXT, FIELD (eg_load_fault, pid_file), 1,
-       EG_LOAD_PATH_OR_URL_BYTES, true, NULL},
-      {"signal", EG_LOAD_FIELD_NESTED, 0, 0, 0, true, read_signal},
+      {"pid_file", EG_LOAD_FIELD_TEXT, true, FIELD (eg_load_fault, pid_file), 1,
+       EG_LOAD_PATH_OR_URL_BYTES, NULL},
+      {"signal", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_signal},
   };
   static const struct eg_load_fields table = TABLE (rows);
 
@@ -437,14 +437,14 @@
 read_fault (json_t *value, const char *path, void *item, struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"at_ms", EG_LOAD_FIELD_TIME_MS, FIELD (eg_load_fault, at_us), 0,
-       MAX_TIME_MS, true, NULL},
-      {"label", EG_LOAD_FIELD_TEXT, FIELD (eg_load_fault, label), 1,
-       EG_LOAD_NAME_BYTES, true, NULL},
-      {"measured", EG_LOAD_FIELD_BOOLEAN, FIELD (eg_load_fault, measured), 0, 0,
-       false, NULL},
-      {"post", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_post},
-      {"kill", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_kill},
+      {"at_ms", EG_LOAD_FIELD_TIME_MS, true, FIELD (eg_load_fault, at_us), 0,
+       MAX_TIME_MS, NULL},
+      {"label", EG_LOAD_FIELD_TEXT, true, FIELD (eg_load_fault, label), 1,
+       EG_LOAD_NAME_BYTES, NULL},
+      {"measured", EG_LOAD_FIELD_BOOLEAN, false,
+       FIELD (eg_load_fault, measured), 0, 0, NULL},
+      {"post", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_post},
+      {"kill", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_kill},
   };
   static const struct eg_load_fields table = TABLE (rows);
   struct eg_load_fault *fault = item;
@@ -491,12 +491,12 @@
                struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"window_ms", EG_LOAD_FIELD_TIME_MS,
-       FIELD (eg_load_recovery_rule, window_us), 100, MAX_TIME_MS, false, NULL},
-      {"before_ms", EG_LOAD_FIELD_TIME_MS,
-       FIELD (eg_load_recovery_rule, before_us), 100, MAX_TIME_MS, false, NULL},
-      {"level", EG_LOAD_FIELD_NUMBER, FIELD (eg_load_recovery_rule, level), 0,
-       1, false, NULL},
+      {"window_ms", EG_LOAD_FIELD_TIME_MS, false,
+       FIELD (eg_load_recovery_rule, window_us), 100, MAX_TIME_MS, NULL},
+      {"before_ms", EG_LOAD_FIELD_TIME_MS, false,
+       FIELD (eg_load_recovery_rule, before_us), 100, MAX_TIME_MS, NULL},
+      {"level", EG_LOAD_FIELD_NUMBER, false,
+       FIELD (eg_load_recovery_rule, level), 0, 1, NULL},
   };
   static const struct eg_load_fields table = TABLE (rows);
   struct eg_load_scenario *self = target;
@@ -505,28 +505,28 @@
 }
 
 static const struct eg_load_field scenario_rows[] = {
-    {"name", EG_LOAD_FIELD_TEXT, FIELD (eg_load_scenario, name), 1,
-     EG_LOAD_NAME_BYTES, true, NULL},
-    {"targets", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_targets},
-    {"choice", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_choice},
-    {"fail_over", EG_LOAD_FIELD_BOOLEAN, FIELD (eg_load_scenario, fail_over), 0,
-     0, false, NULL},
-    {"health_interval_ms", EG_LOAD_FIELD_TIME_MS,
-     FIELD (eg_load_scenario, health_interval_us), 0, MAX_TIME_MS, false, NULL},
-    {"warm_up_ms", EG_LOAD_FIELD_TIME_MS, FIELD (eg_load_scenario, warm_up_us),
-     0, MAX_TIME_MS, false, NULL},
-    {"duration_ms", EG_LOAD_FIELD_TIME_MS,
-     FIELD (eg_load_scenario, duration_us), 1, MAX_TIME_MS, true, NULL},
-    {"drain_ms", EG_LOAD_FIELD_TIME_MS, FIELD (eg_load_scenario, drain_us), 0,
-     MAX_TIME_MS, false, NULL},
-    {"request_timeout_ms", EG_LOAD_FIELD_TIME_MS,
-     FIELD (eg_load_scenario, request_timeout_us), 1, MAX_TIME_MS, false, NULL},
-    {"bound_tokens_per_s", EG_LOAD_FIELD_NUMBER,
-     FIELD (eg_load_scenario, bound_tokens_per_s), 0, 1e9, false, NULL},
-    {"recovery", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_recovery},
-    {"streams", EG_LOAD_FIELD_NESTED, 0, 0, 0, true, read_streams},
-    {"phases", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_phases},
-    {"faults", EG_LOAD_FIELD_NESTED, 0, 0, 0, false, read_faults},
+    {"name", EG_LOAD_FIELD_TEXT, true, FIELD (eg_load_scenario, name), 1,
+     EG_LOAD_NAME_BYTES, NULL},
+    {"targets", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_targets},
+    {"choice", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_choice},
+    {"fail_over", EG_LOAD_FIELD_BOOLEAN, false,
+     FIELD (eg_load_scenario, fail_over), 0, 0, NULL},
+    {"health_interval_ms", EG_LOAD_FIELD_TIME_MS, false,
+     FIELD (eg_load_scenario, health_interval_us), 0, MAX_TIME_MS, NULL},
+    {"warm_up_ms", EG_LOAD_FIELD_TIME_MS, false,
+     FIELD (eg_load_scenario, warm_up_us), 0, MAX_TIME_MS, NULL},
+    {"duration_ms", EG_LOAD_FIELD_TIME_MS, true,
+     FIELD (eg_load_scenario, duration_us), 1, MAX_TIME_MS, NULL},
+    {"drain_ms", EG_LOAD_FIELD_TIME_MS, false,
+     FIELD (eg_load_scenario, drain_us), 0, MAX_TIME_MS, NULL},
+    {"request_timeout_ms", EG_LOAD_FIELD_TIME_MS, false,
+     FIELD (eg_load_scenario, request_timeout_us), 1, MAX_TIME_MS, NULL},
+    {"bound_tokens_per_s", EG_LOAD_FIELD_NUMBER, false,
+     FIELD (eg_load_scenario, bound_tokens_per_s), 0, 1e9, NULL},
+    {"recovery", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_recovery},
+    {"streams", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_streams},
+    {"phases", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_phases},
+    {"faults", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_faults},
 };
 
 static enum eg_status
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -213,8 +213,8 @@
 test_arrivals_follow_the_seed_and_the_rate (void **state)
 {
   static const char poisson[] = SCENARIO (STREAM (",\"model\":\"m\""), "");
-  int64_t first[1000];
-  int64_t second[1000];
+  int64_t first[1000] = {0};
+  int64_t second[1000] = {0};
   size_t count = list_arrivals (poisson, 7, first, 1000);
 
   (void) state;
@@ -232,7 +232,7 @@
       SCENARIO (STREAM (",\"model\":\"m\",\"arrivals\":\"uniform\""),
                 ",\"phases\":[{\"at_ms\":1000,\"rate_factor\":0},"
                 "{\"at_ms\":2000,\"rate_factor\":2}]");
-  int64_t times[1000];
+  int64_t times[1000] = {0};
   size_t count = list_arrivals (ramp, 1, times, 1000);
 
   (void) state;
