--- a/backend/engine.c
+++ b/backend/engine.c
@@ -178,7 +178,7 @@
     report->as_of_us = now_us;
   if (!read_layers (layers, report))
     status = eg_error_set (error, EG_INVALID,
-                           "field \"layers\": expected [first, last] within "
+                           "field 'layers': expected [first, last] within "
                            "1 to model_layers");
 out:
   json_decref (object);
--- a/backend/worker.c
+++ b/backend/worker.c
@@ -267,10 +267,11 @@
     }
   else if (read_report (job, result->body, &event->report, &error) != EG_OK)
     {
+      /* A plain service may answer any path, and not with a load report. */
       event->kind = EG_BACKEND_POLL_FAILED;
-      eg_log (EG_LOG_WARNING, "backend",
-              "event=bad-report server=%s cause=\"%s\"", job->command->address,
-              error.message);
+      event->not_found = true;
+      eg_log (EG_LOG_INFO, "backend", "event=bad-report server=%s cause=\"%s\"",
+              job->command->address, error.message);
     }
   push_event (job, event);
   remove_job (job);
--- a/http/json.c
+++ b/http/json.c
@@ -81,15 +81,15 @@
     const struct eg_json_member *member = find_member (members, count, name);
 
     if (!member)
-      return eg_error_set (error, EG_INVALID, "unknown field \"%.64s\"", name);
+      return eg_error_set (error, EG_INVALID, "unknown field '%.64s'", name);
     if (!store (member, value))
-      return eg_error_set (error, EG_INVALID, "field \"%s\": expected %s%s",
-                           name, kind_names[member->kind],
+      return eg_error_set (error, EG_INVALID, "field '%s': expected %s%s", name,
+                           kind_names[member->kind],
                            member->capacity ? " that is short enough" : "");
   }
   for (size_t i = 0; i < count; i++)
     if (members[i].required && !json_object_get (object, members[i].name))
-      return eg_error_set (error, EG_INVALID, "field \"%s\" is missing",
+      return eg_error_set (error, EG_INVALID, "field '%s' is missing",
                            members[i].name);
   return EG_OK;
 }
--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -193,7 +193,7 @@
   eg_list_append (&self->running, &request->link);
   for (size_t i = 0; i < chain->count; i++)
     eg_servers_begin (self->servers, chain->stages[i].server, now_us);
-  eg_outcome_event (request->info.outcome, EG_OUTCOME_EVENT_HANDED);
+  eg_outcome_update (request->info.outcome, EG_OUTCOME_EVENT_HANDED);
   self->counts.running++;
   self->counts.attempts++;
   if (request->attempt == 1)
@@ -350,6 +350,16 @@
 
 /* Arrival. */
 
+/* A node that has just started cannot tell what exists. */
+static bool
+knows_any_server (const struct eg_lifecycle *self)
+{
+  for (uint32_t i = 0; i < eg_servers_count (self->servers); i++)
+    if (eg_servers_get (self->servers, i)->reported)
+      return true;
+  return false;
+}
+
 static enum eg_refusal
 find_target (struct eg_lifecycle *self,
              struct eg_request_state *request,
@@ -362,8 +372,9 @@
   if (request->target)
     return EG_REFUSAL_NONE;
   if (choose (self, request, now_us, &chain) == EG_PLACEMENT_UNKNOWN)
-    return request->info.plain ? EG_REFUSAL_UNKNOWN_SERVICE
-                               : EG_REFUSAL_UNKNOWN_MODEL;
+    return !knows_any_server (self) ? EG_REFUSAL_NO_CAPACITY
+           : request->info.plain    ? EG_REFUSAL_UNKNOWN_SERVICE
+                                    : EG_REFUSAL_UNKNOWN_MODEL;
   request->target = eg_target_table_add (&self->targets, request->info.plain,
                                          request->info.target, &self->config);
   return EG_REFUSAL_NONE;
@@ -387,6 +398,8 @@
   enum eg_refusal refusal;
 
   refusal = find_target (self, request, now_us);
+  if (refusal == EG_REFUSAL_NO_CAPACITY)
+    *retry_after_us = NO_CAPACITY_RETRY_AFTER_US;
   if (refusal != EG_REFUSAL_NONE)
     return refusal;
   refusal = eg_limits_begin (self->limits, info->organisation, now_us,
@@ -522,7 +535,7 @@
     eg_servers_observe (self->servers, request->chain.stages[i].server,
                         (now_us - request->progress_us)
                             / (int64_t) request->chain.count);
-  eg_outcome_event (request->info.outcome, EG_OUTCOME_EVENT_RAN);
+  eg_outcome_update (request->info.outcome, EG_OUTCOME_EVENT_RAN);
   request->committed++;
   request->progress_us = now_us;
   request->attempt_progressed = true;
@@ -546,7 +559,7 @@
     eg_servers_observe (self->servers, request->chain.stages[0].server,
                         now_us - request->progress_us);
   end_attempt (self, request, EG_SERVER_NONE, now_us);
-  eg_outcome_event (request->info.outcome, EG_OUTCOME_EVENT_RAN);
+  eg_outcome_update (request->info.outcome, EG_OUTCOME_EVENT_RAN);
   eg_admission_served (target->admission, request->info.cost, now_us);
   self->counts.finished++;
   action.attempt = attempt;
@@ -629,7 +642,7 @@
 {
   struct eg_target *target = request->target;
 
-  eg_outcome_event (request->info.outcome, causes[cause].event);
+  eg_outcome_update (request->info.outcome, causes[cause].event);
   if (causes[cause].death)
     report_death (self, request, server, now_us);
   end_attempt (self, request, server, now_us);
@@ -784,7 +797,7 @@
         {
           push_cancel (self, request);
           end_attempt (self, request, EG_SERVER_NONE, now_us);
-          eg_outcome_event (request->info.outcome, EG_OUTCOME_EVENT_LOST);
+          eg_outcome_update (request->info.outcome, EG_OUTCOME_EVENT_LOST);
           refuse (self, request, EG_REFUSAL_DEADLINE, 0);
         }
       else if (is_silent (self, request, now_us))
--- a/router/caller_request.c
+++ b/router/caller_request.c
@@ -193,7 +193,7 @@
   eg_buffer_append (&call->prompt, prompt);
   if (call->max_tokens < 1 || call->max_tokens > settings->tokens_max)
     status = eg_error_set (error, EG_INVALID,
-                           "field \"max_tokens\": expected 1 to %" PRId64,
+                           "field 'max_tokens': expected 1 to %" PRId64,
                            settings->tokens_max);
 out:
   json_decref (object);
