--- a/policy/claim.c
+++ b/policy/claim.c
@@ -264,6 +264,7 @@
 {
   const struct eg_claim_event *event = step->event;
   bool own = eg_claim_nonce_equal (event->record->nonce, self->record.nonce);
+  bool closes = event->record->mark == self->record.mark;
 
   if (!own && self->phase == EG_CLAIM_PHASE_ACQUIRING)
     found_foreign (self, step);
@@ -271,7 +272,7 @@
     found_foreign_late (self, step);
   else if (self->phase == EG_CLAIM_PHASE_ACQUIRING)
     hold (self, step, event->version);
-  else if (event->record->mark == self->record.mark)
+  else if (closes)
     close_claim (self);
   else
     write_over (self, step, event->version);
--- a/policy/ticket.c
+++ b/policy/ticket.c
@@ -375,6 +375,17 @@
     use_ended (entry, outcome, verdict);
 }
 
+static bool
+belongs_to (const struct eg_tickets *self,
+            const struct entry *entry,
+            struct eg_str organisation)
+{
+  struct eg_str owner =
+      eg_str_from (self->organisations[entry->organisation].name);
+
+  return eg_str_equal (owner, organisation);
+}
+
 void
 eg_tickets_use (struct eg_tickets *self,
                 struct eg_str text,
@@ -399,10 +410,7 @@
       return;
     }
   entry = find_entry (self, verdict->ticket.number);
-  if (entry == NULL
-      || !eg_str_equal (
-          organisation,
-          eg_str_from (self->organisations[entry->organisation].name)))
+  if (entry == NULL || !belongs_to (self, entry, organisation))
     refuse (verdict, EG_REFUSAL_CLAIM_CONFLICT, outcome, 0);
   else
     use_here (self, entry, fingerprint, now_us, outcome, verdict);
--- /dev/null
+++ b/test/property_ticket.cc
@@ -0,0 +1,329 @@
+/* Random use of tickets at three entry VMs that are replaced, with repeats,
+ * other bodies, other organisations and lost forwards. */
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "policy/ticket.h"
+
+namespace
+{
+
+constexpr unsigned NODES = 3;
+constexpr unsigned STEPS = 120;
+constexpr int CASES = 100;
+constexpr int64_t LIFETIME_US = 60 * EG_US_PER_S;
+constexpr size_t ENTRIES = 8;
+constexpr size_t ORGANISATION_MAX = 5;
+
+struct
+{
+  long uses, runs, answers, refused_no, unknown, gone, full, key_reused;
+} total;
+
+/* What really happened to a ticket. */
+struct ticket
+{
+  std::string text;
+  unsigned organisation;
+  int runs = 0;
+  int body = -1;
+};
+
+/* One request that its ticket was taken for. */
+struct open_request
+{
+  unsigned node;
+  uint64_t incarnation;
+  size_t ticket;
+  eg_ticket parsed;
+  eg_outcome outcome;
+  bool handed, left;
+};
+
+class world
+{
+public:
+  explicit world (uint64_t seed)
+  {
+    eg_random_init (&random, seed);
+    for (unsigned i = 0; i < NODES; i++)
+      replace (i);
+  }
+
+  ~world ()
+  {
+    for (auto *table : tables)
+      eg_tickets_free (table);
+  }
+
+  void
+  explore ()
+  {
+    for (unsigned i = 0; i < STEPS; i++)
+      step ();
+  }
+
+private:
+  eg_random random;
+  int64_t now = 0;
+  eg_tickets *tables[NODES] = {};
+  uint64_t incarnations[NODES] = {};
+  uint64_t last_incarnation = 0;
+  std::vector<ticket> tickets;
+  std::vector<open_request> open;
+
+  unsigned
+  pick (unsigned bound)
+  {
+    return (unsigned) eg_random_below (&random, bound);
+  }
+
+  static std::string
+  address_of (unsigned node)
+  {
+    return "127.0.0.1:" + std::to_string (7000 + node);
+  }
+
+  static eg_ticket_home
+  home (void *context, eg_str address, uint64_t incarnation)
+  {
+    const auto *self = (const world *) context;
+
+    for (unsigned i = 0; i < NODES; i++)
+      if (eg_str_equal (address, eg_str_from (address_of (i).c_str ()))
+          && self->incarnations[i] == incarnation)
+        return EG_TICKET_HOME_LIVE;
+    return EG_TICKET_HOME_GONE;
+  }
+
+  void
+  replace (unsigned node)
+  {
+    eg_tickets_config config = {};
+
+    eg_str_copy (eg_str_from (address_of (node).c_str ()), config.address,
+                 sizeof config.address);
+    config.incarnation = incarnations[node] = ++last_incarnation;
+    config.lifetime_us = LIFETIME_US;
+    config.keep_us = LIFETIME_US;
+    config.retry_after_us = EG_US_PER_S;
+    config.entries_max = ENTRIES;
+    config.organisation_max = ORGANISATION_MAX;
+    config.answer_bytes_max = 16;
+    config.answers_bytes_max = 64;
+    config.home = home;
+    config.home_context = this;
+    eg_tickets_free (tables[node]);
+    tables[node] = eg_tickets_new (&config);
+  }
+
+  void
+  step ()
+  {
+    unsigned choice = pick (100);
+
+    if (choice < 20)
+      give ();
+    else if (choice < 55 && !tickets.empty ())
+      use (pick (NODES), pick ((unsigned) tickets.size ()));
+    else if (choice < 90 && !open.empty ())
+      advance (pick ((unsigned) open.size ()));
+    else if (choice < 96)
+      pass_time ();
+    else
+      replace (pick (NODES));
+  }
+
+  void
+  give ()
+  {
+    unsigned node = pick (NODES);
+    unsigned organisation = pick (2);
+    char text[EG_TICKET_TEXT_BYTES];
+    std::string name = "organisation-" + std::to_string (organisation);
+    size_t before = eg_tickets_count (tables[node]);
+    eg_status status = eg_tickets_give (
+        tables[node], eg_str_from (name.c_str ()),
+        {eg_random_next (&random), eg_random_next (&random)}, now, text);
+
+    total.full += status == EG_FULL;
+    RC_ASSERT (eg_tickets_count (tables[node]) <= ENTRIES);
+    RC_ASSERT (status != EG_FULL || before >= ORGANISATION_MAX);
+    if (status == EG_OK)
+      tickets.push_back ({text, organisation});
+  }
+
+  void
+  use (unsigned node, size_t index)
+  {
+    ticket &t = tickets[index];
+    bool foreign = pick (8) == 0;
+    int body = pick (6) == 0;
+    unsigned organisation = foreign ? 1 - t.organisation : t.organisation;
+    std::string name = "organisation-" + std::to_string (organisation);
+    eg_outcome outcome;
+    eg_ticket_verdict verdict;
+
+    total.uses++;
+    eg_outcome_init (&outcome, EG_OUTCOME_TICKETED);
+    eg_tickets_use (tables[node], eg_str_from (t.text.c_str ()),
+                    eg_str_from (name.c_str ()), (uint64_t) body, now, &outcome,
+                    &verdict);
+    RC_ASSERT (!foreign || verdict.decision == EG_TICKET_REFUSE
+               || verdict.decision == EG_TICKET_FORWARD);
+    bool elsewhere = verdict.ticket.incarnation != incarnations[node];
+    bool live = home (this, eg_str_from (verdict.ticket.address),
+                      verdict.ticket.incarnation)
+                == EG_TICKET_HOME_LIVE;
+    RC_ASSERT ((verdict.decision == EG_TICKET_FORWARD) == (elsewhere && live));
+    follow (node, index, body, outcome, verdict);
+  }
+
+  void
+  follow (unsigned node,
+          size_t index,
+          int body,
+          const eg_outcome &outcome,
+          const eg_ticket_verdict &verdict)
+  {
+    ticket &t = tickets[index];
+
+    switch (verdict.decision)
+      {
+      case EG_TICKET_RUN:
+        RC_ASSERT (t.runs == 0 && (t.body < 0 || t.body == body));
+        t.body = body;
+        open.push_back ({node, incarnations[node], index, verdict.ticket,
+                         outcome, false, false});
+        break;
+      case EG_TICKET_FORWARD:
+        forward (index, verdict);
+        break;
+      case EG_TICKET_ANSWER:
+        total.answers++;
+        RC_ASSERT (t.runs == 1 && t.body == body
+                   && verdict.answer.status == (int) (200 + index));
+        break;
+      case EG_TICKET_REFUSE:
+        check_refusal (t, body, verdict);
+      }
+  }
+
+  void
+  forward (size_t index, const eg_ticket_verdict &verdict)
+  {
+    for (unsigned i = 0; i < NODES; i++)
+      if (verdict.ticket.incarnation == incarnations[i] && pick (4) != 0)
+        use (i, index);
+  }
+
+  static void
+  check_refusal (const ticket &t, int body, const eg_ticket_verdict &verdict)
+  {
+    total.key_reused += verdict.refusal == EG_REFUSAL_KEY_REUSED;
+    total.refused_no += verdict.ran == EG_RAN_NO;
+    total.unknown += verdict.ran == EG_RAN_UNKNOWN;
+    total.gone += verdict.retry_after_us == 0;
+    if (verdict.ran == EG_RAN_NO)
+      RC_ASSERT (t.runs == 0 || t.body != body);
+    if (verdict.ran == EG_RAN_YES)
+      RC_ASSERT (t.runs == 1);
+  }
+
+  /* The sending thread works on, even when its entry VM is replaced. */
+  void
+  advance (size_t index)
+  {
+    open_request request = open[index];
+
+    if (!request.handed && pick (4) == 0)
+      {
+        end (index);
+        return;
+      }
+    if (!request.handed)
+      {
+        open[index].handed = true;
+        eg_outcome_update (&open[index].outcome, EG_OUTCOME_EVENT_HANDED);
+      }
+    else if (!request.left && pick (4) == 0)
+      {
+        open[index].handed = false;
+        eg_outcome_update (&open[index].outcome, EG_OUTCOME_EVENT_NOT_SENT);
+      }
+    else if (!request.left)
+      run (index);
+    else
+      {
+        unsigned lost = pick (3) == 0;
+
+        eg_outcome_update (&open[index].outcome,
+                           lost ? EG_OUTCOME_EVENT_LOST : EG_OUTCOME_EVENT_RAN);
+        end (index);
+      }
+  }
+
+  void
+  run (size_t index)
+  {
+    ticket &t = tickets[open[index].ticket];
+
+    eg_outcome_update (&open[index].outcome, EG_OUTCOME_EVENT_BYTES);
+    open[index].left = true;
+    t.runs++;
+    total.runs++;
+    RC_ASSERT (t.runs == 1);
+  }
+
+  void
+  end (size_t index)
+  {
+    open_request request = open[index];
+    bool alive = incarnations[request.node] == request.incarnation;
+    eg_claim_answer answer = {true, (int) (200 + request.ticket),
+                              EG_STR ("text/plain"), EG_STR ("done")};
+
+    open.erase (open.begin () + (long) index);
+    if (alive)
+      eg_tickets_end (tables[request.node], &request.parsed, &request.outcome,
+                      &answer, now);
+  }
+
+  void
+  pass_time ()
+  {
+    now += (int64_t) eg_random_below (&random, (uint64_t) LIFETIME_US);
+    for (auto *table : tables)
+      eg_tickets_sweep (table, now);
+  }
+};
+
+} // namespace
+
+int
+main ()
+{
+  bool held =
+      rc::check ("a ticket runs at most once, and its word is true", [] () {
+        const auto seed = *rc::gen::arbitrary<uint32_t> ();
+
+        for (int i = 0; i < CASES; i++)
+          world ((uint64_t) seed * CASES + (uint64_t) i).explore ();
+      });
+
+  std::printf ("uses=%ld runs=%ld answers=%ld refused_no=%ld unknown=%ld "
+               "gone=%ld full=%ld key_reused=%ld\n",
+               total.uses, total.runs, total.answers, total.refused_no,
+               total.unknown, total.gone, total.full, total.key_reused);
+  bool covered = total.runs && total.answers && total.refused_no
+                 && total.unknown && total.gone && total.full
+                 && total.key_reused;
+
+  return held && covered ? EXIT_SUCCESS : EXIT_FAILURE;
+}
