--- a/standin/load_main.c
+++ b/standin/load_main.c
@@ -15,6 +15,7 @@
 #define PROGRAM "eelgrass-load"
 #define DEFAULT_SEED 1
 #define MAX_ARGUMENT_ERRORS 8
+#define MAX_PATH_BYTES 128
 
 /** Exit codes. */
 enum
@@ -30,6 +31,7 @@
   const char *scenario_path;
   const char *json_path;
   const char *svg_path;
+  const char *values_path;
   uint64_t seed;
   bool quiet;
 };
@@ -81,6 +83,39 @@
   return written;
 }
 
+/* Writes `path.to.key value` for each number, so that a shell can read it;
+   arrays are left out. */
+static void
+print_values (json_t *value, const char *path, struct eg_buffer *lines)
+{
+  char joined[MAX_PATH_BYTES];
+  const char *key;
+  json_t *member;
+
+  if (json_is_number (value))
+    eg_buffer_printf (lines, "%s %.6g\n", path, json_number_value (value));
+  json_object_foreach (value, key, member)
+  {
+    snprintf (joined, sizeof joined, "%s%s%s", path, *path ? "." : "", key);
+    print_values (member, joined, lines);
+  }
+}
+
+static bool
+write_values (const struct eg_load_results *results,
+              const struct options *options)
+{
+  json_t *report = eg_load_report_json (results, options->seed);
+  struct eg_buffer lines = {0};
+  bool written;
+
+  print_values (report, "", &lines);
+  written = write_file (options->values_path, eg_buffer_view (&lines));
+  eg_buffer_finish (&lines);
+  json_decref (report);
+  return written;
+}
+
 static bool
 write_svg (const struct eg_load_results *results, const struct options *options)
 {
@@ -103,7 +138,9 @@
     written = write_json (results, options) && written;
   if (options->svg_path)
     written = write_svg (results, options) && written;
-  if (results->wrong > 0)
+  if (options->values_path)
+    written = write_values (results, options) && written;
+  if (results->wrong > 0 || eg_load_audit_is_bad (&results->audit))
     return EXIT_WRONG_ANSWER;
   return written && eg_load_report_faults_done (results) ? EXIT_WHOLE
                                                          : EXIT_NOT_RUN;
@@ -164,11 +201,14 @@
   struct arg_file *json =
       arg_file0 (NULL, "json", "OUT.json", "write the results");
   struct arg_file *svg = arg_file0 (NULL, "svg", "OUT.svg", "write a plot");
+  struct arg_file *values = arg_file0 (NULL, "values", "OUT.txt",
+                                       "write numbers as lines PATH VALUE");
   struct arg_lit *quiet = arg_lit0 (NULL, "quiet", "show no progress");
   struct arg_file *scenario =
       arg_file1 (NULL, NULL, "SCENARIO.json", "what to do");
   struct arg_end *end = arg_end (MAX_ARGUMENT_ERRORS);
-  void *table[] = {help, version, seed, json, svg, quiet, scenario, end};
+  void *table[] = {help,   version, seed,     json, svg,
+                   values, quiet,   scenario, end};
   struct options options = {.seed = DEFAULT_SEED};
   int exit_code = EXIT_WHOLE;
   int errors = arg_parse (argc, argv, table);
@@ -188,6 +228,7 @@
       options.scenario_path = scenario->filename[0];
       options.json_path = json->count > 0 ? json->filename[0] : NULL;
       options.svg_path = svg->count > 0 ? svg->filename[0] : NULL;
+      options.values_path = values->count > 0 ? values->filename[0] : NULL;
       options.quiet = quiet->count > 0;
       if (seed->count > 0)
         options.seed = (uint64_t) seed->ival[0];
--- /dev/null
+++ b/standin/load_records.c
@@ -0,0 +1,118 @@
+#include "standin/load_records.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/buffer.h"
+#include "base/clock.h"
+#include "standin/load_call.h"
+
+#define FETCH_TIMEOUT_US (10 * EG_US_PER_S)
+#define WAIT_US (50 * EG_US_PER_MS)
+#define URL_BYTES 64
+
+struct fetch
+{
+  char url[URL_BYTES];
+  struct eg_buffer body;
+  bool fetched;
+};
+
+static void
+take_body (void *context, int http_status, struct eg_str bytes)
+{
+  struct fetch *fetch = context;
+
+  (void) http_status;
+  eg_buffer_append (&fetch->body, bytes);
+}
+
+static void
+take_end (void *context, const struct eg_load_end *end)
+{
+  struct fetch *fetch = context;
+
+  fetch->fetched = !end->transport && end->http_status == 200;
+}
+
+static void
+fetch_record (struct eg_load_client *client,
+              const struct eg_load_target *engine,
+              struct fetch *fetch)
+{
+  struct eg_load_exchange exchange = {
+      .method = "GET",
+      .url = fetch->url,
+      .timeout_us = FETCH_TIMEOUT_US,
+      .on_body = take_body,
+      .on_end = take_end,
+      .context = fetch,
+  };
+
+  snprintf (fetch->url, sizeof fetch->url, "http://%s/standin/record",
+            engine->address);
+  eg_load_client_start (client, &exchange);
+}
+
+static enum eg_status
+add_record (struct eg_load_audit *audit,
+            const struct fetch *fetch,
+            struct eg_error *error)
+{
+  json_t *record = NULL;
+  enum eg_status status;
+
+  if (fetch->fetched)
+    record = json_loadb (fetch->body.data, fetch->body.len, 0, NULL);
+  status = eg_load_audit_add_engine (audit, record, error);
+  json_decref (record);
+  return status;
+}
+
+static void
+check_requests (struct eg_load_audit *audit,
+                uint64_t seed,
+                const struct eg_load_results *results)
+{
+  char id[EG_LOAD_ID_BYTES];
+
+  for (size_t i = 0; i < results->n_records; i++)
+    {
+      const struct eg_load_record *record = &results->records[i];
+
+      eg_load_call_id (&results->scenario->streams[record->stream], seed,
+                       record->number, id);
+      eg_load_audit_check (audit, id, record->tokens);
+    }
+}
+
+enum eg_status
+eg_load_records_check (struct eg_load_client *client,
+                       uint64_t seed,
+                       struct eg_load_results *results,
+                       struct eg_error *error)
+{
+  const struct eg_load_scenario *scenario = results->scenario;
+  struct eg_load_audit *audit = eg_load_audit_new (scenario->audited_layers);
+  struct fetch *fetches = calloc (scenario->n_audited + 1, sizeof *fetches);
+  enum eg_status status = EG_OK;
+
+  EG_INVARIANT (fetches != NULL);
+  for (size_t i = 0; i < scenario->n_audited; i++)
+    fetch_record (client, &scenario->audited[i], &fetches[i]);
+  while (eg_load_client_active (client) > 0)
+    eg_load_client_run (client, WAIT_US);
+  for (size_t i = 0; i < scenario->n_audited && status == EG_OK; i++)
+    status = add_record (audit, &fetches[i], error);
+  if (status == EG_OK && scenario->n_audited > 0)
+    {
+      check_requests (audit, seed, results);
+      results->audited = true;
+      results->audit = *eg_load_audit_result (audit);
+    }
+  for (size_t i = 0; i < scenario->n_audited; i++)
+    eg_buffer_finish (&fetches[i].body);
+  free (fetches);
+  eg_load_audit_free (audit);
+  return status;
+}
--- a/standin/load_report_json.c
+++ b/standin/load_report_json.c
@@ -219,6 +219,24 @@
                 / (double) EG_US_PER_S);
 }
 
+static json_t *
+audit_json (const struct eg_load_results *results)
+{
+  const struct eg_load_audit_result *audit = &results->audit;
+
+  if (!results->audited)
+    return json_null ();
+  return json_pack ("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "engines",
+                    (json_int_t) audit->engines, "unreadable_engines",
+                    (json_int_t) audit->unreadable_engines, "tokens",
+                    (json_int_t) audit->tokens, "missing",
+                    (json_int_t) audit->missing, "unverified",
+                    (json_int_t) audit->unverified, "repeated",
+                    (json_int_t) audit->repeated, "out_of_order",
+                    (json_int_t) audit->out_of_order, "other_attempts",
+                    (json_int_t) audit->other_attempts);
+}
+
 json_t *
 eg_load_report_json (const struct eg_load_results *results, uint64_t seed)
 {
@@ -227,12 +245,13 @@
 
   eg_load_results_total (results, &total);
   return json_pack (
-      "{s:s, s:I, s:f, s:I, s:b, s:I, s:o, s:o, s:o, s:o, s:o, s:o, s:o}",
+      "{s:s, s:I, s:f, s:I, s:b, s:I, s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:o}",
       "name", scenario->name, "seed", (json_int_t) seed, "measured_s",
       measured_s (results), "wrong", (json_int_t) results->wrong, "faults_done",
       eg_load_report_faults_done (results), "missing_request_id",
       (json_int_t) results->missing_request_id, "total", group_json (&total),
       "groups", groups_json (results), "causes", causes_json (results),
       "throughput", throughput_json (results), "faults", faults_json (results),
-      "tool", tool_json (results), "series", series_json (results));
+      "audit", audit_json (results), "tool", tool_json (results), "series",
+      series_json (results));
 }
--- a/standin/load_report_svg.c
+++ b/standin/load_report_svg.c
@@ -112,18 +112,19 @@
   eg_buffer_append (svg, EG_STR ("</text>\n"));
 }
 
-/* Returns the least of 1, 2 and 5 times a power of ten that is not below
-   value. */
+/* Steps up to the next power of ten; a quarter of each is a short number. */
+static const double value_steps[] = {1, 1.2, 1.6, 2, 2.4, 3.2, 4, 6, 8, 10};
+static const double time_steps[] = {1, 2, 5, 10};
+
+/* Returns the least step times a power of ten that is not below value. */
 static double
-round_up (double value)
+round_up (double value, const double *steps)
 {
   double power = pow (10, floor (log10 (value)));
 
-  if (value <= power)
-    return power;
-  if (value <= 2 * power)
-    return 2 * power;
-  return value <= 5 * power ? 5 * power : 10 * power;
+  while (*steps * power < value && *steps < 10)
+    steps++;
+  return *steps * power;
 }
 
 static void
@@ -259,6 +260,12 @@
              label);
 }
 
+static int
+decades (const struct panel *panel)
+{
+  return (int) lround (log10 (panel->max / panel->min));
+}
+
 static void
 draw_panel (const struct plot *plot,
             const struct panel *panel,
@@ -267,8 +274,8 @@
 {
   draw_text (plot->svg, LEFT, panel->top - 10, "class=\"panel\"", title);
   if (panel->logarithmic)
-    for (double value = panel->min; value <= panel->max * 1.01; value *= 10)
-      draw_gridline (plot, panel, value, unit);
+    for (int i = 0; i <= decades (panel); i++)
+      draw_gridline (plot, panel, panel->min * pow (10, i), unit);
   else
     for (int i = 0; i <= Y_TICKS; i++)
       draw_gridline (plot, panel,
@@ -299,8 +306,8 @@
   double bound = plot->results->scenario->bound_tokens_per_s;
   struct panel panel = {.top = FIRST_PANEL_TOP};
 
-  panel.max =
-      round_up (fmax (fmax (greatest (plot, tokens_per_s), bound * 1.02), 1));
+  panel.max = fmax (fmax (greatest (plot, tokens_per_s), bound * 1.02), 1);
+  panel.max = round_up (panel.max, value_steps);
   draw_panel (plot, &panel, "tokens received each second", "");
   if (bound > 0)
     {
@@ -346,7 +353,7 @@
 static void
 draw_time_axis (const struct plot *plot)
 {
-  double step_s = round_up (plot->end_s / MAX_X_TICKS);
+  double step_s = round_up (plot->end_s / MAX_X_TICKS, time_steps);
   char label[32];
 
   for (int i = 0; i * step_s <= plot->end_s; i++)
--- a/standin/load_report_table.c
+++ b/standin/load_report_table.c
@@ -105,6 +105,24 @@
     print_fault (&results->scenario->faults[i], &results->faults[i], stream);
 }
 
+static void
+print_audit (const struct eg_load_results *results, FILE *stream)
+{
+  const struct eg_load_audit_result *audit = &results->audit;
+
+  if (!results->audited)
+    return;
+  fprintf (stream,
+           "\nrecords of %" PRIu64 " engines (%" PRIu64
+           " unreadable) for %" PRIu64 " tokens: %" PRIu64
+           " not run by every layer, %" PRIu64 " run twice, %" PRIu64
+           " out of order; %" PRIu64 " unverified, %" PRIu64
+           " begun by more than one attempt\n",
+           audit->engines, audit->unreadable_engines, audit->tokens,
+           audit->missing, audit->repeated, audit->out_of_order,
+           audit->unverified, audit->other_attempts);
+}
+
 void
 eg_load_report_table (const struct eg_load_results *results, FILE *stream)
 {
@@ -123,6 +141,7 @@
   print_groups (results, stream);
   print_causes (results, stream);
   print_faults (results, stream);
+  print_audit (results, stream);
   fprintf (stream,
            "\nsent %.2f ms (p99) after the due time; wrong answers: "
            "%" PRIu64 "\n",
--- a/standin/load_results.c
+++ b/standin/load_results.c
@@ -92,6 +92,7 @@
 size_t
 eg_load_results_arrival (struct eg_load_results *self,
                          size_t stream,
+                         uint64_t number,
                          int64_t arrival_us,
                          int64_t sent_us)
 {
@@ -106,8 +107,10 @@
       EG_INVARIANT (self->records != NULL);
     }
   record = &self->records[self->n_records];
-  *record = (struct eg_load_record){
-      .arrival_us = arrival_us, .end_us = -1, .stream = (uint16_t) stream};
+  *record = (struct eg_load_record){.arrival_us = arrival_us,
+                                    .end_us = -1,
+                                    .number = number,
+                                    .stream = (uint16_t) stream};
   self->buckets[bucket_index (self, arrival_us)].arrivals++;
   if (is_measured (self, arrival_us))
     {
@@ -148,6 +151,7 @@
 {
   struct eg_load_record *record = &self->records[record_number];
 
+  record->tokens += (uint32_t) count;
   self->buckets[bucket_index (self, now_us)].tokens += (uint32_t) count;
   if (is_measured (self, now_us))
     self->tokens_in_measured_time += (uint64_t) count;
--- a/standin/load_results.h
+++ b/standin/load_results.h
@@ -10,6 +10,7 @@
 
 #include "base/decls.h"
 #include "base/histogram.h"
+#include "standin/load_audit.h"
 #include "standin/load_check.h"
 #include "standin/load_recovery.h"
 #include "standin/load_scenario.h"
@@ -40,7 +41,9 @@
 struct eg_load_record
 {
   int64_t arrival_us;
-  int64_t end_us; /**< -1 while it lasts. */
+  int64_t end_us;  /**< -1 while it lasts. */
+  uint64_t number; /**< Among the arrivals of its stream. */
+  uint32_t tokens; /**< Received. */
   uint16_t stream;
   uint8_t outcome;
 };
@@ -77,6 +80,8 @@
   uint64_t missing_request_id;
   uint64_t tokens_in_measured_time;
   uint64_t whole_in_measured_time; /**< Whole answers that ended in it. */
+  bool audited;
+  struct eg_load_audit_result audit;
 };
 
 /** Makes empty results; the scenario must outlive them. */
@@ -89,6 +94,7 @@
 /** Counts an arrival, and returns the number of its record. */
 size_t eg_load_results_arrival (struct eg_load_results *self,
                                 size_t stream,
+                                uint64_t number,
                                 int64_t arrival_us,
                                 int64_t sent_us);
 
--- a/standin/load_run.c
+++ b/standin/load_run.c
@@ -7,6 +7,7 @@
 #include "standin/load_call.h"
 #include "standin/load_client.h"
 #include "standin/load_faults.h"
+#include "standin/load_records.h"
 #include "standin/load_targets.h"
 
 #define MAX_WAIT_US (50 * EG_US_PER_MS)
@@ -122,7 +123,7 @@
     eg_load_arrivals_init (&run.arrivals[i], scenario, i, seed);
   loop (&run);
   eg_load_results_conclude (results);
-  status = EG_OK;
+  status = eg_load_records_check (run.calls.client, seed, results, error);
 out:
   eg_load_faults_free (run.faults);
   eg_load_targets_free (run.calls.targets);
--- a/standin/load_scenario.c
+++ b/standin/load_scenario.c
@@ -504,6 +504,34 @@
   return eg_load_fields_read (&table, value, path, &self->recovery, error);
 }
 
+static enum eg_status
+read_audited (json_t *value,
+              const char *path,
+              void *target,
+              struct eg_error *error)
+{
+  struct eg_load_scenario *self = target;
+
+  return read_array (value, path, sizeof *self->audited, read_target,
+                     (void **) &self->audited, &self->n_audited, error);
+}
+
+static enum eg_status
+read_audit (json_t *value,
+            const char *path,
+            void *target,
+            struct eg_error *error)
+{
+  static const struct eg_load_field rows[] = {
+      {"engines", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_audited},
+      {"model_layers", EG_LOAD_FIELD_INTEGER, true,
+       FIELD (eg_load_scenario, audited_layers), 1, MAX_LAYERS, NULL},
+  };
+  static const struct eg_load_fields table = TABLE (rows);
+
+  return eg_load_fields_read (&table, value, path, target, error);
+}
+
 static const struct eg_load_field scenario_rows[] = {
     {"name", EG_LOAD_FIELD_TEXT, true, FIELD (eg_load_scenario, name), 1,
      EG_LOAD_NAME_BYTES, NULL},
@@ -524,6 +552,7 @@
     {"bound_tokens_per_s", EG_LOAD_FIELD_NUMBER, false,
      FIELD (eg_load_scenario, bound_tokens_per_s), 0, 1e9, NULL},
     {"recovery", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_recovery},
+    {"audit", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_audit},
     {"streams", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_streams},
     {"phases", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_phases},
     {"faults", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_faults},
@@ -618,6 +647,7 @@
   for (size_t i = 0; i < self->n_faults; i++)
     free (self->faults[i].body);
   free (self->targets);
+  free (self->audited);
   free (self->streams);
   free (self->phases);
   free (self->faults);
--- a/standin/load_scenario.h
+++ b/standin/load_scenario.h
@@ -106,6 +106,9 @@
   int64_t request_timeout_us;
   double bound_tokens_per_s; /**< 0 if none is given. */
   struct eg_load_recovery_rule recovery;
+  struct eg_load_target *audited; /**< Engines whose records are checked. */
+  size_t n_audited;
+  int64_t audited_layers; /**< Layers of their model. */
 };
 
 /** Returns the time of the last arrival: warm-up plus measured time. */
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -12,6 +12,7 @@
 #include "base/buffer.h"
 #include "base/clock.h"
 #include "standin/load_arrivals.h"
+#include "standin/load_audit.h"
 #include "standin/load_check.h"
 #include "standin/load_recovery.h"
 #include "standin/load_scenario.h"
@@ -300,6 +301,72 @@
   assert_false (recovery_of (buckets).recovered);
 }
 
+static json_t *
+record_json (const char *runs)
+{
+  char text[1024];
+  json_t *record;
+
+  snprintf (text, sizeof text, "{\"runs\":[%s]}", runs);
+  record = json_loads (text, 0, NULL);
+  assert_non_null (record);
+  return record;
+}
+
+#define RUN(attempt, position, first, last, sequence)                          \
+  "{\"request\":\"r\",\"server\":\"e\",\"attempt\":" #attempt                  \
+  ",\"position\":" #position ",\"first\":" #first ",\"last\":" #last           \
+  ",\"sequence\":" #sequence "}"
+
+/* Audits two tokens of request "r" on a model of four layers. */
+static struct eg_load_audit_result
+audit_of (const char *head_runs, const char *tail_runs)
+{
+  struct eg_load_audit *audit = eg_load_audit_new (4);
+  json_t *head = record_json (head_runs);
+  json_t *tail = tail_runs ? record_json (tail_runs) : NULL;
+  struct eg_load_audit_result result;
+  struct eg_error error;
+
+  assert_int_equal (eg_load_audit_add_engine (audit, head, &error), EG_OK);
+  assert_int_equal (eg_load_audit_add_engine (audit, tail, &error), EG_OK);
+  eg_load_audit_check (audit, "r", 2);
+  result = *eg_load_audit_result (audit);
+  eg_load_audit_free (audit);
+  json_decref (head);
+  json_decref (tail);
+  return result;
+}
+
+static void
+test_audit_wants_every_layer_once (void **state)
+{
+  static const char head[] = RUN (1, 1, 1, 2, 1) "," RUN (1, 2, 1, 2, 2);
+  static const char tail[] = RUN (1, 1, 3, 4, 1) "," RUN (1, 2, 3, 4, 2);
+  struct eg_load_audit_result result = audit_of (head, tail);
+
+  (void) state;
+  assert_int_equal (result.tokens, 2);
+  assert_false (eg_load_audit_is_bad (&result));
+  assert_int_equal (audit_of (head, RUN (1, 1, 3, 4, 1)).missing, 1);
+  assert_int_equal (
+      audit_of (head, RUN (1, 1, 3, 4, 1) "," RUN (1, 2, 4, 4, 2)).missing, 1);
+  assert_int_equal (
+      audit_of (head, RUN (1, 1, 3, 4, 1) "," RUN (1, 2, 2, 4, 2)).repeated, 1);
+  assert_int_equal (
+      audit_of (head, RUN (1, 1, 3, 4, 2) "," RUN (1, 2, 3, 4, 1)).out_of_order,
+      1);
+  result = audit_of (head, NULL);
+  assert_int_equal (result.unverified, 2);
+  assert_int_equal (result.missing, 0);
+  /* The head ran position 2 for an attempt that lost its tail. */
+  result = audit_of (
+      RUN (1, 1, 1, 2, 1) "," RUN (1, 2, 1, 2, 2) "," RUN (2, 2, 1, 2, 3),
+      RUN (1, 1, 3, 4, 1) "," RUN (2, 2, 3, 4, 2));
+  assert_false (eg_load_audit_is_bad (&result));
+  assert_int_equal (result.other_attempts, 1);
+}
+
 static void
 test_scenario_errors_name_the_key (void **state)
 {
@@ -359,6 +426,7 @@
       cmocka_unit_test (test_arrivals_follow_the_seed_and_the_rate),
       cmocka_unit_test (test_arrivals_follow_the_phases),
       cmocka_unit_test (test_recovery_time),
+      cmocka_unit_test (test_audit_wants_every_layer_once),
       cmocka_unit_test (test_scenario_errors_name_the_key),
   };
 
