load: audit also wants layers and tokens in order over all stages

The records' sequence numbers rise with time over all processes of a host, so the order of stages can be checked as well as that within one.

--- a/standin/load_audit.c
+++ b/standin/load_audit.c
@@ -14,7 +14,6 @@
   int64_t first;
   int64_t last;
   int64_t sequence;
-  size_t engine;
 };
 
 struct eg_load_audit
@@ -67,10 +66,11 @@
                           struct eg_error *error)
 {
   json_t *runs = json_object_get (record, "runs");
-  struct run run = {.engine = self->result.engines++};
+  struct run run = {0};
   json_t *item;
   size_t i;
 
+  self->result.engines++;
   if (!record)
     {
       self->result.unreadable_engines++;
@@ -183,17 +183,21 @@
     self->result.other_attempts++;
 }
 
-/* Tells whether an engine ran a position after the one that follows it. */
+/* Tells whether a position ran after the one that follows it, or a layer
+   before the one below. */
 static bool
 is_out_of_order (const struct run *runs,
                  size_t count,
                  const struct run *later,
                  size_t n_later)
 {
+  for (size_t i = 1; i < count; i++)
+    if (runs[i].attempt == runs[i - 1].attempt
+        && runs[i].sequence < runs[i - 1].sequence)
+      return true;
   for (size_t i = 0; i < count; i++)
     for (size_t j = 0; j < n_later; j++)
-      if (runs[i].engine == later[j].engine
-          && runs[i].attempt == later[j].attempt
+      if (runs[i].attempt == later[j].attempt
           && runs[i].sequence > later[j].sequence)
         return true;
   return false;
--- a/standin/load_audit.h
+++ b/standin/load_audit.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * Checks the engines' execution records against the tokens that callers got:
- * every layer once for each token, in order.
+ * every layer once for each token, in order. The sequence numbers of all
+ * records must rise with time.
  *
  * A token may have been computed by an attempt whose answer was lost before
  * the caller had it; the highest attempt that ran a position counts, and such
@@ -28,7 +29,7 @@
   uint64_t missing;            /**< Tokens that not every layer ran for. */
   uint64_t unverified;         /**< The same, where a record was unreadable. */
   uint64_t repeated;       /**< Tokens that a layer ran twice in one attempt. */
-  uint64_t out_of_order;   /**< Tokens run after a later one by an engine. */
+  uint64_t out_of_order;   /**< Tokens or layers run after a later one. */
   uint64_t other_attempts; /**< Tokens that more than one attempt ran. */
 };
 
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -341,32 +341,45 @@
 static void
 test_audit_wants_every_layer_once (void **state)
 {
-  static const char head[] = RUN (1, 1, 1, 2, 1) "," RUN (1, 2, 1, 2, 2);
-  static const char tail[] = RUN (1, 1, 3, 4, 1) "," RUN (1, 2, 3, 4, 2);
+  static const char head[] = RUN (1, 1, 1, 2, 1) "," RUN (1, 2, 1, 2, 3);
+  static const char tail[] = RUN (1, 1, 3, 4, 2) "," RUN (1, 2, 3, 4, 4);
   struct eg_load_audit_result result = audit_of (head, tail);
 
   (void) state;
   assert_int_equal (result.tokens, 2);
   assert_false (eg_load_audit_is_bad (&result));
-  assert_int_equal (audit_of (head, RUN (1, 1, 3, 4, 1)).missing, 1);
+  assert_int_equal (audit_of (head, RUN (1, 1, 3, 4, 2)).missing, 1);
   assert_int_equal (
-      audit_of (head, RUN (1, 1, 3, 4, 1) "," RUN (1, 2, 4, 4, 2)).missing, 1);
+      audit_of (head, RUN (1, 1, 3, 4, 2) "," RUN (1, 2, 4, 4, 4)).missing, 1);
   assert_int_equal (
-      audit_of (head, RUN (1, 1, 3, 4, 1) "," RUN (1, 2, 2, 4, 2)).repeated, 1);
-  assert_int_equal (
-      audit_of (head, RUN (1, 1, 3, 4, 2) "," RUN (1, 2, 3, 4, 1)).out_of_order,
-      1);
+      audit_of (head, RUN (1, 1, 3, 4, 2) "," RUN (1, 2, 2, 4, 4)).repeated, 1);
   result = audit_of (head, NULL);
   assert_int_equal (result.unverified, 2);
   assert_int_equal (result.missing, 0);
   /* The head ran position 2 for an attempt that lost its tail. */
   result = audit_of (
-      RUN (1, 1, 1, 2, 1) "," RUN (1, 2, 1, 2, 2) "," RUN (2, 2, 1, 2, 3),
-      RUN (1, 1, 3, 4, 1) "," RUN (2, 2, 3, 4, 2));
+      RUN (1, 1, 1, 2, 1) "," RUN (1, 2, 1, 2, 3) "," RUN (2, 2, 1, 2, 4),
+      RUN (1, 1, 3, 4, 2) "," RUN (2, 2, 3, 4, 5));
   assert_false (eg_load_audit_is_bad (&result));
   assert_int_equal (result.other_attempts, 1);
 }
 
+static void
+test_audit_wants_order (void **state)
+{
+  static const char head[] = RUN (1, 1, 1, 2, 1) "," RUN (1, 2, 1, 2, 3);
+
+  (void) state;
+  /* The tail ran position 1 after the head had run position 2. */
+  assert_int_equal (
+      audit_of (head, RUN (1, 1, 3, 4, 4) "," RUN (1, 2, 3, 4, 5)).out_of_order,
+      1);
+  /* The tail ran position 1 before the head did. */
+  assert_int_equal (
+      audit_of (head, RUN (1, 1, 3, 4, 0) "," RUN (1, 2, 3, 4, 4)).out_of_order,
+      1);
+}
+
 static void
 test_scenario_errors_name_the_key (void **state)
 {
@@ -427,6 +440,7 @@
       cmocka_unit_test (test_arrivals_follow_the_phases),
       cmocka_unit_test (test_recovery_time),
       cmocka_unit_test (test_audit_wants_every_layer_once),
+      cmocka_unit_test (test_audit_wants_order),
       cmocka_unit_test (test_scenario_errors_name_the_key),
   };
 
