--- a/standin/load_records.c
+++ b/standin/load_records.c
@@ -1,6 +1,5 @@
 #include "standin/load_records.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "base/buffer.h"
@@ -9,11 +8,9 @@
 
 #define FETCH_TIMEOUT_US (10 * EG_US_PER_S)
 #define WAIT_US (50 * EG_US_PER_MS)
-#define URL_BYTES 64
 
 struct fetch
 {
-  char url[URL_BYTES];
   struct eg_buffer body;
   bool fetched;
 };
@@ -37,20 +34,18 @@
 
 static void
 fetch_record (struct eg_load_client *client,
-              const struct eg_load_target *engine,
+              const struct eg_load_record_source *source,
               struct fetch *fetch)
 {
   struct eg_load_exchange exchange = {
       .method = "GET",
-      .url = fetch->url,
+      .url = source->url,
       .timeout_us = FETCH_TIMEOUT_US,
       .on_body = take_body,
       .on_end = take_end,
       .context = fetch,
   };
 
-  snprintf (fetch->url, sizeof fetch->url, "http://%s/standin/record",
-            engine->address);
   eg_load_client_start (client, &exchange);
 }
 
--- a/standin/load_scenario.c
+++ b/standin/load_scenario.c
@@ -504,6 +504,21 @@
   return eg_load_fields_read (&table, value, path, &self->recovery, error);
 }
 
+static enum eg_status
+read_record_source (json_t *value,
+                    const char *path,
+                    void *item,
+                    struct eg_error *error)
+{
+  static const struct eg_load_field rows[] = {
+      {"url", EG_LOAD_FIELD_TEXT, true, FIELD (eg_load_record_source, url), 1,
+       EG_LOAD_PATH_OR_URL_BYTES, NULL},
+  };
+  static const struct eg_load_fields table = TABLE (rows);
+
+  return eg_load_fields_read (&table, value, path, item, error);
+}
+
 static enum eg_status
 read_audited (json_t *value,
               const char *path,
@@ -512,7 +527,7 @@
 {
   struct eg_load_scenario *self = target;
 
-  return read_array (value, path, sizeof *self->audited, read_target,
+  return read_array (value, path, sizeof *self->audited, read_record_source,
                      (void **) &self->audited, &self->n_audited, error);
 }
 
@@ -523,7 +538,7 @@
             struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"engines", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_audited},
+      {"records", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_audited},
       {"model_layers", EG_LOAD_FIELD_INTEGER, true,
        FIELD (eg_load_scenario, audited_layers), 1, MAX_LAYERS, NULL},
   };
--- a/standin/load_scenario.h
+++ b/standin/load_scenario.h
@@ -85,6 +85,12 @@
   double level;
 };
 
+/** Where an engine's execution record can be read. */
+struct eg_load_record_source
+{
+  char url[EG_LOAD_PATH_OR_URL_BYTES];
+};
+
 /** A whole experiment. */
 struct eg_load_scenario
 {
@@ -106,7 +112,7 @@
   int64_t request_timeout_us;
   double bound_tokens_per_s; /**< 0 if none is given. */
   struct eg_load_recovery_rule recovery;
-  struct eg_load_target *audited; /**< Engines whose records are checked. */
+  struct eg_load_record_source *audited;
   size_t n_audited;
   int64_t audited_layers; /**< Layers of their model. */
 };
