router: requests with an idempotency key run through claims in the store

Cause: a repeat of a certificate or a price change must find the first answer, at any entry VM and after any loss of a reply. Change: router/keyed drives one claim machine a request; placement begins with the claim's dispatch and ends with its finish or release. The client asks before the first byte whether the claim's time is over.

--- a/router/call.c
+++ b/router/call.c
@@ -1,8 +1,10 @@
 #include "router/call.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 
 #include "base/status.h"
+#include "http/json.h"
 
 #define REPLY_SLOTS 64
 /* The last two replies always find room: gathered tokens and the end. */
@@ -46,10 +48,26 @@
   eg_buffer_finish (&self->path);
   eg_buffer_finish (&self->body);
   eg_buffer_finish (&self->prompt);
+  eg_buffer_finish (&self->answer);
   eg_buffer_finish (&self->tokens);
   free (self);
 }
 
+void
+eg_call_write_completion (const struct eg_call *self,
+                          struct eg_str text,
+                          int64_t token_count,
+                          struct eg_buffer *json)
+{
+  eg_buffer_append (json, EG_STR ("{\"id\":"));
+  eg_json_append_string (json, eg_str_from (self->request_id));
+  eg_buffer_append (json, EG_STR (",\"model\":"));
+  eg_json_append_string (json, eg_str_from (self->target));
+  eg_buffer_append (json, EG_STR (",\"text\":"));
+  eg_json_append_string (json, text);
+  eg_buffer_printf (json, ",\"tokens\":%" PRId64 "}", token_count);
+}
+
 struct eg_reply *
 eg_reply_new (enum eg_reply_kind kind)
 {
--- a/router/call.h
+++ b/router/call.h
@@ -76,7 +76,9 @@
 
   /* The decision thread's own. */
   struct eg_outcome outcome;
+  int64_t send_by_us; /**< No attempt begins later; INT64_MAX for no bound. */
   struct eg_reply *gathered; /**< Tokens that wait for room in the ring. */
+  struct eg_buffer answer;   /**< Kept for repeats of a request with a key. */
   struct eg_buffer tokens;   /**< Committed, as the inside of a JSON array. */
   int64_t first_token_us;
   int64_t last_token_us;
@@ -93,6 +95,12 @@
 /** Gives a reference back; the last one frees the call. */
 void eg_call_unref (struct eg_call *self);
 
+/** Appends the answer of a completion that is not streamed. */
+void eg_call_write_completion (const struct eg_call *self,
+                               struct eg_str text,
+                               int64_t token_count,
+                               struct eg_buffer *json);
+
 /** Makes a reply; never NULL. */
 struct eg_reply *eg_reply_new (enum eg_reply_kind kind);
 
--- a/router/callers.c
+++ b/router/callers.c
@@ -135,13 +135,8 @@
       write_last_chunk (exchange, EG_STR ("data: [DONE]\n\n"));
       return;
     }
-  eg_buffer_append (&json, EG_STR ("{\"id\":"));
-  eg_json_append_string (&json, eg_str_from (call->request_id));
-  eg_buffer_append (&json, EG_STR (",\"model\":"));
-  eg_json_append_string (&json, eg_str_from (call->target));
-  eg_buffer_append (&json, EG_STR (",\"text\":"));
-  eg_json_append_string (&json, eg_buffer_view (&exchange->text));
-  eg_buffer_printf (&json, ",\"tokens\":%" PRId64 "}", exchange->token_count);
+  eg_call_write_completion (call, eg_buffer_view (&exchange->text),
+                            exchange->token_count, &json);
   write_whole (exchange, 200, "application/json", 0, eg_buffer_view (&json));
   eg_buffer_finish (&json);
 }
--- a/router/decision.c
+++ b/router/decision.c
@@ -17,6 +17,7 @@
 #include "http/json.h"
 #include "platform/worker.h"
 #include "router/defaults.h"
+#include "router/keyed.h"
 #include "router/message.h"
 #include "router/poller.h"
 
@@ -50,6 +51,8 @@
   struct eg_poller poller;
   struct eg_backend_worker *backend;
   struct eg_platform_worker *platform;
+  struct eg_keyed *keyed;
+  uint64_t seed; /* Random, drawn at the start: names this incarnation. */
   char incarnation[24];
   int64_t next_tick_us;
   int64_t next_vms_us;
@@ -248,6 +251,8 @@
   if (call->tokens.len > 0)
     eg_buffer_append (&call->tokens, EG_STR (","));
   eg_buffer_append (&call->tokens, eg_buffer_view (&json));
+  if (*call->key)
+    eg_buffer_append (&call->answer, token);
   if (call->stream)
     eg_buffer_printf (&reply->events,
                       "data: {\"position\":%" PRId64 ",\"token\":%.*s}\n\n",
@@ -338,6 +343,7 @@
   command->request = call->id;
   command->attempt = action->attempt;
   command->at_most_once = !call->idempotent;
+  command->send_by_us = call->send_by_us == INT64_MAX ? 0 : call->send_by_us;
   memcpy (
       command->address,
       eg_servers_get (self->servers, action->chain.stages[0].server)->address,
@@ -381,16 +387,60 @@
 }
 
 static void
-apply_refuse (struct eg_decision *self,
-              struct eg_call *call,
-              const struct eg_action *action)
+refuse_call (struct eg_decision *self,
+             struct eg_call *call,
+             enum eg_refusal refusal,
+             enum eg_ran ran,
+             int64_t retry_after_us)
 {
   struct eg_reply *reply = eg_reply_new (EG_REPLY_REFUSAL);
 
-  reply->refusal = action->refusal;
-  reply->ran = action->ran;
-  reply->retry_after_us = action->retry_after_us;
-  end_call (self, call, reply, action->refusal);
+  reply->refusal = refusal;
+  reply->ran = ran;
+  reply->retry_after_us = retry_after_us;
+  end_call (self, call, reply, refusal);
+}
+
+static void
+answer_call (struct eg_decision *self,
+             struct eg_call *call,
+             int status,
+             struct eg_str content_type,
+             struct eg_str body)
+{
+  struct eg_reply *reply = eg_reply_new (EG_REPLY_ANSWER);
+
+  reply->http_status = status;
+  eg_str_copy (content_type, reply->content_type, sizeof reply->content_type);
+  eg_buffer_append (&reply->text, body);
+  end_call (self, call, reply, EG_REFUSAL_NONE);
+}
+
+/* Keeps the text of a completion with a key, which a repeat gets as a whole
+   even where the first sending asked for a stream. */
+static void
+keep_completion (struct eg_decision *self, struct eg_call *call)
+{
+  struct eg_buffer json = {0};
+  struct eg_claim_answer answer = {
+      .kept = true,
+      .status = 200,
+      .content_type = EG_STR ("application/json"),
+  };
+
+  eg_call_write_completion (call, eg_buffer_view (&call->answer),
+                            call->token_count, &json);
+  answer.body = eg_buffer_view (&json);
+  eg_keyed_answered (self->keyed, call->id, &answer, eg_clock_now_us ());
+  eg_buffer_finish (&json);
+}
+
+static void
+finish_completion (struct eg_decision *self, struct eg_call *call)
+{
+  if (*call->key)
+    keep_completion (self, call);
+  end_call (self, call, eg_reply_new (EG_REPLY_DONE), EG_REFUSAL_NONE);
 }
 
 static void
@@ -409,11 +459,15 @@
       return;
     case EG_ACTION_FINISH:
       if (call && call->kind == EG_CALL_COMPLETION)
-        end_call (self, call, eg_reply_new (EG_REPLY_DONE), EG_REFUSAL_NONE);
+        finish_completion (self, call);
       return;
     case EG_ACTION_REFUSE:
-      if (call)
-        apply_refuse (self, call, action);
+      if (call && *call->key)
+        eg_keyed_refused (self->keyed, call->id, action->refusal,
+                          eg_clock_now_us ());
+      else if (call)
+        refuse_call (self, call, action->refusal, action->ran,
+                     action->retry_after_us);
       return;
     case EG_ACTION_QUARANTINE:
       eg_log (EG_LOG_WARNING, "lifecycle",
@@ -445,10 +499,9 @@
 }
 
 static void
-handle_call (struct eg_decision *self, struct eg_message *message)
+place_call (struct eg_decision *self, struct eg_call *call, int64_t send_by_us)
 {
-  struct eg_call *call = message->call;
-  struct eg_lifecycle_request request = {
+  const struct eg_lifecycle_request request = {
       .id = call->id,
       .organisation = eg_str_from (call->organisation),
       .class_index = call->class_index,
@@ -458,17 +511,55 @@
       .cost = (uint64_t) call->max_tokens
               + call->prompt.len / COST_BYTES_PER_TOKEN + 1,
       .outcome = &call->outcome,
-      .send_by_us = INT64_MAX,
       .arrived_us = call->arrived_us,
       .deadline_us = call->arrived_us + call->budget_us,
+      .send_by_us = send_by_us,
   };
 
+  call->send_by_us = send_by_us;
+  eg_lifecycle_arrive (self->lifecycle, &request, eg_clock_now_us ());
+}
+
+static void
+on_keyed_dispatch (void *context, struct eg_call *call, int64_t send_by_us)
+{
+  place_call (context, call, send_by_us);
+}
+
+static void
+on_keyed_answer (void *context,
+                 struct eg_call *call,
+                 const struct eg_claim_answer *answer)
+{
+  answer_call (context, call, answer->status, answer->content_type,
+               answer->body);
+}
+
+static void
+on_keyed_refuse (void *context,
+                 struct eg_call *call,
+                 const struct eg_claim_action *refusal)
+{
+  refuse_call (context, call, refusal->refusal, refusal->ran,
+               refusal->retry_after_us);
+}
+
+static void
+handle_call (struct eg_decision *self, struct eg_message *message)
+{
+  struct eg_call *call = message->call;
+
+  eg_map_put (&self->calls, call->id, call);
+  series_of (self, call)->requests++;
+  if (*call->key)
+    {
+      eg_keyed_arrive (self->keyed, call, eg_clock_now_us ());
+      return;
+    }
   eg_outcome_init (&call->outcome, call->idempotent
                                        ? EG_OUTCOME_IDEMPOTENT
                                        : EG_OUTCOME_NON_IDEMPOTENT);
-  eg_map_put (&self->calls, call->id, call);
-  series_of (self, call)->requests++;
-  eg_lifecycle_arrive (self->lifecycle, &request, eg_clock_now_us ());
+  place_call (self, call, INT64_MAX);
 }
 
 static void
@@ -476,7 +567,8 @@
 {
   struct eg_call *call = message->call;
 
-  if (eg_map_remove (&self->calls, call->id))
+  /* A request with a key goes on, so that a repeat finds its answer. */
+  if (!*call->key && eg_map_remove (&self->calls, call->id))
     {
       series_of (self, call)->abandoned++;
       eg_lifecycle_abandon (self->lifecycle, call->id, eg_clock_now_us ());
@@ -510,17 +602,25 @@
 handle_done (struct eg_decision *self, struct eg_backend_event *event)
 {
   struct eg_call *call = eg_map_get (&self->calls, event->request);
-  struct eg_reply *reply;
 
   eg_lifecycle_attempt_done (self->lifecycle, event->request, event->attempt,
                              eg_clock_now_us ());
   if (!call || call->kind != EG_CALL_SERVICE)
     return;
-  reply = eg_reply_new (EG_REPLY_ANSWER);
-  reply->http_status = event->http_status;
-  memcpy (reply->content_type, event->content_type, sizeof reply->content_type);
-  eg_buffer_append (&reply->text, eg_buffer_view (&event->text));
-  end_call (self, call, reply, EG_REFUSAL_NONE);
+  if (*call->key)
+    {
+      const struct eg_claim_answer answer = {
+          .kept = true,
+          .status = event->http_status,
+          .content_type = eg_str_from (event->content_type),
+          .body = eg_buffer_view (&event->text),
+      };
+
+      eg_keyed_answered (self->keyed, call->id, &answer, eg_clock_now_us ());
+    }
+  answer_call (self, call, event->http_status,
+               eg_str_from (event->content_type),
+               eg_buffer_view (&event->text));
 }
 
 static void
@@ -629,7 +729,9 @@
 {
   struct eg_platform_reply *reply = message->platform;
 
-  if (reply->call == EG_PLATFORM_VMS)
+  if (reply->call != EG_PLATFORM_VMS)
+    eg_keyed_reply (self->keyed, reply, eg_clock_now_us ());
+  else
     {
       self->vms_under_way = false;
       if (reply->status == EG_OK)
@@ -710,13 +812,15 @@
   struct eg_lifecycle_counts counts;
 
   eg_lifecycle_tick (self->lifecycle, now_us);
+  eg_keyed_tick (self->keyed, now_us);
   poll_servers (self, now_us);
   read_vm_list (self, now_us);
   /* Without a list a node still answers, with honest refusals. */
   if (!self->draining && now_us - self->started_us > READY_AFTER_US)
     ck_pr_store_uint (&self->ready, 1);
   counts = eg_lifecycle_counts (self->lifecycle);
-  ck_pr_store_uint (&self->busy, counts.queued + counts.running > 0);
+  ck_pr_store_uint (&self->busy, counts.queued + counts.running > 0
+                                     || eg_keyed_count (self->keyed) > 0);
   self->next_tick_us =
       now_us + (counts.queued + counts.running > 0 ? TICK_US : IDLE_TICK_US);
 }
@@ -761,13 +865,22 @@
       .answer_max = (size_t) settings->body_max,
   };
   const struct eg_backend_sink backend_sink = {on_backend_event, self};
+  const struct eg_keyed_callbacks keyed_callbacks = {
+      .dispatch = on_keyed_dispatch,
+      .answer = on_keyed_answer,
+      .refuse = on_keyed_refuse,
+      .context = self,
+  };
   const struct eg_platform_sink platform_sink = {on_platform_reply, self};
 
   self->backend = eg_backend_worker_new (&backend, &backend_sink);
   self->platform =
       eg_platform_worker_new (settings->platform_address, &platform_sink);
-  return self->backend && self->platform
-         && pthread_create (&self->thread, NULL, run, self) == 0;
+  if (!self->backend || !self->platform)
+    return false;
+  self->keyed =
+      eg_keyed_new (self->platform, self->seed, ~self->seed, &keyed_callbacks);
+  return pthread_create (&self->thread, NULL, run, self) == 0;
 }
 
 struct eg_decision *
@@ -775,19 +888,20 @@
                  struct eg_error *error)
 {
   struct eg_decision *self = calloc (1, sizeof *self);
-  uint64_t seed = eg_random_system_seed ();
 
   EG_INVARIANT (self != NULL);
   self->settings = settings;
+  self->seed = eg_random_system_seed ();
   self->ring.event_fd = -1;
   self->started_us = eg_clock_now_us ();
   self->poller.interval_us = settings->poll_interval_ms * EG_US_PER_MS;
-  snprintf (self->incarnation, sizeof self->incarnation, "%016" PRIx64, seed);
+  snprintf (self->incarnation, sizeof self->incarnation, "%016" PRIx64,
+            self->seed);
   eg_defaults_lifecycle (settings, &self->config);
   self->servers = eg_servers_new ();
   if (self->servers)
-    self->lifecycle =
-        eg_lifecycle_new (&self->config, self->servers, eg_hash_mix (seed));
+    self->lifecycle = eg_lifecycle_new (&self->config, self->servers,
+                                        eg_hash_mix (self->seed));
   if (self->lifecycle && eg_ring_init (&self->ring, RING_SLOTS))
     self->started = start_workers (self);
   if (self->started)
@@ -822,6 +936,7 @@
   while ((call = eg_map_next (&self->calls, &cursor)))
     eg_call_unref (call);
   eg_map_finish (&self->calls);
+  eg_keyed_free (self->keyed);
   eg_lifecycle_free (self->lifecycle);
   eg_servers_free (self->servers);
   eg_metrics_finish (&self->metrics);
--- /dev/null
+++ b/router/keyed.c
@@ -0,0 +1,288 @@
+#include "router/keyed.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/map.h"
+#include "base/status.h"
+
+#define STORE_TIMEOUT_US EG_US_PER_S
+/* A tag holds the id of the request and the low bits of the operation. */
+#define TAG_OPERATION_BITS 16
+#define TAG_OPERATION_MASK ((UINT64_C (1) << TAG_OPERATION_BITS) - 1)
+
+static const struct eg_claim_config claim_config = {
+    .dispatch_max_us = 10 * EG_US_PER_S,
+    .wait_max_us = 10 * EG_US_PER_S,
+    .backoff_min_us = 5 * EG_US_PER_MS,
+    .backoff_max_us = 200 * EG_US_PER_MS,
+    .background_max_us = 60 * EG_US_PER_S,
+    .retry_after_us = EG_US_PER_S,
+    .answer_bytes_max = 65536,
+};
+
+struct sending
+{
+  struct eg_claim claim;
+  struct eg_call *call; /* Holds the outcome that the claim points to. */
+  struct eg_buffer object_key;
+};
+
+struct eg_keyed
+{
+  struct eg_platform_worker *platform;
+  struct eg_keyed_callbacks callbacks;
+  struct eg_random random;
+  uint64_t incarnation;
+  struct eg_map sendings;
+};
+
+struct eg_keyed *
+eg_keyed_new (struct eg_platform_worker *platform,
+              uint64_t incarnation,
+              uint64_t seed,
+              const struct eg_keyed_callbacks *callbacks)
+{
+  struct eg_keyed *self = calloc (1, sizeof *self);
+
+  EG_INVARIANT (self != NULL);
+  self->platform = platform;
+  self->callbacks = *callbacks;
+  self->incarnation = incarnation;
+  eg_random_init (&self->random, seed);
+  return self;
+}
+
+static void
+free_sending (struct sending *sending)
+{
+  eg_claim_finish (&sending->claim);
+  eg_buffer_finish (&sending->object_key);
+  eg_call_unref (sending->call);
+  free (sending);
+}
+
+void
+eg_keyed_free (struct eg_keyed *self)
+{
+  struct sending *sending;
+  size_t cursor = 0;
+
+  if (!self)
+    return;
+  while ((sending = eg_map_next (&self->sendings, &cursor)))
+    free_sending (sending);
+  eg_map_finish (&self->sendings);
+  free (self);
+}
+
+static const enum eg_platform_call action_calls[] = {
+    [EG_CLAIM_ACTION_GET] = EG_PLATFORM_GET,
+    [EG_CLAIM_ACTION_PUT_NEW] = EG_PLATFORM_CREATE,
+    [EG_CLAIM_ACTION_PUT_MATCH] = EG_PLATFORM_UPDATE,
+};
+
+static void
+send_to_store (struct eg_keyed *self,
+               struct sending *sending,
+               const struct eg_claim_action *action)
+{
+  uint64_t tag = (sending->call->id << TAG_OPERATION_BITS)
+                 | (action->operation & TAG_OPERATION_MASK);
+  struct eg_platform_command *command =
+      eg_platform_command_new (action_calls[action->type], tag);
+
+  eg_str_copy (eg_buffer_view (&sending->object_key), command->key,
+               sizeof command->key);
+  command->version = action->version;
+  command->timeout_us = STORE_TIMEOUT_US;
+  if (action->record)
+    eg_claim_record_encode (action->record, &command->value);
+  if (eg_platform_worker_push (self->platform, command))
+    return;
+  /* The claim's own timers settle an operation that never gets a reply. */
+  eg_platform_command_free (command);
+}
+
+static void
+apply (struct eg_keyed *self,
+       struct sending *sending,
+       const struct eg_claim_action *action)
+{
+  void *context = self->callbacks.context;
+
+  switch (action->type)
+    {
+    case EG_CLAIM_ACTION_GET:
+    case EG_CLAIM_ACTION_PUT_NEW:
+    case EG_CLAIM_ACTION_PUT_MATCH:
+      send_to_store (self, sending, action);
+      return;
+    case EG_CLAIM_ACTION_DISPATCH:
+      self->callbacks.dispatch (context, sending->call,
+                                eg_claim_send_by_us (&sending->claim));
+      return;
+    case EG_CLAIM_ACTION_ANSWER:
+      self->callbacks.answer (context, sending->call, &action->answer);
+      return;
+    case EG_CLAIM_ACTION_REFUSE:
+      self->callbacks.refuse (context, sending->call, action);
+      return;
+    }
+}
+
+static void
+update (struct eg_keyed *self,
+        struct sending *sending,
+        const struct eg_claim_event *event,
+        int64_t now_us)
+{
+  struct eg_claim_actions actions;
+
+  eg_claim_update (&sending->claim, event, now_us, &self->random, &actions);
+  for (size_t i = 0; i < actions.count; i++)
+    apply (self, sending, &actions.items[i]);
+  if (!eg_claim_is_closed (&sending->claim))
+    return;
+  eg_map_remove (&self->sendings, sending->call->id);
+  free_sending (sending);
+}
+
+void
+eg_keyed_arrive (struct eg_keyed *self, struct eg_call *call, int64_t now_us)
+{
+  const struct eg_claim_event event = {.type = EG_CLAIM_EVENT_START};
+  const struct eg_claim_start start = {
+      .nonce = {self->incarnation, call->id},
+      .fingerprint = eg_claim_fingerprint (eg_str_from (call->method),
+                                           eg_buffer_view (&call->path),
+                                           eg_buffer_view (&call->body)),
+      .now_us = now_us,
+      .claimed_wall_us = eg_clock_wall_us (),
+      .deadline_us = call->arrived_us + call->budget_us,
+  };
+  struct sending *sending = calloc (1, sizeof *sending);
+
+  EG_INVARIANT (sending != NULL);
+  sending->call = eg_call_ref (call);
+  eg_outcome_init (&call->outcome, EG_OUTCOME_KEYED);
+  eg_claim_object_key (&sending->object_key, eg_str_from (call->organisation),
+                       eg_str_from (call->key));
+  eg_claim_init (&sending->claim, &claim_config, &call->outcome, &start);
+  eg_map_put (&self->sendings, call->id, sending);
+  update (self, sending, &event, now_us);
+}
+
+static enum eg_claim_event_type
+write_event (enum eg_status status)
+{
+  if (status == EG_OK)
+    return EG_CLAIM_EVENT_WRITTEN;
+  if (status == EG_CONFLICT || status == EG_NOT_FOUND)
+    return EG_CLAIM_EVENT_CONFLICT;
+  return EG_CLAIM_EVENT_LOST;
+}
+
+static enum eg_claim_event_type
+read_event (const struct eg_platform_reply *reply,
+            struct eg_claim_record *record,
+            struct eg_buffer *storage)
+{
+  struct eg_error error;
+
+  if (reply->status == EG_NOT_FOUND)
+    return EG_CLAIM_EVENT_MISSING;
+  if (reply->status != EG_OK)
+    return EG_CLAIM_EVENT_LOST;
+  if (eg_claim_record_decode (record, eg_buffer_view (&reply->value), storage,
+                              &error)
+      == EG_OK)
+    return EG_CLAIM_EVENT_FOUND;
+  eg_log (EG_LOG_ERROR, "keyed", "event=bad-claim key=%s cause=%s", reply->key,
+          error.message);
+  return EG_CLAIM_EVENT_LOST;
+}
+
+bool
+eg_keyed_reply (struct eg_keyed *self,
+                const struct eg_platform_reply *reply,
+                int64_t now_us)
+{
+  struct sending *sending =
+      eg_map_get (&self->sendings, reply->tag >> TAG_OPERATION_BITS);
+  struct eg_buffer storage = {0};
+  struct eg_claim_record record;
+  struct eg_claim_event event = {
+      .operation = (uint32_t) (reply->tag & TAG_OPERATION_MASK),
+      .version = reply->version,
+      .record = &record,
+  };
+
+  if (!sending)
+    return false;
+  event.type = reply->call == EG_PLATFORM_GET
+                   ? read_event (reply, &record, &storage)
+                   : write_event (reply->status);
+  update (self, sending, &event, now_us);
+  eg_buffer_finish (&storage);
+  return true;
+}
+
+void
+eg_keyed_answered (struct eg_keyed *self,
+                   uint64_t id,
+                   const struct eg_claim_answer *answer,
+                   int64_t now_us)
+{
+  const struct eg_claim_event event = {.type = EG_CLAIM_EVENT_ANSWERED,
+                                       .answer = *answer};
+  struct sending *sending = eg_map_get (&self->sendings, id);
+
+  if (sending)
+    update (self, sending, &event, now_us);
+}
+
+void
+eg_keyed_refused (struct eg_keyed *self,
+                  uint64_t id,
+                  enum eg_refusal refusal,
+                  int64_t now_us)
+{
+  const struct eg_claim_event event = {.type = EG_CLAIM_EVENT_REFUSE,
+                                       .refusal = refusal};
+  struct sending *sending = eg_map_get (&self->sendings, id);
+
+  if (sending)
+    update (self, sending, &event, now_us);
+}
+
+/* Returns a claim whose time has come, or NULL. */
+static struct sending *
+next_due (const struct eg_keyed *self, int64_t now_us)
+{
+  struct sending *sending;
+  size_t cursor = 0;
+
+  while ((sending = eg_map_next (&self->sendings, &cursor)))
+    if (eg_claim_wake_us (&sending->claim) <= now_us)
+      return sending;
+  return NULL;
+}
+
+void
+eg_keyed_tick (struct eg_keyed *self, int64_t now_us)
+{
+  const struct eg_claim_event event = {.type = EG_CLAIM_EVENT_TIME};
+  size_t left = self->sendings.count;
+  struct sending *sending;
+
+  while (left-- > 0 && (sending = next_due (self, now_us)))
+    update (self, sending, &event, now_us);
+}
+
+size_t
+eg_keyed_count (const struct eg_keyed *self)
+{
+  return self->sendings.count;
+}
