test: the whole path through one entry VM, with faults of every stand-in

Bad input of eleven kinds, a body cut short, each stage dead or silent in the middle of an answer, a lost reply of a service and of the store, the store down, a request that crashes servers, and a planned stop. A malformed Content-Length got the HTTP library's 411; it is a 400 now, as the contract says. Plain services get the idempotency key.

--- a/backend/worker.c
+++ b/backend/worker.c
@@ -17,6 +17,7 @@
 
 #define RING_SLOTS 16384
 #define IDLE_WAIT_US (100 * EG_US_PER_MS)
+#define HEADERS_MAX 4
 #define POLL_ANSWER_MAX ((size_t) 64 * 1024)
 
 /* One attempt, poll or cancellation under way. */
@@ -311,6 +312,7 @@
       {EG_STR ("Content-Type"), eg_str_from (command->content_type)},
       {EG_STR ("X-Request-Id"), eg_str_from (command->request_id)},
       {EG_STR ("X-Organisation"), eg_str_from (command->organisation)},
+      {EG_STR ("Idempotency-Key"), eg_str_from (command->key)},
   };
   size_t count = 0;
 
@@ -325,7 +327,7 @@
 {
   const struct command_driver *driver = &drivers[command->kind];
   struct job *job = add_job (self, command);
-  struct eg_http_header headers[3];
+  struct eg_http_header headers[HEADERS_MAX];
   struct eg_http_request request = {
       .method = driver->method ? driver->method : command->method,
       .address = command->address,
--- a/router/callers.c
+++ b/router/callers.c
@@ -349,6 +349,9 @@
 {
   struct eg_buffer json = {0};
 
+  /* A request that cannot be read is malformed, however the library puts it. */
+  if (status >= 400 && status < 500 && status != 404)
+    status = 400;
   eg_buffer_printf (&json,
                     "{\"type\":\"%s\",\"title\":\"%s\",\"status\":%d,"
                     "\"detail\":",
--- a/router/decision.c
+++ b/router/decision.c
@@ -326,6 +326,7 @@
           sizeof command->content_type);
   memcpy (command->organisation, call->organisation,
           sizeof command->organisation);
+  memcpy (command->key, call->key, sizeof command->key);
   command->timeout_us = call->arrived_us + call->budget_us - now_us;
 }
 
--- /dev/null
+++ b/test/path_fixture.h
@@ -0,0 +1,56 @@
+/* One entry VM and stand-ins for all that it meets, in this process. */
+#ifndef EG_TEST_PATH_FIXTURE_H
+#define EG_TEST_PATH_FIXTURE_H
+
+#include <jansson.h>
+
+#include "base/buffer.h"
+#include "router/callers.h"
+#include "router/operators.h"
+#include "standin/host.h"
+
+#define CALLERS "127.0.0.1:17801"
+#define OPERATORS "127.0.0.1:17802"
+#define PLATFORM "127.0.0.1:17800"
+#define ADMIN "127.0.0.1:17899"
+#define SERVICE "127.0.0.1:17821"
+
+struct path_fixture
+{
+  struct eg_router_settings settings;
+  struct eg_host *host;
+  struct eg_decision *decision;
+  struct eg_callers *callers;
+  struct eg_operators *operators;
+};
+
+/* An HTTP answer, as a caller sees it. */
+struct path_answer
+{
+  long status;
+  struct eg_buffer body;
+};
+
+/* Starts everything and waits until the node knows each backend server. */
+void path_fixture_init (struct path_fixture *self);
+void path_fixture_finish (struct path_fixture *self);
+
+/* Sends one request; headers end with NULL, body NULL sends none. */
+void path_call (const char *method,
+                const char *url,
+                const char *const *headers,
+                const char *body,
+                struct path_answer *answer);
+void path_answer_finish (struct path_answer *answer);
+
+/* Brings about a fault of the stand-in at an address, or ends all of them. */
+void path_fault (const char *address, const char *fault);
+void path_heal (const char *address);
+
+/* Returns what ran on the stand-in at an address. */
+json_t *path_record (const char *address);
+
+/* Sends bytes on a bare connection and gathers the answer. */
+void path_raw (const char *bytes, bool half_close, struct eg_buffer *answer);
+
+#endif
--- /dev/null
+++ b/test/test_path.c
@@ -0,0 +1,420 @@
+/* The whole path through one entry VM, against stand-ins with faults. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <curl/curl.h>
+#include <pthread.h>
+
+#include "standin/token.h"
+#include "test/path_fixture.h"
+
+#define COMPLETIONS CALLERS "/v1/completions"
+#define BOOKINGS CALLERS "/services/app/bookings"
+
+static struct path_fixture fixture;
+static const char *const organisation[] = {"X-Organisation: temple", NULL};
+
+static int
+set_up (void **state)
+{
+  (void) state;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  path_fixture_init (&fixture);
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  (void) state;
+  path_fixture_finish (&fixture);
+  curl_global_cleanup ();
+  return 0;
+}
+
+static void
+expect_refusal (const struct path_answer *answer,
+                long status,
+                const char *type,
+                const char *ran)
+{
+  json_t *problem = json_loadb (answer->body.data, answer->body.len, 0, NULL);
+
+  if (!problem || answer->status != status)
+    fail_msg ("status %ld, body %s", answer->status, answer->body.data);
+  assert_string_equal (json_string_value (json_object_get (problem, "type")),
+                       type);
+  assert_string_equal (json_string_value (json_object_get (problem, "ran")),
+                       ran);
+  assert_int_equal (json_integer_value (json_object_get (problem, "status")),
+                    status);
+  json_decref (problem);
+}
+
+static void
+test_bad_input_is_refused (void **state)
+{
+  static const char *const none[] = {NULL};
+  static const char *const bad_class[] = {"X-Organisation: o", "X-Class: gold",
+                                          NULL};
+  static const char *const bad_deadline[] = {"X-Organisation: o",
+                                             "X-Deadline-Ms: soon", NULL};
+  static const char *const bad_name[] = {"X-Organisation: a\"b", NULL};
+  static const struct
+  {
+    const char *const *headers;
+    const char *body;
+    long status;
+    const char *type;
+  } cases[] = {
+      {none, "{}", 401, "no-organisation"},
+      {organisation, "{", 400, "malformed"},
+      {organisation, "[]", 400, "malformed"},
+      {organisation, "{\"model\":\"m\"}", 400, "malformed"},
+      {organisation, "{\"model\":\"m\",\"prompt\":1}", 400, "malformed"},
+      {organisation, "{\"model\":\"m\",\"prompt\":\"p\",\"x\":1}", 400,
+       "malformed"},
+      {organisation, "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":0}", 400,
+       "malformed"},
+      {organisation, "{\"model\":\"none\",\"prompt\":\"p\"}", 404,
+       "unknown-model"},
+      {bad_class, "{\"model\":\"m\",\"prompt\":\"p\"}", 400, "malformed"},
+      {bad_deadline, "{\"model\":\"m\",\"prompt\":\"p\"}", 400, "malformed"},
+      {bad_name, "{\"model\":\"m\",\"prompt\":\"p\"}", 400, "malformed"},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct path_answer answer;
+
+      path_call ("POST", COMPLETIONS, cases[i].headers, cases[i].body, &answer);
+      expect_refusal (&answer, cases[i].status, cases[i].type, "no");
+      path_answer_finish (&answer);
+    }
+}
+
+static void
+test_long_body_is_refused (void **state)
+{
+  char *body = malloc (100001);
+  struct path_answer answer;
+
+  (void) state;
+  memset (body, 'x', 100000);
+  body[100000] = '\0';
+  path_call ("POST", COMPLETIONS, organisation, body, &answer);
+  expect_refusal (&answer, 413, "too-large", "no");
+  path_answer_finish (&answer);
+  free (body);
+}
+
+static void
+test_broken_requests_get_an_answer (void **state)
+{
+  static const char *const cases[] = {
+      "POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Organisation: o\r\n"
+      "Content-Length: 100\r\n\r\n{\"model\"",
+      "GET\r\n\r\n",
+      "POST /v1/completions HTTP/1.1\r\nno colon\r\n\r\n",
+      "POST /v1/completions HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct eg_buffer answer = {0};
+
+      path_raw (cases[i], true, &answer);
+      if (!strstr (eg_buffer_text (&answer), " 400 "))
+        fail_msg ("case %zu: %s", i, answer.data);
+      eg_buffer_finish (&answer);
+    }
+}
+
+/* Checks that a stream holds tokens 1 to count of the prompt, and its end. */
+static void
+expect_stream (const struct path_answer *answer,
+               const char *prompt,
+               int64_t count)
+{
+  struct eg_buffer expected = {0};
+
+  for (int64_t i = 1; i <= count; i++)
+    {
+      char token[EG_TOKEN_BYTES];
+
+      eg_token_text (eg_str_from (prompt), i, token);
+      eg_buffer_printf (&expected,
+                        "data: {\"position\":%d,\"token\":\"%s\"}\n\n", (int) i,
+                        token);
+    }
+  eg_buffer_printf (&expected, "data: [DONE]\n\n");
+  assert_string_equal (answer->body.data, eg_buffer_text (&expected));
+  eg_buffer_finish (&expected);
+}
+
+static void
+stream (const char *prompt, int64_t tokens, struct path_answer *answer)
+{
+  char body[256];
+
+  snprintf (body, sizeof body,
+            "{\"model\":\"m\",\"prompt\":\"%s\",\"max_tokens\":%d,"
+            "\"stream\":true}",
+            prompt, (int) tokens);
+  path_call ("POST", COMPLETIONS, organisation, body, answer);
+}
+
+static const char *const engines[] = {"127.0.0.1:17811", "127.0.0.1:17812",
+                                      "127.0.0.1:17813", "127.0.0.1:17814",
+                                      "127.0.0.1:17815", "127.0.0.1:17816"};
+
+#define ENGINES (sizeof engines / sizeof engines[0])
+
+/* Checks that no stage ran a position of one attempt twice or out of order.
+   Returns how many runs were seen. */
+static size_t
+check_records (void)
+{
+  size_t seen = 0;
+
+  for (size_t i = 0; i < ENGINES; i++)
+    {
+      json_t *runs = path_record (engines[i]);
+      const char *request = "";
+      json_int_t attempt = 0;
+      json_int_t position = 0;
+      json_t *run;
+      size_t index;
+
+      json_array_foreach (runs, index, run)
+      {
+        const char *this_request =
+            json_string_value (json_object_get (run, "request"));
+        json_int_t this_attempt =
+            json_integer_value (json_object_get (run, "attempt"));
+        json_int_t this_position =
+            json_integer_value (json_object_get (run, "position"));
+
+        if (strcmp (request, this_request) == 0 && attempt == this_attempt)
+          assert_int_equal (this_position, position + 1);
+        request = this_request;
+        attempt = this_attempt;
+        position = this_position;
+        seen++;
+      }
+    }
+  return seen;
+}
+
+static void
+test_stream_is_whole (void **state)
+{
+  struct path_answer answer;
+
+  (void) state;
+  stream ("plain", 20, &answer);
+  assert_int_equal (answer.status, 200);
+  expect_stream (&answer, "plain", 20);
+  path_answer_finish (&answer);
+  /* Two stages ran each of the twenty tokens. */
+  assert_int_equal (check_records (), 40);
+}
+
+/* Whatever stage dies or hangs, the caller sees no gap and no repeat. */
+static void
+test_stream_survives_each_stage (void **state)
+{
+  static const char *const faults[] = {
+      "{\"fault\":\"die\",\"after_tokens\":7}",
+      "{\"fault\":\"hang\"}",
+  };
+
+  (void) state;
+  for (size_t f = 0; f < sizeof faults / sizeof faults[0]; f++)
+    for (size_t i = 0; i < ENGINES; i++)
+      {
+        char prompt[32];
+        struct path_answer answer;
+
+        snprintf (prompt, sizeof prompt, "fault %zu at %zu", f, i);
+        path_fault (engines[i], faults[f]);
+        stream (prompt, 30, &answer);
+        if (answer.status != 200)
+          fail_msg ("%s: %ld %s", prompt, answer.status, answer.body.data);
+        expect_stream (&answer, prompt, 30);
+        path_answer_finish (&answer);
+        path_heal (engines[i]);
+      }
+  check_records ();
+}
+
+static size_t
+count_bookings (void)
+{
+  json_t *runs = path_record (SERVICE);
+  size_t count = 0;
+  json_t *run;
+  size_t index;
+
+  json_array_foreach (runs, index, run) count +=
+      strcmp (json_string_value (json_object_get (run, "path")), "/bookings")
+      == 0;
+  return count;
+}
+
+static void
+test_non_idempotent_call_is_not_repeated (void **state)
+{
+  size_t before = count_bookings ();
+  struct path_answer answer;
+
+  (void) state;
+  path_fault (SERVICE, "{\"fault\":\"lose-reply\",\"count\":1}");
+  path_call ("POST", BOOKINGS, organisation, "seat 4", &answer);
+  expect_refusal (&answer, 503, "backend-failed", "unknown");
+  path_answer_finish (&answer);
+  assert_int_equal (count_bookings (), before + 1);
+}
+
+static void
+test_idempotent_call_is_repeated (void **state)
+{
+  struct path_answer answer;
+
+  (void) state;
+  path_fault (SERVICE, "{\"fault\":\"lose-reply\",\"count\":1}");
+  path_call ("GET", CALLERS "/services/app/search?q=x", organisation, NULL,
+             &answer);
+  assert_int_equal (answer.status, 200);
+  path_answer_finish (&answer);
+}
+
+static void
+test_key_runs_once (void **state)
+{
+  static const char *const keyed[] = {"X-Organisation: temple",
+                                      "Idempotency-Key: certificate-7", NULL};
+  size_t before = count_bookings ();
+  struct path_answer first;
+  struct path_answer second;
+
+  (void) state;
+  path_fault (PLATFORM, "{\"fault\":\"lose-reply\",\"count\":1}");
+  path_call ("POST", BOOKINGS, keyed, "seat 5", &first);
+  assert_int_equal (first.status, 200);
+  path_call ("POST", BOOKINGS, keyed, "seat 5", &second);
+  assert_int_equal (second.status, 200);
+  assert_string_equal (first.body.data, second.body.data);
+  path_answer_finish (&second);
+  path_call ("POST", BOOKINGS, keyed, "seat 6", &second);
+  expect_refusal (&second, 422, "key-reused", "no");
+  assert_int_equal (count_bookings (), before + 1);
+  path_answer_finish (&first);
+  path_answer_finish (&second);
+}
+
+static void
+test_key_with_store_down (void **state)
+{
+  static const char *const keyed[] = {"X-Organisation: temple",
+                                      "Idempotency-Key: certificate-8",
+                                      "X-Deadline-Ms: 500", NULL};
+  size_t before = count_bookings ();
+  struct path_answer answer;
+
+  (void) state;
+  path_fault (PLATFORM, "{\"fault\":\"down\"}");
+  path_call ("POST", BOOKINGS, keyed, "seat 7", &answer);
+  expect_refusal (&answer, 503, "store-down", "unknown");
+  path_answer_finish (&answer);
+  /* Idempotent traffic does not need the store. */
+  stream ("store down", 5, &answer);
+  expect_stream (&answer, "store down", 5);
+  path_answer_finish (&answer);
+  path_heal (PLATFORM);
+  assert_int_equal (count_bookings (), before);
+}
+
+static void
+test_crashing_request_is_quarantined (void **state)
+{
+  struct path_answer answer;
+
+  (void) state;
+  for (size_t i = 0; i < ENGINES; i++)
+    path_fault (engines[i], "{\"fault\":\"crash-on\",\"prompt\":\"poison\"}");
+  stream ("poison", 5, &answer);
+  expect_refusal (&answer, 503, "quarantined", "unknown");
+  path_answer_finish (&answer);
+  stream ("poison", 5, &answer);
+  expect_refusal (&answer, 503, "quarantined", "no");
+  path_answer_finish (&answer);
+  for (size_t i = 0; i < ENGINES; i++)
+    path_heal (engines[i]);
+}
+
+static void *
+stream_in_thread (void *context)
+{
+  stream ("in flight", 200, context);
+  return NULL;
+}
+
+static void
+count_running (void *context, const struct eg_decision_view *view)
+{
+  *(uint64_t *) context = eg_lifecycle_counts (view->lifecycle).running;
+}
+
+/* The last test, as the node takes no work after it. */
+static void
+test_planned_stop_cuts_nothing (void **state)
+{
+  struct path_answer streamed;
+  struct path_answer answer;
+  uint64_t running = 0;
+  pthread_t thread;
+
+  (void) state;
+  pthread_create (&thread, NULL, stream_in_thread, &streamed);
+  while (running == 0)
+    eg_decision_inquire (fixture.decision, count_running, &running);
+  eg_decision_stop (fixture.decision);
+  path_call ("GET", CALLERS "/health", NULL, NULL, &answer);
+  assert_int_equal (answer.status, 503);
+  path_answer_finish (&answer);
+  stream ("too late", 5, &answer);
+  expect_refusal (&answer, 503, "stopping", "no");
+  path_answer_finish (&answer);
+  pthread_join (thread, NULL);
+  expect_stream (&streamed, "in flight", 200);
+  path_answer_finish (&streamed);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_bad_input_is_refused),
+      cmocka_unit_test (test_long_body_is_refused),
+      cmocka_unit_test (test_broken_requests_get_an_answer),
+      cmocka_unit_test (test_stream_is_whole),
+      cmocka_unit_test (test_stream_survives_each_stage),
+      cmocka_unit_test (test_non_idempotent_call_is_not_repeated),
+      cmocka_unit_test (test_idempotent_call_is_repeated),
+      cmocka_unit_test (test_key_runs_once),
+      cmocka_unit_test (test_key_with_store_down),
+      cmocka_unit_test (test_crashing_request_is_quarantined),
+      cmocka_unit_test (test_planned_stop_cuts_nothing),
+  };
+
+  return cmocka_run_group_tests (tests, set_up, tear_down);
+}
