--- a/http/client.h
+++ b/http/client.h
@@ -33,7 +33,8 @@
 struct eg_http_result
 {
   enum eg_http_outcome outcome;
-  int status; /**< HTTP status, or 0 if none came. */
+  int status;     /**< HTTP status, or 0 if none came. */
+  bool timed_out; /**< Whether silence ended it, before or after it was sent. */
   char content_type[EG_HTTP_VALUE_BYTES];
   char etag[EG_HTTP_VALUE_BYTES];
   struct eg_str body; /**< Empty if @c on_data took it. */
@@ -58,7 +59,9 @@
   struct eg_str body; /**< `data` NULL for no body. */
   int64_t connect_timeout_us;
   int64_t timeout_us; /**< For the whole transfer; 0 for none. */
-  size_t body_max;    /**< Longest answer taken, in bytes; 0 for no bound. */
+  /** No byte leaves after this monotonic time; 0 for no bound. */
+  int64_t send_by_us;
+  size_t body_max; /**< Longest answer taken, in bytes; 0 for no bound. */
 
   /**
    * Whether the request must go out at most once. It gets a connection of its
