--- a/test/property_placement.cc
+++ b/test/property_placement.cc
@@ -1,5 +1,6 @@
 /* Properties of placement: whole chains, stops, failure domains, affinity. */
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 #include "test/fleet.h"
@@ -12,14 +13,15 @@
 {
   return rc::gen::exec ([=] () -> fleet_server {
     uint32_t first = *rc::gen::inRange<uint32_t> (1, layers + 1);
-    uint32_t last = *rc::gen::inRange<uint32_t> (first, layers + 1);
+    uint32_t length = *rc::gen::inRange<uint32_t> (0, 3);
+    uint32_t last = std::min (first + length, layers);
 
     return {
         *rc::gen::inRange<unsigned> (0, domain_count),
         *rc::gen::inRange<unsigned> (0, 2),
         first,
         last,
-        *rc::gen::weightedElement<uint32_t> ({{1, 1}, {1, SLOTS}}),
+        *rc::gen::weightedElement<uint32_t> ({{3, 1}, {1, SLOTS}}),
         *rc::gen::weightedElement<unsigned> ({{8, 0},
                                               {1, EG_SERVER_LEAVING_LIST},
                                               {1, EG_SERVER_LEAVING_ANSWER},
@@ -109,11 +111,11 @@
 static void
 whole_chains ()
 {
-  uint32_t layers = *rc::gen::inRange<uint32_t> (1, 7);
+  uint32_t layers = *rc::gen::inRange<uint32_t> (3, 8);
   unsigned domain_count = *rc::gen::element (1u, 3u, 8u);
-  auto fleet =
-      *rc::gen::resize (40, rc::gen::container<std::vector<fleet_server> > (
-                                any_server (layers, domain_count)));
+  unsigned size = *rc::gen::inRange (0u, 40u);
+  auto fleet = *rc::gen::container<std::vector<fleet_server> > (
+      size, any_server (layers, domain_count));
   auto excluded = *rc::gen::container<std::set<uint32_t> > (
       2, rc::gen::inRange<uint32_t> (0, 40));
   domains d (domain_count);
@@ -137,8 +139,10 @@
 static void
 nearest_with_room ()
 {
+  uint32_t full_weight = *rc::gen::inRange<uint32_t> (1, 40);
   auto running = *rc::gen::container<std::vector<uint32_t> > (
-      9, rc::gen::inRange<uint32_t> (0, SLOTS + 1));
+      90, rc::gen::weightedElement<uint32_t> (
+              {{1, SLOTS - 1}, {full_weight, SLOTS}}));
   domains d (3);
   table t (*rc::gen::arbitrary<uint64_t> ());
   struct eg_placement_query query = {EG_STR ("app"), EG_STR (""), 0, {}, 0};
@@ -199,6 +203,93 @@
   eg_prefix_table_free (prefixes);
 }
 
+/* The least time from a place on, with @p done layers run. */
+static double
+least_time (const std::vector<eg_chain_candidate> &candidates,
+            const struct eg_chain_links &links,
+            uint32_t layers,
+            uint32_t done,
+            uint32_t place)
+{
+  double best = done == layers ? 0 : INFINITY;
+
+  for (const eg_chain_candidate &c : candidates)
+    if (c.stage.first_layer == done + 1)
+      best = std::min (
+          best, c.time_us
+                    + (double) links.latency_us[place * links.count + c.place]
+                    + least_time (candidates, links, layers, c.stage.last_layer,
+                                  c.place));
+  return best;
+}
+
+/* No other chain takes less time than the one found. */
+static void
+chains_take_least_time ()
+{
+  const uint32_t layers = 6;
+  auto latency_us = *rc::gen::container<std::vector<int64_t> > (
+      9, rc::gen::inRange<int64_t> (0, 2000));
+  auto candidates = *rc::gen::container<std::vector<eg_chain_candidate> > (
+      15, rc::gen::exec ([=] () -> eg_chain_candidate {
+        uint32_t first = *rc::gen::inRange<uint32_t> (1, layers + 1);
+
+        return {{0, first, *rc::gen::inRange (first, layers + 1)},
+                *rc::gen::inRange<uint32_t> (0, 3),
+                (double) *rc::gen::inRange (1, 5000)};
+      }));
+  struct eg_chain_links links = {latency_us.data (), 3};
+  struct eg_chain chain;
+  double found;
+  double least = least_time (candidates, links, layers, 0, 0);
+
+  std::sort (candidates.begin (), candidates.end (),
+             [] (const auto &a, const auto &b) {
+               return a.stage.first_layer < b.stage.first_layer;
+             });
+  found = eg_chain_find (candidates.data (), candidates.size (), layers, &links,
+                         &chain);
+  RC_ASSERT (found == least);
+  RC_ASSERT (found == INFINITY || eg_chain_tiles (&chain, layers));
+}
+
+/* Where the quickest chain has too many stages, another is taken. */
+static void
+chains_are_bounded ()
+{
+  uint32_t layers = *rc::gen::inRange<uint32_t> (2, 60);
+  const int64_t latency_us = 0;
+  std::vector<eg_chain_candidate> candidates = {{{0, 1, layers}, 0, 1e9}};
+  struct eg_chain_links links = {&latency_us, 1};
+  struct eg_chain chain;
+
+  for (uint32_t layer = 1; layer <= layers; layer++)
+    candidates.push_back ({{0, layer, layer}, 0, 1});
+  RC_ASSERT (eg_chain_find (candidates.data (), candidates.size (), layers,
+                            &links, &chain)
+             < INFINITY);
+  RC_ASSERT (eg_chain_tiles (&chain, layers));
+  RC_ASSERT (chain.count == (layers <= EG_CHAIN_MAX ? layers : 1));
+}
+
+/* A report that says full is believed only until it is stale. */
+static void
+stale_reports_do_not_block ()
+{
+  int64_t now_us = *rc::gen::inRange<int64_t> (0, 2 * EG_REPORT_STALE_US);
+  domains d (1);
+  table t (1);
+  struct eg_server_report report = plain_report (SLOTS, SLOTS, 0);
+  struct eg_placement_query query = {EG_STR ("app"), EG_STR (""), 0, {}, 0};
+  struct eg_chain chain;
+
+  eg_servers_report (t.servers, t.add (0, 0), &report, 0);
+  RC_ASSERT (eg_placement_choose (&d.config, t.servers, &query, &t.random,
+                                  now_us, &chain)
+             == (now_us > EG_REPORT_STALE_US ? EG_PLACEMENT_FOUND
+                                             : EG_PLACEMENT_BUSY));
+}
+
 int
 main ()
 {
@@ -208,5 +299,8 @@
   ok &= rc::check ("plain services go to the nearest room", nearest_with_room);
   ok &= rc::check ("affinity holds while the load is low",
                    affinity_bounded_by_load);
+  ok &= rc::check ("chains take the least time", chains_take_least_time);
+  ok &= rc::check ("chains are bounded", chains_are_bounded);
+  ok &= rc::check ("stale reports do not block", stale_reports_do_not_block);
   return ok ? 0 : 1;
 }
--- a/test/property_servers.cc
+++ b/test/property_servers.cc
@@ -1,8 +1,9 @@
 /* Properties of the table of servers and of the prefix table. */
 #include <algorithm>
 #include <list>
-#include <map>
+#include <set>
 
+#include "policy/replicas.h"
 #include "test/fleet.h"
 
 static const unsigned ADDRESSES = 6;
@@ -110,11 +111,30 @@
       RC_ASSERT (eg_servers_load (t.servers, index) >= s.in_flight);
       if (s.stops || !s.reported)
         RC_ASSERT (!eg_servers_usable (t.servers, index, now_us));
-      RC_ASSERT ((eg_servers_replica_set (t.servers, index) != nullptr)
-                 == (s.reported && !s.stops));
     }
 }
 
+/* Every server that may get work is in one set, and no other server is. */
+static void
+check_sets (const table &t, const expected_server (&servers)[ADDRESSES])
+{
+  const struct eg_replicas *replicas = eg_servers_replicas (t.servers);
+  std::multiset<uint32_t> members;
+  std::multiset<uint32_t> expected;
+
+  for (size_t i = 0; i < replicas->pool_count; i++)
+    for (size_t j = 0; j < replicas->pools[i]->set_count; j++)
+      {
+        const struct eg_replica_set *set = replicas->pools[i]->sets[j];
+
+        members.insert (set->members, set->members + set->count);
+      }
+  for (const expected_server &s : servers)
+    if (s.reported && !s.stops)
+      expected.insert (s.index);
+  RC_ASSERT (members == expected);
+}
+
 /* Whatever happens, servers that stopped are not usable, and an index stays
    with its server until that is gone with nothing in flight. */
 static void
@@ -138,18 +158,21 @@
               s = expected_server ();
         }
       check_table (t, servers, now_us);
+      check_sets (t, servers);
     }
   RC_ASSERT (eg_servers_count (t.servers) <= ADDRESSES);
 }
 
 /* After a failure no work until the back-off is over, which doubles for each
-   failed probe, and then one attempt at a time. */
+   failed probe, and then one attempt at a time. A newer report ends this, but
+   not for a server that failed three times all the same. */
 static void
 single_probes ()
 {
   uint32_t before = *rc::gen::inRange<uint32_t> (1, 8);
   unsigned failed_probes = *rc::gen::inRange (0u, 5u);
-  bool by_report = failed_probes == 0 && *rc::gen::arbitrary<bool> ();
+  bool newer = *rc::gen::arbitrary<bool> ();
+  bool by_report = newer && failed_probes < 2;
   table t (1);
   uint32_t index = t.add (1, 0);
   struct eg_server_report report = plain_report (0, 4, 0);
@@ -173,7 +196,7 @@
       if (i < failed_probes)
         eg_servers_end (t.servers, index, true, now_us);
     }
-  report.as_of_us = by_report ? now_us : 500000;
+  report.as_of_us = newer ? now_us : 500000;
   eg_servers_report (t.servers, index, &report, now_us);
   RC_ASSERT (eg_servers_usable (t.servers, index, now_us) == by_report);
   eg_servers_end (t.servers, index, false, now_us);
