--- a/test/test_standin.c
+++ b/test/test_standin.c
@@ -631,6 +631,42 @@
   free (stream.body);
 }
 
+static void
+test_higher_attempt_ends_a_lower_one (void **state)
+{
+  struct stream stream = {0};
+
+  (void) state;
+  start_stream (&stream, generate_body ("r", 1, 0, 0, 9000000, NULL));
+  wait_for_number ("http://" WHOLE "/v1/load", "running", 1);
+  expect_stream (generate_body ("r", 2, 0, 1, 4, NULL), 2, 4, done);
+  end_stream (&stream, "\"cause\":\"superseded\"");
+}
+
+static void
+test_stage_takes_positions_in_order (void **state)
+{
+  static const struct
+  {
+    int position;
+    long status;
+  } steps[] = {{2, 409}, {1, 200}, {3, 409}, {1, 409}, {2, 200}};
+
+  (void) state;
+  assert_int_equal (call (NULL, "POST", "http://" REMOTE "/standin/stage",
+                          "{'request':'r','attempt':1,'position':1,"
+                          "'wait_ms':1000}"),
+                    409);
+  for (size_t i = 0; i < sizeof steps / sizeof *steps; i++)
+    assert_int_equal (
+        call (NULL, "POST", "http://" REMOTE "/standin/stage",
+              "{'request':'r','attempt':1,'position':%d,'wait_ms':1000,"
+              "'open':{'priority':0,'prompt':'why','committed':0,"
+              "'max_tokens':9,'layers':[3,4]}}",
+              steps[i].position),
+        steps[i].status);
+}
+
 static void
 test_draining_finishes_work_and_refuses_more (void **state)
 {
@@ -940,6 +976,8 @@
       TEST (test_hung_stage_times_out),
       TEST (test_priority_goes_first_and_cancel_frees_the_slot),
       TEST (test_leaving_caller_frees_the_slot),
+      TEST (test_higher_attempt_ends_a_lower_one),
+      TEST (test_stage_takes_positions_in_order),
       TEST (test_draining_finishes_work_and_refuses_more),
       TEST (test_kv_moves_between_stages),
       TEST (test_fencing),
