--- a/standin/engine_calls.c
+++ b/standin/engine_calls.c
@@ -307,10 +307,13 @@
 eg_engine_answer_cache_events (struct eg_engine *self,
                                struct eg_exchange *exchange)
 {
+  static const char *const names[] = {"after"};
   char text[QUERY_BYTES];
   int64_t after;
   json_t *events;
 
+  if (!eg_exchange_check_query (exchange, names, COUNT_OF (names)))
+    return;
   if (!eg_exchange_query (exchange, "after", text, sizeof text)
       || !eg_str_to_int64 (eg_str_from (text), &after) || after < 0)
     {
--- a/standin/engine_remote.c
+++ b/standin/engine_remote.c
@@ -188,7 +188,8 @@
       step = eg_stage_step (run, body.position,
                             eg_clock_now_us () + body.wait_ms * EG_US_PER_MS);
       pthread_mutex_lock (&self->lock);
-      ended = put_run (run);
+      /* A head that leaves in the middle of a step doesn't come back. */
+      ended = step == EG_STEP_GONE ? run : put_run (run);
       pthread_mutex_unlock (&self->lock);
       end_run (ended);
     }
--- a/standin/exchange.c
+++ b/standin/exchange.c
@@ -132,6 +132,36 @@
                 >= 0;
 }
 
+static bool
+is_one_of (struct eg_str name, const char *const names[], size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (eg_str_equal (name, eg_str_from (names[i])))
+      return true;
+  return false;
+}
+
+bool
+eg_exchange_check_query (struct eg_exchange *self,
+                         const char *const names[],
+                         size_t count)
+{
+  struct eg_str rest = eg_str_from (self->query);
+
+  while (rest.len > 0)
+    {
+      struct eg_str pair = eg_str_cut (&rest, '&');
+      struct eg_str name = eg_str_cut (&pair, '=');
+
+      if (is_one_of (name, names, count))
+        continue;
+      eg_exchange_refuse (self, 400, "query: unknown parameter \"%.*s\"",
+                          EG_STR_ARGS (name));
+      return false;
+    }
+  return true;
+}
+
 bool
 eg_exchange_read_json (struct eg_exchange *self)
 {
--- a/standin/exchange.h
+++ b/standin/exchange.h
@@ -58,6 +58,11 @@
                         char *value,
                         size_t capacity);
 
+/** Answers 400 if the query has a parameter that @p names lacks. */
+bool eg_exchange_check_query (struct eg_exchange *self,
+                              const char *const names[],
+                              size_t count);
+
 /** Reads the body as JSON into self->json; answers 400 if it isn't. */
 bool eg_exchange_read_json (struct eg_exchange *self);
 
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -201,6 +201,10 @@
 static bool
 read_watch (struct eg_exchange *exchange, struct watch *watch)
 {
+  static const char *const names[] = {"prefix", "after", "wait_ms"};
+
+  if (!eg_exchange_check_query (exchange, names, sizeof names / sizeof *names))
+    return false;
   if (!eg_exchange_query (exchange, "prefix", watch->prefix,
                           sizeof watch->prefix))
     {
--- a/standin/service.c
+++ b/standin/service.c
@@ -150,7 +150,7 @@
                    && self->queued >= self->config->queue_max);
   if (is_refused)
     self->refused++;
-  else
+  else if (!self->is_dead)
     has_run = run_call (&call, &is_lost);
   pthread_mutex_unlock (&self->lock);
   if (is_refused)
--- a/test/test_standin.c
+++ b/test/test_standin.c
@@ -32,7 +32,7 @@
 #define MAX_TEST_TOKENS 16
 
 /* So that a wait for what never comes ends as a failure. */
-#define MAX_WAIT_US (30 * EG_US_PER_S)
+#define MAX_WAIT_US (10 * EG_US_PER_S)
 
 /* clang-format off: JSON reads best as it is. */
 #define ENGINE(address, server, layers, more)                                  \
@@ -91,7 +91,8 @@
   long status; /* 0: no whole answer came */
   struct eg_buffer body;
   char etag[24];
-  size_t max_bytes; /* the caller leaves after so many; 0: never */
+  size_t max_bytes;    /* the caller leaves after so many; 0: never */
+  bool leaves_at_once; /* the caller leaves at the first header */
 };
 
 /* Turns single quotes into double ones, in place. */
@@ -169,6 +170,8 @@
   struct eg_str line = {data, size * count};
   struct eg_str name = eg_str_cut (&line, ':');
 
+  if (reply->leaves_at_once)
+    return 0;
   if (eg_str_equal (name, EG_STR ("ETag")))
     eg_str_copy (eg_str_trim (line), reply->etag, sizeof reply->etag);
   return size * count;
@@ -667,6 +670,23 @@
         steps[i].status);
 }
 
+static void
+test_caller_may_leave_the_queue (void **state)
+{
+  struct stream first = {0};
+  struct stream second = {.reply = {.leaves_at_once = true}};
+
+  (void) state;
+  start_stream (&first, generate_body ("long", 1, 0, 0, 9000000, NULL));
+  wait_for_number ("http://" WHOLE "/v1/load", "running", 1);
+  start_stream (&second, generate_body ("low", 1, 0, 0, 4, NULL));
+  end_stream (&second, "");
+  wait_for_number ("http://" WHOLE "/v1/load", "queued", 0);
+  call (NULL, "POST", "http://" WHOLE "/v1/cancel",
+        "{'request':'long','attempt':1}");
+  end_stream (&first, "cancelled");
+}
+
 static void
 test_draining_finishes_work_and_refuses_more (void **state)
 {
@@ -845,6 +865,22 @@
   free (big);
 }
 
+static void
+test_queries_are_strict (void **state)
+{
+  static const char *const urls[] = {
+      PLATFORM "/objects?prefix=x&after=0&wait_ms=0&limit=1",
+      PLATFORM "/objects?prefix=x&after=0",
+      PLATFORM "/objects?prefix=x&after=-1&wait_ms=0",
+      WHOLE "/v1/cache-events?after=x",
+      WHOLE "/v1/cache-events?after=1&more=2",
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof urls / sizeof *urls; i++)
+    assert_int_equal (call (NULL, "GET", urls[i], "%s", ""), 400);
+}
+
 static void
 test_lost_reply_takes_effect (void **state)
 {
@@ -978,12 +1014,14 @@
       TEST (test_leaving_caller_frees_the_slot),
       TEST (test_higher_attempt_ends_a_lower_one),
       TEST (test_stage_takes_positions_in_order),
+      TEST (test_caller_may_leave_the_queue),
       TEST (test_draining_finishes_work_and_refuses_more),
       TEST (test_kv_moves_between_stages),
       TEST (test_fencing),
       TEST (test_cache_events_have_gaps),
       TEST (test_record_is_bounded),
       TEST (test_writes_are_conditional),
+      TEST (test_queries_are_strict),
       TEST (test_lost_reply_takes_effect),
       TEST (test_watch_sees_every_change_in_order),
       TEST (test_platform_down),
