policy: requests that a server may have died of run apart

Cause: a server that dies takes up to a batch of innocent requests with it. Sent on to the same next server as the culprit, they shared its second death and were quarantined with it. Change: a request with a death behind it avoids servers that run another such request, and waits where there is no other; what waits so does not hold up the queue. Prompts that share a start are sent where it was run before.

--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -33,6 +33,7 @@
   int64_t progress_us; /* When the attempt began or last gave a token. */
   bool attempt_progressed;
   int64_t retry_at_us;
+  unsigned deaths; /* Servers that died with an attempt of it in flight. */
   uint32_t excluded[EG_EXCLUDED_MAX];
   size_t excluded_count;
   struct eg_list link; /* In the list of its phase. */
@@ -45,6 +46,7 @@
   struct eg_random random;
   struct eg_limits *limits;
   struct eg_quarantine *quarantine;
+  struct eg_prefix_table *prefixes;
   struct eg_target_table targets;
   struct eg_map requests;
   struct eg_list running;
@@ -68,7 +70,9 @@
   eg_random_init (&self->random, seed);
   self->limits = eg_limits_new (&config->default_limit);
   self->quarantine = eg_quarantine_new (&config->quarantine);
-  if (self->limits && self->quarantine)
+  self->prefixes = eg_prefix_table_new (config->prefixes_max);
+  self->config.placement.prefixes = self->prefixes;
+  if (self->limits && self->quarantine && self->prefixes)
     return self;
   eg_lifecycle_free (self);
   return NULL;
@@ -88,6 +92,7 @@
   eg_target_table_finish (&self->targets);
   eg_limits_free (self->limits);
   eg_quarantine_free (self->quarantine);
+  eg_prefix_table_free (self->prefixes);
   eg_action_queue_finish (&self->actions);
   free (self);
 }
@@ -241,6 +246,28 @@
   request->excluded[request->excluded_count++] = server;
 }
 
+/* A server that dies takes innocent requests with it. Those that it may have
+   died of run apart from each other from then on, so that the next death
+   shows which of them it was. */
+static void
+exclude_suspects (const struct eg_lifecycle *self,
+                  const struct eg_request_state *request,
+                  struct eg_placement_query *query)
+{
+  if (request->deaths == 0)
+    return;
+  for (struct eg_list *link = self->running.next; link != &self->running;
+       link = link->next)
+    {
+      const struct eg_request_state *other = request_of (link);
+
+      for (size_t i = 0; other->deaths > 0 && i < other->chain.count; i++)
+        if (query->excluded_count < EG_EXCLUDED_MAX)
+          query->excluded[query->excluded_count++] =
+              other->chain.stages[i].server;
+    }
+}
+
 static enum eg_placement_result
 choose (struct eg_lifecycle *self,
         struct eg_request_state *request,
@@ -249,6 +276,7 @@
 {
   struct eg_placement_query query = {.prefix_hash = request->info.prefix_hash};
   enum eg_placement_result result;
+  size_t suspects;
 
   if (request->info.plain)
     query.service = request->info.target;
@@ -256,9 +284,15 @@
     query.model = request->info.target;
   memcpy (query.excluded, request->excluded, sizeof query.excluded);
   query.excluded_count = request->excluded_count;
+  exclude_suspects (self, request, &query);
+  suspects = query.excluded_count - request->excluded_count;
   result = eg_placement_choose (&self->config.placement, self->servers, &query,
                                 &self->random, now_us, chain);
-  if (result == EG_PLACEMENT_FOUND || request->excluded_count == 0)
+  /* Where the others leave no server, a suspect waits until one of them ends.
+   */
+  if (result == EG_PLACEMENT_NONE && suspects > 0)
+    return EG_PLACEMENT_BUSY;
+  if (result != EG_PLACEMENT_NONE || query.excluded_count == 0)
     return result;
   /* Better a server that failed once than none at all. */
   request->excluded_count = 0;
@@ -300,6 +334,9 @@
         continue;
       result = choose (self, request, now_us, &chain);
       note_capacity (target, result, now_us);
+      /* What keeps a suspect waiting need not stop the others. */
+      if (result != EG_PLACEMENT_FOUND && request->deaths > 0)
+        continue;
       if (result != EG_PLACEMENT_FOUND)
         return false;
       leave_phase (self, request);
@@ -558,6 +595,9 @@
   if (request->info.plain)
     eg_servers_observe (self->servers, request->chain.stages[0].server,
                         now_us - request->progress_us);
+  if (request->info.prefix_hash != 0)
+    eg_prefix_table_note (self->prefixes, request->info.prefix_hash,
+                          request->chain.stages[0].server);
   end_attempt (self, request, EG_SERVER_NONE, now_us);
   eg_outcome_update (request->info.outcome, EG_OUTCOME_EVENT_RAN);
   eg_admission_served (target->admission, request->info.cost, now_us);
@@ -584,7 +624,7 @@
 
 static void
 report_death (struct eg_lifecycle *self,
-              const struct eg_request_state *request,
+              struct eg_request_state *request,
               uint32_t server,
               int64_t now_us)
 {
@@ -594,6 +634,9 @@
       .until_us = now_us + self->config.quarantine.duration_us,
   };
 
+  request->deaths++;
+  if (server != EG_SERVER_NONE)
+    eg_prefix_table_forget (self->prefixes, server);
   if (eg_quarantine_death (self->quarantine, request->info.fingerprint, server,
                            now_us))
     eg_action_queue_push (&self->actions, &action);
--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -28,9 +28,10 @@
   struct eg_retry_config retry;
   struct eg_quarantine_config quarantine;
   struct eg_placement_config placement;
-  size_t requests_max;             /**< Requests held at once. */
-  int64_t first_token_silence_us;  /**< Longest wait for the first token. */
-  int64_t token_silence_us;        /**< Longest wait between two tokens. */
+  size_t requests_max;            /**< Requests held at once. */
+  int64_t first_token_silence_us; /**< Longest wait for the first token. */
+  int64_t token_silence_us;       /**< Longest wait between two tokens. */
+  uint32_t prefixes_max; /**< Prefixes of prompts whose server is noted. */
   int64_t no_capacity_patience_us; /**< Wait for a usable server at most. */
 };
 
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -15,7 +15,7 @@
 EG_BEGIN_DECLS
 
 /** Servers that one request may exclude, after failures on them. */
-#define EG_EXCLUDED_MAX 8
+#define EG_EXCLUDED_MAX 32
 
 /** A link between two failure domains, one way. */
 struct eg_placement_link
--- a/router/decision.c
+++ b/router/decision.c
@@ -30,6 +30,8 @@
 #define READY_AFTER_US (5 * EG_US_PER_S)
 #define PRIORITY_TOP 100
 #define COST_BYTES_PER_TOKEN 4
+/* Prompts that share this much of their start share cached keys and values. */
+#define PREFIX_BYTES 256
 
 struct eg_decision
 {
@@ -499,6 +501,16 @@
                                     eg_buffer_view (&call->body));
 }
 
+static uint64_t
+prefix_hash_of (const struct eg_call *call)
+{
+  struct eg_str prefix = {call->prompt.data, PREFIX_BYTES};
+
+  if (call->kind != EG_CALL_COMPLETION || call->prompt.len < PREFIX_BYTES)
+    return 0;
+  return eg_hash_str (prefix) ^ eg_hash_str (eg_str_from (call->target));
+}
+
 static void
 place_call (struct eg_decision *self, struct eg_call *call, int64_t send_by_us)
 {
@@ -509,6 +521,7 @@
       .plain = call->kind == EG_CALL_SERVICE,
       .target = eg_str_from (call->target),
       .fingerprint = fingerprint_of (call),
+      .prefix_hash = prefix_hash_of (call),
       .cost = (uint64_t) call->max_tokens
               + call->prompt.len / COST_BYTES_PER_TOKEN + 1,
       .outcome = &call->outcome,
--- a/test/property_lifecycle.cc
+++ b/test/property_lifecycle.cc
@@ -42,8 +42,9 @@
   uint64_t first_attempts = 0;
   uint64_t retries = 0;
   uint64_t next_id = 1;
+  double reserve;
 
-  World ()
+  explicit World (double reserve_ = 5) : reserve (reserve_)
   {
     eg_lifecycle_config config = {};
 
@@ -58,7 +59,7 @@
     config.admission.quantum = 64;
     config.default_limit.in_flight_max = 30;
     config.retry.ratio = 0.2;
-    config.retry.reserve = 5;
+    config.retry.reserve = reserve;
     config.retry.attempts_max = 4;
     config.retry.backoff_min_us = 2 * MS;
     config.retry.backoff_max_us = 50 * MS;
@@ -71,6 +72,7 @@
     config.requests_max = 50;
     config.first_token_silence_us = 3 * SECOND;
     config.token_silence_us = SECOND;
+    config.prefixes_max = 16;
     config.no_capacity_patience_us = 3 * SECOND;
     for (int i = 0; i < 8; i++)
       {
@@ -149,7 +151,7 @@
       RC_ASSERT (leaving.count (action.chain.stages[i].server) == 0);
     (tracked.attempts == 0 ? first_attempts : retries)++;
     RC_ASSERT (static_cast<double> (retries)
-               <= 5 + 0.2 * static_cast<double> (first_attempts) + 1e-6);
+               <= reserve + 0.2 * static_cast<double> (first_attempts) + 1e-6);
     tracked.attempts = action.attempt;
     tracked.chain = action.chain;
     tracked.running = true;
@@ -240,6 +242,32 @@
     take_actions ();
   }
 
+  // The head of the request's chain dies: so do all attempts on it.
+  void
+  crash_head (uint64_t id)
+  {
+    uint32_t server = requests.at (id).chain.stages[0].server;
+    std::string address = eg_servers_get (servers, server)->address;
+    std::vector<uint64_t> victims;
+
+    for (uint64_t other : running ())
+      for (size_t i = 0; i < requests.at (other).chain.count; i++)
+        if (requests.at (other).chain.stages[i].server == server)
+          victims.push_back (other);
+    for (uint64_t victim : victims)
+      {
+        Tracked &tracked = requests.at (victim);
+        eg_attempt_failure failure = {EG_ATTEMPT_BROKEN,
+                                      eg_str_from (address.c_str ())};
+
+        tracked.running = false;
+        tracked.may_have_run = true;
+        eg_lifecycle_attempt_failed (lifecycle, victim, tracked.attempts,
+                                     &failure, now_us);
+      }
+    take_actions ();
+  }
+
   void
   abandon (uint64_t id)
   {
@@ -328,6 +356,45 @@
       RC_ASSERT (eg_servers_get (world.servers, i)->in_flight == 0u);
   });
 
+  ok &= rc::check ("only a request that crashes servers is quarantined", [] {
+    World world (50);
+    uint64_t culprit = *rc::gen::inRange<uint64_t> (1, 5);
+
+    // Two servers are left for the first half of the model.
+    world.leaving = {4, 6};
+    world.report (4);
+    world.report (6);
+    for (int i = 0; i < 4; i++)
+      world.arrive (true, 0, 20 * SECOND);
+    int ran = 0;
+    for (int i = 0; i < 400 && world.requests.at (culprit).finals == 0; i++)
+      {
+        // A server takes some time to die of the request.
+        ran = world.requests.at (culprit).running ? ran + 1 : 0;
+        if (ran > 5)
+          world.crash_head (culprit);
+        for (uint64_t id : world.running ())
+          if (i % 20 == 19 && id != culprit)
+            world.token (id);
+        world.pass (10 * MS);
+        for (uint32_t server = 0; server < 8; server++)
+          world.report (server);
+      }
+    RC_ASSERT (world.requests.at (culprit).finals == 1);
+    RC_ASSERT (world.requests.at (culprit).tokens == 0);
+    for (int i = 0; i < 20; i++)
+      {
+        for (uint64_t id : world.running ())
+          while (world.requests.at (id).running)
+            world.token (id);
+        world.pass (100 * MS);
+        for (uint32_t server = 0; server < 8; server++)
+          world.report (server);
+      }
+    for (const auto &[id, tracked] : world.requests)
+      RC_ASSERT (id == culprit || tracked.tokens == tracked.wanted);
+  });
+
   ok &= rc::check ("a stopping node refuses with a promise and goes on", [] {
     World world;
 
