--- a/policy/placement.c
+++ b/policy/placement.c
@@ -3,35 +3,15 @@
 #include <math.h>
 #include <string.h>
 
+#include "policy/places.h"
 #include "policy/replicas.h"
 #include "policy/sample.h"
 
 /* Failure domains among which a chain is sought first. */
 #define NEAR_DOMAINS 4
-/* Places: the entry VM's failure domain, and all others. */
-#define PLACES_MAX (EG_DOMAINS_MAX + 1)
-#define NO_PLACE UINT32_MAX
 /* Time of one layer for one token on an accelerator of weight 1. */
 #define LAYER_US 500.0
 
-/* A failure domain that has servers for the query. */
-struct place
-{
-  const char *name;
-  uint32_t domain; /* Its number, or EG_DOMAINS_MAX. */
-  int64_t latency_us;
-  uint64_t tie; /* Random order of places that are equally near. */
-};
-
-/* The places of one query, nearest first. */
-struct map
-{
-  struct place places[PLACES_MAX];
-  uint32_t count;
-  uint32_t place_of[EG_DOMAINS_MAX]; /* By the number of the domain. */
-  int64_t latency_us[PLACES_MAX * PLACES_MAX];
-};
-
 static bool
 serves (const struct eg_sampler *sampler, const struct eg_replica_pool *pool)
 {
@@ -48,143 +28,17 @@
   return false;
 }
 
+/* Finds the failure domains that have servers for the query. */
 static void
-add_place (struct map *map,
-           const struct eg_sampler *sampler,
-           const char *name,
-           uint32_t domain)
-{
-  bool own = strcmp (name, sampler->config->failure_domain) == 0;
-
-  if (own && map->count > 0)
-    {
-      map->places[0].domain = domain;
-      map->place_of[domain] = 0;
-      return;
-    }
-  if (domain < EG_DOMAINS_MAX)
-    map->place_of[domain] = map->count;
-  map->places[map->count++] = (struct place){
-      .name = name,
-      .domain = domain,
-      .latency_us = own ? 0 : sampler->config->unknown_link_us,
-      .tie = own ? 0 : eg_random_next (sampler->random),
-  };
-}
-
-/* Adds the failure domains that have servers of a pool. */
-static void
-add_places (struct map *map,
-            const struct eg_sampler *sampler,
-            const struct eg_replicas *replicas,
-            const struct eg_replica_pool *pool)
-{
-  for (size_t i = 0; i < pool->set_count; i++)
-    {
-      uint32_t domain = pool->sets[i]->domain;
-
-      if (pool->sets[i]->count > 0 && map->place_of[domain] == NO_PLACE)
-        add_place (map, sampler, replicas->domains[domain], domain);
-    }
-}
-
-static uint32_t
-find_place (const struct map *map, const char *name)
-{
-  for (uint32_t i = 0; i < map->count; i++)
-    if (strcmp (map->places[i].name, name) == 0)
-      return i;
-  return NO_PLACE;
-}
-
-static void
-measure_places (struct map *map, const struct eg_placement_config *config)
-{
-  for (size_t i = 0; i < config->link_count; i++)
-    {
-      const struct eg_placement_link *link = &config->links[i];
-      uint32_t to;
-
-      if (strcmp (link->from, config->failure_domain) != 0)
-        continue;
-      to = find_place (map, link->to);
-      if (to != NO_PLACE)
-        map->places[to].latency_us = link->latency_us;
-    }
-}
-
-static bool
-is_nearer (const struct place *a, const struct place *b)
-{
-  if (a->latency_us != b->latency_us)
-    return a->latency_us < b->latency_us;
-  return a->tie < b->tie;
-}
-
-/* Sorts all places but the first, which is the entry VM's. */
-static void
-sort_places (struct map *map)
-{
-  for (uint32_t i = 2; i < map->count; i++)
-    {
-      struct place place = map->places[i];
-      uint32_t at = i;
-
-      while (at > 1 && is_nearer (&place, &map->places[at - 1]))
-        {
-          map->places[at] = map->places[at - 1];
-          at--;
-        }
-      map->places[at] = place;
-    }
-}
-
-/* Keeps the nearest places alone. */
-static void
-limit_places (struct map *map, uint32_t limit)
+find_places (const struct eg_sampler *sampler,
+             const struct eg_replicas *replicas,
+             struct eg_places *places)
 {
-  if (map->count > limit)
-    map->count = limit;
-  memset (map->place_of, 0xff, sizeof map->place_of);
-  for (uint32_t i = 0; i < map->count; i++)
-    if (map->places[i].domain < EG_DOMAINS_MAX)
-      map->place_of[map->places[i].domain] = i;
-}
-
-/* Finds the latency between all places that are kept. */
-static void
-link_places (struct map *map, const struct eg_placement_config *config)
-{
-  uint32_t count = map->count;
-
-  for (uint32_t i = 0; i < count * count; i++)
-    map->latency_us[i] = i % (count + 1) == 0 ? 0 : config->unknown_link_us;
-  if (count == 1)
-    return;
-  for (size_t i = 0; i < config->link_count; i++)
-    {
-      const struct eg_placement_link *link = &config->links[i];
-      uint32_t from = find_place (map, link->from);
-      uint32_t to = from == NO_PLACE ? from : find_place (map, link->to);
-
-      if (to != NO_PLACE)
-        map->latency_us[from * count + to] = link->latency_us;
-    }
-}
-
-static void
-draw_map (struct map *map,
-          const struct eg_sampler *sampler,
-          const struct eg_replicas *replicas)
-{
-  map->count = 0;
-  memset (map->place_of, 0xff, sizeof map->place_of);
-  add_place (map, sampler, sampler->config->failure_domain, EG_DOMAINS_MAX);
+  eg_places_init (places, sampler->config);
   for (size_t i = 0; i < replicas->pool_count; i++)
     if (serves (sampler, replicas->pools[i]))
-      add_places (map, sampler, replicas, replicas->pools[i]);
-  measure_places (map, sampler->config);
-  sort_places (map);
+      eg_places_add (places, replicas, replicas->pools[i], sampler->random);
+  eg_places_sort (places);
 }
 
 /* Returns how many sets from @p at on differ in their accelerators alone. */
@@ -231,18 +85,18 @@
 static bool
 find_plain (const struct eg_sampler *sampler,
             const struct eg_replicas *replicas,
-            const struct map *map,
+            const struct eg_places *places,
             struct eg_chain *chain)
 {
-  for (uint32_t i = 0; i < map->count; i++)
+  for (uint32_t i = 0; i < places->count; i++)
     for (size_t j = 0; j < replicas->pool_count; j++)
       {
         uint32_t server;
 
         if (!serves (sampler, replicas->pools[j]))
           continue;
-        server =
-            pick_in_domain (sampler, replicas->pools[j], map->places[i].domain);
+        server = pick_in_domain (sampler, replicas->pools[j],
+                                 places->items[i].domain);
         if (server == EG_SERVER_NONE)
           continue;
         set_single (chain, server);
@@ -282,7 +136,7 @@
 static size_t
 collect_candidates (const struct eg_sampler *sampler,
                     const struct eg_replica_pool *pool,
-                    const struct map *map,
+                    const struct eg_places *places,
                     uint32_t head,
                     struct eg_chain_candidate *candidates)
 {
@@ -296,7 +150,7 @@
       uint32_t server;
 
       size = group_size (pool, at);
-      if (map->place_of[set->domain] == NO_PLACE
+      if (places->by_domain[set->domain] == EG_PLACE_NONE
           || count == EG_CHAIN_CANDIDATES_MAX)
         continue;
       server = pick_stage (sampler, pool->sets + at, size, head);
@@ -304,7 +158,7 @@
         continue;
       candidate->stage =
           (struct eg_chain_stage){server, set->first_layer, set->last_layer};
-      candidate->place = map->place_of[set->domain];
+      candidate->place = places->by_domain[set->domain];
       candidate->time_us = stage_time (sampler, &candidate->stage);
       count++;
     }
@@ -315,12 +169,12 @@
 static bool
 find_chain (const struct eg_sampler *sampler,
             const struct eg_replicas *replicas,
-            const struct map *map,
+            const struct eg_places *places,
             uint32_t head,
             struct eg_chain *chain)
 {
   struct eg_chain_candidate candidates[EG_CHAIN_CANDIDATES_MAX];
-  struct eg_chain_links links = {map->latency_us, map->count};
+  struct eg_chain_links links = {places->latency_us, places->count};
   double best = INFINITY;
 
   for (size_t i = 0; i < replicas->pool_count; i++)
@@ -332,7 +186,7 @@
 
       if (!serves (sampler, pool))
         continue;
-      count = collect_candidates (sampler, pool, map, head, candidates);
+      count = collect_candidates (sampler, pool, places, head, candidates);
       cost = eg_chain_find (candidates, count, pool->layers, &links, &found);
       if (cost >= best)
         continue;
@@ -346,39 +200,31 @@
 static bool
 find_model (const struct eg_sampler *sampler,
             const struct eg_replicas *replicas,
-            struct map *map,
+            const struct eg_places *places,
             uint32_t head,
             struct eg_chain *chain)
 {
-  bool more = map->count > NEAR_DOMAINS;
-  struct map near;
+  struct eg_places nearest;
 
-  if (!more)
-    {
-      limit_places (map, PLACES_MAX);
-      link_places (map, sampler->config);
-      return find_chain (sampler, replicas, map, head, chain);
-    }
-  near = *map;
-  limit_places (&near, NEAR_DOMAINS);
-  link_places (&near, sampler->config);
-  if (find_chain (sampler, replicas, &near, head, chain))
+  eg_places_nearest (&nearest, places, NEAR_DOMAINS);
+  if (find_chain (sampler, replicas, &nearest, head, chain))
     return true;
-  limit_places (map, PLACES_MAX);
-  link_places (map, sampler->config);
-  return find_chain (sampler, replicas, map, head, chain);
+  if (places->count <= NEAR_DOMAINS)
+    return false;
+  eg_places_nearest (&nearest, places, EG_PLACES_MAX);
+  return find_chain (sampler, replicas, &nearest, head, chain);
 }
 
 static bool
 find (const struct eg_sampler *sampler,
       const struct eg_replicas *replicas,
-      struct map *map,
+      const struct eg_places *places,
       uint32_t head,
       struct eg_chain *chain)
 {
   if (sampler->query->model.len == 0)
-    return find_plain (sampler, replicas, map, chain);
-  return find_model (sampler, replicas, map, head, chain);
+    return find_plain (sampler, replicas, places, chain);
+  return find_model (sampler, replicas, places, head, chain);
 }
 
 /* Returns the head that is likely to hold the prompt's prefix and has room. */
@@ -411,19 +257,19 @@
 {
   const struct eg_replicas *replicas = eg_servers_replicas (servers);
   struct eg_sampler sampler = {config, servers, query, random, now_us, false};
-  struct map map;
+  struct eg_places places;
   uint32_t head;
 
   if (!is_known (&sampler, replicas))
     return EG_PLACEMENT_UNKNOWN;
-  draw_map (&map, &sampler, replicas);
+  find_places (&sampler, replicas, &places);
   head = preferred_head (&sampler);
-  if (head != EG_SERVER_NONE && find (&sampler, replicas, &map, head, chain))
+  if (head != EG_SERVER_NONE && find (&sampler, replicas, &places, head, chain))
     return EG_PLACEMENT_FOUND;
-  if (find (&sampler, replicas, &map, EG_SERVER_NONE, chain))
+  if (find (&sampler, replicas, &places, EG_SERVER_NONE, chain))
     return EG_PLACEMENT_FOUND;
   sampler.full_too = true;
-  if (find (&sampler, replicas, &map, EG_SERVER_NONE, chain))
+  if (find (&sampler, replicas, &places, EG_SERVER_NONE, chain))
     {
       chain->count = 0;
       return EG_PLACEMENT_BUSY;
--- a/test/bench_placement.c
+++ b/test/bench_placement.c
@@ -31,6 +31,7 @@
 static const struct fleet fleets[] = {
     {"40 servers, 3 domains, 1 model", 3, 14, 1},
     {"800 servers, 1 domain, 12 models", 1, 800, 12},
+    {"800 servers, 1 domain, 1 model", 1, 800, 1},
     {"12000 servers, 15 domains, 12 models", 15, 800, 12},
 };
 
@@ -157,9 +158,9 @@
   size_t before = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
   struct eg_servers *servers = make_servers (fleet, SLOTS / 2);
   size_t after = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
+  size_t total = (size_t) fleet->domains * fleet->servers;
 
-  printf ("%s: %zu bytes a server\n", fleet->name,
-          (after - before) / (fleet->domains * fleet->servers));
+  printf ("%s: %zu bytes a server\n", fleet->name, (after - before) / total);
   measure (fleet, servers, "model", EG_STR ("llm"), EG_STR ("model-0"));
   measure (fleet, servers, "plain", EG_STR ("app"), EG_STR (""));
   eg_servers_free (servers);
