--- /dev/null
+++ b/test/spin-check.sh
@@ -0,0 +1,43 @@
+#!/bin/sh
+# Checks test/claim.pml: the model must hold, and each broken variant must
+# not. Usage: spin-check.sh MODEL [--full]
+# --full checks three runners with delayed writes too: a minute, 2 GB.
+set -eu
+model=$(realpath "$1")
+full=${2:-}
+variants=7
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+cd "$scratch"
+
+# verify BROKEN RUNNERS READS_MAX DELAYS_MAX: writes the verifier's report.
+verify ()
+{
+  spin "-DBROKEN=$1" "-DRUNNERS=$2" "-DREADS_MAX=$3" "-DDELAYS_MAX=$4" \
+    -a "$model"
+  gcc -O1 -w -DSAFETY -DCOLLAPSE -o pan pan.c
+  ./pan -m1000000 >report
+}
+
+# holds RUNNERS READS_MAX DELAYS_MAX: the model itself has no error.
+holds ()
+{
+  verify 0 "$@"
+  echo "runners=$1 reads=$2 delays=$3: $(grep -o 'errors: [0-9]*' report)," \
+    "$(grep 'states, stored' report | tr -s ' ')"
+  grep -q 'errors: 0' report && ! grep -q 'depth too small' report
+}
+
+holds 2 3 255
+holds 3 1 0
+if [ "$full" = --full ]; then
+  holds 3 1 255
+fi
+for variant in $(seq "$variants"); do
+  verify "$variant" 2 2 255
+  if ! grep -q 'assertion violated' report; then
+    echo "BROKEN=$variant is not noticed"
+    exit 1
+  fi
+  echo "BROKEN=$variant: $(grep -o 'assertion violated.*' report)"
+done
