--- /dev/null
+++ b/test/bench_claims.c
@@ -0,0 +1,214 @@
+/* Claims and tickets that one decision thread can take, and their memory.
+ * Not run by ctest: bench_claims [CLAIMS] */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "policy/claim.h"
+#include "policy/ticket.h"
+
+#define DEFAULT_CLAIMS 200000
+#define ANSWER_BYTES 200
+
+static const struct eg_claim_config config = {
+    .dispatch_max_us = 60 * EG_US_PER_S,
+    .wait_max_us = 30 * EG_US_PER_S,
+    .backoff_min_us = 10 * EG_US_PER_MS,
+    .backoff_max_us = EG_US_PER_S,
+    .background_max_us = 60 * EG_US_PER_S,
+    .retry_after_us = EG_US_PER_S,
+    .answer_bytes_max = 65536,
+};
+
+struct sending
+{
+  struct eg_claim claim;
+  struct eg_outcome outcome;
+};
+
+static size_t
+heap_bytes (void)
+{
+  return mallinfo2 ().uordblks;
+}
+
+static void
+feed (struct sending *self,
+      struct eg_random *random,
+      enum eg_claim_event_type type,
+      struct eg_claim_answer answer)
+{
+  struct eg_claim_actions actions;
+  struct eg_claim_event event = {
+      .type = type,
+      .operation = self->claim.operation,
+      .version = 7,
+      .answer = answer,
+  };
+
+  eg_claim_update (&self->claim, &event, 1, random, &actions);
+}
+
+/* Brings each claim up to its dispatch, so that all are held at once. */
+static void
+hold_all (struct sending *sendings, size_t count, struct eg_random *random)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct sending *s = &sendings[i];
+      struct eg_claim_start start = {
+          .nonce = {1, i}, .fingerprint = i, .deadline_us = EG_US_PER_S};
+
+      eg_outcome_init (&s->outcome, EG_OUTCOME_KEYED);
+      eg_claim_init (&s->claim, &config, &s->outcome, &start);
+      feed (s, random, EG_CLAIM_EVENT_START, (struct eg_claim_answer){0});
+      feed (s, random, EG_CLAIM_EVENT_WRITTEN, (struct eg_claim_answer){0});
+    }
+}
+
+static void
+end_all (struct sending *sendings,
+         size_t count,
+         struct eg_random *random,
+         size_t *answer_bytes)
+{
+  static const char body[ANSWER_BYTES];
+  struct eg_claim_answer answer = {
+      true, 200, EG_STR ("application/json"), {body, sizeof body}};
+  size_t before = heap_bytes ();
+
+  for (size_t i = 0; i < count; i++)
+    {
+      eg_outcome_update (&sendings[i].outcome, EG_OUTCOME_EVENT_HANDED);
+      eg_outcome_update (&sendings[i].outcome, EG_OUTCOME_EVENT_RAN);
+      feed (&sendings[i], random, EG_CLAIM_EVENT_ANSWERED, answer);
+    }
+  *answer_bytes = (heap_bytes () - before) / count;
+  for (size_t i = 0; i < count; i++)
+    {
+      feed (&sendings[i], random, EG_CLAIM_EVENT_WRITTEN, answer);
+      eg_claim_finish (&sendings[i].claim);
+    }
+}
+
+static void
+bench_claims (size_t count)
+{
+  struct sending *sendings = calloc (count, sizeof *sendings);
+  struct eg_random random;
+  size_t answer_bytes;
+  int64_t start_us;
+  int64_t took_us;
+
+  if (sendings == NULL)
+    return;
+  eg_random_init (&random, 1);
+  start_us = eg_clock_now_us ();
+  hold_all (sendings, count, &random);
+  end_all (sendings, count, &random, &answer_bytes);
+  took_us = eg_clock_now_us () - start_us;
+  printf ("claims=%zu per_s=%.0f bytes_each=%zu with_answer_of_%d=%zu\n", count,
+          (double) count * (double) EG_US_PER_S / (double) took_us,
+          sizeof *sendings, ANSWER_BYTES, sizeof *sendings + answer_bytes);
+  free (sendings);
+}
+
+static void
+bench_codec (size_t count)
+{
+  static const char body[ANSWER_BYTES] = "{\"certificate\":1}";
+  struct eg_claim_record record = {
+      .mark = EG_CLAIM_FINISHED,
+      .ran = EG_RAN_YES,
+      .answer = {true, 200, EG_STR ("application/json"), {body, 17}},
+  };
+  struct eg_buffer json = {0};
+  struct eg_buffer storage = {0};
+  int64_t start_us = eg_clock_now_us ();
+  int64_t took_us;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      eg_buffer_clear (&json);
+      eg_claim_record_encode (&record, &json);
+      eg_claim_record_decode (&record, eg_buffer_view (&json), &storage, NULL);
+      record.answer.body = (struct eg_str){body, 17};
+      record.answer.content_type = EG_STR ("application/json");
+    }
+  took_us = eg_clock_now_us () - start_us;
+  printf ("records=%zu per_s=%.0f bytes_stored=%zu\n", count,
+          (double) count * (double) EG_US_PER_S / (double) took_us, json.len);
+  eg_buffer_finish (&json);
+  eg_buffer_finish (&storage);
+}
+
+static enum eg_ticket_home
+gone (void *context, struct eg_str address, uint64_t incarnation)
+{
+  (void) context;
+  (void) address;
+  (void) incarnation;
+  return EG_TICKET_HOME_GONE;
+}
+
+static void
+run_ticket (struct eg_tickets *tickets, struct eg_random *random)
+{
+  struct eg_ticket_number number = {eg_random_next (random),
+                                    eg_random_next (random)};
+  struct eg_ticket_verdict verdict;
+  struct eg_outcome outcome;
+  char text[EG_TICKET_TEXT_BYTES];
+
+  eg_tickets_give (tickets, EG_STR ("registry"), number, 0, text);
+  eg_outcome_init (&outcome, EG_OUTCOME_TICKETED);
+  eg_tickets_use (tickets, eg_str_from (text), EG_STR ("registry"), 1, 0,
+                  &outcome, &verdict);
+  eg_outcome_update (&outcome, EG_OUTCOME_EVENT_HANDED);
+  eg_outcome_update (&outcome, EG_OUTCOME_EVENT_RAN);
+  eg_tickets_end (tickets, &verdict.ticket, &outcome, NULL, 0);
+}
+
+static void
+bench_tickets (size_t count)
+{
+  struct eg_tickets_config tickets_config = {
+      .address = "127.0.0.1:7000",
+      .incarnation = 1,
+      .lifetime_us = EG_US_PER_S,
+      .keep_us = EG_US_PER_S,
+      .entries_max = count,
+      .organisation_max = count,
+      .home = gone,
+  };
+  struct eg_tickets *tickets = eg_tickets_new (&tickets_config);
+  struct eg_random random;
+  int64_t start_us;
+  int64_t took_us;
+
+  if (tickets == NULL)
+    return;
+  eg_random_init (&random, 1);
+  start_us = eg_clock_now_us ();
+  for (size_t i = 0; i < count; i++)
+    run_ticket (tickets, &random);
+  took_us = eg_clock_now_us () - start_us;
+  printf ("tickets=%zu per_s=%.0f bytes_each=%zu\n", count,
+          (double) count * (double) EG_US_PER_S / (double) took_us,
+          eg_tickets_bytes (tickets) / count);
+  eg_tickets_free (tickets);
+}
+
+int
+main (int argc, char **argv)
+{
+  size_t count = argc > 1 ? strtoul (argv[1], NULL, 10) : DEFAULT_CLAIMS;
+
+  if (count == 0)
+    return EXIT_FAILURE;
+  bench_claims (count);
+  bench_codec (count);
+  bench_tickets (count);
+  return EXIT_SUCCESS;
+}
--- a/test/test_claims.c
+++ b/test/test_claims.c
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "policy/claim.h"
+#include "policy/claim_quota.h"
 #include "policy/ticket.h"
 
 static const struct eg_claim_config claim_config = {
@@ -274,6 +275,34 @@
   eg_tickets_free (tickets);
 }
 
+static void
+test_quota_counts_one_lifetime (void **state)
+{
+  const struct eg_claim_quota_config config = {
+      .claims_max = 3, .organisations_max = 2, .lifetime_us = 240};
+  struct eg_claim_quota *quota = eg_claim_quota_new (&config);
+  int64_t retry_us = 0;
+
+  (void) state;
+  assert_true (eg_claim_quota_take (quota, EG_STR ("a"), 0, &retry_us));
+  assert_true (eg_claim_quota_take (quota, EG_STR ("a"), 100, &retry_us));
+  assert_true (eg_claim_quota_take (quota, EG_STR ("a"), 200, &retry_us));
+  assert_false (eg_claim_quota_take (quota, EG_STR ("a"), 239, &retry_us));
+  assert_true (retry_us > 0);
+  eg_claim_quota_return (quota, EG_STR ("a"), 239);
+  assert_int_equal (eg_claim_quota_count (quota, EG_STR ("a"), 239), 2);
+  assert_true (eg_claim_quota_take (quota, EG_STR ("b"), 239, &retry_us));
+  assert_false (eg_claim_quota_take (quota, EG_STR ("c"), 239, &retry_us));
+  /* The claims at 0 and 100 are forgotten, the one of b is not. */
+  assert_int_equal (eg_claim_quota_count (quota, EG_STR ("a"), 370), 0);
+  eg_claim_quota_sweep (quota, 370);
+  assert_int_equal (eg_claim_quota_count (quota, EG_STR ("b"), 370), 1);
+  assert_true (eg_claim_quota_take (quota, EG_STR ("c"), 370, &retry_us));
+  /* Long afterwards nothing counts. */
+  assert_int_equal (eg_claim_quota_count (quota, EG_STR ("b"), 100000), 0);
+  eg_claim_quota_free (quota);
+}
+
 int
 main (void)
 {
@@ -284,6 +313,7 @@
       cmocka_unit_test (test_store_down_is_refused_in_time),
       cmocka_unit_test (test_tickets_are_bounded),
       cmocka_unit_test (test_kept_answers_are_bounded),
+      cmocka_unit_test (test_quota_counts_one_lifetime),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
