--- a/standin/load_report_json.c
+++ b/standin/load_report_json.c
@@ -219,6 +219,15 @@
                 / (double) EG_US_PER_S);
 }
 
+static json_t *
+first_token_json (const struct eg_load_results *results)
+{
+  return json_pack ("{s:I, s:I}", "p50_us",
+                    (json_int_t) eg_load_results_first_token (results, 0.5),
+                    "p99_us",
+                    (json_int_t) eg_load_results_first_token (results, 0.99));
+}
+
 static json_t *
 audit_json (const struct eg_load_results *results)
 {
@@ -245,13 +254,16 @@
 
   eg_load_results_total (results, &total);
   return json_pack (
-      "{s:s, s:I, s:f, s:I, s:b, s:I, s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:o}",
+      "{s:s, s:I, s:f, s:I, s:b, s:I, s:o, s:o, s:o, s:o, s:o, s:I, s:o, s:o, "
+      "s:o, s:o}",
       "name", scenario->name, "seed", (json_int_t) seed, "measured_s",
       measured_s (results), "wrong", (json_int_t) results->wrong, "faults_done",
       eg_load_report_faults_done (results), "missing_request_id",
       (json_int_t) results->missing_request_id, "total", group_json (&total),
       "groups", groups_json (results), "causes", causes_json (results),
       "throughput", throughput_json (results), "faults", faults_json (results),
-      "audit", audit_json (results), "tool", tool_json (results), "series",
+      "peak_in_flight", (json_int_t) eg_load_results_peak_in_flight (results),
+      "exact_first_token", first_token_json (results), "audit",
+      audit_json (results), "tool", tool_json (results), "series",
       series_json (results));
 }
--- a/standin/load_results.c
+++ b/standin/load_results.c
@@ -109,6 +109,7 @@
   record = &self->records[self->n_records];
   *record = (struct eg_load_record){.arrival_us = arrival_us,
                                     .end_us = -1,
+                                    .first_token_us = -1,
                                     .number = number,
                                     .stream = (uint16_t) stream};
   self->buckets[bucket_index (self, arrival_us)].arrivals++;
@@ -131,6 +132,8 @@
   bool measured = is_measured (self, record->arrival_us);
 
   eg_load_results_tokens_at_once (self, record_number, 1, now_us);
+  if (previous_us < 0)
+    record->first_token_us = now_us - record->arrival_us;
   if (previous_us < 0)
     eg_histogram_add (
         &self->first_token_us[bucket_index (self, record->arrival_us)],
@@ -212,6 +215,51 @@
                       now_us - record->arrival_us);
 }
 
+static int
+compare_times (const void *a, const void *b)
+{
+  int64_t left = *(const int64_t *) a;
+  int64_t right = *(const int64_t *) b;
+
+  return (left > right) - (left < right);
+}
+
+int64_t
+eg_load_results_first_token (const struct eg_load_results *self, double share)
+{
+  int64_t *times = zeroed (self->n_records, sizeof *times);
+  size_t count = 0;
+  int64_t result = 0;
+
+  for (size_t i = 0; i < self->n_records; i++)
+    if (self->records[i].first_token_us >= 0
+        && is_measured (self, self->records[i].arrival_us))
+      times[count++] = self->records[i].first_token_us;
+  if (count > 0)
+    {
+      qsort (times, count, sizeof *times, compare_times);
+      result = times[(size_t) (share * (double) (count - 1))];
+    }
+  free (times);
+  return result;
+}
+
+uint64_t
+eg_load_results_peak_in_flight (const struct eg_load_results *self)
+{
+  uint64_t in_flight = 0;
+  uint64_t peak = 0;
+
+  for (size_t i = 0; i < self->n_buckets; i++)
+    {
+      in_flight += self->buckets[i].arrivals;
+      in_flight -= self->buckets[i].ended;
+      if (in_flight > peak)
+        peak = in_flight;
+    }
+  return peak;
+}
+
 static void
 count_in_flight (const struct eg_load_results *self,
                  struct eg_load_fault_result *fault)
--- a/standin/load_results.h
+++ b/standin/load_results.h
@@ -41,9 +41,10 @@
 struct eg_load_record
 {
   int64_t arrival_us;
-  int64_t end_us;  /**< -1 while it lasts. */
-  uint64_t number; /**< Among the arrivals of its stream. */
-  uint32_t tokens; /**< Received. */
+  int64_t end_us;         /**< -1 while it lasts. */
+  int64_t first_token_us; /**< From its arrival; -1 if there is none. */
+  uint64_t number;        /**< Among the arrivals of its stream. */
+  uint32_t tokens;        /**< Received. */
   uint16_t stream;
   uint8_t outcome;
 };
@@ -119,6 +120,16 @@
                           const struct eg_load_verdict *verdict,
                           int64_t now_us);
 
+/**
+ * Returns an exact quantile of the first-token times of measured requests, in
+ * microseconds; 0 if there are none.
+ */
+int64_t eg_load_results_first_token (const struct eg_load_results *self,
+                                     double share);
+
+/** Returns the most requests that were in flight at a bucket's end. */
+uint64_t eg_load_results_peak_in_flight (const struct eg_load_results *self);
+
 /** Computes what a run's end makes known: recovery and fates in flight. */
 void eg_load_results_conclude (struct eg_load_results *self);
 
--- a/tools/experiments/common.sh
+++ b/tools/experiments/common.sh
@@ -24,6 +24,7 @@
 
 run=
 pids=
+faulty=0 # whether a run gave wrong answers or did not go as planned
 
 say() {
   printf '%s\n' "$*" >&2
@@ -252,9 +253,15 @@
 
 # load NAME SEED: runs $run/NAME.json; results go to $results/NAME.*
 load() {
+  load_code=0
   "$build/standin/eelgrass-load" "$run/$1.json" --seed "$2" --quiet \
     --json "$results/$1.json" --svg "$results/$1.svg" \
-    --values "$results/$1.txt" | tee "$results/$1.table"
+    --values "$results/$1.txt" >"$results/$1.table" || load_code=$?
+  cat "$results/$1.table"
+  if [ $load_code -ne 0 ]; then
+    say "$1: eelgrass-load ended with code $load_code"
+    faulty=1
+  fi
 }
 
 # value NAME KEY: a number of the results.
