--- a/standin/load_main.c
+++ b/standin/load_main.c
@@ -15,7 +15,6 @@
 #define PROGRAM "eelgrass-load"
 #define DEFAULT_SEED 1
 #define MAX_ARGUMENT_ERRORS 8
-#define MAX_PATH_BYTES 128
 
 /** Exit codes. */
 enum
@@ -83,24 +82,6 @@
   return written;
 }
 
-/* Writes `path.to.key value` for each number, so that a shell can read it;
-   arrays are left out. */
-static void
-print_values (json_t *value, const char *path, struct eg_buffer *lines)
-{
-  char joined[MAX_PATH_BYTES];
-  const char *key;
-  json_t *member;
-
-  if (json_is_number (value))
-    eg_buffer_printf (lines, "%s %.6g\n", path, json_number_value (value));
-  json_object_foreach (value, key, member)
-  {
-    snprintf (joined, sizeof joined, "%s%s%s", path, *path ? "." : "", key);
-    print_values (member, joined, lines);
-  }
-}
-
 static bool
 write_values (const struct eg_load_results *results,
               const struct options *options)
@@ -109,7 +90,7 @@
   struct eg_buffer lines = {0};
   bool written;
 
-  print_values (report, "", &lines);
+  eg_load_report_values (report, &lines);
   written = write_file (options->values_path, eg_buffer_view (&lines));
   eg_buffer_finish (&lines);
   json_decref (report);
--- a/standin/load_report.h
+++ b/standin/load_report.h
@@ -18,6 +18,13 @@
 json_t *eg_load_report_json (const struct eg_load_results *results,
                              uint64_t seed);
 
+/**
+ * Appends a line `PATH VALUE` for each number of a report, so that a shell can
+ * read it. Keys are joined by dots, objects in arrays are numbered from 0, and
+ * arrays of numbers are left out.
+ */
+void eg_load_report_values (json_t *report, struct eg_buffer *lines);
+
 /** Writes the run as tables for a terminal. */
 void eg_load_report_table (const struct eg_load_results *results, FILE *stream);
 
--- a/test/test_load_run.c
+++ b/test/test_load_run.c
@@ -183,6 +183,7 @@
   struct eg_load_scenario scenario;
   struct eg_load_results results;
   struct eg_load_group total;
+  struct eg_buffer values = {0};
   json_t *report;
 
   (void) state;
@@ -196,6 +197,10 @@
   assert_int_equal (json_integer_value (json_object_get (
                         json_object_get (report, "total"), "whole")),
                     EXPECTED_ARRIVALS);
+  eg_load_report_values (report, &values);
+  assert_non_null (strstr (eg_buffer_text (&values), "\ngroups.0.whole 20\n"));
+  assert_null (strstr (eg_buffer_text (&values), "series.tokens"));
+  eg_buffer_finish (&values);
   json_decref (report);
   eg_load_results_finish (&results);
   eg_load_scenario_finish (&scenario);
--- a/tools/experiments/common.sh
+++ b/tools/experiments/common.sh
@@ -12,7 +12,8 @@
 service=lineage-llm
 
 # Sizes; scripts set them before they call cluster_start.
-engines=4          # of each failure domain
+engines=4          # of each failure domain, unless engines_a and so on are set
+own_process=       # engine, as DOMAIN:NUMBER, that has a process of its own
 stages=2
 model_layers=32
 slots=8
@@ -100,6 +101,7 @@
 platform_address() { echo "127.0.0.1:$port_base"; }
 callers_address() { echo "127.0.0.1:$((port_base + 10 + $(domain_number "$1")))"; }
 operators_address() { echo "127.0.0.1:$((port_base + 20 + $(domain_number "$1")))"; }
+own_admin_address() { echo "127.0.0.1:$((port_base + 40))"; }
 admin_address() { echo "127.0.0.1:$((port_base + 30 + $(domain_number "$1")))"; }
 engine_address() { echo "127.0.0.1:$((port_base + 100 + 100 * $(domain_number "$1") + $2))"; }
 
@@ -108,9 +110,15 @@
   echo "[$((model_layers * $1 / stages + 1)), $((model_layers * ($1 + 1) / stages))]"
 }
 
-# fault_url DOMAIN ENGINE
-fault_url() {
-  echo "http://$(admin_address "$1")/standin/$(engine_address "$1" "$2")/faults"
+# control_url DOMAIN NUMBER SUBJECT: where an engine stand-in takes faults and
+# shows its record, even while its own listener is closed.
+control_url() {
+  if [ "$1:$2" = "$own_process" ]; then
+    admin=$(own_admin_address)
+  else
+    admin=$(admin_address "$1")
+  fi
+  echo "http://$admin/standin/$(engine_address "$1" "$2")/$3"
 }
 
 # each FUNCTION SEPARATOR ITEM...: what FUNCTION prints for each item.
@@ -127,12 +135,16 @@
   done
 }
 
-engine_numbers() { awk -v n="$engines" 'BEGIN { for (i = 0; i < n; i++) print i }'; }
+# engine_numbers DOMAIN
+engine_numbers() {
+  eval "count=\${engines_$1:-$engines}"
+  awk -v n="$count" 'BEGIN { for (i = 0; i < n; i++) print i }'
+}
 
-# All engines as "DOMAIN NUMBER", a line each.
+# All engines as DOMAIN:NUMBER, a line each.
 all_engines() {
   for domain in $domains; do
-    for number in $(engine_numbers); do
+    for number in $(engine_numbers "$domain"); do
       echo "$domain:$number"
     done
   done
@@ -166,8 +178,7 @@
 
 record_json() {
   split_engine "$1"
-  printf '{"url":"http://%s/standin/%s/record"}' \
-    "$(admin_address "$domain")" "$(engine_address "$domain" "$number")"
+  printf '{"url":"%s"}' "$(control_url "$domain" "$number" record)"
 }
 
 target_json() { printf '{"address":"%s"}' "$(callers_address "$1")"; }
@@ -195,15 +206,28 @@
   } >"$run/platform.json"
 }
 
-# write_domain DOMAIN
+# write_engines FILE ADMIN ENGINE...
+write_engines() {
+  file=$1
+  printf '{"admin":"%s","engines":[\n' "$2" >"$file"
+  shift 2
+  each engine_json ',
+' "$@" >>"$file"
+  printf ']}\n' >>"$file"
+}
+
+# start_engines DOMAIN: those that have no process of their own.
 # shellcheck disable=SC2046
-write_domain() {
-  {
-    printf '{"admin":"%s","engines":[\n' "$(admin_address "$1")"
-    each engine_json ',
-' $(all_engines | grep "^$1:")
-    printf ']}\n'
-  } >"$run/engines-$1.json"
+start_engines() {
+  write_engines "$run/engines-$1.json" "$(admin_address "$1")" \
+    $(all_engines | grep "^$1:" | grep -vx "${own_process:-none}")
+  start "engines-$1" "$build/standin/eelgrass-standin" "$run/engines-$1.json"
+}
+
+start_own_engine() {
+  write_engines "$run/engine-own.json" "$(own_admin_address)" "$own_process"
+  start engine-own "$build/standin/eelgrass-standin" "$run/engine-own.json"
+  wait_for "http://$(own_admin_address)/standin"
 }
 
 # write_settings DOMAIN
@@ -225,18 +249,14 @@
   start "entry-$1" "$build/router/eelgrasswood" --settings "$run/entry-$1.toml"
 }
 
-start_engines() {
-  start "engines-$1" "$build/standin/eelgrass-standin" "$run/engines-$1.json"
-}
-
 # Starts the whole deployment and waits until it serves the model.
 cluster_start() {
   write_platform
   start platform "$build/standin/eelgrass-standin" "$run/platform.json"
   for domain_name in $domains; do
-    write_domain "$domain_name"
     start_engines "$domain_name"
   done
+  [ -z "$own_process" ] || start_own_engine
   wait_for "http://$(platform_address)/vms"
   for domain_name in $domains; do
     wait_for "http://$(admin_address "$domain_name")/standin"
--- /dev/null
+++ b/tools/experiments/throughput.sh
@@ -0,0 +1,71 @@
+# A bulk upload at twice the capacity of 40 engines, with counter traffic
+# beside it. Read by tools/experiment.
+
+bulk_tokens=100
+counter_tokens=20
+counter_rate=6
+
+# The rate of all chains: a stage runs `slots` tokens in each `token_us`.
+bound() {
+  calculate "$(all_engines | wc -l) / $stages * $slots * 1000000 / $token_us"
+}
+
+# stream_json NAME ORGANISATION CLASS RATE TOKENS
+stream_json() {
+  printf '{"name":"%s","organisation":"%s","class":"%s","rate_per_s":%s,' \
+    "$1" "$2" "$3" "$4"
+  printf '"max_tokens":%s,"model":"%s"}' "$5" "$model"
+}
+
+# throughput_scenario NAME BULK-RATE
+throughput_scenario() {
+  {
+    printf '{"name":"%s","warm_up_ms":6000,"duration_ms":20000,' "$1"
+    printf '"drain_ms":40000,"bound_tokens_per_s":%s,' "$(bound)"
+    targets_json
+    printf ',"streams":['
+    stream_json counter registry counter "$counter_rate" "$counter_tokens"
+    if [ "$2" != 0 ]; then
+      printf ','
+      stream_json bulk exchange bulk "$2" "$bulk_tokens"
+    fi
+    printf ']}\n'
+  } >"$run/$1.json"
+}
+
+# first_token NAME QUANTILE: of the counter class, the first group, in us.
+first_token() {
+  value "$1" "groups.0.first_token.$2_us"
+}
+
+experiment() {
+  engines_a=14
+  engines_b=14
+  engines_c=12
+  slots=4
+  token_us=20000
+  entry_settings="backend.default_slots = $((slots * stages))"
+  begin throughput
+  cluster_start
+  throughput_scenario throughput-idle 0
+  load throughput-idle 1
+  throughput_scenario throughput-bulk \
+    "$(calculate "2 * $(bound) / $bulk_tokens")"
+  load throughput-bulk 1
+  {
+    share=$(value throughput-bulk throughput.of_bound)
+    printf '%s tokens/s, %s of the bound of %s tokens/s\n' \
+      "$(value throughput-bulk throughput.tokens_per_s)" "$share" "$(bound)"
+    verdict ">= 95 % of the bound" "$share >= 0.95"
+    for quantile in p50 p95 p99; do
+      idle=$(first_token throughput-idle $quantile)
+      busy=$(first_token throughput-bulk $quantile)
+      printf 'first token of the counter class, %s: %s us idle, %s us beside the bulk upload\n' \
+        $quantile "$idle" "$busy"
+      verdict "within twice the idle figure ($quantile)" "$busy <= 2 * $idle"
+    done
+  } >"$results/throughput.summary"
+  finish
+  say ""
+  cat "$results/throughput.summary"
+}
