http: one worker thread for back-end and platform I/O

The loop, ring and shutdown of the two threads stood twice; both now give a handler and a way to drop commands to http/worker. The path tests pass.

--- a/backend/worker.c
+++ b/backend/worker.c
@@ -1,7 +1,5 @@
 #include "backend/worker.h"
 
-#include <ck_pr.h>
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,11 +10,10 @@
 #include "base/log.h"
 #include "base/map.h"
 #include "base/status.h"
-#include "http/client.h"
 #include "http/sse.h"
+#include "http/worker.h"
 
 #define RING_SLOTS 16384
-#define IDLE_WAIT_US (100 * EG_US_PER_MS)
 #define HEADERS_MAX 4
 #define POLL_ANSWER_MAX ((size_t) 64 * 1024)
 
@@ -37,12 +34,9 @@
 {
   struct eg_backend_config config;
   struct eg_backend_sink sink;
-  struct eg_http_client *http;
-  struct eg_ring ring;
+  struct eg_http_worker worker;
   struct eg_list jobs;
   struct eg_map attempts; /* Those of attempts, by request. */
-  pthread_t thread;
-  unsigned stopping;
 };
 
 struct eg_backend_command *
@@ -349,7 +343,7 @@
   if (command->has_body)
     request.body =
         (struct eg_str){eg_buffer_text (&command->body), command->body.len};
-  job->transfer = eg_http_client_start (self->http, &request);
+  job->transfer = eg_http_client_start (self->worker.http, &request);
   if (job->transfer)
     return;
   if (is_attempt (job))
@@ -368,7 +362,7 @@
       || (command->kind == EG_BACKEND_CANCEL
           && job->command->attempt != command->attempt))
     return;
-  eg_http_client_abort (self->http, job->transfer);
+  eg_http_client_abort (self->worker.http, job->transfer);
   remove_job (job);
 }
 
@@ -389,20 +383,16 @@
   start_job (self, command);
 }
 
-static void *
-run (void *context)
+static void
+handle_any (void *context, void *command)
 {
-  struct eg_backend_worker *self = context;
-
-  while (!ck_pr_load_uint (&self->stopping))
-    {
-      struct eg_backend_command *command;
+  handle_command (context, command);
+}
 
-      while ((command = eg_ring_pop (&self->ring)))
-        handle_command (self, command);
-      eg_http_client_run (self->http, &self->ring, IDLE_WAIT_US);
-    }
-  return NULL;
+static void
+drop_any (void *command)
+{
+  eg_backend_command_free (command);
 }
 
 struct eg_backend_worker *
@@ -410,21 +400,15 @@
                        const struct eg_backend_sink *sink)
 {
   struct eg_backend_worker *self = calloc (1, sizeof *self);
+  const struct eg_http_worker_ops ops = {handle_any, drop_any, self};
 
   if (!self)
     return NULL;
   self->config = *config;
   self->sink = *sink;
   eg_list_init (&self->jobs);
-  self->ring.event_fd = -1;
-  self->http = eg_http_client_new ();
-  if (!self->http || !eg_ring_init (&self->ring, RING_SLOTS))
-    goto fail;
-  if (pthread_create (&self->thread, NULL, run, self) == 0)
+  if (eg_http_worker_init (&self->worker, &ops, RING_SLOTS))
     return self;
-fail:
-  eg_http_client_free (self->http);
-  eg_ring_finish (&self->ring);
   free (self);
   return NULL;
 }
@@ -432,20 +416,12 @@
 void
 eg_backend_worker_free (struct eg_backend_worker *self)
 {
-  struct eg_backend_command *command;
-
   if (!self)
     return;
-  ck_pr_store_uint (&self->stopping, 1);
-  eg_ring_wake (&self->ring);
-  pthread_join (self->thread, NULL);
-  eg_http_client_free (self->http);
+  eg_http_worker_finish (&self->worker);
   while (!eg_list_is_empty (&self->jobs))
     remove_job (EG_CONTAINER_OF (self->jobs.next, struct job, link));
   eg_map_finish (&self->attempts);
-  while ((command = eg_ring_pop (&self->ring)))
-    eg_backend_command_free (command);
-  eg_ring_finish (&self->ring);
   free (self);
 }
 
@@ -453,5 +429,5 @@
 eg_backend_worker_push (struct eg_backend_worker *self,
                         struct eg_backend_command *command)
 {
-  return eg_ring_push (&self->ring, command);
+  return eg_http_worker_push (&self->worker, command);
 }
