--- a/backend/worker.c
+++ b/backend/worker.c
@@ -14,7 +14,7 @@
 #include "http/worker.h"
 
 #define RING_SLOTS 16384
-#define HEADERS_MAX 4
+#define HEADERS_MAX 5
 #define POLL_ANSWER_MAX ((size_t) 64 * 1024)
 
 /* One attempt, poll or cancellation under way. */
@@ -307,6 +307,7 @@
       {EG_STR ("X-Request-Id"), eg_str_from (command->request_id)},
       {EG_STR ("X-Organisation"), eg_str_from (command->organisation)},
       {EG_STR ("Idempotency-Key"), eg_str_from (command->key)},
+      {EG_STR ("X-Ticket"), eg_str_from (command->ticket)},
   };
   size_t count = 0;
 
--- a/backend/worker.h
+++ b/backend/worker.h
@@ -34,7 +34,8 @@
   char content_type[EG_NAME_BYTES * 2];
   char request_id[EG_NAME_BYTES * 2];
   char organisation[EG_NAME_BYTES];
-  char key[EG_NAME_BYTES * 2]; /**< Idempotency key, or empty. */
+  char key[EG_NAME_BYTES * 2];    /**< Idempotency key, or empty. */
+  char ticket[EG_NAME_BYTES * 2]; /**< Ticket, or empty. */
   bool at_most_once;
   int64_t timeout_us;
   int64_t send_by_us; /**< No byte leaves later; 0 for no bound. */
--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -579,7 +579,7 @@
   return true;
 }
 
-void
+bool
 eg_lifecycle_attempt_done (struct eg_lifecycle *self,
                            uint64_t id,
                            uint32_t attempt,
@@ -590,7 +590,7 @@
   struct eg_target *target;
 
   if (!request)
-    return;
+    return false;
   target = request->target;
   if (request->info.plain)
     eg_servers_observe (self->servers, request->chain.stages[0].server,
@@ -607,6 +607,7 @@
   eg_action_queue_push (&self->actions, &action);
   forget (self, request);
   dispatch (self, target, now_us);
+  return true;
 }
 
 static const struct
--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -142,8 +142,11 @@
                          int64_t position,
                          int64_t now_us);
 
-/** Reports that an attempt ended well. */
-void eg_lifecycle_attempt_done (struct eg_lifecycle *self,
+/**
+ * Reports that an attempt ended well.
+ * @return true if its answer is the request's; false for an older attempt.
+ */
+bool eg_lifecycle_attempt_done (struct eg_lifecycle *self,
                                 uint64_t id,
                                 uint32_t attempt,
                                 int64_t now_us);
