placement: streams of other nodes count in part when servers are compared

All nodes see the same late reports. Following them in full, they sent their work to the same servers and overshot, most of all between failure domains. This node's own streams now count in full and those of other nodes for 0.15 when two servers or two chains are compared; whether a server is full is still judged by its whole load.

--- a/policy/placement.c
+++ b/policy/placement.c
@@ -115,7 +115,7 @@
   double weight = eg_sampler_weight (sampler, server->report.accelerator);
 
   return layers * LAYER_US / weight
-         * (1 + eg_sampler_relative_load (sampler, stage->server));
+         * (1 + eg_sampler_damped_load (sampler, stage->server));
 }
 
 /* Picks the server of one group; @p head alone may be the first stage. */
--- a/policy/sample.c
+++ b/policy/sample.c
@@ -7,10 +7,8 @@
 #define CHOICES 2
 /* Part of the capacity that a server with a stale report counts for. */
 #define STALE_SHARE 0.5
-/* Age at which a report of other nodes' work is believed by half: calls of
-   plain services are short, and streams of models last. */
-#define PLAIN_HALF_TRUST_US 100000.0
-#define MODEL_HALF_TRUST_US 1000000.0
+/* What a stream of another node counts against one of this node. */
+#define OTHERS_SHARE 0.15
 /* Relative load that counts as much as a latency ratio of 1 to 0. */
 #define LATENCY_WORTH 1.0
 
@@ -50,6 +48,20 @@
   return eg_servers_load (self->servers, index) / slots;
 }
 
+/* All nodes see the same late reports: if each followed them in full, all
+   would send their work to the same servers, and overshoot. */
+double
+eg_sampler_damped_load (const struct eg_sampler *self, uint32_t index)
+{
+  const struct eg_server *server = eg_servers_get (self->servers, index);
+  uint32_t others;
+
+  if (is_stale (self, server))
+    return eg_sampler_relative_load (self, index);
+  others = eg_servers_load (self->servers, index) - server->in_flight;
+  return (server->in_flight + OTHERS_SHARE * others) / slots_of (self, server);
+}
+
 static bool
 is_excluded (const struct eg_placement_query *query, uint32_t index)
 {
@@ -186,52 +198,14 @@
   return one > 0 && other > 0 ? one / (one + other) : 0.5;
 }
 
-/* Age of a server's report. */
-static int64_t
-report_age (const struct eg_sampler *self, uint32_t index)
-{
-  const struct eg_server *server = eg_servers_get (self->servers, index);
-  int64_t age = self->now_us - server->report.as_of_us;
-
-  return age > 0 ? age : 0;
-}
-
-/* Part of what a report says of other nodes' streams that is still so. */
-static double
-report_trust (const struct eg_sampler *self, int64_t age_us)
-{
-  double half =
-      self->query->model.len ? MODEL_HALF_TRUST_US : PLAIN_HALF_TRUST_US;
-
-  return half / (half + (double) age_us);
-}
-
-/* All nodes see the same late reports: each that followed them in full would
-   send its work to the same servers, and overshoot. What this node itself
-   sent is exact; the rest counts for less the older it is. */
-static double
-damped_load (const struct eg_sampler *self, uint32_t index, double trust)
-{
-  const struct eg_server *server = eg_servers_get (self->servers, index);
-  uint32_t load = eg_servers_load (self->servers, index);
-  double others = load - server->in_flight;
-
-  if (is_stale (self, server))
-    return eg_sampler_relative_load (self, index);
-  return (server->in_flight + trust * others) / slots_of (self, server);
-}
-
 static uint32_t
 better (const struct eg_sampler *self, uint32_t a, uint32_t b)
 {
-  int64_t age_a = report_age (self, a);
-  int64_t age_b = report_age (self, b);
-  double trust = report_trust (self, age_a > age_b ? age_a : age_b);
   double latency_a = plain_latency (self, eg_servers_get (self->servers, a));
   double latency_b = plain_latency (self, eg_servers_get (self->servers, b));
-  double cost_a = damped_load (self, a, trust)
+  double cost_a = eg_sampler_damped_load (self, a)
                   + LATENCY_WORTH * latency_share (latency_a, latency_b);
-  double cost_b = damped_load (self, b, trust)
+  double cost_b = eg_sampler_damped_load (self, b)
                   + LATENCY_WORTH * latency_share (latency_b, latency_a);
 
   return cost_b < cost_a ? b : a;
--- a/policy/sample.h
+++ b/policy/sample.h
@@ -41,6 +41,12 @@
  */
 double eg_sampler_relative_load (const struct eg_sampler *self, uint32_t index);
 
+/**
+ * Returns the relative load to compare servers by: this node's own streams in
+ * full, as they are known exactly, and those of other nodes in part.
+ */
+double eg_sampler_damped_load (const struct eg_sampler *self, uint32_t index);
+
 /** Returns the weight of a server's accelerator; 1 if it is not listed. */
 double eg_sampler_weight (const struct eg_sampler *self,
                           const char *accelerator);
