--- a/policy/servers.c
+++ b/policy/servers.c
@@ -320,9 +320,13 @@
                  enum eg_server_stop reason,
                  bool on)
 {
-  struct eg_server *server = &record_at (self, index)->server;
-  unsigned stops = server->stops;
+  struct eg_server *server;
+  unsigned stops;
 
+  if (index == EG_SERVER_NONE)
+    return;
+  server = &record_at (self, index)->server;
+  stops = server->stops;
   set_stop (server, reason, on);
   if (stops != server->stops)
     offer (self, index);
--- a/policy/servers.h
+++ b/policy/servers.h
@@ -89,7 +89,10 @@
 /** Returns how many indexes there are; some may stand for gone servers. */
 uint32_t eg_servers_count (const struct eg_servers *self);
 
-/** Returns one server, valid until the next eg_servers_add(). */
+/**
+ * Returns one server, valid until the next eg_servers_add(). An index that
+ * stands for none gives one with an empty address.
+ */
 const struct eg_server *eg_servers_get (const struct eg_servers *self,
                                         uint32_t index);
 
@@ -104,7 +107,11 @@
                         const struct eg_server_report *report,
                         int64_t now_us);
 
-/** Sets or clears one reason to send no new work. */
+/**
+ * Sets or clears one reason to send no new work; only the caller clears it
+ * again, but for EG_SERVER_LEAVING_REPORT. EG_SERVER_NONE is ignored, so that
+ * what eg_servers_add() returned can be passed on.
+ */
 void eg_servers_stop (struct eg_servers *self,
                       uint32_t index,
                       enum eg_server_stop reason,
--- a/test/property_servers.cc
+++ b/test/property_servers.cc
@@ -161,6 +161,10 @@
       check_sets (t, servers);
     }
   RC_ASSERT (eg_servers_count (t.servers) <= ADDRESSES);
+  RC_ASSERT (eg_servers_add (t.servers, EG_STR ("an address that is too long"),
+                             EG_STR ("d0"))
+             == EG_SERVER_NONE);
+  eg_servers_stop (t.servers, EG_SERVER_NONE, EG_SERVER_GONE, true);
 }
 
 /* After a failure no work until the back-off is over, which doubles for each
