policy: object keys that the store cannot hold are refused, not cut

eg_claim_object_key() had no bound, and its user cut the key at 255 bytes: two long idempotency keys with the same start would have shared one claim, so that a second booking got the first one's answer. Such a key is now a 400.

--- a/policy/claim_record.c
+++ b/policy/claim_record.c
@@ -57,18 +57,23 @@
   eg_buffer_printf (target, EG_CLAIM_PREFIX "%03x/", bucket);
 }
 
-void
+bool
 eg_claim_object_key (struct eg_buffer *target,
                      struct eg_str organisation,
                      struct eg_str key)
 {
   uint64_t hash = eg_hash_add (eg_hash_add (EG_HASH_START, organisation), key);
+  size_t before = target->len;
 
   eg_claim_bucket_prefix (target,
                           (unsigned) (eg_hash_mix (hash) % EG_CLAIM_BUCKETS));
   append_escaped (target, organisation);
   eg_buffer_append (target, EG_STR ("/"));
   append_escaped (target, key);
+  if (target->len - before <= EG_CLAIM_OBJECT_KEY_MAX)
+    return true;
+  target->len = before;
+  return false;
 }
 
 static json_t *
--- a/policy/claim_record.h
+++ b/policy/claim_record.h
@@ -18,8 +18,8 @@
 
 EG_BEGIN_DECLS
 
-/** Longest idempotency key accepted, in bytes. */
-#define EG_CLAIM_KEY_BYTES_MAX 255
+/** Longest object key, in bytes without a final zero. */
+#define EG_CLAIM_OBJECT_KEY_MAX 255
 /** All claim objects have keys that start so. */
 #define EG_CLAIM_PREFIX "claims/"
 /** Groups of claim objects, each with a prefix of its own for listing. */
@@ -72,8 +72,10 @@
 /**
  * Appends the object key of (organisation, idempotency key): distinct pairs
  * have distinct keys, of letters, digits, `-`, `_`, `~` and `/`.
+ * @return false, with nothing appended, if the pair is too long: a byte that
+ *         is not a letter, digit, `-` or `_` takes three.
  */
-void eg_claim_object_key (struct eg_buffer *target,
+bool eg_claim_object_key (struct eg_buffer *target,
                           struct eg_str organisation,
                           struct eg_str key);
 
--- a/router/keyed.c
+++ b/router/keyed.c
@@ -1,5 +1,6 @@
 #include "router/keyed.h"
 
+#include <assert.h>
 #include <stdlib.h>
 
 #include "base/clock.h"
@@ -8,6 +9,8 @@
 #include "base/status.h"
 
 #define STORE_TIMEOUT_US EG_US_PER_S
+static_assert (EG_CLAIM_OBJECT_KEY_MAX < EG_OBJECT_KEY_BYTES,
+               "object keys of claims fit the platform's commands");
 /* A tag holds the id of the request and the low bits of the operation. */
 #define TAG_OPERATION_BITS 16
 #define TAG_OPERATION_MASK ((UINT64_C (1) << TAG_OPERATION_BITS) - 1)
@@ -149,6 +152,20 @@
   free_sending (sending);
 }
 
+/* No request with such a key was ever accepted, so none of it ran. */
+static void
+refuse_long_key (struct eg_keyed *self, struct sending *sending)
+{
+  const struct eg_claim_action refusal = {
+      .type = EG_CLAIM_ACTION_REFUSE,
+      .refusal = EG_REFUSAL_MALFORMED,
+      .ran = EG_RAN_NO,
+  };
+
+  self->callbacks.refuse (self->callbacks.context, sending->call, &refusal);
+  free_sending (sending);
+}
+
 void
 eg_keyed_arrive (struct eg_keyed *self, struct eg_call *call, int64_t now_us)
 {
@@ -167,8 +184,13 @@
   EG_INVARIANT (sending != NULL);
   sending->call = eg_call_ref (call);
   eg_outcome_init (&call->outcome, EG_OUTCOME_KEYED);
-  eg_claim_object_key (&sending->object_key, eg_str_from (call->organisation),
-                       eg_str_from (call->key));
+  if (!eg_claim_object_key (&sending->object_key,
+                            eg_str_from (call->organisation),
+                            eg_str_from (call->key)))
+    {
+      refuse_long_key (self, sending);
+      return;
+    }
   eg_claim_init (&sending->claim, &claim_config, &call->outcome, &start);
   eg_map_put (&self->sendings, call->id, sending);
   update (self, sending, &event, now_us);
