--- a/test/property_claim_record.cc
+++ b/test/property_claim_record.cc
@@ -34,6 +34,13 @@
   return result;
 }
 
+/* The bucket is a hash, which hides most collisions of the rest. */
+std::string
+without_bucket (const std::string &object)
+{
+  return object.substr (object.find ('/', sizeof EG_CLAIM_PREFIX - 1));
+}
+
 void
 check_round_trip ()
 {
@@ -87,7 +94,8 @@
   const auto escaped = object.substr (object.rfind ('/') + 1);
   const size_t both = organisation.size () + escaped.size ();
   if (escaped != key && both <= 2 * 40)
-    RC_ASSERT (object_key (organisation, escaped) != object);
+    RC_ASSERT (without_bucket (object_key (organisation, escaped))
+               != without_bucket (object));
   RC_ASSERT (object.find_first_not_of ("abcdefghijklmnopqrstuvwxyz"
                                        "0123456789~-_/")
              == std::string::npos);
