--- a/test/test_claims.c
+++ b/test/test_claims.c
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "policy/claim.h"
 #include "policy/claim_quota.h"
+#include "policy/claim_sweeper.h"
 #include "policy/ticket.h"
 
 static const struct eg_claim_config claim_config = {
@@ -303,6 +304,70 @@
   eg_claim_quota_free (quota);
 }
 
+/* Lets a sweeper take rounds until its ticks make a lifetime; nothing may be
+ * deleted before. Returns the time. */
+static int64_t
+pass_ticks (struct eg_claim_sweeper *sweeper, struct eg_random *random)
+{
+  struct eg_claim_ticks ticks = {0};
+  struct eg_claim_sweeper_action action;
+  uint64_t version = 0;
+  int64_t now_us = 0;
+
+  while (ticks.count < EG_CLAIM_LIFETIME_TICKS)
+    {
+      now_us = eg_claim_sweeper_wake_us (sweeper);
+      eg_claim_sweeper_wake (sweeper, now_us, &action);
+      assert_int_equal (action.type, EG_CLAIM_SWEEPER_READ_TICKS);
+      eg_claim_sweeper_ticks (sweeper, version, &ticks, now_us, random,
+                              &action);
+      if (action.type == EG_CLAIM_SWEEPER_WRITE_TICKS)
+        {
+          assert_int_equal (action.version, version);
+          ticks = action.ticks;
+          version += 100;
+          eg_claim_sweeper_done (sweeper, true, now_us, random, &action);
+        }
+      assert_int_equal (action.type, EG_CLAIM_SWEEPER_LIST);
+      eg_claim_sweeper_listed (sweeper, EG_STR ("claims/000/a/b"), 1);
+      eg_claim_sweeper_done (sweeper, true, now_us, random, &action);
+      assert_int_equal (action.type, EG_CLAIM_SWEEPER_WAIT);
+    }
+  /* Reads the last tick, whose version the next listing goes by. */
+  eg_claim_sweeper_wake (sweeper, eg_claim_sweeper_wake_us (sweeper), &action);
+  eg_claim_sweeper_ticks (sweeper, version, &ticks, now_us, random, &action);
+  assert_int_equal (action.type, EG_CLAIM_SWEEPER_LIST);
+  return now_us;
+}
+
+static void
+test_sweeper_deletes_what_expired (void **state)
+{
+  const int64_t lifetime_us = 240 * EG_US_PER_S;
+  struct eg_claim_sweeper sweeper;
+  struct eg_claim_sweeper_action action;
+  struct eg_random random;
+  int64_t now_us;
+
+  (void) state;
+  eg_random_init (&random, 1);
+  eg_claim_sweeper_init (&sweeper, lifetime_us);
+  eg_claim_sweeper_set_entry_vms (&sweeper, 1000);
+  now_us = pass_ticks (&sweeper, &random);
+  assert_true (now_us >= lifetime_us);
+  /* The oldest tick has version 100. */
+  eg_claim_sweeper_listed (&sweeper, EG_STR ("claims/000/a/b"), 100);
+  eg_claim_sweeper_listed (&sweeper, EG_STR ("claims/000/a/c"), 101);
+  eg_claim_sweeper_listed (&sweeper, EG_STR ("rules"), 50);
+  eg_claim_sweeper_done (&sweeper, true, now_us, &random, &action);
+  assert_int_equal (action.type, EG_CLAIM_SWEEPER_DELETE);
+  assert_string_equal (action.key, "claims/000/a/b");
+  assert_int_equal (action.version, 100);
+  eg_claim_sweeper_done (&sweeper, true, now_us, &random, &action);
+  assert_int_equal (action.type, EG_CLAIM_SWEEPER_WAIT);
+  assert_true (eg_claim_sweeper_wake_us (&sweeper) > now_us);
+}
+
 int
 main (void)
 {
@@ -314,6 +379,7 @@
       cmocka_unit_test (test_tickets_are_bounded),
       cmocka_unit_test (test_kept_answers_are_bounded),
       cmocka_unit_test (test_quota_counts_one_lifetime),
+      cmocka_unit_test (test_sweeper_deletes_what_expired),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
