router: tickets for non-idempotent requests without the store

A ticket is given and run by one incarnation of one entry VM; the others pass a request on to the address in its ticket. Repeats get the first answer; after a lost reply they get 409 with ran: unknown. Two tests over the path, one with the store down. A failing VM list is logged once, not every second.

--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -868,6 +868,13 @@
     }
 }
 
+void
+eg_lifecycle_sweep (struct eg_lifecycle *self, int64_t now_us)
+{
+  eg_limits_sweep (self->limits, now_us);
+  eg_servers_sweep (self->servers, now_us);
+}
+
 void
 eg_lifecycle_stop (struct eg_lifecycle *self)
 {
--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -169,6 +169,9 @@
 /** Lets time pass: deadlines, back-offs, silent attempts. */
 void eg_lifecycle_tick (struct eg_lifecycle *self, int64_t now_us);
 
+/** Forgets what idle organisations and gone servers leave behind. */
+void eg_lifecycle_sweep (struct eg_lifecycle *self, int64_t now_us);
+
 /** Refuses all new requests from now on; what is in flight goes on. */
 void eg_lifecycle_stop (struct eg_lifecycle *self);
 
--- a/router/call.h
+++ b/router/call.h
@@ -22,6 +22,7 @@
 {
   EG_CALL_COMPLETION,
   EG_CALL_SERVICE,
+  EG_CALL_TICKET, /**< A ticket for one non-idempotent request. */
 };
 
 /** The kinds of reply to the caller's thread. */
@@ -83,6 +84,7 @@
   int64_t first_token_us;
   int64_t last_token_us;
   int64_t token_count;
+  bool forwarded; /**< Whether another entry VM runs it, by its ticket. */
   bool ended;
 };
 
--- a/router/caller_request.c
+++ b/router/caller_request.c
@@ -126,6 +126,9 @@
   if (!*call->request_id)
     snprintf (call->request_id, sizeof call->request_id, "%s-%" PRIx64,
               settings->name, call->id);
+  if (*call->key && *call->ticket)
+    return refuse (problem, error, EG_REFUSAL_MALFORMED,
+                   "give Idempotency-Key or X-Ticket, not both");
   if (!*call->organisation)
     return refuse (problem, error, EG_REFUSAL_NO_ORGANISATION,
                    "header X-Organisation is missing");
@@ -270,3 +273,26 @@
       is_idempotent_method (call->method) && !*call->key && !*call->ticket;
   return true;
 }
+
+bool
+eg_caller_read_ticket (struct mg_connection *connection,
+                       const struct eg_router_settings *settings,
+                       struct eg_decision *decision,
+                       struct eg_call *call,
+                       struct eg_problem *problem,
+                       struct eg_error *error)
+{
+  const struct mg_request_info *info = mg_get_request_info (connection);
+
+  call->kind = EG_CALL_TICKET;
+  if (!read_headers (connection, settings, decision, call, problem, error)
+      || !read_body (connection, settings, call, problem, error))
+    return false;
+  if (strcmp (info->request_method, "POST") != 0)
+    return refuse (problem, error, EG_REFUSAL_MALFORMED,
+                   "tickets take the method POST");
+  if (call->body.len > 0)
+    return refuse (problem, error, EG_REFUSAL_MALFORMED,
+                   "a ticket is asked for without a body");
+  return true;
+}
--- a/router/caller_request.h
+++ b/router/caller_request.h
@@ -26,4 +26,12 @@
                              struct eg_problem *problem,
                              struct eg_error *error);
 
+/** Reads `POST /v1/tickets`; false fills the refusal. */
+bool eg_caller_read_ticket (struct mg_connection *connection,
+                            const struct eg_router_settings *settings,
+                            struct eg_decision *decision,
+                            struct eg_call *call,
+                            struct eg_problem *problem,
+                            struct eg_error *error);
+
 #endif
--- a/router/callers.c
+++ b/router/callers.c
@@ -278,6 +278,12 @@
   return handle (connection, context, eg_caller_read_service);
 }
 
+static int
+handle_ticket (struct mg_connection *connection, void *context)
+{
+  return handle (connection, context, eg_caller_read_ticket);
+}
+
 static int
 handle_health (struct mg_connection *connection, void *context)
 {
@@ -391,6 +397,7 @@
   mg_request_handler handler;
 } routes[] = {
     {"/v1/completions$", handle_completion},
+    {"/v1/tickets$", handle_ticket},
     {"/v1/models$", handle_models},
     {"/services/", handle_service},
     {"/health$", handle_health},
--- a/router/decision.c
+++ b/router/decision.c
@@ -39,6 +39,7 @@
   int64_t next_tick_us;
   int64_t next_vms_us;
   bool vms_under_way;
+  enum eg_status vms_status; /* Of the last reading. */
   bool draining;
 };
 
@@ -242,9 +243,10 @@
   self->vms_under_way = false;
   if (reply->status == EG_OK)
     eg_fleet_take_list (&self->fleet, &reply->vms);
-  else
-    eg_log (EG_LOG_WARNING, "platform", "event=vm-list-failed status=%s",
-            eg_status_name (reply->status));
+  if (reply->status != self->vms_status)
+    eg_log (reply->status == EG_OK ? EG_LOG_NOTICE : EG_LOG_WARNING, "platform",
+            "event=vm-list status=%s", eg_status_name (reply->status));
+  self->vms_status = reply->status;
 }
 
 static void
--- a/router/dispatcher.c
+++ b/router/dispatcher.c
@@ -10,10 +10,18 @@
 #include "base/log.h"
 #include "base/map.h"
 #include "http/json.h"
+#include "policy/ticket.h"
 #include "router/commands.h"
 #include "router/defaults.h"
 #include "router/keyed.h"
 
+#define TICKET_LIFETIME_US (300 * EG_US_PER_S)
+#define TICKET_KEEP_US (600 * EG_US_PER_S)
+#define TICKETS_MAX 16384
+#define TICKETS_ORGANISATION_MAX 4096
+#define TICKET_ANSWER_BYTES_MAX ((size_t) 64 * 1024)
+#define TICKET_ANSWERS_BYTES_MAX ((size_t) 8 * 1024 * 1024)
+#define SWEEP_INTERVAL_US EG_US_PER_S
 #define COST_BYTES_PER_TOKEN 4
 /* Prompts that share this much of their start share cached keys and values. */
 #define PREFIX_BYTES 256
@@ -26,6 +34,8 @@
   struct eg_metrics metrics;
   struct eg_map calls;
   struct eg_keyed *keyed;
+  struct eg_tickets *tickets;
+  int64_t next_sweep_us;
   struct eg_command_maker maker;
 };
 
@@ -57,6 +67,13 @@
   eg_call_unref (call);
 }
 
+/* Whether repeats of the request get its first answer. */
+static bool
+is_kept (const struct eg_call *call)
+{
+  return *call->key || *call->ticket;
+}
+
 static void
 append_token (struct eg_call *call, int64_t position, struct eg_str token)
 {
@@ -69,7 +86,7 @@
   if (call->tokens.len > 0)
     eg_buffer_append (&call->tokens, EG_STR (","));
   eg_buffer_append (&call->tokens, eg_buffer_view (&json));
-  if (*call->key)
+  if (is_kept (call))
     eg_buffer_append (&call->answer, token);
   if (call->stream)
     eg_buffer_printf (&reply->events,
@@ -124,8 +141,23 @@
   end_call (self, call, reply, EG_REFUSAL_NONE);
 }
 
-/* Keeps the text of a completion with a key, which a repeat gets as a whole
-   even where the first sending asked for a stream. */
+/* Keeps an answer for repeats of a request with a key or a ticket. */
+static void
+keep_answer (struct eg_dispatcher *self,
+             struct eg_call *call,
+             const struct eg_claim_answer *answer)
+{
+  struct eg_ticket ticket;
+
+  if (*call->key)
+    eg_keyed_answered (self->keyed, call->id, answer, eg_clock_now_us ());
+  else if (eg_ticket_parse (&ticket, eg_str_from (call->ticket)))
+    eg_tickets_end (self->tickets, &ticket, &call->outcome, answer,
+                    eg_clock_now_us ());
+}
+
+/* A repeat gets the text of a completion as a whole, even where the first
+   sending asked for a stream. */
 static void
 keep_completion (struct eg_dispatcher *self, struct eg_call *call)
 {
@@ -139,14 +171,14 @@
   eg_call_write_completion (call, eg_buffer_view (&call->answer),
                             call->token_count, &json);
   answer.body = eg_buffer_view (&json);
-  eg_keyed_answered (self->keyed, call->id, &answer, eg_clock_now_us ());
+  keep_answer (self, call, &answer);
   eg_buffer_finish (&json);
 }
 
 static void
 finish_completion (struct eg_dispatcher *self, struct eg_call *call)
 {
-  if (*call->key)
+  if (is_kept (call))
     keep_completion (self, call);
   end_call (self, call, eg_reply_new (EG_REPLY_DONE), EG_REFUSAL_NONE);
 }
@@ -180,6 +212,25 @@
     eg_backend_command_free (command);
 }
 
+static void
+apply_refuse (struct eg_dispatcher *self,
+              struct eg_call *call,
+              const struct eg_action *action)
+{
+  int64_t now_us = eg_clock_now_us ();
+  struct eg_ticket ticket;
+
+  if (*call->key)
+    {
+      eg_keyed_refused (self->keyed, call->id, action->refusal, now_us);
+      return;
+    }
+  if (eg_ticket_parse (&ticket, eg_str_from (call->ticket)))
+    eg_tickets_end (self->tickets, &ticket, &call->outcome, NULL, now_us);
+  refuse_call (self, call, action->refusal, action->ran,
+               action->retry_after_us);
+}
+
 static void
 apply_action (struct eg_dispatcher *self, const struct eg_action *action)
 {
@@ -199,12 +250,8 @@
         finish_completion (self, call);
       return;
     case EG_ACTION_REFUSE:
-      if (call && *call->key)
-        eg_keyed_refused (self->keyed, call->id, action->refusal,
-                          eg_clock_now_us ());
-      else if (call)
-        refuse_call (self, call, action->refusal, action->ran,
-                     action->retry_after_us);
+      if (call)
+        apply_refuse (self, call, action);
       return;
     case EG_ACTION_QUARANTINE:
       eg_log (EG_LOG_WARNING, "lifecycle",
@@ -294,28 +341,118 @@
                refusal->retry_after_us);
 }
 
+/* Tickets. */
+
+static enum eg_ticket_home
+find_home (void *context, struct eg_str address, uint64_t incarnation)
+{
+  const struct eg_dispatcher *self = context;
+
+  (void) incarnation; /* The entry VM itself knows whether it is the same. */
+  return eg_fleet_has_entry (self->parts.fleet, address) ? EG_TICKET_HOME_LIVE
+                                                         : EG_TICKET_HOME_GONE;
+}
+
+static void
+give_ticket (struct eg_dispatcher *self, struct eg_call *call)
+{
+  const struct eg_ticket_number number = {eg_random_system_seed (),
+                                          eg_random_system_seed ()};
+  char text[EG_TICKET_TEXT_BYTES];
+  struct eg_buffer json = {0};
+
+  if (eg_tickets_give (self->tickets, eg_str_from (call->organisation), number,
+                       eg_clock_now_us (), text)
+      != EG_OK)
+    {
+      refuse_call (self, call, EG_REFUSAL_IN_FLIGHT_LIMIT, EG_RAN_NO,
+                   EG_US_PER_S);
+      return;
+    }
+  eg_buffer_printf (&json, "{\"ticket\":\"%s\",\"expires_in_ms\":%" PRId64 "}",
+                    text, TICKET_LIFETIME_US / EG_US_PER_MS);
+  answer_call (self, call, 200, EG_STR ("application/json"),
+               eg_buffer_view (&json));
+  eg_buffer_finish (&json);
+}
+
+static void
+forward_call (struct eg_dispatcher *self,
+              struct eg_call *call,
+              const char *address)
+{
+  struct eg_backend_command *command =
+      eg_command_forward (call, address, eg_clock_now_us ());
+
+  call->forwarded = true;
+  if (eg_backend_worker_push (self->parts.backend, command))
+    return;
+  eg_backend_command_free (command);
+  refuse_call (self, call, EG_REFUSAL_NO_CAPACITY,
+               eg_outcome_ran (&call->outcome), EG_US_PER_S);
+}
+
+static void
+use_ticket (struct eg_dispatcher *self, struct eg_call *call)
+{
+  struct eg_ticket_verdict verdict;
+
+  eg_outcome_init (&call->outcome, EG_OUTCOME_TICKETED);
+  eg_tickets_use (self->tickets, eg_str_from (call->ticket),
+                  eg_str_from (call->organisation),
+                  eg_claim_fingerprint (eg_str_from (call->method),
+                                        eg_buffer_view (&call->path),
+                                        eg_buffer_view (&call->body)),
+                  eg_clock_now_us (), &call->outcome, &verdict);
+  switch (verdict.decision)
+    {
+    case EG_TICKET_RUN:
+      place_call (self, call, INT64_MAX);
+      return;
+    case EG_TICKET_FORWARD:
+      forward_call (self, call, verdict.ticket.address);
+      return;
+    case EG_TICKET_ANSWER:
+      answer_call (self, call, verdict.answer.status,
+                   verdict.answer.content_type, verdict.answer.body);
+      return;
+    case EG_TICKET_REFUSE:
+      refuse_call (self, call, verdict.refusal, verdict.ran,
+                   verdict.retry_after_us);
+      return;
+    }
+}
+
+static void
+run_alone (struct eg_dispatcher *self, struct eg_call *call)
+{
+  eg_outcome_init (&call->outcome, call->idempotent
+                                       ? EG_OUTCOME_IDEMPOTENT
+                                       : EG_OUTCOME_NON_IDEMPOTENT);
+  place_call (self, call, INT64_MAX);
+}
+
 void
 eg_dispatcher_arrive (struct eg_dispatcher *self, struct eg_call *call)
 {
   eg_map_put (&self->calls, call->id, call);
   series_of (self, call)->requests++;
-  if (*call->key)
+  if (call->kind == EG_CALL_TICKET)
+    give_ticket (self, call);
+  else if (*call->ticket)
+    use_ticket (self, call);
+  else if (*call->key)
     eg_keyed_arrive (self->keyed, call, eg_clock_now_us ());
   else
-    {
-      eg_outcome_init (&call->outcome, call->idempotent
-                                           ? EG_OUTCOME_IDEMPOTENT
-                                           : EG_OUTCOME_NON_IDEMPOTENT);
-      place_call (self, call, INT64_MAX);
-    }
+    run_alone (self, call);
   apply_actions (self);
 }
 
 void
 eg_dispatcher_abandon (struct eg_dispatcher *self, struct eg_call *call)
 {
-  /* A request with a key goes on, so that a repeat finds its answer. */
-  if (*call->key || !eg_map_remove (&self->calls, call->id))
+  /* What a repeat may ask for again goes on, so that it finds the answer. */
+  if (is_kept (call) || !eg_map_remove (&self->calls, call->id))
     return;
   series_of (self, call)->abandoned++;
   eg_lifecycle_abandon (self->lifecycle, call->id, eg_clock_now_us ());
@@ -350,30 +487,31 @@
 handle_done (struct eg_dispatcher *self, struct eg_backend_event *event)
 {
   struct eg_call *call = eg_map_get (&self->calls, event->request);
+  const struct eg_claim_answer answer = {
+      .kept = true,
+      .status = event->http_status,
+      .content_type = eg_str_from (event->content_type),
+      .body = eg_buffer_view (&event->text),
+  };
 
+  if (call && call->forwarded)
+    {
+      answer_call (self, call, answer.status, answer.content_type, answer.body);
+      return;
+    }
   if (!eg_lifecycle_attempt_done (self->lifecycle, event->request,
                                   event->attempt, eg_clock_now_us ())
       || !call || call->kind != EG_CALL_SERVICE)
     return;
-  if (*call->key)
-    {
-      const struct eg_claim_answer answer = {
-          .kept = true,
-          .status = event->http_status,
-          .content_type = eg_str_from (event->content_type),
-          .body = eg_buffer_view (&event->text),
-      };
-
-      eg_keyed_answered (self->keyed, call->id, &answer, eg_clock_now_us ());
-    }
-  answer_call (self, call, event->http_status,
-               eg_str_from (event->content_type),
-               eg_buffer_view (&event->text));
+  if (is_kept (call))
+    keep_answer (self, call, &answer);
+  answer_call (self, call, answer.status, answer.content_type, answer.body);
 }
 
 static void
 handle_failed (struct eg_dispatcher *self, struct eg_backend_event *event)
 {
+  struct eg_call *call = eg_map_get (&self->calls, event->request);
   const struct eg_attempt_failure failure = {
       .cause = event->cause, .server = eg_str_from (event->server)};
 
@@ -382,6 +520,12 @@
           "stage=%s cause=%d",
           event->request, event->attempt, event->address, event->server,
           (int) event->cause);
+  if (call && call->forwarded)
+    {
+      refuse_call (self, call, EG_REFUSAL_BACKEND_FAILED,
+                   eg_outcome_ran (&call->outcome), EG_US_PER_S);
+      return;
+    }
   if (event->cause == EG_ATTEMPT_REFUSED)
     eg_fleet_refused (self->parts.fleet, eg_str_from (event->address));
   eg_lifecycle_attempt_failed (self->lifecycle, event->request, event->attempt,
@@ -434,15 +578,19 @@
 {
   eg_lifecycle_tick (self->lifecycle, now_us);
   eg_keyed_tick (self->keyed, now_us);
+  if (now_us >= self->next_sweep_us)
+    {
+      self->next_sweep_us = now_us + SWEEP_INTERVAL_US;
+      eg_tickets_sweep (self->tickets, now_us);
+      eg_lifecycle_sweep (self->lifecycle, now_us);
+    }
   apply_actions (self);
 }
 
 bool
 eg_dispatcher_is_busy (const struct eg_dispatcher *self)
 {
-  struct eg_lifecycle_counts counts = eg_lifecycle_counts (self->lifecycle);
-
-  return counts.queued + counts.running > 0 || eg_keyed_count (self->keyed) > 0;
+  return self->calls.count > 0 || eg_keyed_count (self->keyed) > 0;
 }
 
 const struct eg_lifecycle *
@@ -457,6 +605,27 @@
   return &self->metrics;
 }
 
+static struct eg_tickets *
+make_tickets (struct eg_dispatcher *self)
+{
+  struct eg_tickets_config config = {
+      .incarnation = self->parts.incarnation,
+      .lifetime_us = TICKET_LIFETIME_US,
+      .keep_us = TICKET_KEEP_US,
+      .retry_after_us = EG_US_PER_S,
+      .entries_max = TICKETS_MAX,
+      .organisation_max = TICKETS_ORGANISATION_MAX,
+      .answer_bytes_max = TICKET_ANSWER_BYTES_MAX,
+      .answers_bytes_max = TICKET_ANSWERS_BYTES_MAX,
+      .home = find_home,
+      .home_context = self,
+  };
+
+  eg_str_copy (eg_str_from (self->parts.settings->listen_callers),
+               config.address, sizeof config.address);
+  return eg_tickets_new (&config);
+}
+
 struct eg_dispatcher *
 eg_dispatcher_new (const struct eg_dispatcher_parts *parts)
 {
@@ -481,7 +650,8 @@
   if (self->lifecycle)
     self->keyed = eg_keyed_new (parts->platform, parts->incarnation,
                                 ~parts->incarnation, &keyed_callbacks);
-  if (self->keyed)
+  self->tickets = make_tickets (self);
+  if (self->keyed && self->tickets)
     return self;
   eg_dispatcher_free (self);
   return NULL;
@@ -499,6 +669,7 @@
     eg_call_unref (call);
   eg_map_finish (&self->calls);
   eg_keyed_free (self->keyed);
+  eg_tickets_free (self->tickets);
   eg_lifecycle_free (self->lifecycle);
   eg_metrics_finish (&self->metrics);
   free (self);
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -75,9 +75,8 @@
 {
   int64_t backed_off_us = eg_servers_get (self->servers, server)->retry_at_us;
 
-  eg_servers_report (self->servers, server, report, now_us);
-  eg_servers_stop (self->servers, server, EG_SERVER_LEAVING_REPORT,
-                   report->draining);
+  if (!eg_servers_report (self->servers, server, report, now_us))
+    return;
   /* A report from before the refusal cannot take it back. */
   if (!report->draining && report->as_of_us > backed_off_us)
     eg_servers_stop (self->servers, server, EG_SERVER_LEAVING_ANSWER, false);
--- a/router/poller.c
+++ b/router/poller.c
@@ -8,6 +8,7 @@
 
 struct eg_poll_state
 {
+  uint64_t address_hash; /* An index may pass on to another server. */
   bool known;
   bool plain; /* Whether the server is a plain service. */
   bool under_way;
@@ -45,6 +46,20 @@
   return command;
 }
 
+static bool
+is_due (struct eg_poll_state *state,
+        const struct eg_server *server,
+        int64_t now_us)
+{
+  uint64_t address_hash = eg_hash_str (eg_str_from (server->address));
+
+  if (!*server->address || (server->stops & EG_SERVER_GONE))
+    return false;
+  if (state->address_hash != address_hash)
+    *state = (struct eg_poll_state){.address_hash = address_hash};
+  return !state->under_way && now_us >= state->next_us;
+}
+
 struct eg_backend_command *
 eg_poller_next (struct eg_poller *self,
                 const struct eg_servers *servers,
@@ -55,19 +70,15 @@
     {
       struct eg_poll_state *state = &self->states[i];
       const struct eg_server *server = eg_servers_get (servers, i);
+      uint64_t interval_us = (uint64_t) self->interval_us;
 
-      if (!server || !*server->address || state->under_way
-          || now_us < state->next_us || (server->stops & EG_SERVER_GONE))
+      if (!is_due (state, server, now_us))
         continue;
-      /* The first poll is due at once; later ones are spread by address, so
-         that they do not all fall together. */
+      /* The first poll is due at once; the second is set by address, so that
+         later ones do not all fall together. */
       if (!state->known)
-        state->next_us =
-            now_us
-            + (int64_t) (eg_hash_str (eg_str_from (server->address))
-                         % (uint64_t) self->interval_us);
-      else
-        state->next_us = now_us + self->interval_us;
+        interval_us = state->address_hash % interval_us;
+      state->next_us = now_us + (int64_t) interval_us;
       state->known = true;
       return make_poll (state, server);
     }
--- a/test/test_path.c
+++ b/test/test_path.c
@@ -321,6 +321,69 @@
   path_answer_finish (&second);
 }
 
+/* Asks for a ticket and writes the header that uses it. */
+static void
+take_ticket (char *header, size_t capacity)
+{
+  struct path_answer answer;
+  json_t *object;
+
+  path_call ("POST", CALLERS "/v1/tickets", organisation, "", &answer);
+  assert_int_equal (answer.status, 200);
+  object = json_loadb (answer.body.data, answer.body.len, 0, NULL);
+  snprintf (header, capacity, "X-Ticket: %s",
+            json_string_value (json_object_get (object, "ticket")));
+  json_decref (object);
+  path_answer_finish (&answer);
+}
+
+static void
+test_ticket_runs_once_without_the_store (void **state)
+{
+  char header[256];
+  const char *const ticketed[] = {"X-Organisation: temple", header, NULL};
+  size_t before = count_bookings ();
+  struct path_answer first;
+  struct path_answer second;
+
+  (void) state;
+  path_fault (PLATFORM, "{\"fault\":\"down\"}");
+  take_ticket (header, sizeof header);
+  path_call ("POST", BOOKINGS, ticketed, "seat 9", &first);
+  assert_int_equal (first.status, 200);
+  path_call ("POST", BOOKINGS, ticketed, "seat 9", &second);
+  assert_int_equal (second.status, 200);
+  assert_string_equal (first.body.data, second.body.data);
+  path_answer_finish (&second);
+  path_call ("POST", BOOKINGS, ticketed, "seat 10", &second);
+  expect_refusal (&second, 422, "key-reused", "no");
+  path_answer_finish (&second);
+  path_heal (PLATFORM);
+  assert_int_equal (count_bookings (), before + 1);
+  path_answer_finish (&first);
+}
+
+static void
+test_ticket_whose_reply_is_lost (void **state)
+{
+  char header[256];
+  const char *const ticketed[] = {"X-Organisation: temple", header, NULL};
+  size_t before = count_bookings ();
+  struct path_answer answer;
+
+  (void) state;
+  take_ticket (header, sizeof header);
+  path_fault (SERVICE, "{\"fault\":\"lose-reply\",\"count\":1}");
+  for (int i = 0; i < 2; i++)
+    {
+      path_call ("POST", BOOKINGS, ticketed, "seat 11", &answer);
+      expect_refusal (&answer, i == 0 ? 503 : 409,
+                      i == 0 ? "backend-failed" : "claim-conflict", "unknown");
+      path_answer_finish (&answer);
+    }
+  assert_int_equal (count_bookings (), before + 1);
+}
+
 static void
 test_key_with_store_down (void **state)
 {
@@ -411,6 +474,8 @@
       cmocka_unit_test (test_non_idempotent_call_is_not_repeated),
       cmocka_unit_test (test_idempotent_call_is_repeated),
       cmocka_unit_test (test_key_runs_once),
+      cmocka_unit_test (test_ticket_runs_once_without_the_store),
+      cmocka_unit_test (test_ticket_whose_reply_is_lost),
       cmocka_unit_test (test_key_with_store_down),
       cmocka_unit_test (test_crashing_request_is_quarantined),
       cmocka_unit_test (test_planned_stop_cuts_nothing),
