policy: order among classes in a module of its own

admission.c had grown to hold the queues, the estimate and the accounting of floors. The latter is now class_order.[ch], with the same decisions.

--- a/base/hash_table.c
+++ b/base/hash_table.c
@@ -5,7 +5,7 @@
 #include "base/status.h"
 
 #define BUCKETS_MIN 16
-/** The buckets shrink when fewer than one in this many is in use. */
+/* The buckets shrink when fewer than one in this many is in use. */
 #define SHRINK_RATIO 8
 
 bool
@@ -40,7 +40,7 @@
   *bucket = node;
 }
 
-/** Without memory the old buckets stay: longer chains, same answers. */
+/* Without memory the old buckets stay: longer chains, same answers. */
 static void
 resize (struct eg_hash_table *self, size_t bucket_count)
 {
--- a/policy/admission.c
+++ b/policy/admission.c
@@ -7,36 +7,35 @@
 #include "base/heap.h"
 #include "base/map.h"
 #include "base/status.h"
+#include "policy/class_order.h"
 #include "policy/fair_queue.h"
 #include "policy/service_rate.h"
 
-/** Advice to callers while no rate has been observed. */
+/* Advice to callers while no rate has been observed. */
 #define RETRY_AFTER_UNKNOWN_US EG_US_PER_S
 #define RETRY_AFTER_MIN_US EG_US_PER_MS
 #define RETRY_AFTER_MAX_US (300 * EG_US_PER_S)
-/** Longest wait that is told apart from none at all. */
+/* Longest wait that is told apart from none at all. */
 #define WAIT_MAX_S 1e9
 
-/** A request that waits. */
+/* A request that waits. */
 struct waiting
 {
-  struct eg_heap_node deadline; /**< Key: the deadline. */
+  struct eg_heap_node deadline; /* Key: the deadline. */
   struct eg_fair_request queued;
   uint64_t request;
   int64_t arrived_us;
   unsigned class_index;
 };
 
-/** A class and its queue. */
+/* A class and its queue. */
 struct class_state
 {
   struct eg_admission_class config;
   struct eg_fair_queue queue;
-  double floor;  /**< The floor in force, after scaling. */
-  double credit; /**< Cost that it is owed to reach its floor. */
 };
 
-/** What eg_admission_return() needs to undo the last take. */
+/* What eg_admission_return() needs to undo the last take. */
 struct last_take
 {
   bool valid;
@@ -51,55 +50,15 @@
   struct eg_admission_config config;
   struct class_state classes[EG_CLASSES_MAX];
   size_t class_count;
-  unsigned by_priority[EG_CLASSES_MAX]; /**< Class indexes, first to last. */
-  struct eg_map requests;               /**< By request number. */
+  struct eg_class_order order;
+  struct eg_map requests; /* By request number. */
   struct eg_heap deadlines;
   struct eg_service_rate rate;
   struct last_take last;
-  /** Kept until the next call, since a caller may hold its name. */
+  /* Kept until the next call, since a caller may hold its name. */
   struct eg_fair_organisation *emptied;
 };
 
-static void
-order_by_priority (struct eg_admission *self)
-{
-  for (unsigned i = 0; i < self->class_count; i++)
-    {
-      unsigned place = i;
-
-      for (; place > 0; place--)
-        {
-          unsigned before = self->by_priority[place - 1];
-
-          if (self->classes[before].config.priority
-              <= self->classes[i].config.priority)
-            break;
-          self->by_priority[place] = before;
-        }
-      self->by_priority[place] = i;
-    }
-}
-
-static void
-set_floors (struct eg_admission *self)
-{
-  double sum = 0;
-
-  for (size_t i = 0; i < self->class_count; i++)
-    if (self->classes[i].config.floor > 0)
-      sum += self->classes[i].config.floor;
-  for (size_t i = 0; i < self->class_count; i++)
-    {
-      struct class_state *class = &self->classes[i];
-
-      class->floor = class->config.floor > 0 ? class->config.floor : 0;
-      if (sum > 1)
-        class->floor /= sum;
-      if (class->floor <= 0)
-        class->credit = 0;
-    }
-}
-
 static bool
 init_classes (struct eg_admission *self,
               const struct eg_admission_config *config)
@@ -108,6 +67,7 @@
                 && config->class_count <= EG_CLASSES_MAX);
   self->config = *config;
   self->class_count = 0;
+  eg_class_order_init (&self->order);
   for (size_t i = 0; i < config->class_count; i++)
     {
       struct class_state *class = &self->classes[i];
@@ -115,10 +75,11 @@
       *class = (struct class_state){.config = config->classes[i]};
       if (!eg_fair_queue_init (&class->queue, config->quantum))
         return false;
+      eg_class_order_add (&self->order, class->config.priority,
+                          class->config.floor);
       self->class_count++;
     }
-  order_by_priority (self);
-  set_floors (self);
+  eg_class_order_scale (&self->order);
   return true;
 }
 
@@ -146,7 +107,7 @@
   return NULL;
 }
 
-/** Frees an organisation later, when no caller can hold its name. */
+/* Frees an organisation later, when no caller can hold its name. */
 static void
 retire (struct eg_admission *self, struct eg_fair_organisation *emptied)
 {
@@ -168,7 +129,7 @@
   return EG_CONTAINER_OF (queued, struct waiting, queued);
 }
 
-/** Takes a request out of the tables that do not decide its turn. */
+/* Takes a request out of the tables that do not decide its turn. */
 static void
 forget (struct eg_admission *self, struct waiting *waiting)
 {
@@ -176,12 +137,18 @@
   eg_heap_remove (&self->deadlines, &waiting->deadline);
 }
 
-/** A class with nothing waiting is owed nothing. */
 static void
-settle_credit (struct class_state *class)
+note_waiting (struct eg_admission *self, unsigned index)
 {
-  if (class->queue.count == 0 && class->credit > 0)
-    class->credit = 0;
+  eg_class_order_set_waiting (&self->order, index,
+                              self->classes[index].queue.count > 0);
+}
+
+static void
+note_all_waiting (struct eg_admission *self)
+{
+  for (unsigned i = 0; i < self->class_count; i++)
+    note_waiting (self, i);
 }
 
 static void
@@ -191,7 +158,7 @@
 
   forget (self, waiting);
   retire (self, eg_fair_queue_remove (&class->queue, &waiting->queued));
-  settle_credit (class);
+  note_waiting (self, waiting->class_index);
 }
 
 void
@@ -220,7 +187,7 @@
   return (struct eg_str){organisation->name, organisation->name_len};
 }
 
-/** Finds the class called as @p class is; the last one if there is none. */
+/* Finds the class called as @p class is; the last one if there is none. */
 static unsigned
 match_class (const struct eg_admission *self,
              const struct eg_admission_class *class)
@@ -233,7 +200,7 @@
   return i;
 }
 
-/** Moves all requests of @p from behind those of a class, in their turn. */
+/* Moves all requests of @p from behind those of a class, in their turn. */
 static void
 move_requests (struct class_state *from,
                struct eg_admission *self,
@@ -257,22 +224,24 @@
     }
 }
 
-/** Gives the queue of @p from to the class of the same name. */
+/* Gives the queue and the credit of an old class to that of its name. */
 static void
-keep_queue (struct eg_admission *self, struct class_state *from)
+keep_queue (struct eg_admission *self, struct eg_admission *old, unsigned index)
 {
-  unsigned index = match_class (self, &from->config);
-  struct class_state *to = &self->classes[index];
+  struct class_state *from = &old->classes[index];
+  unsigned new_index = match_class (self, &from->config);
+  struct class_state *to = &self->classes[new_index];
   struct eg_fair_queue empty = to->queue;
 
   if (strcmp (to->config.name, from->config.name) != 0)
     return;
   to->queue = from->queue;
-  to->credit = from->credit;
   from->queue = empty;
+  if (self->order.floors[new_index] > 0)
+    self->order.credits[new_index] = old->order.credits[index];
 }
 
-/** Tells each request the new number of its class. */
+/* Tells each request the new number of its class. */
 static void
 renumber_requests (struct eg_admission *self, const unsigned *new_index)
 {
@@ -297,10 +266,10 @@
       *self = old;
       return false;
     }
-  for (size_t i = 0; i < old.class_count; i++)
+  for (unsigned i = 0; i < old.class_count; i++)
     {
       new_index[i] = match_class (self, &old.classes[i].config);
-      keep_queue (self, &old.classes[i]);
+      keep_queue (self, &old, i);
     }
   renumber_requests (self, new_index);
   for (size_t i = 0; i < self->class_count; i++)
@@ -310,7 +279,7 @@
       move_requests (&old.classes[i], self, (unsigned) self->class_count - 1);
       eg_fair_queue_finish (&old.classes[i].queue);
     }
-  set_floors (self);
+  note_all_waiting (self);
   self->last.valid = false;
   return true;
 }
@@ -331,7 +300,7 @@
   return cost < EG_ADMISSION_COST_MAX ? cost : EG_ADMISSION_COST_MAX;
 }
 
-/** Sums what is served before, and what is kept from, one class. */
+/* Sums what is served before, and what is kept from, one class. */
 static void
 sum_other_classes (const struct eg_admission *self,
                    unsigned class_index,
@@ -346,16 +315,17 @@
   *lower_floors = 0;
   for (size_t i = 0; i < self->class_count; i++)
     {
-      const struct class_state *class = &self->classes[self->by_priority[i]];
+      unsigned ranked = self->order.ranked[i];
+      const struct class_state *class = &self->classes[ranked];
 
-      if (self->by_priority[i] == class_index)
+      if (ranked == class_index)
         is_lower = true;
       else if (!is_lower)
         *higher_cost += (double) class->queue.waiting_cost;
       else if (class->queue.count)
         {
           *lower_cost += (double) class->queue.waiting_cost;
-          *lower_floors += class->floor;
+          *lower_floors += self->order.floors[ranked];
         }
     }
 }
@@ -366,12 +336,10 @@
   return a < b ? a : b;
 }
 
-/**
- * Returns the seconds of work before a new request; below 0 if the rate is not
- * known. Three bounds hold, and the least is taken: the class gets all that
- * the floors of lower ones leave once the higher ones are done; it gets its
- * own floor all the time; and nothing waits for more than all that waits.
- */
+/* Returns the seconds of work before a new request; below 0 if the rate is not
+   known. Three bounds hold, and the least is taken: the class gets all that
+   the floors of lower ones leave once the higher ones are done; it gets its
+   own floor all the time; and nothing waits for more than all that waits. */
 static double
 estimate_wait_s (const struct eg_admission *self,
                  const struct eg_admission_item *item)
@@ -394,8 +362,8 @@
   if (lower_floors < 1)
     wait_s =
         min_double (wait_s, (higher + ahead) / (rate * (1 - lower_floors)));
-  if (class->floor > 0)
-    wait_s = min_double (wait_s, ahead / (rate * class->floor));
+  if (self->order.floors[index] > 0)
+    wait_s = min_double (wait_s, ahead / (rate * self->order.floors[index]));
   return min_double (wait_s, WAIT_MAX_S);
 }
 
@@ -429,7 +397,7 @@
   return wait_us < RETRY_AFTER_MAX_US ? wait_us : RETRY_AFTER_MAX_US;
 }
 
-/** Decides on a new request, and how long a refused one should stay away. */
+/* Decides on a new request, and how long a refused one should stay away. */
 static enum eg_refusal
 decide (const struct eg_admission *self,
         const struct eg_admission_item *item,
@@ -454,7 +422,7 @@
   return EG_REFUSAL_NONE;
 }
 
-/** Makes a request that is known to the tables, but not queued yet. */
+/* Makes a request that is known to the tables, but not queued yet. */
 static struct waiting *
 add_waiting (struct eg_admission *self, const struct eg_admission_item *item)
 {
@@ -501,7 +469,10 @@
   if (waiting
       && eg_fair_queue_push (&self->classes[waiting->class_index].queue,
                              item->organisation, &waiting->queued))
-    return EG_REFUSAL_NONE;
+    {
+      note_waiting (self, waiting->class_index);
+      return EG_REFUSAL_NONE;
+    }
   if (waiting)
     forget (self, waiting);
   free (waiting);
@@ -509,7 +480,7 @@
   return EG_REFUSAL_QUEUE_FULL;
 }
 
-/** Undoes the charges of the last take, if it was this one. */
+/* Undoes the charges of the last take, if it was this one. */
 static const struct eg_fair_turn *
 undo_last_take (struct eg_admission *self, const struct waiting *waiting)
 {
@@ -517,8 +488,7 @@
       || self->last.class_index != waiting->class_index)
     return NULL;
   self->last.valid = false;
-  for (size_t i = 0; i < self->class_count; i++)
-    self->classes[i].credit = self->last.credits[i];
+  memcpy (self->order.credits, self->last.credits, sizeof self->last.credits);
   return &self->last.turn;
 }
 
@@ -536,58 +506,7 @@
   queued = eg_fair_queue_return (&self->classes[waiting->class_index].queue,
                                  item->organisation, &waiting->queued, turn);
   EG_INVARIANT (queued);
-  for (size_t i = 0; i < self->class_count; i++)
-    settle_credit (&self->classes[i]);
-}
-
-/**
- * Finds the first class by priority that has requests waiting, of all or only
- * of those that are owed service to reach their floor.
- */
-static struct class_state *
-choose_class (struct eg_admission *self, bool only_owed)
-{
-  for (size_t i = 0; i < self->class_count; i++)
-    {
-      struct class_state *class = &self->classes[self->by_priority[i]];
-
-      if (class->queue.count && (!only_owed || class->credit > 0))
-        return class;
-    }
-  return NULL;
-}
-
-/** Accounts for @p cost served to a class while the others waited. */
-static void
-charge (struct eg_admission *self,
-        struct class_state *served,
-        bool was_owed,
-        uint64_t cost)
-{
-  for (size_t i = 0; i < self->class_count; i++)
-    {
-      struct class_state *class = &self->classes[i];
-
-      if (class != served && class->queue.count)
-        class->credit += class->floor * (double) cost;
-    }
-  /* What a class gets by its priority does not count against its floor, or it
-     would go short later for having used idle capacity. */
-  if (was_owed)
-    served->credit -= (1 - served->floor) * (double) cost;
-}
-
-static void
-save_last_take (struct eg_admission *self,
-                const struct waiting *waiting,
-                const struct eg_fair_turn *turn,
-                const double *credits)
-{
-  self->last.valid = true;
-  self->last.request = waiting->request;
-  self->last.class_index = waiting->class_index;
-  self->last.turn = *turn;
-  memcpy (self->last.credits, credits, sizeof self->last.credits);
+  note_all_waiting (self);
 }
 
 static void
@@ -608,23 +527,23 @@
                    int64_t now_us,
                    struct eg_admission_item *item)
 {
-  struct class_state *owed = choose_class (self, true);
-  struct class_state *class = owed ? owed : choose_class (self, false);
+  struct last_take *last = &self->last;
   struct eg_fair_organisation *emptied;
-  struct eg_fair_turn turn;
   struct waiting *waiting;
-  double credits[EG_CLASSES_MAX];
+  unsigned index;
+  bool owed;
 
   advance (self, now_us);
-  if (!class)
+  if (!eg_class_order_choose (&self->order, &index, &owed))
     return false;
-  for (size_t i = 0; i < EG_CLASSES_MAX; i++)
-    credits[i] = self->classes[i].credit;
-  waiting =
-      waiting_of_queued (eg_fair_queue_take (&class->queue, &turn, &emptied));
-  charge (self, class, owed != NULL, waiting->queued.cost);
-  settle_credit (class);
-  save_last_take (self, waiting, &turn, credits);
+  waiting = waiting_of_queued (
+      eg_fair_queue_take (&self->classes[index].queue, &last->turn, &emptied));
+  last->valid = true;
+  last->request = waiting->request;
+  last->class_index = index;
+  memcpy (last->credits, self->order.credits, sizeof last->credits);
+  eg_class_order_charge (&self->order, index, owed, waiting->queued.cost);
+  note_waiting (self, index);
   forget (self, waiting);
   retire (self, emptied);
   fill_item (waiting, item);
--- /dev/null
+++ b/policy/class_order.c
@@ -0,0 +1,90 @@
+#include "policy/class_order.h"
+
+#include "base/status.h"
+
+void
+eg_class_order_init (struct eg_class_order *self)
+{
+  *self = (struct eg_class_order){0};
+}
+
+void
+eg_class_order_add (struct eg_class_order *self, int priority, double floor)
+{
+  unsigned index = (unsigned) self->count;
+  unsigned place = index;
+
+  EG_INVARIANT (index < EG_CLASSES_MAX);
+  self->priorities[index] = priority;
+  self->floors[index] = floor > 0 ? floor : 0;
+  for (; place > 0; place--)
+    {
+      unsigned before = self->ranked[place - 1];
+
+      if (self->priorities[before] <= priority)
+        break;
+      self->ranked[place] = before;
+    }
+  self->ranked[place] = index;
+  self->count++;
+}
+
+void
+eg_class_order_scale (struct eg_class_order *self)
+{
+  double sum = 0;
+
+  for (size_t i = 0; i < self->count; i++)
+    sum += self->floors[i];
+  for (size_t i = 0; i < self->count && sum > 1; i++)
+    self->floors[i] /= sum;
+}
+
+void
+eg_class_order_set_waiting (struct eg_class_order *self,
+                            unsigned index,
+                            bool waiting)
+{
+  self->waiting[index] = waiting;
+  if (!waiting && self->credits[index] > 0)
+    self->credits[index] = 0;
+}
+
+static bool
+choose (const struct eg_class_order *self, bool owed, unsigned *index)
+{
+  for (size_t i = 0; i < self->count; i++)
+    {
+      unsigned candidate = self->ranked[i];
+
+      if (!self->waiting[candidate] || (owed && self->credits[candidate] <= 0))
+        continue;
+      *index = candidate;
+      return true;
+    }
+  return false;
+}
+
+bool
+eg_class_order_choose (const struct eg_class_order *self,
+                       unsigned *index,
+                       bool *owed)
+{
+  *owed = choose (self, true, index);
+  return *owed || choose (self, false, index);
+}
+
+void
+eg_class_order_charge (struct eg_class_order *self,
+                       unsigned index,
+                       bool owed,
+                       uint64_t cost)
+{
+  for (size_t i = 0; i < self->count; i++)
+    if (i != index && self->waiting[i])
+      self->credits[i] += self->floors[i] * (double) cost;
+  /* What a class gets by its priority does not count against its floor, or it
+     would go short later for having used idle capacity. */
+  if (owed)
+    self->credits[index] -= (1 - self->floors[index]) * (double) cost;
+}
--- a/policy/fair_queue.c
+++ b/policy/fair_queue.c
@@ -42,7 +42,7 @@
                           link);
 }
 
-/** Returns the round in which the deficit will cover the first request. */
+/* Returns the round in which the deficit will cover the first request. */
 static int64_t
 round_of_turn (const struct eg_fair_queue *self,
                const struct eg_fair_organisation *organisation)
@@ -56,7 +56,7 @@
   return round > self->round ? round : self->round;
 }
 
-/** Adds the quantum of each round up to the present one. */
+/* Adds the quantum of each round up to the present one. */
 static void
 grant (struct eg_fair_queue *self, struct eg_fair_organisation *organisation)
 {
@@ -161,14 +161,14 @@
   return add_organisation (self, name, &turn);
 }
 
-/** Returns the number of bits of @p cost. */
+/* Returns the number of bits of @p cost. */
 static unsigned
 bucket_of (uint64_t cost)
 {
   return cost ? 64 - (unsigned) __builtin_clzll (cost) : 0;
 }
 
-/** Keeps the sums in step with the waiting cost of one organisation. */
+/* Keeps the sums in step with the waiting cost of one organisation. */
 static void
 set_waiting (struct eg_fair_queue *self,
              struct eg_fair_organisation *organisation,
@@ -294,7 +294,7 @@
   return a < b ? a : b;
 }
 
-/** Sums what each organisation waits for, none with more than @p limit. */
+/* Sums what each organisation waits for, none with more than @p limit. */
 static uint64_t
 sum_up_to (const struct eg_fair_queue *self, uint64_t limit)
 {
--- a/policy/limit.c
+++ b/policy/limit.c
@@ -9,17 +9,17 @@
 #include "base/hash_table.h"
 #include "base/status.h"
 
-/** Entries below which no sweep is worth its cost. */
+/* Entries below which no sweep is worth its cost. */
 #define SWEEP_COUNT_MIN 64
 
-/** The state of one organisation. */
+/* The state of one organisation. */
 struct entry
 {
   struct eg_hash_node node;
   struct eg_limit_rule rule;
-  bool named;         /**< Has a rule of its own. */
-  double level;       /**< Requests in the bucket; infinite when new. */
-  double refill_rate; /**< Lowest rate in force since @c refilled_us. */
+  bool named;         /* Has a rule of its own. */
+  double level;       /* Requests in the bucket; infinite when new. */
+  double refill_rate; /* Lowest rate in force since @c refilled_us. */
   int64_t refilled_us;
   uint32_t in_flight;
   size_t name_len;
@@ -30,7 +30,7 @@
 {
   struct eg_hash_table entries;
   struct eg_limit_rule fallback;
-  size_t sweep_at; /**< Count at which a new entry brings about a sweep. */
+  size_t sweep_at; /* Count at which a new entry brings about a sweep. */
 };
 
 struct eg_limits *
@@ -91,7 +91,7 @@
   return entry->rule.rate_per_s > 0;
 }
 
-/** A bucket of less than one request could never admit any. */
+/* A bucket of less than one request could never admit any. */
 static double
 burst_of (const struct entry *entry)
 {
@@ -116,10 +116,8 @@
   return entry;
 }
 
-/**
- * Time does not come in with a change of rule, so that the time since the last
- * refill counts at the lower of the rates: it never admits too much.
- */
+/* Time does not come in with a change of rule, so that the time since the last
+   refill counts at the lower of the rates: it never admits too much. */
 static void
 change_rule (struct entry *entry, const struct eg_limit_rule *rule)
 {
@@ -171,7 +169,7 @@
     entry->refilled_us = now_us;
 }
 
-/** Rounded up, so that the bucket does hold enough by then. */
+/* Rounded up, so that the bucket does hold enough by then. */
 static int64_t
 time_to_next (const struct entry *entry)
 {
@@ -227,7 +225,7 @@
   entry->in_flight--;
 }
 
-/** A full bucket with nothing in flight is the same as a new one. */
+/* A full bucket with nothing in flight is the same as a new one. */
 static bool
 drop_idle (struct eg_hash_node *node, void *context)
 {
--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -6,19 +6,19 @@
 #include "base/list.h"
 #include "base/map.h"
 
-/** The last death of one server. */
+/* The last death of one server. */
 struct death
 {
   uint64_t server;
   int64_t at_us;
 };
 
-/** What is remembered of one fingerprint. */
+/* What is remembered of one fingerprint. */
 struct entry
 {
-  struct eg_list link; /**< In @c suspects or @c held. */
+  struct eg_list link; /* In @c suspects or @c held. */
   uint64_t fingerprint;
-  int64_t until_us; /**< End of the quarantine; 0 for a suspect. */
+  int64_t until_us; /* End of the quarantine; 0 for a suspect. */
   unsigned death_count;
   struct death deaths[EG_QUARANTINE_DEATHS_MAX];
 };
@@ -26,10 +26,10 @@
 struct eg_quarantine
 {
   struct eg_quarantine_config config;
-  struct eg_map entries;   /**< By fingerprint. */
-  struct eg_list suspects; /**< By their last death, the oldest first. */
-  struct eg_list held;     /**< By @c until_us, the soonest first. */
-  int64_t now_us;          /**< The latest time seen. */
+  struct eg_map entries;   /* By fingerprint. */
+  struct eg_list suspects; /* By their last death, the oldest first. */
+  struct eg_list held;     /* By @c until_us, the soonest first. */
+  int64_t now_us;          /* The latest time seen. */
 };
 
 uint64_t
@@ -110,7 +110,7 @@
   return eg_map_get (&self->entries, fingerprint);
 }
 
-/** Forgets quarantines that have ended and deaths that are too old. */
+/* Forgets quarantines that have ended and deaths that are too old. */
 static void
 expire (struct eg_quarantine *self, int64_t now_us)
 {
@@ -156,7 +156,7 @@
   return entry;
 }
 
-/** Keeps @c held in order; most quarantines end after all that stand. */
+/* Keeps @c held in order; most quarantines end after all that stand. */
 static void
 hold (struct eg_quarantine *self, struct entry *entry, int64_t until_us)
 {
@@ -170,7 +170,7 @@
   eg_list_append (after->next, &entry->link);
 }
 
-/** Keeps the deaths in the order of their time, each server once. */
+/* Keeps the deaths in the order of their time, each server once. */
 static void
 record_death (struct eg_quarantine *self,
               struct entry *entry,
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -22,7 +22,7 @@
   return question->idempotent || question->ran == EG_RAN_NO;
 }
 
-/** Returns the longest delay after @p attempts attempts. */
+/* Returns the longest delay after @p attempts attempts. */
 static int64_t
 backoff_ceiling (const struct eg_retry_config *config, unsigned attempts)
 {
@@ -33,7 +33,7 @@
   return ceiling < config->backoff_max_us ? ceiling : config->backoff_max_us;
 }
 
-/** Full jitter: callers that failed together come back spread out. */
+/* Full jitter: callers that failed together come back spread out. */
 static int64_t
 draw_delay (const struct eg_retry_config *config,
             unsigned attempts,
--- a/policy/service_rate.c
+++ b/policy/service_rate.c
@@ -4,9 +4,9 @@
 
 #include "base/clock.h"
 
-/** Time in which old evidence loses all but 1/e of its weight. */
+/* Time in which old evidence loses all but 1/e of its weight. */
 #define DECAY_S 30.0
-/** Least busy time that is taken for evidence. */
+/* Least busy time that is taken for evidence. */
 #define BUSY_MIN_S 0.1
 
 void
--- a/test/property_admission.cc
+++ b/test/property_admission.cc
@@ -61,7 +61,7 @@
   return admission_ptr (eg_admission_new (&config));
 }
 
-/** Keeps a copy of the name for as long as the program runs. */
+/* Keeps a copy of the name for as long as the program runs. */
 eg_str
 intern (const std::string &name)
 {
@@ -110,7 +110,7 @@
   return *rc::gen::inRange (low, high);
 }
 
-/** What a request that waits must look like when it leaves. */
+/* What a request that waits must look like when it leaves. */
 struct expected
 {
   std::string organisation;
@@ -119,7 +119,7 @@
   int64_t deadline_us;
 };
 
-/** Random calls, checked against a map of what waits. */
+/* Random calls, checked against a map of what waits. */
 class conservation
 {
 public:
@@ -197,7 +197,7 @@
       leaves (item);
   }
 
-  /** Returns a request after another was taken. */
+  /* Returns a request after another was taken. */
   void
   give_up ()
   {
@@ -299,7 +299,7 @@
   run.drain ();
 }
 
-/** Organisations 0 and 1 always wait; the others leave and come back. */
+/* Organisations 0 and 1 always wait; the others leave and come back. */
 void
 organisations_share_by_cost ()
 {
@@ -346,67 +346,108 @@
     }
 }
 
-void
-classes_get_their_floor_and_no_more ()
+/* Classes come and go for a while; the first may always wait. */
+class floors
 {
+public:
+  floors ()
+  {
+    static const char *const names[] = {"a", "b", "c", "d"};
+
+    for (int i = 0; i < count; i++)
+      specs.push_back ({names[i], i, i ? draw (0, 34) / 100.0 : 0.0});
+    for (const class_spec &spec : specs)
+      lower_floors += spec.floor;
+    admission = make_admission (make_config (specs, 50));
+  }
+
+  void
+  step ()
+  {
+    eg_admission_item item;
+
+    for (unsigned i = 0; i < specs.size (); i++)
+      arrive (i);
+    if (!eg_admission_take (admission.get (), 0, &item))
+      return;
+    check_strict (item);
+    for (unsigned i = 0; i < specs.size (); i++)
+      check_floor (i, item);
+  }
+
+private:
+  void
+  arrive (unsigned i)
+  {
+    if (depth (i) == 0)
+      lag[i] = lag_min[i] = 0;
+    if (draw (0, 20) == 0)
+      active[i] = !active[i];
+    if (i == 0 && first_stays)
+      active[i] = true;
+    if (active[i] && (depth (i) == 0 || draw (0, 3) == 0))
+      offer (admission.get (),
+             make_item (++request, i, "x",
+                        static_cast<uint64_t> (draw (1, cost_max + 1))),
+             0);
+  }
+
+  /* Only a floor lets a class go before a higher one that waits. */
+  void
+  check_strict (const eg_admission_item &item)
+  {
+    for (unsigned i = 0; i < item.class_index; i++)
+      if (depth (i) > 0)
+        RC_ASSERT (specs[item.class_index].floor > 0);
+    total += static_cast<double> (item.cost);
+    if (item.class_index > 0)
+      lower += static_cast<double> (item.cost);
+    if (first_stays)
+      RC_ASSERT (lower <= lower_floors * total + (count - 1) * cost_max);
+  }
+
+  /* The lag since any earlier time is the rise above the least so far. */
+  void
+  check_floor (unsigned i, const eg_admission_item &item)
+  {
+    lag[i] += specs[i].floor * static_cast<double> (item.cost);
+    if (i == item.class_index)
+      lag[i] -= static_cast<double> (item.cost);
+    if (depth (i) > 0)
+      RC_ASSERT (lag[i] - lag_min[i] <= count * cost_max);
+    lag_min[i] = std::min (lag_min[i], lag[i]);
+  }
+
+  size_t
+  depth (unsigned i) const
+  {
+    return eg_admission_depth (admission.get (), i);
+  }
+
   const int count = draw (2, 5);
   const int cost_max = draw (1, 200);
+  const bool first_stays = draw (0, 2) == 1;
   std::vector<class_spec> specs;
-  std::vector<std::string> names;
-  const char *const class_names[] = {"a", "b", "c", "d"};
-  uint64_t request = 0;
-
-  for (int i = 0; i < count; i++)
-    specs.push_back ({class_names[i], i, i ? draw (0, 34) / 100.0 : 0.0});
-  admission_ptr admission = make_admission (make_config (specs, 50));
-  std::vector<double> served (specs.size ());
-  std::vector<double> since_waiting (specs.size ());
+  admission_ptr admission;
+  bool active[EG_CLASSES_MAX] = {};
+  double lag[EG_CLASSES_MAX] = {};
+  double lag_min[EG_CLASSES_MAX] = {};
   double total = 0;
   double lower = 0;
   double lower_floors = 0;
+  uint64_t request = 0;
+};
 
-  for (const class_spec &spec : specs)
-    lower_floors += spec.floor;
-  for (int step = 0; step < 300; step++)
-    {
-      eg_admission_item item;
-
-      for (unsigned i = 0; i < specs.size (); i++)
-        {
-          bool absent = eg_admission_depth (admission.get (), i) == 0;
-
-          if (absent)
-            {
-              served[i] = 0;
-              since_waiting[i] = total;
-            }
-          /* The first class always waits; the others come and go. */
-          if ((absent && (i == 0 || draw (0, 4) == 0)) || draw (0, 3) == 0)
-            offer (admission.get (),
-                   make_item (++request, i, "x",
-                              static_cast<uint64_t> (draw (1, cost_max + 1))),
-                   0);
-        }
-      RC_ASSERT (eg_admission_take (admission.get (), 0, &item));
-      total += static_cast<double> (item.cost);
-      served[item.class_index] += static_cast<double> (item.cost);
-      if (item.class_index > 0)
-        {
-          RC_ASSERT (specs[item.class_index].floor > 0);
-          lower += static_cast<double> (item.cost);
-        }
-      for (unsigned i = 0; i < specs.size (); i++)
-        {
-          double due = specs[i].floor * (total - since_waiting[i]);
+void
+classes_get_their_floor_and_no_more ()
+{
+  floors run;
 
-          if (eg_admission_depth (admission.get (), i) > 0)
-            RC_ASSERT (served[i] >= due - count * cost_max);
-        }
-      RC_ASSERT (lower <= lower_floors * total + (count - 1) * cost_max);
-    }
+  for (int i = 0; i < 300; i++)
+    run.step ();
 }
 
-/** What is left over of a claim ends with the queue. */
+/* What is left over of a claim ends with the queue. */
 void
 class_with_nothing_waiting_is_owed_nothing ()
 {
@@ -430,7 +471,7 @@
     }
 }
 
-/** Serves at a steady rate, for long enough to be observed. */
+/* Serves at a steady rate, for long enough to be observed. */
 void
 observe_rate (eg_admission *admission, uint64_t rate_per_s, int64_t *now_us)
 {
@@ -446,7 +487,7 @@
   RC_ASSERT (eg_admission_remove (admission, UINT64_MAX));
 }
 
-/** One organisation in strict classes, where the work ahead is exact. */
+/* One organisation in strict classes, where the work ahead is exact. */
 void
 what_cannot_meet_its_deadline_is_refused ()
 {
@@ -484,7 +525,7 @@
   RC_ASSERT (offer (admission.get (), item, now_us) == EG_REFUSAL_NONE);
 }
 
-/** What the estimate says of organisations in turn, against the real order. */
+/* What the estimate says of organisations in turn, against the real order. */
 void
 estimate_is_close_to_the_work_done_before ()
 {
@@ -564,7 +605,7 @@
     }
 }
 
-/** A take that is undone must not change what follows. */
+/* A take that is undone must not change what follows. */
 void
 a_return_undoes_the_last_take ()
 {
@@ -598,7 +639,7 @@
     }
 }
 
-/** No organisation counts with more than the new request's turns let by. */
+/* No organisation counts with more than the new request's turns let by. */
 void
 cost_ahead_counts_turns ()
 {
--- a/test/property_limit.cc
+++ b/test/property_limit.cc
@@ -45,7 +45,7 @@
   return rule;
 }
 
-/** In every window, with sweeps between and the rule set again and again. */
+/* In every window, with sweeps between and the rule set again and again. */
 void
 bucket_admits_at_most_burst_and_rate ()
 {
@@ -112,7 +112,7 @@
              == EG_REFUSAL_NONE);
 }
 
-/** A change of rule must not let more through than either rule would. */
+/* A change of rule must not let more through than either rule would. */
 void
 change_of_rule_grants_nothing_for_the_past ()
 {
@@ -170,7 +170,7 @@
     }
 }
 
-/** Ever new names, each idle again soon, as a caller may send them. */
+/* Ever new names, each idle again soon, as a caller may send them. */
 void
 table_is_bounded_by_the_organisations_in_use ()
 {
--- a/test/property_quarantine.cc
+++ b/test/property_quarantine.cc
@@ -33,7 +33,7 @@
   return static_cast<uint64_t> (draw (0, count));
 }
 
-/** A table that never fills, against a plain model of deaths. */
+/* A table that never fills, against a plain model of deaths. */
 void
 quarantine_needs_distinct_servers ()
 {
@@ -93,7 +93,7 @@
     }
 }
 
-/** Suspects come and go; what is refused stays refused. */
+/* Suspects come and go; what is refused stays refused. */
 void
 suspects_make_room_before_quarantines ()
 {
--- a/test/property_retry.cc
+++ b/test/property_retry.cc
@@ -75,7 +75,7 @@
     }
 }
 
-/** The reserve bounds a burst, however much was earned before it. */
+/* The reserve bounds a burst, however much was earned before it. */
 void
 what_is_allowed_is_granted_until_the_reserve_is_spent ()
 {
@@ -96,7 +96,7 @@
   RC_ASSERT (spent == static_cast<int> (config.reserve));
 }
 
-/** Full jitter: delays fill all of the range that doubles each time. */
+/* Full jitter: delays fill all of the range that doubles each time. */
 void
 delays_spread_over_a_doubling_range ()
 {
