--- a/standin/load_main.c
+++ b/standin/load_main.c
@@ -22,7 +22,7 @@
   EXIT_WHOLE = 0,
   EXIT_WRONG_ANSWER = 1,
   EXIT_USAGE = 2,
-  EXIT_NOT_RUN = 3, /**< A fault could not be brought about, or no run. */
+  EXIT_NOT_RUN = 3, /**< Not run as the scenario says. */
 };
 
 struct options
@@ -123,8 +123,8 @@
     written = write_values (results, options) && written;
   if (results->wrong > 0 || eg_load_audit_is_bad (&results->audit))
     return EXIT_WRONG_ANSWER;
-  return written && eg_load_report_faults_done (results) ? EXIT_WHOLE
-                                                         : EXIT_NOT_RUN;
+  return written && eg_load_report_went_as_planned (results) ? EXIT_WHOLE
+                                                             : EXIT_NOT_RUN;
 }
 
 static int
--- a/standin/load_report.h
+++ b/standin/load_report.h
@@ -35,8 +35,11 @@
 /** Returns tokens received in each second of the measured time. */
 double eg_load_report_tokens_per_s (const struct eg_load_results *results);
 
-/** Tells whether every fault of the scenario was brought about. */
-bool eg_load_report_faults_done (const struct eg_load_results *results);
+/**
+ * Tells whether the run went as the scenario says: every fault was brought
+ * about, and the tool itself never stood still for long.
+ */
+bool eg_load_report_went_as_planned (const struct eg_load_results *results);
 
 EG_END_DECLS
 
--- a/standin/load_report_json.c
+++ b/standin/load_report_json.c
@@ -4,6 +4,8 @@
 
 #include "base/clock.h"
 
+#define MAX_STALL_US (500 * EG_US_PER_MS)
+
 static double
 measured_s (const struct eg_load_results *results)
 {
@@ -17,12 +19,12 @@
 }
 
 bool
-eg_load_report_faults_done (const struct eg_load_results *results)
+eg_load_report_went_as_planned (const struct eg_load_results *results)
 {
   for (size_t i = 0; i < results->scenario->n_faults; i++)
     if (!results->faults[i].done)
       return false;
-  return true;
+  return results->longest_stall_us <= MAX_STALL_US;
 }
 
 static json_t *
@@ -213,7 +215,8 @@
 
   getrusage (RUSAGE_SELF, &usage);
   return json_pack (
-      "{s:o, s:f}", "send_lag", histogram_json (&results->send_lag_us), "cpu_s",
+      "{s:o, s:I, s:f}", "send_lag", histogram_json (&results->send_lag_us),
+      "longest_stall_us", (json_int_t) results->longest_stall_us, "cpu_s",
       (double) (usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
           + (double) (usage.ru_utime.tv_usec + usage.ru_stime.tv_usec)
                 / (double) EG_US_PER_S);
@@ -235,15 +238,15 @@
 
   if (!results->audited)
     return json_null ();
-  return json_pack ("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "engines",
-                    (json_int_t) audit->engines, "unreadable_engines",
-                    (json_int_t) audit->unreadable_engines, "tokens",
-                    (json_int_t) audit->tokens, "missing",
-                    (json_int_t) audit->missing, "unverified",
-                    (json_int_t) audit->unverified, "repeated",
-                    (json_int_t) audit->repeated, "out_of_order",
-                    (json_int_t) audit->out_of_order, "other_attempts",
-                    (json_int_t) audit->other_attempts);
+  return json_pack (
+      "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "requests",
+      (json_int_t) audit->requests, "engines", (json_int_t) audit->engines,
+      "unreadable_engines", (json_int_t) audit->unreadable_engines, "tokens",
+      (json_int_t) audit->tokens, "missing", (json_int_t) audit->missing,
+      "unverified", (json_int_t) audit->unverified, "repeated",
+      (json_int_t) audit->repeated, "out_of_order",
+      (json_int_t) audit->out_of_order, "other_attempts",
+      (json_int_t) audit->other_attempts);
 }
 
 json_t *
@@ -257,12 +260,13 @@
       "{s:s, s:I, s:f, s:I, s:b, s:I, s:o, s:o, s:o, s:o, s:o, s:I, s:o, s:o, "
       "s:o, s:o}",
       "name", scenario->name, "seed", (json_int_t) seed, "measured_s",
-      measured_s (results), "wrong", (json_int_t) results->wrong, "faults_done",
-      eg_load_report_faults_done (results), "missing_request_id",
-      (json_int_t) results->missing_request_id, "total", group_json (&total),
-      "groups", groups_json (results), "causes", causes_json (results),
-      "throughput", throughput_json (results), "faults", faults_json (results),
-      "peak_in_flight", (json_int_t) eg_load_results_peak_in_flight (results),
+      measured_s (results), "wrong", (json_int_t) results->wrong,
+      "went_as_planned", eg_load_report_went_as_planned (results),
+      "missing_request_id", (json_int_t) results->missing_request_id, "total",
+      group_json (&total), "groups", groups_json (results), "causes",
+      causes_json (results), "throughput", throughput_json (results), "faults",
+      faults_json (results), "peak_in_flight",
+      (json_int_t) eg_load_results_peak_in_flight (results),
       "exact_first_token", first_token_json (results), "audit",
       audit_json (results), "tool", tool_json (results), "series",
       series_json (results));
--- a/tools/experiments/common.sh
+++ b/tools/experiments/common.sh
@@ -81,10 +81,24 @@
   pids=
 }
 
+# Ends the script if a process that it started has ended by itself.
+check_running() {
+  for pid in $pids; do
+    kill -0 "$pid" 2>/dev/null && continue
+    for file in "$run"/*.pid; do
+      [ "$(cat "$file")" = "$pid" ] || continue
+      say "$(basename "$file" .pid) has ended:"
+      tail -n 3 "${file%.pid}.log" >&2
+    done
+    exit 3
+  done
+}
+
 # wait_for URL [PATTERN]: until it answers 200 with PATTERN in the body.
 wait_for() {
   tries=0
   until curl -sf -m 2 "$1" 2>/dev/null | grep -q "${2:-}"; do
+    check_running
     tries=$((tries + 1))
     if [ $tries -ge 100 ]; then
       say "$1 did not become ready"
