--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -142,8 +142,11 @@
                          int64_t position,
                          int64_t now_us);
 
-/** Reports that an attempt ended well. */
-void eg_lifecycle_attempt_done (struct eg_lifecycle *self,
+/**
+ * Reports that an attempt ended well.
+ * @return true if its answer is the request's; false for an older attempt.
+ */
+bool eg_lifecycle_attempt_done (struct eg_lifecycle *self,
                                 uint64_t id,
                                 uint32_t attempt,
                                 int64_t now_us);
@@ -166,6 +169,9 @@
 /** Lets time pass: deadlines, back-offs, silent attempts. */
 void eg_lifecycle_tick (struct eg_lifecycle *self, int64_t now_us);
 
+/** Forgets what idle organisations and gone servers leave behind. */
+void eg_lifecycle_sweep (struct eg_lifecycle *self, int64_t now_us);
+
 /** Refuses all new requests from now on; what is in flight goes on. */
 void eg_lifecycle_stop (struct eg_lifecycle *self);
 
--- /dev/null
+++ b/router/dispatcher.c
@@ -0,0 +1,676 @@
+#include "router/dispatcher.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/map.h"
+#include "http/json.h"
+#include "policy/ticket.h"
+#include "router/commands.h"
+#include "router/defaults.h"
+#include "router/keyed.h"
+
+#define TICKET_LIFETIME_US (300 * EG_US_PER_S)
+#define TICKET_KEEP_US (600 * EG_US_PER_S)
+#define TICKETS_MAX 16384
+#define TICKETS_ORGANISATION_MAX 4096
+#define TICKET_ANSWER_BYTES_MAX ((size_t) 64 * 1024)
+#define TICKET_ANSWERS_BYTES_MAX ((size_t) 8 * 1024 * 1024)
+#define SWEEP_INTERVAL_US EG_US_PER_S
+#define COST_BYTES_PER_TOKEN 4
+/* Prompts that share this much of their start share cached keys and values. */
+#define PREFIX_BYTES 256
+
+struct eg_dispatcher
+{
+  struct eg_dispatcher_parts parts;
+  struct eg_lifecycle_config config;
+  struct eg_lifecycle *lifecycle;
+  struct eg_metrics metrics;
+  struct eg_map calls;
+  struct eg_keyed *keyed;
+  struct eg_tickets *tickets;
+  int64_t next_sweep_us;
+  struct eg_command_maker maker;
+};
+
+/* Replies to callers. */
+
+static struct eg_metrics_series *
+series_of (struct eg_dispatcher *self, const struct eg_call *call)
+{
+  const char *class_name =
+      self->config.admission.classes[call->class_index].name;
+
+  return eg_metrics_series (&self->metrics, eg_str_from (call->organisation),
+                            eg_str_from (class_name));
+}
+
+static void
+end_call (struct eg_dispatcher *self,
+          struct eg_call *call,
+          struct eg_reply *reply,
+          enum eg_refusal outcome)
+{
+  struct eg_metrics_series *series = series_of (self, call);
+
+  series->outcomes[outcome]++;
+  if (outcome == EG_REFUSAL_NONE)
+    eg_histogram_add (&series->total_us, eg_clock_now_us () - call->arrived_us);
+  eg_call_end (call, reply);
+  eg_map_remove (&self->calls, call->id);
+  eg_call_unref (call);
+}
+
+/* Whether repeats of the request get its first answer. */
+static bool
+is_kept (const struct eg_call *call)
+{
+  return *call->key || *call->ticket;
+}
+
+static void
+append_token (struct eg_call *call, int64_t position, struct eg_str token)
+{
+  struct eg_reply *reply = call->gathered;
+  struct eg_buffer json = {0};
+
+  if (!reply)
+    reply = call->gathered = eg_reply_new (EG_REPLY_TOKENS);
+  eg_json_append_string (&json, token);
+  if (call->tokens.len > 0)
+    eg_buffer_append (&call->tokens, EG_STR (","));
+  eg_buffer_append (&call->tokens, eg_buffer_view (&json));
+  if (is_kept (call))
+    eg_buffer_append (&call->answer, token);
+  if (call->stream)
+    eg_buffer_printf (&reply->events,
+                      "data: {\"position\":%" PRId64 ",\"token\":%.*s}\n\n",
+                      position, EG_STR_ARGS (eg_buffer_view (&json)));
+  else
+    eg_buffer_append (&reply->text, token);
+  reply->token_count++;
+  eg_buffer_finish (&json);
+}
+
+static void
+count_token (struct eg_dispatcher *self, struct eg_call *call, int64_t now_us)
+{
+  struct eg_metrics_series *series = series_of (self, call);
+
+  series->tokens++;
+  if (call->token_count++ == 0)
+    eg_histogram_add (&series->first_token_us, now_us - call->arrived_us);
+  else
+    eg_histogram_add (&series->between_tokens_us, now_us - call->last_token_us);
+  call->last_token_us = now_us;
+}
+
+static void
+refuse_call (struct eg_dispatcher *self,
+             struct eg_call *call,
+             enum eg_refusal refusal,
+             enum eg_ran ran,
+             int64_t retry_after_us)
+{
+  struct eg_reply *reply = eg_reply_new (EG_REPLY_REFUSAL);
+
+  reply->refusal = refusal;
+  reply->ran = ran;
+  reply->retry_after_us = retry_after_us;
+  end_call (self, call, reply, refusal);
+}
+
+static void
+answer_call (struct eg_dispatcher *self,
+             struct eg_call *call,
+             int status,
+             struct eg_str content_type,
+             struct eg_str body)
+{
+  struct eg_reply *reply = eg_reply_new (EG_REPLY_ANSWER);
+
+  reply->http_status = status;
+  eg_str_copy (content_type, reply->content_type, sizeof reply->content_type);
+  eg_buffer_append (&reply->text, body);
+  end_call (self, call, reply, EG_REFUSAL_NONE);
+}
+
+/* Keeps an answer for repeats of a request with a key or a ticket. */
+static void
+keep_answer (struct eg_dispatcher *self,
+             struct eg_call *call,
+             const struct eg_claim_answer *answer)
+{
+  struct eg_ticket ticket;
+
+  if (*call->key)
+    eg_keyed_answered (self->keyed, call->id, answer, eg_clock_now_us ());
+  else if (eg_ticket_parse (&ticket, eg_str_from (call->ticket)))
+    eg_tickets_end (self->tickets, &ticket, &call->outcome, answer,
+                    eg_clock_now_us ());
+}
+
+/* A repeat gets the text of a completion as a whole, even where the first
+   sending asked for a stream. */
+static void
+keep_completion (struct eg_dispatcher *self, struct eg_call *call)
+{
+  struct eg_buffer json = {0};
+  struct eg_claim_answer answer = {
+      .kept = true,
+      .status = 200,
+      .content_type = EG_STR ("application/json"),
+  };
+
+  eg_call_write_completion (call, eg_buffer_view (&call->answer),
+                            call->token_count, &json);
+  answer.body = eg_buffer_view (&json);
+  keep_answer (self, call, &answer);
+  eg_buffer_finish (&json);
+}
+
+static void
+finish_completion (struct eg_dispatcher *self, struct eg_call *call)
+{
+  if (is_kept (call))
+    keep_completion (self, call);
+  end_call (self, call, eg_reply_new (EG_REPLY_DONE), EG_REFUSAL_NONE);
+}
+
+/* Actions of the lifecycle. */
+
+static void
+apply_start (struct eg_dispatcher *self,
+             struct eg_call *call,
+             const struct eg_action *action)
+{
+  const struct eg_attempt_failure not_sent = {.cause = EG_ATTEMPT_NOT_SENT};
+  int64_t now_us = eg_clock_now_us ();
+  struct eg_backend_command *command =
+      eg_command_start (&self->maker, call, action, now_us);
+
+  if (eg_backend_worker_push (self->parts.backend, command))
+    return;
+  eg_backend_command_free (command);
+  eg_lifecycle_attempt_failed (self->lifecycle, call->id, action->attempt,
+                               &not_sent, now_us);
+}
+
+static void
+apply_cancel (struct eg_dispatcher *self, const struct eg_action *action)
+{
+  struct eg_backend_command *command = eg_command_cancel (&self->maker, action);
+
+  /* A full ring loses the cancellation; the engine finds the closed stream. */
+  if (!eg_backend_worker_push (self->parts.backend, command))
+    eg_backend_command_free (command);
+}
+
+static void
+apply_refuse (struct eg_dispatcher *self,
+              struct eg_call *call,
+              const struct eg_action *action)
+{
+  int64_t now_us = eg_clock_now_us ();
+  struct eg_ticket ticket;
+
+  if (*call->key)
+    {
+      eg_keyed_refused (self->keyed, call->id, action->refusal, now_us);
+      return;
+    }
+  if (eg_ticket_parse (&ticket, eg_str_from (call->ticket)))
+    eg_tickets_end (self->tickets, &ticket, &call->outcome, NULL, now_us);
+  refuse_call (self, call, action->refusal, action->ran,
+               action->retry_after_us);
+}
+
+static void
+apply_action (struct eg_dispatcher *self, const struct eg_action *action)
+{
+  struct eg_call *call = eg_map_get (&self->calls, action->request);
+
+  switch (action->kind)
+    {
+    case EG_ACTION_START:
+      if (call)
+        apply_start (self, call, action);
+      return;
+    case EG_ACTION_CANCEL:
+      apply_cancel (self, action);
+      return;
+    case EG_ACTION_FINISH:
+      if (call && call->kind == EG_CALL_COMPLETION)
+        finish_completion (self, call);
+      return;
+    case EG_ACTION_REFUSE:
+      if (call)
+        apply_refuse (self, call, action);
+      return;
+    case EG_ACTION_QUARANTINE:
+      eg_log (EG_LOG_WARNING, "lifecycle",
+              "event=quarantine fingerprint=%016" PRIx64, action->fingerprint);
+      return;
+    }
+}
+
+static void
+apply_actions (struct eg_dispatcher *self)
+{
+  struct eg_action action;
+
+  while (eg_lifecycle_next_action (self->lifecycle, &action))
+    apply_action (self, &action);
+}
+
+/* Requests. */
+
+static uint64_t
+fingerprint_of (const struct eg_call *call)
+{
+  struct eg_str path = call->kind == EG_CALL_SERVICE
+                           ? eg_buffer_view (&call->path)
+                           : EG_STR ("/v1/completions");
+
+  return eg_quarantine_fingerprint (eg_str_from (call->organisation), path,
+                                    eg_buffer_view (&call->body));
+}
+
+static uint64_t
+prefix_hash_of (const struct eg_call *call)
+{
+  struct eg_str prefix = {call->prompt.data, PREFIX_BYTES};
+
+  if (call->kind != EG_CALL_COMPLETION || call->prompt.len < PREFIX_BYTES)
+    return 0;
+  return eg_hash_str (prefix) ^ eg_hash_str (eg_str_from (call->target));
+}
+
+static void
+place_call (struct eg_dispatcher *self,
+            struct eg_call *call,
+            int64_t send_by_us)
+{
+  const struct eg_lifecycle_request request = {
+      .id = call->id,
+      .organisation = eg_str_from (call->organisation),
+      .class_index = call->class_index,
+      .plain = call->kind == EG_CALL_SERVICE,
+      .target = eg_str_from (call->target),
+      .fingerprint = fingerprint_of (call),
+      .prefix_hash = prefix_hash_of (call),
+      .cost = (uint64_t) call->max_tokens
+              + call->prompt.len / COST_BYTES_PER_TOKEN + 1,
+      .outcome = &call->outcome,
+      .arrived_us = call->arrived_us,
+      .deadline_us = call->arrived_us + call->budget_us,
+      .send_by_us = send_by_us,
+  };
+
+  call->send_by_us = send_by_us;
+  eg_lifecycle_arrive (self->lifecycle, &request, eg_clock_now_us ());
+}
+
+static void
+on_keyed_dispatch (void *context, struct eg_call *call, int64_t send_by_us)
+{
+  place_call (context, call, send_by_us);
+}
+
+static void
+on_keyed_answer (void *context,
+                 struct eg_call *call,
+                 const struct eg_claim_answer *answer)
+{
+  answer_call (context, call, answer->status, answer->content_type,
+               answer->body);
+}
+
+static void
+on_keyed_refuse (void *context,
+                 struct eg_call *call,
+                 const struct eg_claim_action *refusal)
+{
+  refuse_call (context, call, refusal->refusal, refusal->ran,
+               refusal->retry_after_us);
+}
+
+/* Tickets. */
+
+static enum eg_ticket_home
+find_home (void *context, struct eg_str address, uint64_t incarnation)
+{
+  const struct eg_dispatcher *self = context;
+
+  (void) incarnation; /* The entry VM itself knows whether it is the same. */
+  return eg_fleet_has_entry (self->parts.fleet, address) ? EG_TICKET_HOME_LIVE
+                                                         : EG_TICKET_HOME_GONE;
+}
+
+static void
+give_ticket (struct eg_dispatcher *self, struct eg_call *call)
+{
+  const struct eg_ticket_number number = {eg_random_system_seed (),
+                                          eg_random_system_seed ()};
+  char text[EG_TICKET_TEXT_BYTES];
+  struct eg_buffer json = {0};
+
+  if (eg_tickets_give (self->tickets, eg_str_from (call->organisation), number,
+                       eg_clock_now_us (), text)
+      != EG_OK)
+    {
+      refuse_call (self, call, EG_REFUSAL_IN_FLIGHT_LIMIT, EG_RAN_NO,
+                   EG_US_PER_S);
+      return;
+    }
+  eg_buffer_printf (&json, "{\"ticket\":\"%s\",\"expires_in_ms\":%" PRId64 "}",
+                    text, TICKET_LIFETIME_US / EG_US_PER_MS);
+  answer_call (self, call, 200, EG_STR ("application/json"),
+               eg_buffer_view (&json));
+  eg_buffer_finish (&json);
+}
+
+static void
+forward_call (struct eg_dispatcher *self,
+              struct eg_call *call,
+              const char *address)
+{
+  struct eg_backend_command *command =
+      eg_command_forward (call, address, eg_clock_now_us ());
+
+  call->forwarded = true;
+  if (eg_backend_worker_push (self->parts.backend, command))
+    return;
+  eg_backend_command_free (command);
+  refuse_call (self, call, EG_REFUSAL_NO_CAPACITY,
+               eg_outcome_ran (&call->outcome), EG_US_PER_S);
+}
+
+static void
+use_ticket (struct eg_dispatcher *self, struct eg_call *call)
+{
+  struct eg_ticket_verdict verdict;
+
+  eg_outcome_init (&call->outcome, EG_OUTCOME_TICKETED);
+  eg_tickets_use (self->tickets, eg_str_from (call->ticket),
+                  eg_str_from (call->organisation),
+                  eg_claim_fingerprint (eg_str_from (call->method),
+                                        eg_buffer_view (&call->path),
+                                        eg_buffer_view (&call->body)),
+                  eg_clock_now_us (), &call->outcome, &verdict);
+  switch (verdict.decision)
+    {
+    case EG_TICKET_RUN:
+      place_call (self, call, INT64_MAX);
+      return;
+    case EG_TICKET_FORWARD:
+      forward_call (self, call, verdict.ticket.address);
+      return;
+    case EG_TICKET_ANSWER:
+      answer_call (self, call, verdict.answer.status,
+                   verdict.answer.content_type, verdict.answer.body);
+      return;
+    case EG_TICKET_REFUSE:
+      refuse_call (self, call, verdict.refusal, verdict.ran,
+                   verdict.retry_after_us);
+      return;
+    }
+}
+
+static void
+run_alone (struct eg_dispatcher *self, struct eg_call *call)
+{
+  eg_outcome_init (&call->outcome, call->idempotent
+                                       ? EG_OUTCOME_IDEMPOTENT
+                                       : EG_OUTCOME_NON_IDEMPOTENT);
+  place_call (self, call, INT64_MAX);
+}
+
+void
+eg_dispatcher_arrive (struct eg_dispatcher *self, struct eg_call *call)
+{
+  eg_map_put (&self->calls, call->id, call);
+  series_of (self, call)->requests++;
+  if (call->kind == EG_CALL_TICKET)
+    give_ticket (self, call);
+  else if (*call->ticket)
+    use_ticket (self, call);
+  else if (*call->key)
+    eg_keyed_arrive (self->keyed, call, eg_clock_now_us ());
+  else
+    run_alone (self, call);
+  apply_actions (self);
+}
+
+void
+eg_dispatcher_abandon (struct eg_dispatcher *self, struct eg_call *call)
+{
+  /* What a repeat may ask for again goes on, so that it finds the answer. */
+  if (is_kept (call) || !eg_map_remove (&self->calls, call->id))
+    return;
+  series_of (self, call)->abandoned++;
+  eg_lifecycle_abandon (self->lifecycle, call->id, eg_clock_now_us ());
+  eg_call_unref (call);
+  apply_actions (self);
+}
+
+/* Reports on attempts. */
+
+static void
+handle_tokens (struct eg_dispatcher *self, struct eg_backend_event *event)
+{
+  struct eg_call *call = eg_map_get (&self->calls, event->request);
+  int64_t now_us = eg_clock_now_us ();
+
+  for (size_t i = 0; i < event->token_count; i++)
+    {
+      const struct eg_backend_token *token = &event->tokens[i];
+      struct eg_str text = {event->text.data + token->offset, token->len};
+
+      if (!eg_lifecycle_token (self->lifecycle, event->request, event->attempt,
+                               token->position, now_us))
+        continue;
+      append_token (call, token->position, text);
+      count_token (self, call, now_us);
+    }
+  if (call)
+    eg_call_send_tokens (call);
+}
+
+static void
+handle_done (struct eg_dispatcher *self, struct eg_backend_event *event)
+{
+  struct eg_call *call = eg_map_get (&self->calls, event->request);
+  const struct eg_claim_answer answer = {
+      .kept = true,
+      .status = event->http_status,
+      .content_type = eg_str_from (event->content_type),
+      .body = eg_buffer_view (&event->text),
+  };
+
+  if (call && call->forwarded)
+    {
+      answer_call (self, call, answer.status, answer.content_type, answer.body);
+      return;
+    }
+  if (!eg_lifecycle_attempt_done (self->lifecycle, event->request,
+                                  event->attempt, eg_clock_now_us ())
+      || !call || call->kind != EG_CALL_SERVICE)
+    return;
+  if (is_kept (call))
+    keep_answer (self, call, &answer);
+  answer_call (self, call, answer.status, answer.content_type, answer.body);
+}
+
+static void
+handle_failed (struct eg_dispatcher *self, struct eg_backend_event *event)
+{
+  struct eg_call *call = eg_map_get (&self->calls, event->request);
+  const struct eg_attempt_failure failure = {
+      .cause = event->cause, .server = eg_str_from (event->server)};
+
+  eg_log (EG_LOG_INFO, "backend",
+          "event=attempt-failed request=%" PRIu64 " attempt=%u server=%s "
+          "stage=%s cause=%d",
+          event->request, event->attempt, event->address, event->server,
+          (int) event->cause);
+  if (call && call->forwarded)
+    {
+      refuse_call (self, call, EG_REFUSAL_BACKEND_FAILED,
+                   eg_outcome_ran (&call->outcome), EG_US_PER_S);
+      return;
+    }
+  if (event->cause == EG_ATTEMPT_REFUSED)
+    eg_fleet_refused (self->parts.fleet, eg_str_from (event->address));
+  eg_lifecycle_attempt_failed (self->lifecycle, event->request, event->attempt,
+                               &failure, eg_clock_now_us ());
+}
+
+static void (*const attempt_handlers[]) (struct eg_dispatcher *self,
+                                         struct eg_backend_event *event) = {
+    [EG_BACKEND_TOKENS] = handle_tokens,
+    [EG_BACKEND_DONE] = handle_done,
+    [EG_BACKEND_FAILED] = handle_failed,
+};
+
+void
+eg_dispatcher_attempt_event (struct eg_dispatcher *self,
+                             struct eg_backend_event *event)
+{
+  attempt_handlers[event->kind](self, event);
+  apply_actions (self);
+}
+
+void
+eg_dispatcher_store_reply (struct eg_dispatcher *self,
+                           const struct eg_platform_reply *reply)
+{
+  eg_keyed_reply (self->keyed, reply, eg_clock_now_us ());
+  apply_actions (self);
+}
+
+void
+eg_dispatcher_servers_changed (struct eg_dispatcher *self, uint32_t silent)
+{
+  int64_t now_us = eg_clock_now_us ();
+
+  if (silent != EG_SERVER_NONE)
+    eg_lifecycle_server_silent (self->lifecycle, silent, now_us);
+  else
+    eg_lifecycle_servers_changed (self->lifecycle, now_us);
+  apply_actions (self);
+}
+
+void
+eg_dispatcher_stop (struct eg_dispatcher *self)
+{
+  eg_lifecycle_stop (self->lifecycle);
+}
+
+void
+eg_dispatcher_tick (struct eg_dispatcher *self, int64_t now_us)
+{
+  eg_lifecycle_tick (self->lifecycle, now_us);
+  eg_keyed_tick (self->keyed, now_us);
+  if (now_us >= self->next_sweep_us)
+    {
+      self->next_sweep_us = now_us + SWEEP_INTERVAL_US;
+      eg_tickets_sweep (self->tickets, now_us);
+      eg_lifecycle_sweep (self->lifecycle, now_us);
+    }
+  apply_actions (self);
+}
+
+bool
+eg_dispatcher_is_busy (const struct eg_dispatcher *self)
+{
+  return self->calls.count > 0 || eg_keyed_count (self->keyed) > 0;
+}
+
+const struct eg_lifecycle *
+eg_dispatcher_lifecycle (const struct eg_dispatcher *self)
+{
+  return self->lifecycle;
+}
+
+const struct eg_metrics *
+eg_dispatcher_metrics (const struct eg_dispatcher *self)
+{
+  return &self->metrics;
+}
+
+static struct eg_tickets *
+make_tickets (struct eg_dispatcher *self)
+{
+  struct eg_tickets_config config = {
+      .incarnation = self->parts.incarnation,
+      .lifetime_us = TICKET_LIFETIME_US,
+      .keep_us = TICKET_KEEP_US,
+      .retry_after_us = EG_US_PER_S,
+      .entries_max = TICKETS_MAX,
+      .organisation_max = TICKETS_ORGANISATION_MAX,
+      .answer_bytes_max = TICKET_ANSWER_BYTES_MAX,
+      .answers_bytes_max = TICKET_ANSWERS_BYTES_MAX,
+      .home = find_home,
+      .home_context = self,
+  };
+
+  eg_str_copy (eg_str_from (self->parts.settings->listen_callers),
+               config.address, sizeof config.address);
+  return eg_tickets_new (&config);
+}
+
+struct eg_dispatcher *
+eg_dispatcher_new (const struct eg_dispatcher_parts *parts)
+{
+  struct eg_dispatcher *self = calloc (1, sizeof *self);
+  const struct eg_keyed_callbacks keyed_callbacks = {
+      .dispatch = on_keyed_dispatch,
+      .answer = on_keyed_answer,
+      .refuse = on_keyed_refuse,
+      .context = self,
+  };
+
+  if (!self)
+    return NULL;
+  self->parts = *parts;
+  eg_defaults_lifecycle (parts->settings, &self->config);
+  self->maker.admission = &self->config.admission;
+  self->maker.servers = parts->fleet->servers;
+  snprintf (self->maker.incarnation, sizeof self->maker.incarnation,
+            "%016" PRIx64, parts->incarnation);
+  self->lifecycle = eg_lifecycle_new (&self->config, parts->fleet->servers,
+                                      eg_hash_mix (parts->incarnation));
+  if (self->lifecycle)
+    self->keyed = eg_keyed_new (parts->platform, parts->incarnation,
+                                ~parts->incarnation, &keyed_callbacks);
+  self->tickets = make_tickets (self);
+  if (self->keyed && self->tickets)
+    return self;
+  eg_dispatcher_free (self);
+  return NULL;
+}
+
+void
+eg_dispatcher_free (struct eg_dispatcher *self)
+{
+  struct eg_call *call;
+  size_t cursor = 0;
+
+  if (!self)
+    return;
+  while ((call = eg_map_next (&self->calls, &cursor)))
+    eg_call_unref (call);
+  eg_map_finish (&self->calls);
+  eg_keyed_free (self->keyed);
+  eg_tickets_free (self->tickets);
+  eg_lifecycle_free (self->lifecycle);
+  eg_metrics_finish (&self->metrics);
+  free (self);
+}
