--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -1,5 +1,6 @@
 #include "policy/lifecycle.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,9 @@
 #define NO_CAPACITY_RETRY_AFTER_US EG_US_PER_S
 #define STOPPING_RETRY_AFTER_US EG_US_PER_S
 
+/* Organisation, a slash and the class. */
+#define CLASS_LIMIT_BYTES (2 * EG_NAME_BYTES)
+
 enum request_phase
 {
   PHASE_QUEUED,  /* In the target's admission queue. */
@@ -24,6 +28,7 @@
 {
   struct eg_lifecycle_request info;
   char organisation[EG_NAME_BYTES];
+  char class_limit[CLASS_LIMIT_BYTES];
   struct eg_target *target;
   enum request_phase phase;
   uint32_t attempt;
@@ -45,6 +50,7 @@
   struct eg_servers *servers;
   struct eg_random random;
   struct eg_limits *limits;
+  struct eg_limits *class_limits;
   struct eg_quarantine *quarantine;
   struct eg_prefix_table *prefixes;
   struct eg_target_table targets;
@@ -60,6 +66,7 @@
                   struct eg_servers *servers,
                   uint64_t seed)
 {
+  static const struct eg_limit_rule no_limit = {0};
   struct eg_lifecycle *self = calloc (1, sizeof *self);
 
   if (!self)
@@ -69,10 +76,11 @@
   eg_list_init (&self->running);
   eg_random_init (&self->random, seed);
   self->limits = eg_limits_new (&config->default_limit);
+  self->class_limits = eg_limits_new (&no_limit);
   self->quarantine = eg_quarantine_new (&config->quarantine);
   self->prefixes = eg_prefix_table_new (config->prefixes_max);
   self->config.placement.prefixes = self->prefixes;
-  if (self->limits && self->quarantine && self->prefixes)
+  if (self->limits && self->class_limits && self->quarantine && self->prefixes)
     return self;
   eg_lifecycle_free (self);
   return NULL;
@@ -91,6 +99,7 @@
   eg_map_finish (&self->requests);
   eg_target_table_finish (&self->targets);
   eg_limits_free (self->limits);
+  eg_limits_free (self->class_limits);
   eg_quarantine_free (self->quarantine);
   eg_prefix_table_free (self->prefixes);
   eg_action_queue_finish (&self->actions);
@@ -152,6 +161,7 @@
   struct eg_str organisation = eg_str_from (request->organisation);
 
   eg_limits_end (self->limits, organisation);
+  eg_limits_end (self->class_limits, eg_str_from (request->class_limit));
   eg_map_remove (&self->requests, request->info.id);
   free (request);
 }
@@ -275,9 +285,13 @@
         struct eg_chain *chain)
 {
   struct eg_placement_query query = {.prefix_hash = request->info.prefix_hash};
+  struct eg_placement_config placement = self->config.placement;
   enum eg_placement_result result;
   size_t suspects;
 
+  if (request->target && *request->target->preferred)
+    memcpy (placement.failure_domain, request->target->preferred,
+            sizeof placement.failure_domain);
   if (request->info.plain)
     query.service = request->info.target;
   else
@@ -286,7 +300,7 @@
   query.excluded_count = request->excluded_count;
   exclude_suspects (self, request, &query);
   suspects = query.excluded_count - request->excluded_count;
-  result = eg_placement_choose (&self->config.placement, self->servers, &query,
+  result = eg_placement_choose (&placement, self->servers, &query,
                                 &self->random, now_us, chain);
   /* Where the others leave no server, a suspect waits until one of them ends.
    */
@@ -297,8 +311,8 @@
   /* Better a server that failed once than none at all. */
   request->excluded_count = 0;
   query.excluded_count = 0;
-  return eg_placement_choose (&self->config.placement, self->servers, &query,
-                              &self->random, now_us, chain);
+  return eg_placement_choose (&placement, self->servers, &query, &self->random,
+                              now_us, chain);
 }
 
 /* Dispatch. */
@@ -417,6 +431,42 @@
   return EG_REFUSAL_NONE;
 }
 
+struct eg_str
+eg_lifecycle_class_limit_name (struct eg_str organisation,
+                               struct eg_str class_name,
+                               char *text,
+                               size_t capacity)
+{
+  snprintf (text, capacity, "%.*s/%.*s", EG_STR_ARGS (organisation),
+            EG_STR_ARGS (class_name));
+  return eg_str_from (text);
+}
+
+/* A request counts against its organisation, and within its class. */
+static enum eg_refusal
+begin_limits (struct eg_lifecycle *self,
+              struct eg_request_state *request,
+              int64_t now_us,
+              int64_t *retry_after_us)
+{
+  const struct eg_lifecycle_request *info = &request->info;
+  const char *class_name =
+      self->config.admission.classes[info->class_index].name;
+  struct eg_str name = eg_lifecycle_class_limit_name (
+      info->organisation, eg_str_from (class_name), request->class_limit,
+      sizeof request->class_limit);
+  enum eg_refusal refusal;
+
+  refusal = eg_limits_begin (self->limits, info->organisation, now_us,
+                             retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    return refusal;
+  refusal = eg_limits_begin (self->class_limits, name, now_us, retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    eg_limits_end (self->limits, info->organisation);
+  return refusal;
+}
+
 static enum eg_refusal
 admit (struct eg_lifecycle *self,
        struct eg_request_state *request,
@@ -439,14 +489,16 @@
     *retry_after_us = NO_CAPACITY_RETRY_AFTER_US;
   if (refusal != EG_REFUSAL_NONE)
     return refusal;
-  refusal = eg_limits_begin (self->limits, info->organisation, now_us,
-                             retry_after_us);
+  refusal = begin_limits (self, request, now_us, retry_after_us);
   if (refusal != EG_REFUSAL_NONE)
     return refusal;
   refusal = eg_admission_offer (request->target->admission, &item, now_us,
                                 retry_after_us);
   if (refusal != EG_REFUSAL_NONE)
-    eg_limits_end (self->limits, info->organisation);
+    {
+      eg_limits_end (self->limits, info->organisation);
+      eg_limits_end (self->class_limits, eg_str_from (request->class_limit));
+    }
   return refusal;
 }
 
@@ -868,10 +920,36 @@
     }
 }
 
+void
+eg_lifecycle_configure (struct eg_lifecycle *self,
+                        const struct eg_lifecycle_config *config)
+{
+  size_t cursor = 0;
+  struct eg_target *target;
+
+  self->config = *config;
+  self->config.placement.prefixes = self->prefixes;
+  eg_limits_set_fallback (self->limits, &config->default_limit);
+  while ((target = eg_target_table_next (&self->targets, &cursor)))
+    eg_admission_configure (target->admission, &config->admission);
+}
+
+void
+eg_lifecycle_prefer (struct eg_lifecycle *self,
+                     struct eg_str service,
+                     struct eg_str failure_domain)
+{
+  struct eg_target *target =
+      eg_target_table_add (&self->targets, true, service, &self->config);
+
+  eg_str_copy (failure_domain, target->preferred, sizeof target->preferred);
+}
+
 void
 eg_lifecycle_sweep (struct eg_lifecycle *self, int64_t now_us)
 {
   eg_limits_sweep (self->limits, now_us);
+  eg_limits_sweep (self->class_limits, now_us);
   eg_servers_sweep (self->servers, now_us);
 }
 
@@ -907,6 +985,12 @@
   return self->limits;
 }
 
+struct eg_limits *
+eg_lifecycle_class_limits (struct eg_lifecycle *self)
+{
+  return self->class_limits;
+}
+
 struct eg_quarantine *
 eg_lifecycle_quarantine (struct eg_lifecycle *self)
 {
--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -122,6 +122,18 @@
 /** Frees the state. */
 void eg_lifecycle_free (struct eg_lifecycle *self);
 
+/** Takes new settings; requests that wait or run go on under them. */
+void eg_lifecycle_configure (struct eg_lifecycle *self,
+                             const struct eg_lifecycle_config *config);
+
+/**
+ * Says in which failure domain a plain service's servers go first.
+ * @param failure_domain empty for this entry VM's own.
+ */
+void eg_lifecycle_prefer (struct eg_lifecycle *self,
+                          struct eg_str service,
+                          struct eg_str failure_domain);
+
 /** Takes in a request, which ends with exactly one FINISH or REFUSE. */
 void eg_lifecycle_arrive (struct eg_lifecycle *self,
                           const struct eg_lifecycle_request *request,
@@ -186,9 +198,21 @@
 struct eg_lifecycle_counts
 eg_lifecycle_counts (const struct eg_lifecycle *self);
 
-/** Returns the limits, for rules to change. */
+/** Returns the limits of organisations, for rules to change. */
 struct eg_limits *eg_lifecycle_limits (struct eg_lifecycle *self);
 
+/**
+ * Returns the limits of organisations within one class, for rules to change;
+ * they go by the names that eg_lifecycle_class_limit_name() gives.
+ */
+struct eg_limits *eg_lifecycle_class_limits (struct eg_lifecycle *self);
+
+/** Writes the name of an organisation's limit within a class. */
+struct eg_str eg_lifecycle_class_limit_name (struct eg_str organisation,
+                                             struct eg_str class_name,
+                                             char *text,
+                                             size_t capacity);
+
 /** Returns the quarantine, for rules and peers to change. */
 struct eg_quarantine *eg_lifecycle_quarantine (struct eg_lifecycle *self);
 
--- a/policy/limit.c
+++ b/policy/limit.c
@@ -142,6 +142,24 @@
   return true;
 }
 
+static bool
+take_fallback (struct eg_hash_node *node, void *context)
+{
+  struct entry *entry = (struct entry *) node;
+
+  if (!entry->named)
+    change_rule (entry, context);
+  return false;
+}
+
+void
+eg_limits_set_fallback (struct eg_limits *self,
+                        const struct eg_limit_rule *rule)
+{
+  self->fallback = *rule;
+  eg_hash_table_filter (&self->entries, take_fallback, &self->fallback);
+}
+
 void
 eg_limits_clear (struct eg_limits *self, struct eg_str organisation)
 {
--- a/policy/limit.h
+++ b/policy/limit.h
@@ -43,6 +43,10 @@
                     struct eg_str organisation,
                     const struct eg_limit_rule *rule);
 
+/** Replaces the rule of all organisations without one of their own. */
+void eg_limits_set_fallback (struct eg_limits *self,
+                             const struct eg_limit_rule *rule);
+
 /** Returns @p organisation to the fallback rule. */
 void eg_limits_clear (struct eg_limits *self, struct eg_str organisation);
 
--- a/policy/rule_verbs.c
+++ b/policy/rule_verbs.c
@@ -47,10 +47,8 @@
                                       false, "Whether a call may be repeated"},
              [EG_ROUTE_PREFER] = {"prefer", EG_RULE_NAME, false, false,
                                   "Failure domain to go to first"},
-             [EG_ROUTE_WEIGHT] = {"weight", EG_RULE_INTEGER, false, false,
-                                  "Weight against other services, in percent"},
          },
-         5},
+         4},
     [EG_VERB_DRAIN] =
         {"drain",
          "A backend server that gets no new work",
--- a/policy/target.h
+++ b/policy/target.h
@@ -20,8 +20,9 @@
   bool plain;
   struct eg_admission *admission;
   struct eg_retry_budget retries;
-  struct eg_list waiting;       /**< Requests that wait for a retry. */
-  int64_t no_capacity_since_us; /**< 0 while there is a usable server. */
+  struct eg_list waiting;        /**< Requests that wait for a retry. */
+  char preferred[EG_NAME_BYTES]; /**< Failure domain; empty for our own. */
+  int64_t no_capacity_since_us;  /**< 0 while there is a usable server. */
 };
 
 /** All targets of one entry VM; zero-initialised memory is an empty table. */
--- a/router/call.h
+++ b/router/call.h
@@ -60,8 +60,8 @@
   uint64_t id;
   char request_id[EG_CALL_TEXT_BYTES];
   char organisation[EG_NAME_BYTES];
-  unsigned class_index;       /**< Into the classes in force. */
-  char target[EG_NAME_BYTES]; /**< Model or plain service. */
+  char class_name[EG_NAME_BYTES]; /**< As asked for, then as given. */
+  char target[EG_NAME_BYTES];     /**< Model or plain service. */
   char key[EG_CALL_TEXT_BYTES];
   char ticket[EG_CALL_TEXT_BYTES];
   char method[16];
@@ -76,6 +76,8 @@
   int64_t budget_us; /**< 0 where the caller names none. */
 
   /* The decision thread's own. */
+  unsigned class_index;
+  int64_t priority; /**< Towards engines; higher goes first. */
   struct eg_outcome outcome;
   int64_t send_by_us; /**< No attempt begins later; INT64_MAX for no bound. */
   struct eg_reply *gathered; /**< Tokens that wait for room in the ring. */
--- a/router/caller_request.c
+++ b/router/caller_request.c
@@ -91,13 +91,12 @@
 
 static bool
 read_deadline (struct mg_connection *connection,
-               const struct eg_router_settings *settings,
                struct eg_call *call,
                struct eg_problem *problem,
                struct eg_error *error)
 {
   const char *value = mg_get_header (connection, "X-Deadline-Ms");
-  int64_t budget_ms = settings->deadline_ms;
+  int64_t budget_ms = 0;
 
   if (value
       && (!eg_str_to_int64 (eg_str_from (value), &budget_ms) || budget_ms < 1
@@ -111,17 +110,15 @@
 static bool
 read_headers (struct mg_connection *connection,
               const struct eg_router_settings *settings,
-              struct eg_decision *decision,
               struct eg_call *call,
               struct eg_problem *problem,
               struct eg_error *error)
 {
   const char *class_name = mg_get_header (connection, "X-Class");
-  int class_index;
 
   call->arrived_us = eg_clock_now_us ();
   if (!copy_headers (connection, call, problem, error)
-      || !read_deadline (connection, settings, call, problem, error))
+      || !read_deadline (connection, call, problem, error))
     return false;
   if (!*call->request_id)
     snprintf (call->request_id, sizeof call->request_id, "%s-%" PRIx64,
@@ -132,11 +129,10 @@
   if (!*call->organisation)
     return refuse (problem, error, EG_REFUSAL_NO_ORGANISATION,
                    "header X-Organisation is missing");
-  class_index = eg_decision_class_index (decision, eg_str_from (class_name));
-  if (class_index < 0)
+  if (!eg_str_copy (eg_str_from (class_name), call->class_name,
+                    sizeof call->class_name))
     return refuse (problem, error, EG_REFUSAL_MALFORMED,
                    "header X-Class: no such class");
-  call->class_index = (unsigned) class_index;
   return true;
 }
 
@@ -206,7 +202,6 @@
 bool
 eg_caller_read_completion (struct mg_connection *connection,
                            const struct eg_router_settings *settings,
-                           struct eg_decision *decision,
                            struct eg_call *call,
                            struct eg_problem *problem,
                            struct eg_error *error)
@@ -214,7 +209,7 @@
   const struct mg_request_info *info = mg_get_request_info (connection);
 
   call->kind = EG_CALL_COMPLETION;
-  if (!read_headers (connection, settings, decision, call, problem, error)
+  if (!read_headers (connection, settings, call, problem, error)
       || !read_body (connection, settings, call, problem, error))
     return false;
   if (strcmp (info->request_method, "POST") != 0)
@@ -222,16 +217,9 @@
                    "completions take the method POST");
   if (!parse_completion (settings, call, error))
     return refuse (problem, error, EG_REFUSAL_MALFORMED, NULL);
-  call->idempotent = !*call->key && !*call->ticket;
   return true;
 }
 
-static bool
-is_idempotent_method (const char *method)
-{
-  return strcmp (method, "GET") == 0 || strcmp (method, "HEAD") == 0;
-}
-
 static bool
 read_service_path (const struct mg_request_info *info, struct eg_call *call)
 {
@@ -252,7 +240,6 @@
 bool
 eg_caller_read_service (struct mg_connection *connection,
                         const struct eg_router_settings *settings,
-                        struct eg_decision *decision,
                         struct eg_call *call,
                         struct eg_problem *problem,
                         struct eg_error *error)
@@ -260,7 +247,7 @@
   const struct mg_request_info *info = mg_get_request_info (connection);
 
   call->kind = EG_CALL_SERVICE;
-  if (!read_headers (connection, settings, decision, call, problem, error)
+  if (!read_headers (connection, settings, call, problem, error)
       || !read_body (connection, settings, call, problem, error))
     return false;
   if (!eg_str_copy (eg_str_from (info->request_method), call->method,
@@ -269,15 +256,12 @@
   if (!read_service_path (info, call))
     return refuse (problem, error, EG_REFUSAL_UNKNOWN_SERVICE,
                    "expected /services/NAME/PATH");
-  call->idempotent =
-      is_idempotent_method (call->method) && !*call->key && !*call->ticket;
   return true;
 }
 
 bool
 eg_caller_read_ticket (struct mg_connection *connection,
                        const struct eg_router_settings *settings,
-                       struct eg_decision *decision,
                        struct eg_call *call,
                        struct eg_problem *problem,
                        struct eg_error *error)
@@ -285,7 +269,7 @@
   const struct mg_request_info *info = mg_get_request_info (connection);
 
   call->kind = EG_CALL_TICKET;
-  if (!read_headers (connection, settings, decision, call, problem, error)
+  if (!read_headers (connection, settings, call, problem, error)
       || !read_body (connection, settings, call, problem, error))
     return false;
   if (strcmp (info->request_method, "POST") != 0)
--- a/router/caller_request.h
+++ b/router/caller_request.h
@@ -7,13 +7,13 @@
 
 #include <civetweb.h>
 
-#include "router/decision.h"
+#include "router/call.h"
 #include "router/problem.h"
+#include "router/settings.h"
 
 /** Reads `POST /v1/completions`; false fills the refusal. */
 bool eg_caller_read_completion (struct mg_connection *connection,
                                 const struct eg_router_settings *settings,
-                                struct eg_decision *decision,
                                 struct eg_call *call,
                                 struct eg_problem *problem,
                                 struct eg_error *error);
@@ -21,7 +21,6 @@
 /** Reads a call of `/services/NAME/PATH`; false fills the refusal. */
 bool eg_caller_read_service (struct mg_connection *connection,
                              const struct eg_router_settings *settings,
-                             struct eg_decision *decision,
                              struct eg_call *call,
                              struct eg_problem *problem,
                              struct eg_error *error);
@@ -29,7 +28,6 @@
 /** Reads `POST /v1/tickets`; false fills the refusal. */
 bool eg_caller_read_ticket (struct mg_connection *connection,
                             const struct eg_router_settings *settings,
-                            struct eg_decision *decision,
                             struct eg_call *call,
                             struct eg_problem *problem,
                             struct eg_error *error);
--- a/router/callers.c
+++ b/router/callers.c
@@ -215,7 +215,6 @@
 
 typedef bool (*read_function) (struct mg_connection *connection,
                                const struct eg_router_settings *settings,
-                               struct eg_decision *decision,
                                struct eg_call *call,
                                struct eg_problem *problem,
                                struct eg_error *error);
@@ -230,8 +229,8 @@
       .request_id = exchange->call->request_id,
   };
 
-  if (!read (exchange->connection, self->settings, self->decision,
-             exchange->call, &problem, &error))
+  if (!read (exchange->connection, self->settings, exchange->call, &problem,
+             &error))
     {
       write_problem (exchange, &problem);
       return;
--- a/router/commands.c
+++ b/router/commands.c
@@ -7,8 +7,6 @@
 #include "backend/engine.h"
 #include "base/clock.h"
 
-#define PRIORITY_TOP 100
-
 static void
 write_engine_request (const struct eg_command_maker *maker,
                       uint64_t id,
@@ -28,8 +26,7 @@
   const struct eg_engine_generate generate = {
       .request = request,
       .attempt = action->attempt,
-      .priority =
-          PRIORITY_TOP - maker->admission->classes[call->class_index].priority,
+      .priority = call->priority,
       .prompt = eg_buffer_view (&call->prompt),
       .tokens = eg_buffer_view (&call->tokens),
       .max_tokens = call->max_tokens,
--- a/router/commands.h
+++ b/router/commands.h
@@ -15,7 +15,6 @@
 struct eg_command_maker
 {
   char incarnation[EG_INCARNATION_BYTES]; /**< Makes request ids unique. */
-  const struct eg_admission_config *admission;
   const struct eg_servers *servers;
 };
 
--- a/router/decision.c
+++ b/router/decision.c
@@ -7,7 +7,6 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "router/defaults.h"
 #include "router/dispatcher.h"
 #include "router/message.h"
 
@@ -31,7 +30,6 @@
   int64_t started_us;
   struct eg_backend_worker *backend;
   struct eg_platform_worker *platform;
-  struct eg_lifecycle_config classes; /* Fixed, so that any thread may read. */
 
   /* The decision thread's own from here on. */
   struct eg_fleet fleet;
@@ -181,19 +179,6 @@
   return ck_pr_load_uint (&self->ready) != 0;
 }
 
-int
-eg_decision_class_index (struct eg_decision *self, struct eg_str name)
-{
-  const struct eg_admission_config *admission = &self->classes.admission;
-
-  if (name.len == 0)
-    return EG_DEFAULT_CLASS;
-  for (size_t i = 0; i < admission->class_count; i++)
-    if (eg_str_equal (eg_str_from (admission->classes[i].name), name))
-      return (int) i;
-  return -1;
-}
-
 /* Messages. */
 
 static void
@@ -400,7 +385,6 @@
   self->settings = settings;
   self->ring.event_fd = -1;
   self->started_us = eg_clock_now_us ();
-  eg_defaults_lifecycle (settings, &self->classes);
   self->started = start (self);
   if (self->started)
     return self;
--- a/router/decision.h
+++ b/router/decision.h
@@ -41,9 +41,6 @@
 /** Tells whether the balancer may send callers here; for any thread. */
 bool eg_decision_is_ready (struct eg_decision *self);
 
-/** Returns the index of a class by name, or -1; for any thread. */
-int eg_decision_class_index (struct eg_decision *self, struct eg_str name);
-
 /** What an inquiry may read; valid during its callback. */
 struct eg_decision_view
 {
--- a/router/defaults.h
+++ b/router/defaults.h
@@ -8,9 +8,6 @@
 #include "policy/lifecycle.h"
 #include "router/settings.h"
 
-/** Index of the class of requests that name none. */
-#define EG_DEFAULT_CLASS 1
-
 /** Fills @p config from the daemon's settings. */
 void eg_defaults_lifecycle (const struct eg_router_settings *settings,
                             struct eg_lifecycle_config *config);
--- a/router/dispatcher.c
+++ b/router/dispatcher.c
@@ -12,8 +12,8 @@
 #include "http/json.h"
 #include "policy/ticket.h"
 #include "router/commands.h"
-#include "router/defaults.h"
 #include "router/keyed.h"
+#include "router/policy.h"
 
 #define TICKET_LIFETIME_US (300 * EG_US_PER_S)
 #define TICKET_KEEP_US (600 * EG_US_PER_S)
@@ -21,6 +21,7 @@
 #define TICKETS_ORGANISATION_MAX 4096
 #define TICKET_ANSWER_BYTES_MAX ((size_t) 64 * 1024)
 #define TICKET_ANSWERS_BYTES_MAX ((size_t) 8 * 1024 * 1024)
+#define PRIORITY_TOP 100
 #define SWEEP_INTERVAL_US EG_US_PER_S
 #define COST_BYTES_PER_TOKEN 4
 /* Prompts that share this much of their start share cached keys and values. */
@@ -29,7 +30,8 @@
 struct eg_dispatcher
 {
   struct eg_dispatcher_parts parts;
-  struct eg_lifecycle_config config;
+  struct eg_policy policy;
+  const struct eg_rules *rules; /* In force; NULL before any are read. */
   struct eg_lifecycle *lifecycle;
   struct eg_metrics metrics;
   struct eg_map calls;
@@ -44,11 +46,8 @@
 static struct eg_metrics_series *
 series_of (struct eg_dispatcher *self, const struct eg_call *call)
 {
-  const char *class_name =
-      self->config.admission.classes[call->class_index].name;
-
   return eg_metrics_series (&self->metrics, eg_str_from (call->organisation),
-                            eg_str_from (class_name));
+                            eg_str_from (call->class_name));
 }
 
 static void
@@ -432,10 +431,54 @@
   place_call (self, call, INT64_MAX);
 }
 
+/* Fills in what the rules give; false if the class does not exist. */
+static bool
+classify (struct eg_dispatcher *self, struct eg_call *call)
+{
+  const struct eg_policy *policy = &self->policy;
+  int index = eg_policy_class (policy, eg_str_from (call->class_name));
+  const struct eg_admission_class *class;
+
+  if (index < 0)
+    return false;
+  class = &policy->config.admission.classes[index];
+  call->class_index = (unsigned) index;
+  memcpy (call->class_name, class->name, sizeof call->class_name);
+  call->priority = PRIORITY_TOP - class->priority;
+  if (call->budget_us == 0)
+    call->budget_us = policy->class_deadline_us[index];
+  call->idempotent =
+      !is_kept (call)
+      && (call->kind != EG_CALL_SERVICE
+          || eg_policy_is_idempotent (policy, eg_str_from (call->target),
+                                      eg_str_from (call->method),
+                                      eg_buffer_view (&call->path)));
+  return true;
+}
+
+static void
+refuse_class (struct eg_dispatcher *self, struct eg_call *call)
+{
+  struct eg_reply *reply = eg_reply_new (EG_REPLY_REFUSAL);
+
+  reply->refusal = EG_REFUSAL_MALFORMED;
+  reply->ran = EG_RAN_NO;
+  snprintf (reply->detail, sizeof reply->detail,
+            "header X-Class: no class '%s' in the rules", call->class_name);
+  /* Whatever callers send must not become a label of the metrics. */
+  call->class_name[0] = '\0';
+  end_call (self, call, reply, EG_REFUSAL_MALFORMED);
+}
+
 void
 eg_dispatcher_arrive (struct eg_dispatcher *self, struct eg_call *call)
 {
   eg_map_put (&self->calls, call->id, call);
+  if (!classify (self, call))
+    {
+      refuse_class (self, call);
+      return;
+    }
   series_of (self, call)->requests++;
   if (call->kind == EG_CALL_TICKET)
     give_ticket (self, call);
@@ -567,6 +610,24 @@
   apply_actions (self);
 }
 
+void
+eg_dispatcher_apply_rules (struct eg_dispatcher *self,
+                           const struct eg_rules *rules)
+{
+  struct eg_policy policy;
+  int64_t now_us = eg_clock_now_us ();
+
+  eg_policy_init (&policy, self->parts.settings, rules);
+  eg_policy_apply (&policy, self->rules, rules, self->lifecycle,
+                   self->parts.fleet->servers, now_us);
+  /* The lifecycle has left the old links and accelerators behind. */
+  eg_policy_finish (&self->policy);
+  self->policy = policy;
+  self->rules = rules;
+  eg_lifecycle_servers_changed (self->lifecycle, now_us);
+  apply_actions (self);
+}
+
 void
 eg_dispatcher_stop (struct eg_dispatcher *self)
 {
@@ -640,13 +701,13 @@
   if (!self)
     return NULL;
   self->parts = *parts;
-  eg_defaults_lifecycle (parts->settings, &self->config);
-  self->maker.admission = &self->config.admission;
+  eg_policy_init (&self->policy, parts->settings, NULL);
   self->maker.servers = parts->fleet->servers;
   snprintf (self->maker.incarnation, sizeof self->maker.incarnation,
             "%016" PRIx64, parts->incarnation);
-  self->lifecycle = eg_lifecycle_new (&self->config, parts->fleet->servers,
-                                      eg_hash_mix (parts->incarnation));
+  self->lifecycle =
+      eg_lifecycle_new (&self->policy.config, parts->fleet->servers,
+                        eg_hash_mix (parts->incarnation));
   if (self->lifecycle)
     self->keyed = eg_keyed_new (parts->platform, parts->incarnation,
                                 ~parts->incarnation, &keyed_callbacks);
@@ -672,5 +733,6 @@
   eg_tickets_free (self->tickets);
   eg_lifecycle_free (self->lifecycle);
   eg_metrics_finish (&self->metrics);
+  eg_policy_finish (&self->policy);
   free (self);
 }
--- a/router/dispatcher.h
+++ b/router/dispatcher.h
@@ -9,6 +9,7 @@
 #include "backend/worker.h"
 #include "platform/worker.h"
 #include "policy/lifecycle.h"
+#include "policy/rules.h"
 #include "router/call.h"
 #include "router/fleet.h"
 #include "router/metrics.h"
@@ -51,6 +52,13 @@
 void eg_dispatcher_servers_changed (struct eg_dispatcher *self,
                                     uint32_t silent);
 
+/**
+ * Puts rules in force in place of those before.
+ * @param rules stay valid until the next call has returned.
+ */
+void eg_dispatcher_apply_rules (struct eg_dispatcher *self,
+                                const struct eg_rules *rules);
+
 /** Refuses new requests from now on. */
 void eg_dispatcher_stop (struct eg_dispatcher *self);
 
