--- a/policy/membership.c
+++ b/policy/membership.c
@@ -112,8 +112,8 @@
     self->members[i]->named = false;
   for (size_t i = 0; i < count; i++)
     {
-      struct eg_member *member = eg_membership_add (self, names[i].address,
-                                                    names[i].failure_domain);
+      struct eg_member *member =
+          eg_membership_add (self, names[i].address, names[i].failure_domain);
 
       if (member)
         member->named = true;
@@ -131,8 +131,7 @@
 }
 
 bool
-eg_membership_apply (struct eg_membership *self,
-                     const struct eg_rumour *rumour)
+eg_membership_apply (struct eg_membership *self, const struct eg_rumour *rumour)
 {
   struct eg_member *member = eg_membership_find (self, rumour->subject);
   bool changed = !member;
--- a/policy/overlay.c
+++ b/policy/overlay.c
@@ -61,8 +61,8 @@
 static void
 set_fingers (struct eg_overlay *self, const struct ring *ring, size_t rank)
 {
-  for (size_t distance = 1; distance < ring->size
-                            && self->finger_count < EG_OVERLAY_FINGERS_MAX;
+  for (size_t distance = 1;
+       distance < ring->size && self->finger_count < EG_OVERLAY_FINGERS_MAX;
        distance *= 2)
     self->fingers[self->finger_count++] =
         ring_get (ring, (rank + distance) % ring->size)->id;
--- a/policy/peer_message.h
+++ b/policy/peer_message.h
@@ -63,7 +63,7 @@
   uint64_t subject;   /**< Id of the member, fingerprint, or server's id. */
   uint64_t number;    /**< Incarnation, version, or wall time in ms. */
   int64_t expires_ms; /**< Wall time after which it is void; 0 is never. */
-  char address[EG_ADDRESS_BYTES];      /**< Of a member or a server. */
+  char address[EG_ADDRESS_BYTES];     /**< Of a member or a server. */
   char failure_domain[EG_NAME_BYTES]; /**< Of a member. */
 };
 
@@ -123,8 +123,8 @@
   uint64_t incarnation; /**< Of the sender. */
   uint64_t subject;     /**< ASK, HEARD. */
   uint64_t subject_incarnation;
-  uint32_t age_ms; /**< HEARD. */
-  bool reply;      /**< DIGEST: answers another, and gets none. */
+  uint32_t age_ms;   /**< HEARD. */
+  bool reply;        /**< DIGEST: answers another, and gets none. */
   uint32_t lease_ms; /**< SHARE_GRANT. */
   size_t count;      /**< Of the list that the kind has. */
   union
--- a/policy/peers.c
+++ b/policy/peers.c
@@ -149,8 +149,7 @@
 announce (struct eg_peers *self, int64_t wall_ms)
 {
   struct eg_rumour rumour;
-  struct eg_member *member =
-      eg_membership_find (&self->membership, self->own);
+  struct eg_member *member = eg_membership_find (&self->membership, self->own);
 
   member->incarnation = self->incarnation;
   member->state = self->leaving ? EG_MEMBER_LEFT : EG_MEMBER_LIVE;
@@ -450,8 +449,8 @@
 ask_about (struct eg_peers *self, const struct eg_member *member)
 {
   uint64_t watchers[EG_OVERLAY_WATCHERS];
-  size_t count = eg_overlay_watchers (&self->membership, member->id, self->own,
-                                      watchers);
+  size_t count =
+      eg_overlay_watchers (&self->membership, member->id, self->own, watchers);
   struct eg_peer_message ask = {
       .kind = EG_PEER_ASK,
       .subject = member->id,
@@ -493,8 +492,8 @@
 {
   for (size_t i = 0; i < self->overlay.predecessor_count; i++)
     {
-      struct eg_member *member = eg_membership_find (
-          &self->membership, self->overlay.predecessors[i]);
+      struct eg_member *member =
+          eg_membership_find (&self->membership, self->overlay.predecessors[i]);
 
       if (member && member->state == EG_MEMBER_LIVE)
         check_silence (self, member, now_us, wall_ms);
--- a/test/fake_net.c
+++ b/test/fake_net.c
@@ -42,8 +42,7 @@
          size_t size)
 {
   size_t used = bytes_used (message);
-  struct packet *packet =
-      malloc (offsetof (struct packet, message) + used);
+  struct packet *packet = malloc (offsetof (struct packet, message) + used);
   size_t delay = 1 + eg_random_below (&self->random, self->delay_max_ms);
   size_t slot = ((size_t) self->now_ms + delay) % FAKE_NET_DELAY_MAX_MS;
 
@@ -127,9 +126,9 @@
 
   for (size_t i = 0; i < self->count; i++)
     if (!self->nodes[i].killed)
-      names[count++] = (struct eg_member_name){
-          eg_str_from (self->nodes[i].address),
-          eg_str_from (self->nodes[i].failure_domain)};
+      names[count++] =
+          (struct eg_member_name){eg_str_from (self->nodes[i].address),
+                                  eg_str_from (self->nodes[i].failure_domain)};
   for (size_t i = 0; i < self->count; i++)
     eg_peers_take_list (self->nodes[i].peers, names, count,
                         self->now_ms * EG_US_PER_MS);
@@ -142,8 +141,8 @@
                size_t domains,
                uint64_t seed)
 {
-  *self = (struct fake_net){
-      .count = count, .now_ms = START_MS, .delay_max_ms = 3};
+  *self =
+      (struct fake_net){.count = count, .now_ms = START_MS, .delay_max_ms = 3};
   eg_random_init (&self->random, seed);
   for (size_t i = 0; i < FAKE_NET_DELAY_MAX_MS; i++)
     eg_list_init (&self->due[i]);
--- a/test/property_membership.cc
+++ b/test/property_membership.cc
@@ -137,10 +137,10 @@
   make_lossy (n);
   fake_net_run (&n, 5000);
   const size_t victim = draw (0, (int) n.count);
-  const uint64_t before
-      = eg_membership_find (eg_peers_membership (n.nodes[victim].peers),
-                            n.nodes[victim].id)
-            ->incarnation;
+  const uint64_t before =
+      eg_membership_find (eg_peers_membership (n.nodes[victim].peers),
+                          n.nodes[victim].id)
+          ->incarnation;
   n.nodes[victim].killed = true;
   fake_net_run (&n, draw (100, 10000));
   fake_net_restart (&n, victim);
@@ -182,8 +182,8 @@
 uint64_t
 rules_of (const net &n, size_t node)
 {
-  const eg_rumour *rumour
-      = eg_peers_rumour (n.nodes[node].peers, EG_RUMOUR_RULES, 0);
+  const eg_rumour *rumour =
+      eg_peers_rumour (n.nodes[node].peers, EG_RUMOUR_RULES, 0);
 
   return rumour ? rumour->number : 0;
 }
@@ -204,8 +204,7 @@
 
       for (size_t j = 0; j < n.count; j++)
         before.push_back (rules_of (n, j));
-      eg_peers_tell (n.nodes[draw (0, (int) n.count)].peers, &rumour,
-                     n.now_ms);
+      eg_peers_tell (n.nodes[draw (0, (int) n.count)].peers, &rumour, n.now_ms);
       highest = std::max (highest, rumour.number);
       fake_net_run (&n, draw (0, 500));
       for (size_t j = 0; j < n.count; j++)
@@ -298,7 +297,8 @@
       fake_net_run (&n, 60000);
       for (size_t i = 0; i < n.count; i++)
         if (n.nodes[i].news[EG_RUMOUR_MEMBER] > n.count
-            || eg_membership_counts (eg_peers_membership (n.nodes[i].peers)).dead)
+            || eg_membership_counts (eg_peers_membership (n.nodes[i].peers))
+                   .dead)
           {
             std::printf ("false death, seed %llu\n", (unsigned long long) seed);
             return false;
