policy: a ticket of an earlier process at the same address is not forwarded

The list of VMs names addresses without incarnations, so an entry VM that came back at its address forwarded its predecessor's tickets to itself until the deadline. The ticket property failed with such a list before the change and passes after it.

--- a/policy/ticket.c
+++ b/policy/ticket.c
@@ -292,15 +292,26 @@
   verdict->retry_after_us = retry_after_us;
 }
 
+/* Our address with another incarnation is an earlier process here, whatever a
+   list of VMs says: forwarding would come back to us. */
+static enum eg_ticket_home
+find_home (const struct eg_tickets_config *config,
+           const struct eg_ticket *ticket)
+{
+  struct eg_str address = eg_str_from (ticket->address);
+
+  if (eg_str_equal (address, eg_str_from (config->address)))
+    return EG_TICKET_HOME_GONE;
+  return config->home (config->home_context, address, ticket->incarnation);
+}
+
 static void
 use_elsewhere (const struct eg_tickets *self,
                const struct eg_outcome *outcome,
                struct eg_ticket_verdict *verdict)
 {
   const struct eg_tickets_config *config = &self->config;
-  enum eg_ticket_home home =
-      config->home (config->home_context, eg_str_from (verdict->ticket.address),
-                    verdict->ticket.incarnation);
+  enum eg_ticket_home home = find_home (config, &verdict->ticket);
 
   if (home == EG_TICKET_HOME_LIVE)
     verdict->decision = EG_TICKET_FORWARD;
