router: rules in force, watched in the store and edited through it

Classes, limits for each organisation and class, routes, drains, quarantines, links and accelerators take effect on the decision thread.

--- a/router/decision.c
+++ b/router/decision.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "router/dispatcher.h"
 #include "router/message.h"
+#include "router/ruleset.h"
 
 #define RING_SLOTS 32768
 #define TICK_US (10 * EG_US_PER_MS)
@@ -34,6 +35,7 @@
   /* The decision thread's own from here on. */
   struct eg_fleet fleet;
   struct eg_dispatcher *dispatcher;
+  struct eg_ruleset *ruleset;
   int64_t next_tick_us;
   int64_t next_vms_us;
   bool vms_under_way;
@@ -75,6 +77,10 @@
     case EG_MESSAGE_INQUIRY:
       sem_post (&message->inquiry->answered);
       break;
+    case EG_MESSAGE_EDIT:
+      message->edit->result.action = EG_RULE_EDIT_REFUSED;
+      sem_post (&message->edit->answered);
+      break;
     case EG_MESSAGE_STOP:
     case EG_MESSAGE_COUNT:
       break;
@@ -167,6 +173,35 @@
   return taken;
 }
 
+static void
+on_edit_done (void *context, const struct eg_ruleset_result *result)
+{
+  struct eg_edit_inquiry *inquiry = context;
+
+  inquiry->result = *result;
+  sem_post (&inquiry->answered);
+}
+
+enum eg_status
+eg_decision_edit_rules (struct eg_decision *self,
+                        const struct eg_ruleset_edit *edit,
+                        struct eg_ruleset_result *result)
+{
+  struct eg_edit_inquiry inquiry = {.edit = *edit};
+  const struct eg_message message = {.kind = EG_MESSAGE_EDIT, .edit = &inquiry};
+  bool taken;
+
+  inquiry.edit.done = on_edit_done;
+  inquiry.edit.context = &inquiry;
+  sem_init (&inquiry.answered, 0, 0);
+  taken = push_message (self, &message);
+  while (taken && sem_wait (&inquiry.answered) != 0)
+    ;
+  sem_destroy (&inquiry.answered);
+  *result = inquiry.result;
+  return taken ? EG_OK : EG_FULL;
+}
+
 bool
 eg_decision_is_busy (struct eg_decision *self)
 {
@@ -227,7 +262,10 @@
 {
   self->vms_under_way = false;
   if (reply->status == EG_OK)
-    eg_fleet_take_list (&self->fleet, &reply->vms);
+    {
+      eg_fleet_take_list (&self->fleet, &reply->vms);
+      eg_dispatcher_servers_listed (self->dispatcher);
+    }
   if (reply->status != self->vms_status)
     eg_log (reply->status == EG_OK ? EG_LOG_NOTICE : EG_LOG_WARNING, "platform",
             "event=vm-list status=%s", eg_status_name (reply->status));
@@ -239,7 +277,8 @@
 {
   if (message->platform->call == EG_PLATFORM_VMS)
     handle_vm_list (self, message->platform);
-  else
+  else if (!eg_ruleset_reply (self->ruleset, message->platform,
+                              eg_clock_now_us ()))
     eg_dispatcher_store_reply (self->dispatcher, message->platform);
   eg_platform_reply_free (message->platform);
 }
@@ -251,6 +290,7 @@
       .lifecycle = eg_dispatcher_lifecycle (self->dispatcher),
       .servers = self->fleet.servers,
       .metrics = eg_dispatcher_metrics (self->dispatcher),
+      .ruleset = self->ruleset,
       .now_us = eg_clock_now_us (),
   };
 
@@ -258,6 +298,13 @@
   sem_post (&message->inquiry->answered);
 }
 
+static void
+handle_edit (struct eg_decision *self, struct eg_message *message)
+{
+  eg_ruleset_begin_edit (self->ruleset, &message->edit->edit,
+                         eg_clock_now_us ());
+}
+
 static void
 handle_stop (struct eg_decision *self, struct eg_message *message)
 {
@@ -274,6 +321,7 @@
     [EG_MESSAGE_BACKEND] = handle_backend,
     [EG_MESSAGE_PLATFORM] = handle_platform,
     [EG_MESSAGE_INQUIRY] = handle_inquiry,
+    [EG_MESSAGE_EDIT] = handle_edit,
     [EG_MESSAGE_STOP] = handle_stop,
 };
 
@@ -300,6 +348,7 @@
   bool busy;
 
   eg_dispatcher_tick (self->dispatcher, now_us);
+  eg_ruleset_tick (self->ruleset, now_us);
   eg_fleet_poll (&self->fleet, self->backend, now_us);
   read_vm_list (self, now_us);
   /* Without a list a node still answers, with honest refusals. */
@@ -354,6 +403,17 @@
   return self->backend && self->platform;
 }
 
+static void
+on_rules_in_force (void *context,
+                   const struct eg_rules *rules,
+                   uint64_t version)
+{
+  struct eg_decision *self = context;
+
+  (void) version;
+  eg_dispatcher_apply_rules (self->dispatcher, rules);
+}
+
 static bool
 start (struct eg_decision *self)
 {
@@ -363,6 +423,9 @@
       .incarnation = eg_random_system_seed (),
   };
 
+  const struct eg_ruleset_callbacks ruleset_callbacks = {on_rules_in_force,
+                                                         self};
+
   if (!eg_ring_init (&self->ring, RING_SLOTS)
       || !eg_fleet_init (&self->fleet,
                          self->settings->poll_interval_ms * EG_US_PER_MS)
@@ -371,6 +434,8 @@
   parts.backend = self->backend;
   parts.platform = self->platform;
   self->dispatcher = eg_dispatcher_new (&parts);
+  self->ruleset =
+      eg_ruleset_new (self->platform, ~parts.incarnation, &ruleset_callbacks);
   return self->dispatcher
          && pthread_create (&self->thread, NULL, run, self) == 0;
 }
@@ -414,6 +479,7 @@
       free (message);
     }
   eg_dispatcher_free (self->dispatcher);
+  eg_ruleset_free (self->ruleset);
   eg_fleet_finish (&self->fleet);
   eg_ring_finish (&self->ring);
   free (self);
--- a/router/decision.h
+++ b/router/decision.h
@@ -8,6 +8,7 @@
 #include "policy/lifecycle.h"
 #include "router/call.h"
 #include "router/metrics.h"
+#include "router/ruleset.h"
 #include "router/settings.h"
 
 struct eg_decision;
@@ -41,12 +42,22 @@
 /** Tells whether the balancer may send callers here; for any thread. */
 bool eg_decision_is_ready (struct eg_decision *self);
 
+/**
+ * Hands an edit of the rules over and waits for its result; for other threads.
+ * @param edit its @c done and @c context are set here.
+ * @return EG_OK with @p result filled, or EG_FULL.
+ */
+enum eg_status eg_decision_edit_rules (struct eg_decision *self,
+                                       const struct eg_ruleset_edit *edit,
+                                       struct eg_ruleset_result *result);
+
 /** What an inquiry may read; valid during its callback. */
 struct eg_decision_view
 {
   const struct eg_lifecycle *lifecycle;
   const struct eg_servers *servers;
   const struct eg_metrics *metrics;
+  const struct eg_ruleset *ruleset;
   int64_t now_us;
 };
 
--- a/router/dispatcher.c
+++ b/router/dispatcher.c
@@ -628,6 +628,12 @@
   apply_actions (self);
 }
 
+void
+eg_dispatcher_servers_listed (struct eg_dispatcher *self)
+{
+  eg_policy_apply_drains (self->rules, self->parts.fleet->servers);
+}
+
 void
 eg_dispatcher_stop (struct eg_dispatcher *self)
 {
--- a/router/dispatcher.h
+++ b/router/dispatcher.h
@@ -59,6 +59,9 @@
 void eg_dispatcher_apply_rules (struct eg_dispatcher *self,
                                 const struct eg_rules *rules);
 
+/** Takes in that the platform's list was read: some servers may be new. */
+void eg_dispatcher_servers_listed (struct eg_dispatcher *self);
+
 /** Refuses new requests from now on. */
 void eg_dispatcher_stop (struct eg_dispatcher *self);
 
--- a/router/message.h
+++ b/router/message.h
@@ -20,6 +20,7 @@
   EG_MESSAGE_BACKEND,  /**< A report of the back-end thread. */
   EG_MESSAGE_PLATFORM, /**< A reply of the platform. */
   EG_MESSAGE_INQUIRY,  /**< A question of the operators' listener. */
+  EG_MESSAGE_EDIT,     /**< An edit of the rules. */
   EG_MESSAGE_STOP,     /**< A planned stop begins. */
   EG_MESSAGE_COUNT
 };
@@ -32,6 +33,14 @@
   sem_t answered;
 };
 
+/** An edit that another thread waits on. */
+struct eg_edit_inquiry
+{
+  struct eg_ruleset_edit edit;
+  struct eg_ruleset_result result;
+  sem_t answered;
+};
+
 /** One message. */
 struct eg_message
 {
@@ -41,7 +50,8 @@
     struct eg_call *call; /**< Of CALL and ABANDON; owns a reference. */
     struct eg_backend_event *backend;
     struct eg_platform_reply *platform;
-    struct eg_inquiry *inquiry; /**< Owned by the thread that waits. */
+    struct eg_edit_inquiry *edit; /**< Owned by the thread that waits. */
+    struct eg_inquiry *inquiry;   /**< Owned by the thread that waits. */
   };
 };
 
--- a/router/policy.c
+++ b/router/policy.c
@@ -368,3 +368,12 @@
     eg_lifecycle_prefer (lifecycle, eg_str_from (self->routes[i].service),
                          eg_str_from (self->routes[i].preferred));
 }
+
+void
+eg_policy_apply_drains (const struct eg_rules *rules,
+                        struct eg_servers *servers)
+{
+  for (size_t i = 0; rules && i < rules->count; i++)
+    if (rules->rules[i].verb == EG_VERB_DRAIN)
+      change_drain (servers, &rules->rules[i], true);
+}
--- a/router/policy.h
+++ b/router/policy.h
@@ -65,4 +65,8 @@
                       struct eg_servers *servers,
                       int64_t now_us);
 
+/** Sets the servers to drain, of which some may be new; rules may be NULL. */
+void eg_policy_apply_drains (const struct eg_rules *rules,
+                             struct eg_servers *servers);
+
 #endif
