--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -489,16 +489,14 @@
     *retry_after_us = NO_CAPACITY_RETRY_AFTER_US;
   if (refusal != EG_REFUSAL_NONE)
     return refusal;
-  refusal = begin_limits (self, request, now_us, retry_after_us);
-  if (refusal != EG_REFUSAL_NONE)
-    return refusal;
+  /* Limits come last, so that what is refused anyway costs no share of them. */
   refusal = eg_admission_offer (request->target->admission, &item, now_us,
                                 retry_after_us);
   if (refusal != EG_REFUSAL_NONE)
-    {
-      eg_limits_end (self->limits, info->organisation);
-      eg_limits_end (self->class_limits, eg_str_from (request->class_limit));
-    }
+    return refusal;
+  refusal = begin_limits (self, request, now_us, retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    eg_admission_remove (request->target->admission, info->id);
   return refusal;
 }
 
