--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -1,5 +1,6 @@
 #include "policy/lifecycle.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,9 @@
 #define NO_CAPACITY_RETRY_AFTER_US EG_US_PER_S
 #define STOPPING_RETRY_AFTER_US EG_US_PER_S
 
+/* Organisation, a slash and the class. */
+#define CLASS_LIMIT_BYTES (2 * EG_NAME_BYTES)
+
 enum request_phase
 {
   PHASE_QUEUED,  /* In the target's admission queue. */
@@ -24,6 +28,7 @@
 {
   struct eg_lifecycle_request info;
   char organisation[EG_NAME_BYTES];
+  char class_limit[CLASS_LIMIT_BYTES];
   struct eg_target *target;
   enum request_phase phase;
   uint32_t attempt;
@@ -33,6 +38,7 @@
   int64_t progress_us; /* When the attempt began or last gave a token. */
   bool attempt_progressed;
   int64_t retry_at_us;
+  unsigned deaths; /* Servers that died with an attempt of it in flight. */
   uint32_t excluded[EG_EXCLUDED_MAX];
   size_t excluded_count;
   struct eg_list link; /* In the list of its phase. */
@@ -44,7 +50,9 @@
   struct eg_servers *servers;
   struct eg_random random;
   struct eg_limits *limits;
+  struct eg_limits *class_limits;
   struct eg_quarantine *quarantine;
+  struct eg_prefix_table *prefixes;
   struct eg_target_table targets;
   struct eg_map requests;
   struct eg_list running;
@@ -58,6 +66,7 @@
                   struct eg_servers *servers,
                   uint64_t seed)
 {
+  static const struct eg_limit_rule no_limit = {0};
   struct eg_lifecycle *self = calloc (1, sizeof *self);
 
   if (!self)
@@ -67,8 +76,11 @@
   eg_list_init (&self->running);
   eg_random_init (&self->random, seed);
   self->limits = eg_limits_new (&config->default_limit);
+  self->class_limits = eg_limits_new (&no_limit);
   self->quarantine = eg_quarantine_new (&config->quarantine);
-  if (self->limits && self->quarantine)
+  self->prefixes = eg_prefix_table_new (config->prefixes_max);
+  self->config.placement.prefixes = self->prefixes;
+  if (self->limits && self->class_limits && self->quarantine && self->prefixes)
     return self;
   eg_lifecycle_free (self);
   return NULL;
@@ -87,7 +99,9 @@
   eg_map_finish (&self->requests);
   eg_target_table_finish (&self->targets);
   eg_limits_free (self->limits);
+  eg_limits_free (self->class_limits);
   eg_quarantine_free (self->quarantine);
+  eg_prefix_table_free (self->prefixes);
   eg_action_queue_finish (&self->actions);
   free (self);
 }
@@ -147,6 +161,7 @@
   struct eg_str organisation = eg_str_from (request->organisation);
 
   eg_limits_end (self->limits, organisation);
+  eg_limits_end (self->class_limits, eg_str_from (request->class_limit));
   eg_map_remove (&self->requests, request->info.id);
   free (request);
 }
@@ -241,6 +256,28 @@
   request->excluded[request->excluded_count++] = server;
 }
 
+/* A server that dies takes innocent requests with it. Those that it may have
+   died of run apart from each other from then on, so that the next death
+   shows which of them it was. */
+static void
+exclude_suspects (const struct eg_lifecycle *self,
+                  const struct eg_request_state *request,
+                  struct eg_placement_query *query)
+{
+  if (request->deaths == 0)
+    return;
+  for (struct eg_list *link = self->running.next; link != &self->running;
+       link = link->next)
+    {
+      const struct eg_request_state *other = request_of (link);
+
+      for (size_t i = 0; other->deaths > 0 && i < other->chain.count; i++)
+        if (query->excluded_count < EG_EXCLUDED_MAX)
+          query->excluded[query->excluded_count++] =
+              other->chain.stages[i].server;
+    }
+}
+
 static enum eg_placement_result
 choose (struct eg_lifecycle *self,
         struct eg_request_state *request,
@@ -248,23 +285,34 @@
         struct eg_chain *chain)
 {
   struct eg_placement_query query = {.prefix_hash = request->info.prefix_hash};
+  struct eg_placement_config placement = self->config.placement;
   enum eg_placement_result result;
+  size_t suspects;
 
+  if (request->target && *request->target->preferred)
+    memcpy (placement.failure_domain, request->target->preferred,
+            sizeof placement.failure_domain);
   if (request->info.plain)
     query.service = request->info.target;
   else
     query.model = request->info.target;
   memcpy (query.excluded, request->excluded, sizeof query.excluded);
   query.excluded_count = request->excluded_count;
-  result = eg_placement_choose (&self->config.placement, self->servers, &query,
+  exclude_suspects (self, request, &query);
+  suspects = query.excluded_count - request->excluded_count;
+  result = eg_placement_choose (&placement, self->servers, &query,
                                 &self->random, now_us, chain);
-  if (result == EG_PLACEMENT_FOUND || request->excluded_count == 0)
+  /* Where the others leave no server, a suspect waits until one of them ends.
+   */
+  if (result == EG_PLACEMENT_NONE && suspects > 0)
+    return EG_PLACEMENT_BUSY;
+  if (result != EG_PLACEMENT_NONE || query.excluded_count == 0)
     return result;
   /* Better a server that failed once than none at all. */
   request->excluded_count = 0;
   query.excluded_count = 0;
-  return eg_placement_choose (&self->config.placement, self->servers, &query,
-                              &self->random, now_us, chain);
+  return eg_placement_choose (&placement, self->servers, &query, &self->random,
+                              now_us, chain);
 }
 
 /* Dispatch. */
@@ -300,6 +348,9 @@
         continue;
       result = choose (self, request, now_us, &chain);
       note_capacity (target, result, now_us);
+      /* What keeps a suspect waiting need not stop the others. */
+      if (result != EG_PLACEMENT_FOUND && request->deaths > 0)
+        continue;
       if (result != EG_PLACEMENT_FOUND)
         return false;
       leave_phase (self, request);
@@ -380,6 +431,42 @@
   return EG_REFUSAL_NONE;
 }
 
+struct eg_str
+eg_lifecycle_class_limit_name (struct eg_str organisation,
+                               struct eg_str class_name,
+                               char *text,
+                               size_t capacity)
+{
+  snprintf (text, capacity, "%.*s/%.*s", EG_STR_ARGS (organisation),
+            EG_STR_ARGS (class_name));
+  return eg_str_from (text);
+}
+
+/* A request counts against its organisation, and within its class. */
+static enum eg_refusal
+begin_limits (struct eg_lifecycle *self,
+              struct eg_request_state *request,
+              int64_t now_us,
+              int64_t *retry_after_us)
+{
+  const struct eg_lifecycle_request *info = &request->info;
+  const char *class_name =
+      self->config.admission.classes[info->class_index].name;
+  struct eg_str name = eg_lifecycle_class_limit_name (
+      info->organisation, eg_str_from (class_name), request->class_limit,
+      sizeof request->class_limit);
+  enum eg_refusal refusal;
+
+  refusal = eg_limits_begin (self->limits, info->organisation, now_us,
+                             retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    return refusal;
+  refusal = eg_limits_begin (self->class_limits, name, now_us, retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    eg_limits_end (self->limits, info->organisation);
+  return refusal;
+}
+
 static enum eg_refusal
 admit (struct eg_lifecycle *self,
        struct eg_request_state *request,
@@ -402,14 +489,14 @@
     *retry_after_us = NO_CAPACITY_RETRY_AFTER_US;
   if (refusal != EG_REFUSAL_NONE)
     return refusal;
-  refusal = eg_limits_begin (self->limits, info->organisation, now_us,
-                             retry_after_us);
-  if (refusal != EG_REFUSAL_NONE)
-    return refusal;
+  /* Limits come last, so that what is refused anyway costs no share of them. */
   refusal = eg_admission_offer (request->target->admission, &item, now_us,
                                 retry_after_us);
   if (refusal != EG_REFUSAL_NONE)
-    eg_limits_end (self->limits, info->organisation);
+    return refusal;
+  refusal = begin_limits (self, request, now_us, retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    eg_admission_remove (request->target->admission, info->id);
   return refusal;
 }
 
@@ -542,7 +629,7 @@
   return true;
 }
 
-void
+bool
 eg_lifecycle_attempt_done (struct eg_lifecycle *self,
                            uint64_t id,
                            uint32_t attempt,
@@ -553,11 +640,14 @@
   struct eg_target *target;
 
   if (!request)
-    return;
+    return false;
   target = request->target;
   if (request->info.plain)
     eg_servers_observe (self->servers, request->chain.stages[0].server,
                         now_us - request->progress_us);
+  if (request->info.prefix_hash != 0)
+    eg_prefix_table_note (self->prefixes, request->info.prefix_hash,
+                          request->chain.stages[0].server);
   end_attempt (self, request, EG_SERVER_NONE, now_us);
   eg_outcome_update (request->info.outcome, EG_OUTCOME_EVENT_RAN);
   eg_admission_served (target->admission, request->info.cost, now_us);
@@ -567,6 +657,7 @@
   eg_action_queue_push (&self->actions, &action);
   forget (self, request);
   dispatch (self, target, now_us);
+  return true;
 }
 
 static const struct
@@ -584,7 +675,7 @@
 
 static void
 report_death (struct eg_lifecycle *self,
-              const struct eg_request_state *request,
+              struct eg_request_state *request,
               uint32_t server,
               int64_t now_us)
 {
@@ -594,6 +685,9 @@
       .until_us = now_us + self->config.quarantine.duration_us,
   };
 
+  request->deaths++;
+  if (server != EG_SERVER_NONE)
+    eg_prefix_table_forget (self->prefixes, server);
   if (eg_quarantine_death (self->quarantine, request->info.fingerprint, server,
                            now_us))
     eg_action_queue_push (&self->actions, &action);
@@ -824,6 +918,39 @@
     }
 }
 
+void
+eg_lifecycle_configure (struct eg_lifecycle *self,
+                        const struct eg_lifecycle_config *config)
+{
+  size_t cursor = 0;
+  struct eg_target *target;
+
+  self->config = *config;
+  self->config.placement.prefixes = self->prefixes;
+  eg_limits_set_fallback (self->limits, &config->default_limit);
+  while ((target = eg_target_table_next (&self->targets, &cursor)))
+    eg_admission_configure (target->admission, &config->admission);
+}
+
+void
+eg_lifecycle_prefer (struct eg_lifecycle *self,
+                     struct eg_str service,
+                     struct eg_str failure_domain)
+{
+  struct eg_target *target =
+      eg_target_table_add (&self->targets, true, service, &self->config);
+
+  eg_str_copy (failure_domain, target->preferred, sizeof target->preferred);
+}
+
+void
+eg_lifecycle_sweep (struct eg_lifecycle *self, int64_t now_us)
+{
+  eg_limits_sweep (self->limits, now_us);
+  eg_limits_sweep (self->class_limits, now_us);
+  eg_servers_sweep (self->servers, now_us);
+}
+
 void
 eg_lifecycle_stop (struct eg_lifecycle *self)
 {
@@ -856,6 +983,12 @@
   return self->limits;
 }
 
+struct eg_limits *
+eg_lifecycle_class_limits (struct eg_lifecycle *self)
+{
+  return self->class_limits;
+}
+
 struct eg_quarantine *
 eg_lifecycle_quarantine (struct eg_lifecycle *self)
 {
--- a/router/call.h
+++ b/router/call.h
@@ -22,6 +22,7 @@
 {
   EG_CALL_COMPLETION,
   EG_CALL_SERVICE,
+  EG_CALL_TICKET, /**< A ticket for one non-idempotent request. */
 };
 
 /** The kinds of reply to the caller's thread. */
@@ -59,8 +60,8 @@
   uint64_t id;
   char request_id[EG_CALL_TEXT_BYTES];
   char organisation[EG_NAME_BYTES];
-  unsigned class_index;       /**< Into the classes in force. */
-  char target[EG_NAME_BYTES]; /**< Model or plain service. */
+  char class_name[EG_NAME_BYTES]; /**< As asked for, then as given. */
+  char target[EG_NAME_BYTES];     /**< Model or plain service. */
   char key[EG_CALL_TEXT_BYTES];
   char ticket[EG_CALL_TEXT_BYTES];
   char method[16];
@@ -75,6 +76,8 @@
   int64_t budget_us; /**< 0 where the caller names none. */
 
   /* The decision thread's own. */
+  unsigned class_index;
+  int64_t priority; /**< Towards engines; higher goes first. */
   struct eg_outcome outcome;
   int64_t send_by_us; /**< No attempt begins later; INT64_MAX for no bound. */
   struct eg_reply *gathered; /**< Tokens that wait for room in the ring. */
@@ -83,6 +86,7 @@
   int64_t first_token_us;
   int64_t last_token_us;
   int64_t token_count;
+  bool forwarded; /**< Whether another entry VM runs it, by its ticket. */
   bool ended;
 };
 
--- a/router/callers.c
+++ b/router/callers.c
@@ -215,7 +215,6 @@
 
 typedef bool (*read_function) (struct mg_connection *connection,
                                const struct eg_router_settings *settings,
-                               struct eg_decision *decision,
                                struct eg_call *call,
                                struct eg_problem *problem,
                                struct eg_error *error);
@@ -230,8 +229,8 @@
       .request_id = exchange->call->request_id,
   };
 
-  if (!read (exchange->connection, self->settings, self->decision,
-             exchange->call, &problem, &error))
+  if (!read (exchange->connection, self->settings, exchange->call, &problem,
+             &error))
     {
       write_problem (exchange, &problem);
       return;
@@ -278,6 +277,12 @@
   return handle (connection, context, eg_caller_read_service);
 }
 
+static int
+handle_ticket (struct mg_connection *connection, void *context)
+{
+  return handle (connection, context, eg_caller_read_ticket);
+}
+
 static int
 handle_health (struct mg_connection *connection, void *context)
 {
@@ -391,6 +396,7 @@
   mg_request_handler handler;
 } routes[] = {
     {"/v1/completions$", handle_completion},
+    {"/v1/tickets$", handle_ticket},
     {"/v1/models$", handle_models},
     {"/services/", handle_service},
     {"/health$", handle_health},
--- a/standin/load_main.c
+++ b/standin/load_main.c
@@ -15,7 +15,6 @@
 #define PROGRAM "eelgrass-load"
 #define DEFAULT_SEED 1
 #define MAX_ARGUMENT_ERRORS 8
-#define MAX_PATH_BYTES 128
 
 /** Exit codes. */
 enum
@@ -23,7 +22,7 @@
   EXIT_WHOLE = 0,
   EXIT_WRONG_ANSWER = 1,
   EXIT_USAGE = 2,
-  EXIT_NOT_RUN = 3, /**< A fault could not be brought about, or no run. */
+  EXIT_NOT_RUN = 3, /**< Not run as the scenario says. */
 };
 
 struct options
@@ -83,24 +82,6 @@
   return written;
 }
 
-/* Writes `path.to.key value` for each number, so that a shell can read it;
-   arrays are left out. */
-static void
-print_values (json_t *value, const char *path, struct eg_buffer *lines)
-{
-  char joined[MAX_PATH_BYTES];
-  const char *key;
-  json_t *member;
-
-  if (json_is_number (value))
-    eg_buffer_printf (lines, "%s %.6g\n", path, json_number_value (value));
-  json_object_foreach (value, key, member)
-  {
-    snprintf (joined, sizeof joined, "%s%s%s", path, *path ? "." : "", key);
-    print_values (member, joined, lines);
-  }
-}
-
 static bool
 write_values (const struct eg_load_results *results,
               const struct options *options)
@@ -109,7 +90,7 @@
   struct eg_buffer lines = {0};
   bool written;
 
-  print_values (report, "", &lines);
+  eg_load_report_values (report, &lines);
   written = write_file (options->values_path, eg_buffer_view (&lines));
   eg_buffer_finish (&lines);
   json_decref (report);
@@ -142,8 +123,8 @@
     written = write_values (results, options) && written;
   if (results->wrong > 0 || eg_load_audit_is_bad (&results->audit))
     return EXIT_WRONG_ANSWER;
-  return written && eg_load_report_faults_done (results) ? EXIT_WHOLE
-                                                         : EXIT_NOT_RUN;
+  return written && eg_load_report_went_as_planned (results) ? EXIT_WHOLE
+                                                             : EXIT_NOT_RUN;
 }
 
 static int
--- a/standin/load_report.h
+++ b/standin/load_report.h
@@ -18,6 +18,13 @@
 json_t *eg_load_report_json (const struct eg_load_results *results,
                              uint64_t seed);
 
+/**
+ * Appends a line `PATH VALUE` for each number of a report, so that a shell can
+ * read it. Keys are joined by dots, objects in arrays are numbered from 0, and
+ * arrays of numbers are left out.
+ */
+void eg_load_report_values (json_t *report, struct eg_buffer *lines);
+
 /** Writes the run as tables for a terminal. */
 void eg_load_report_table (const struct eg_load_results *results, FILE *stream);
 
@@ -28,8 +35,11 @@
 /** Returns tokens received in each second of the measured time. */
 double eg_load_report_tokens_per_s (const struct eg_load_results *results);
 
-/** Tells whether every fault of the scenario was brought about. */
-bool eg_load_report_faults_done (const struct eg_load_results *results);
+/**
+ * Tells whether the run went as the scenario says: every fault was brought
+ * about, and the tool itself never stood still for long.
+ */
+bool eg_load_report_went_as_planned (const struct eg_load_results *results);
 
 EG_END_DECLS
 
--- a/standin/load_results.h
+++ b/standin/load_results.h
@@ -41,9 +41,9 @@
 struct eg_load_record
 {
   int64_t arrival_us;
-  int64_t end_us;  /**< -1 while it lasts. */
-  uint64_t number; /**< Among the arrivals of its stream. */
-  uint32_t tokens; /**< Received. */
+  int64_t end_us;         /**< -1 while it lasts. */
+  int64_t first_token_us; /**< From its arrival; -1 if there is none. */
+  uint32_t tokens;        /**< Received. */
   uint16_t stream;
   uint8_t outcome;
 };
@@ -76,6 +76,7 @@
   size_t n_buckets;
   struct eg_load_fault_result *faults;
   struct eg_histogram send_lag_us; /**< From due arrival until sent. */
+  int64_t longest_stall_us;        /**< That the tool itself stood still. */
   uint64_t wrong;                  /**< In the whole run. */
   uint64_t missing_request_id;
   uint64_t tokens_in_measured_time;
@@ -94,7 +95,6 @@
 /** Counts an arrival, and returns the number of its record. */
 size_t eg_load_results_arrival (struct eg_load_results *self,
                                 size_t stream,
-                                uint64_t number,
                                 int64_t arrival_us,
                                 int64_t sent_us);
 
@@ -119,6 +119,16 @@
                           const struct eg_load_verdict *verdict,
                           int64_t now_us);
 
+/**
+ * Returns an exact quantile of the first-token times of measured requests, in
+ * microseconds; 0 if there are none.
+ */
+int64_t eg_load_results_first_token (const struct eg_load_results *self,
+                                     double share);
+
+/** Returns the most requests that were in flight at a bucket's end. */
+uint64_t eg_load_results_peak_in_flight (const struct eg_load_results *self);
+
 /** Computes what a run's end makes known: recovery and fates in flight. */
 void eg_load_results_conclude (struct eg_load_results *self);
 
