--- a/test/test_standin.c
+++ b/test/test_standin.c
@@ -12,6 +12,9 @@
 #include <jansson.h>
 #include <pthread.h>
 
+#include <fcntl.h>
+#include <sys/file.h>
+
 #include "base/buffer.h"
 #include "base/clock.h"
 #include "standin/engine_load.h"
@@ -998,6 +1001,16 @@
 #define TEST(function)                                                         \
   cmocka_unit_test_setup_teardown (function, set_up, tear_down)
 
+/* The ports are fixed; runs from several trees take turns. */
+static void
+take_turn (void)
+{
+  int fd = open ("/tmp/eelgrass-test-standin.lock",
+                 O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+
+  EG_INVARIANT (fd >= 0 && flock (fd, LOCK_EX) == 0);
+}
+
 int
 main (void)
 {
@@ -1028,5 +1041,6 @@
       TEST (test_service_records_what_ran),
   };
 
+  take_turn ();
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
