policy: urgent classes may go to servers that are full for others

Change: engines run urgent work first, so a class above the last may go to a server that is full, up to half over its slots for the first class.

--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -30,6 +30,7 @@
   char organisation[EG_NAME_BYTES];
   char class_limit[CLASS_LIMIT_BYTES];
   struct eg_target *target;
+  double load_max; /* Relative load that counts as full for its class. */
   enum request_phase phase;
   uint32_t attempt;
   int64_t committed; /* Tokens handed to the caller. */
@@ -292,6 +293,7 @@
   if (request->target && *request->target->preferred)
     memcpy (placement.failure_domain, request->target->preferred,
             sizeof placement.failure_domain);
+  query.load_max = request->load_max;
   if (request->info.plain)
     query.service = request->info.target;
   else
@@ -411,6 +413,24 @@
   return false;
 }
 
+/* An engine runs urgent work first, so such work need not wait for a slot to
+   fall free: it may go to servers that are full for the classes below it. */
+static double
+load_max_of (const struct eg_lifecycle *self, unsigned class_index)
+{
+  const struct eg_admission_config *admission = &self->config.admission;
+  int priority = admission->classes[class_index].priority;
+  size_t below = 0;
+
+  for (size_t i = 0; i < admission->class_count; i++)
+    below += admission->classes[i].priority > priority;
+  if (below == 0)
+    return 1.0;
+  return 1.0
+         + self->config.headroom * (double) below
+               / (double) (admission->class_count - 1);
+}
+
 static enum eg_refusal
 find_target (struct eg_lifecycle *self,
              struct eg_request_state *request,
@@ -553,6 +573,7 @@
   if (refusal == EG_REFUSAL_NONE)
     {
       request = new_request (info);
+      request->load_max = load_max_of (self, info->class_index);
       refusal = admit (self, request, now_us, &retry_after_us);
     }
   if (refusal != EG_REFUSAL_NONE)
--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -28,6 +28,11 @@
   struct eg_retry_config retry;
   struct eg_quarantine_config quarantine;
   struct eg_placement_config placement;
+  /**
+   * Relative load that the most urgent class may add to a full server, whose
+   * engine puts it first; classes between it and the last get a part.
+   */
+  double headroom;
   size_t requests_max;            /**< Requests held at once. */
   int64_t first_token_silence_us; /**< Longest wait for the first token. */
   int64_t token_silence_us;       /**< Longest wait between two tokens. */
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -54,6 +54,7 @@
   uint64_t prefix_hash;  /**< Of the prompt's start; 0 for none. */
   uint32_t excluded[EG_EXCLUDED_MAX];
   size_t excluded_count;
+  double load_max; /**< Relative load that counts as full; 0 means 1. */
 };
 
 /** What a placement found. */
--- a/policy/sample.c
+++ b/policy/sample.c
@@ -74,9 +74,12 @@
 bool
 eg_sampler_accepts (const struct eg_sampler *self, uint32_t index)
 {
+  double load_max = self->query->load_max > 0 ? self->query->load_max : 1;
+
   return eg_servers_usable (self->servers, index, self->now_us)
          && !is_excluded (self->query, index)
-         && (self->full_too || eg_sampler_relative_load (self, index) < 1);
+         && (self->full_too
+             || eg_sampler_relative_load (self, index) < load_max);
 }
 
 double
--- a/router/defaults.c
+++ b/router/defaults.c
@@ -16,6 +16,7 @@
 #define QUARANTINE_ENTRIES_MAX 4096
 #define UNKNOWN_LINK_US (2 * EG_US_PER_MS)
 #define AFFINITY_LOAD_MAX 0.8
+#define HEADROOM 0.5
 #define PREFIXES_MAX 8192
 #define NO_CAPACITY_PATIENCE_US (3 * EG_US_PER_S)
 
@@ -76,6 +77,7 @@
   config->first_token_silence_us =
       settings->first_token_silence_ms * EG_US_PER_MS;
   config->token_silence_us = settings->token_silence_ms * EG_US_PER_MS;
+  config->headroom = HEADROOM;
   config->prefixes_max = PREFIXES_MAX;
   config->no_capacity_patience_us = NO_CAPACITY_PATIENCE_US;
 }
--- a/test/path_fixture.c
+++ b/test/path_fixture.c
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
@@ -92,6 +94,16 @@
   EG_INVARIANT (usable == SERVERS);
 }
 
+/* The ports are fixed, so runs on one machine take turns. */
+static void
+take_turn (void)
+{
+  int fd =
+      open ("/tmp/eelgrass-test-path.lock", O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+
+  EG_INVARIANT (fd >= 0 && flock (fd, LOCK_EX) == 0);
+}
+
 void
 path_fixture_init (struct path_fixture *self)
 {
@@ -101,6 +113,7 @@
   struct eg_config config;
   enum eg_status status;
 
+  take_turn ();
   write_file (settings_path, settings_text);
   write_file (standins_path, standins_text);
   status = eg_settings_load (&eg_router_setting_table, settings_path,
--- a/test/property_balance.cc
+++ b/test/property_balance.cc
@@ -102,6 +102,7 @@
         layout.model ? EG_STR ("m") : EG_STR (""),
         0,
         {},
+        0,
         0};
     struct eg_chain chain;
     double work_us = 500000 + 1000000 * eg_random_unit (&random);
--- a/test/property_placement.cc
+++ b/test/property_placement.cc
@@ -121,7 +121,7 @@
   domains d (domain_count);
   table t (*rc::gen::arbitrary<uint64_t> ());
   struct eg_placement_query query = {
-      EG_STR ("llm"), EG_STR ("m"), 0, {}, excluded.size ()};
+      EG_STR ("llm"), EG_STR ("m"), 0, {}, excluded.size (), 0};
   struct eg_chain chain = {};
   enum eg_placement_result result;
 
@@ -145,7 +145,7 @@
               {{1, SLOTS - 1}, {full_weight, SLOTS}}));
   domains d (3);
   table t (*rc::gen::arbitrary<uint64_t> ());
-  struct eg_placement_query query = {EG_STR ("app"), EG_STR (""), 0, {}, 0};
+  struct eg_placement_query query = {EG_STR ("app"), EG_STR (""), 0, {}, 0, 0};
   struct eg_chain chain = {};
   enum eg_placement_result result;
   unsigned nearest = 3;
@@ -174,7 +174,7 @@
   domains d (1);
   table t (*rc::gen::arbitrary<uint64_t> ());
   struct eg_prefix_table *prefixes = eg_prefix_table_new (4);
-  struct eg_placement_query query = {EG_STR (""), EG_STR ("m"), 7, {}, 0};
+  struct eg_placement_query query = {EG_STR (""), EG_STR ("m"), 7, {}, 0, 0};
   struct eg_chain chain = {};
   bool head_fits = noted % 2 == 0 && running <= SLOTS / 2;
 
@@ -280,7 +280,7 @@
   domains d (1);
   table t (1);
   struct eg_server_report report = plain_report (SLOTS, SLOTS, 0);
-  struct eg_placement_query query = {EG_STR ("app"), EG_STR (""), 0, {}, 0};
+  struct eg_placement_query query = {EG_STR ("app"), EG_STR (""), 0, {}, 0, 0};
   struct eg_chain chain;
 
   eg_servers_report (t.servers, t.add (0, 0), &report, 0);
--- a/tools/experiments/throughput.sh
+++ b/tools/experiments/throughput.sh
@@ -44,7 +44,7 @@
   engines_c=12
   slots=4
   token_us=20000
-  entry_settings="backend.default_slots = ${EG_STREAMS:-$((slots * stages))}"
+  entry_settings="backend.default_slots = ${EG_STREAMS:-$((slots * stages * 5 / 4))}"
   begin throughput
   cluster_start
   throughput_scenario throughput-idle 0
