router: claims that cannot be handed to the platform try again

A full ring left the claim without a reply, so that it could only be refused at its deadline and its release was never tried. Due claims are collected in one walk instead of one walk for each. Not tested with a full ring; test_path and test_claims pass.

--- a/router/keyed.c
+++ b/router/keyed.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -30,6 +31,7 @@
   struct eg_claim claim;
   struct eg_call *call; /* Holds the outcome that the claim points to. */
   struct eg_buffer object_key;
+  uint32_t unsent_operation; /* The platform's ring was full; 0 for none. */
 };
 
 struct eg_keyed
@@ -39,6 +41,7 @@
   struct eg_random random;
   uint64_t incarnation;
   struct eg_map sendings;
+  struct eg_buffer due; /* Ids of claims whose time has come. */
 };
 
 struct eg_keyed *
@@ -77,6 +80,7 @@
   while ((sending = eg_map_next (&self->sendings, &cursor)))
     free_sending (sending);
   eg_map_finish (&self->sendings);
+  eg_buffer_finish (&self->due);
   free (self);
 }
 
@@ -104,8 +108,8 @@
     eg_claim_record_encode (action->record, &command->value);
   if (eg_platform_worker_push (self->platform, command))
     return;
-  /* The claim's own timers settle an operation that never gets a reply. */
   eg_platform_command_free (command);
+  sending->unsent_operation = action->operation;
 }
 
 static void
@@ -135,6 +139,22 @@
     }
 }
 
+/* Lets the claim try again later what could not be handed over; a lost reply
+   brings no action at once. */
+static void
+report_unsent (struct eg_keyed *self, struct sending *sending, int64_t now_us)
+{
+  const struct eg_claim_event lost = {.type = EG_CLAIM_EVENT_LOST,
+                                      .operation = sending->unsent_operation};
+  struct eg_claim_actions none;
+
+  if (sending->unsent_operation == 0)
+    return;
+  sending->unsent_operation = 0;
+  eg_claim_update (&sending->claim, &lost, now_us, &self->random, &none);
+  EG_INVARIANT (none.count == 0);
+}
+
 static void
 update (struct eg_keyed *self,
         struct sending *sending,
@@ -146,6 +166,7 @@
   eg_claim_update (&sending->claim, event, now_us, &self->random, &actions);
   for (size_t i = 0; i < actions.count; i++)
     apply (self, sending, &actions.items[i]);
+  report_unsent (self, sending, now_us);
   if (!eg_claim_is_closed (&sending->claim))
     return;
   eg_map_remove (&self->sendings, sending->call->id);
@@ -279,28 +300,36 @@
     update (self, sending, &event, now_us);
 }
 
-/* Returns a claim whose time has come, or NULL. */
-static struct sending *
-next_due (const struct eg_keyed *self, int64_t now_us)
+/* Notes the ids first, as an update may end a claim and change the table. */
+static void
+collect_due (struct eg_keyed *self, int64_t now_us)
 {
   struct sending *sending;
   size_t cursor = 0;
 
+  eg_buffer_clear (&self->due);
   while ((sending = eg_map_next (&self->sendings, &cursor)))
     if (eg_claim_wake_us (&sending->claim) <= now_us)
-      return sending;
-  return NULL;
+      eg_buffer_append (&self->due,
+                        (struct eg_str){(const char *) &sending->call->id,
+                                        sizeof sending->call->id});
 }
 
 void
 eg_keyed_tick (struct eg_keyed *self, int64_t now_us)
 {
   const struct eg_claim_event event = {.type = EG_CLAIM_EVENT_TIME};
-  size_t left = self->sendings.count;
   struct sending *sending;
+  uint64_t id;
 
-  while (left-- > 0 && (sending = next_due (self, now_us)))
-    update (self, sending, &event, now_us);
+  collect_due (self, now_us);
+  for (size_t at = 0; at < self->due.len; at += sizeof id)
+    {
+      memcpy (&id, self->due.data + at, sizeof id);
+      sending = eg_map_get (&self->sendings, id);
+      if (sending)
+        update (self, sending, &event, now_us);
+    }
 }
 
 size_t
