--- a/base/clock.c
+++ b/base/clock.c
@@ -14,7 +14,7 @@
 int64_t
 eg_clock_now_us (void)
 {
-  return read_clock (CLOCK_MONOTONIC);
+  return read_clock (CLOCK_BOOTTIME);
 }
 
 int64_t
--- a/base/clock.h
+++ b/base/clock.h
@@ -14,7 +14,10 @@
 #define EG_US_PER_MS INT64_C (1000)
 #define EG_US_PER_S INT64_C (1000000)
 
-/** Returns monotonic time, in microseconds from an arbitrary start. */
+/**
+ * Returns monotonic time, in microseconds from an arbitrary start.
+ * It goes on while the VM is suspended, so that bounds hold across a pause.
+ */
 int64_t eg_clock_now_us (void);
 
 /** Returns wall time, in microseconds since 1970-01-01 UTC. */
