--- a/tools/experiments/speed.sh
+++ b/tools/experiments/speed.sh
@@ -69,7 +69,7 @@
   cluster_start
   summary=$results/speed.summary
   : >"$summary"
-  for rate in ${EG_RATES:-50 75 100}; do
+  for rate in ${EG_RATES:-50 100 150}; do
     compare "$rate" "$rate" 200
     {
       printf 'offered %s requests/s of 200 tokens: direct %.0f, through the entry VM %.0f tokens/s (ratio %s); entry VM used %s cores\n' \
