test: two entry VMs on the path, tickets and keys sent to both

A ticket given by one and used at the other runs once; eight sendings of one key at once at both entry VMs, with two lost replies of the store, run once and get the same answer. The list of stand-ins is written from a table.

--- a/test/path_fixture.c
+++ b/test/path_fixture.c
@@ -14,59 +14,82 @@
 #define WAIT_STEP_NS 20000000
 #define WAIT_STEPS 500
 
-static const char settings_text[] =
-    "node.name = \"n1\"\nnode.failure_domain = \"a\"\n"
-    "listen.callers = \"" CALLERS "\"\nlisten.operators = \"" OPERATORS "\"\n"
-    "platform.address = \"" PLATFORM "\"\nplatform.vms_interval_ms = 100\n"
+static const char settings_format[] =
+    "node.name = \"%s\"\nnode.failure_domain = \"%s\"\n"
+    "listen.callers = \"%s\"\nlisten.operators = \"%s\"\n"
+    "platform.address = \"%s\"\nplatform.vms_interval_ms = 100\n"
     "limits.caller_threads = 32\nlimits.body_bytes = 65536\n"
     "backend.poll_interval_ms = 100\nbackend.token_silence_ms = 1500\n"
     "log.level = \"error\"\n";
 
-#define VM(port, domain, service)                                              \
-  "{\"address\":\"127.0.0.1:" port "\",\"failure_domain\":\"" domain           \
-  "\",\"kind\":\"backend\",\"service\":\"" service "\",\"state\":\"live\"}"
-#define ENGINE(port, layers)                                                   \
-  "{\"listen\":\"127.0.0.1:" port "\",\"server\":\"e" port                     \
-  "\",\"service\":\"llm\",\"model\":\"m\",\"version\":\"1\","                  \
-  "\"layers\":" layers                                                         \
-  ",\"model_layers\":32,\"accelerator\":\"large\",\"slots\":8,\"token_us\":"   \
-  "2000,\"prefill_us\":10,\"load_lag_ms\":50,\"checks_fencing\":true,"         \
-  "\"kv_total\":100000,\"threads\":16}"
-
 /* Three servers for each half of the model, in two failure domains. */
-static const char standins_text[] =
-    "{\"admin\":\"" ADMIN "\",\"platform\":{\"listen\":\"" PLATFORM
-    "\",\"latency_ms\":0,\"vms\":[" VM ("17811", "a", "llm") "," VM ("17812", "a", "llm") "," VM ("17813", "b", "llm") "," VM (
-        "17814",
-        "a",
-        "llm") "," VM ("17815",
-                       "a",
-                       "llm") "," VM ("17816",
-                                      "b",
-                                      "llm") "," VM ("17821",
-                                                     "a",
-                                                     "app") "]},\"engines\":"
-                                                            "[" ENGINE (
-                                                                "17811",
-                                                                "[1,"
-                                                                "16]") "," ENGINE ("17812",
-                                                                                   "[1,16]") "," ENGINE ("17813",
-                                                                                                         "[1,16]") "," ENGINE ("17814",
-                                                                                                                               "[17,32]") "," ENGINE ("17815",
-                                                                                                                                                      "[17,32]") "," ENGINE ("17816",
-                                                                                                                                                                             "[17,32]") "],\"services\":[{\"listen\":\"" SERVICE
-                                                                                                                                                                                        "\",\"service\":\"app\",\"latency_ms\":1,\"slots\":8}]}";
-
-#define SERVERS 7
+static const struct
+{
+  const char *address;
+  const char *failure_domain;
+  const char *layers;
+} engines[] = {
+    {"127.0.0.1:17811", "a", "[1,16]"},  {"127.0.0.1:17812", "a", "[1,16]"},
+    {"127.0.0.1:17813", "b", "[1,16]"},  {"127.0.0.1:17814", "a", "[17,32]"},
+    {"127.0.0.1:17815", "a", "[17,32]"}, {"127.0.0.1:17816", "b", "[17,32]"},
+};
+
+#define ENGINES (sizeof engines / sizeof engines[0])
+#define SERVERS (ENGINES + 1)
 
 static void
-write_file (char *path, const char *text)
+write_file (char *path, struct eg_buffer *text)
 {
   int fd = mkstemp (path);
 
   EG_INVARIANT (fd >= 0);
-  EG_INVARIANT (write (fd, text, strlen (text)) == (ssize_t) strlen (text));
+  EG_INVARIANT (write (fd, text->data, text->len) == (ssize_t) text->len);
   close (fd);
+  eg_buffer_finish (text);
+}
+
+static void
+write_vm (struct eg_buffer *json,
+          const char *address,
+          const char *failure_domain,
+          const char *kind,
+          const char *service)
+{
+  eg_buffer_printf (json,
+                    "%s{\"address\":\"%s\",\"failure_domain\":\"%s\","
+                    "\"kind\":\"%s\",\"service\":\"%s\","
+                    "\"state\":\"live\"}",
+                    json->data[json->len - 1] == '[' ? "" : ",", address,
+                    failure_domain, kind, service);
+}
+
+static void
+write_standins (struct eg_buffer *json)
+{
+  eg_buffer_printf (json,
+                    "{\"admin\":\"%s\",\"platform\":{\"listen\":\"%s\","
+                    "\"latency_ms\":0,\"vms\":[",
+                    ADMIN, PLATFORM);
+  for (size_t i = 0; i < ENGINES; i++)
+    write_vm (json, engines[i].address, engines[i].failure_domain, "backend",
+              "llm");
+  write_vm (json, SERVICE, "a", "backend", "app");
+  write_vm (json, CALLERS, "a", "entry", "");
+  write_vm (json, OTHER_CALLERS, "b", "entry", "");
+  eg_buffer_printf (json, "]},\"engines\":[");
+  for (size_t i = 0; i < ENGINES; i++)
+    eg_buffer_printf (
+        json,
+        "%s{\"listen\":\"%s\",\"server\":\"e%zu\",\"service\":\"llm\","
+        "\"model\":\"m\",\"version\":\"1\",\"layers\":%s,"
+        "\"model_layers\":32,\"accelerator\":\"large\",\"slots\":8,"
+        "\"token_us\":2000,\"prefill_us\":10,\"load_lag_ms\":50,"
+        "\"checks_fencing\":true,\"kv_total\":100000,\"threads\":16}",
+        i > 0 ? "," : "", engines[i].address, i, engines[i].layers);
+  eg_buffer_printf (json,
+                    "],\"services\":[{\"listen\":\"%s\",\"service\":\"app\","
+                    "\"latency_ms\":1,\"slots\":8}]}",
+                    SERVICE);
 }
 
 static void
@@ -104,43 +127,70 @@
   EG_INVARIANT (fd >= 0 && flock (fd, LOCK_EX) == 0);
 }
 
+static void
+start_node (struct path_node *node,
+            const char *name,
+            const char *failure_domain,
+            const char *callers,
+            const char *operators)
+{
+  char path[] = "/tmp/eg_path_XXXXXX";
+  struct eg_buffer text = {0};
+  struct eg_error error = {0};
+  enum eg_status status;
+
+  eg_buffer_printf (&text, settings_format, name, failure_domain, callers,
+                    operators, PLATFORM);
+  write_file (path, &text);
+  status = eg_settings_load (&eg_router_setting_table, path, &node->settings,
+                             &error);
+  EG_INVARIANT (status == EG_OK);
+  unlink (path);
+  node->decision = eg_decision_new (&node->settings, &error);
+  EG_INVARIANT (node->decision != NULL);
+  node->callers = eg_callers_new (&node->settings, node->decision, &error);
+  node->operators = eg_operators_new (&node->settings, node->decision, &error);
+  EG_INVARIANT (node->callers != NULL && node->operators != NULL);
+}
+
+static void
+finish_node (struct path_node *node)
+{
+  eg_operators_free (node->operators);
+  eg_callers_free (node->callers);
+  eg_decision_free (node->decision);
+}
+
 void
 path_fixture_init (struct path_fixture *self)
 {
-  char settings_path[] = "/tmp/eg_path_XXXXXX";
-  char standins_path[] = "/tmp/eg_path_XXXXXX";
+  char path[] = "/tmp/eg_path_XXXXXX";
+  struct eg_buffer text = {0};
   struct eg_error error = {0};
   struct eg_config config;
   enum eg_status status;
 
   take_turn ();
-  write_file (settings_path, settings_text);
-  write_file (standins_path, standins_text);
-  status = eg_settings_load (&eg_router_setting_table, settings_path,
-                             &self->settings, &error);
-  EG_INVARIANT (status == EG_OK);
-  status = eg_config_load (&config, standins_path, &error);
+  write_standins (&text);
+  write_file (path, &text);
+  status = eg_config_load (&config, path, &error);
   if (status != EG_OK)
     fprintf (stderr, "%s\n", error.message);
   EG_INVARIANT (status == EG_OK);
-  unlink (settings_path);
-  unlink (standins_path);
+  unlink (path);
   self->host = eg_host_new (config, &error);
   EG_INVARIANT (self->host != NULL);
-  self->decision = eg_decision_new (&self->settings, &error);
-  EG_INVARIANT (self->decision != NULL);
-  self->callers = eg_callers_new (&self->settings, self->decision, &error);
-  self->operators = eg_operators_new (&self->settings, self->decision, &error);
-  EG_INVARIANT (self->callers != NULL && self->operators != NULL);
-  wait_for_servers (self->decision);
+  start_node (&self->node, "n1", "a", CALLERS, OPERATORS);
+  start_node (&self->other, "n2", "b", OTHER_CALLERS, OTHER_OPERATORS);
+  wait_for_servers (self->node.decision);
+  wait_for_servers (self->other.decision);
 }
 
 void
 path_fixture_finish (struct path_fixture *self)
 {
-  eg_operators_free (self->operators);
-  eg_callers_free (self->callers);
-  eg_decision_free (self->decision);
+  finish_node (&self->node);
+  finish_node (&self->other);
   eg_host_free (self->host);
 }
 
@@ -219,12 +269,15 @@
   struct path_answer answer;
   char url[128];
   json_t *record;
+  json_t *runs;
 
   snprintf (url, sizeof url, "%s/standin/%s/record", ADMIN, address);
   path_call ("GET", url, NULL, NULL, &answer);
   record = json_loadb (answer.body.data, answer.body.len, 0, NULL);
   path_answer_finish (&answer);
-  return json_object_get (record, "runs");
+  runs = json_incref (json_object_get (record, "runs"));
+  json_decref (record);
+  return runs;
 }
 
 void
--- a/test/path_fixture.h
+++ b/test/path_fixture.h
@@ -1,4 +1,4 @@
-/* One entry VM and stand-ins for all that it meets, in this process. */
+/* Two entry VMs and stand-ins for all that they meet, in this process. */
 #ifndef EG_TEST_PATH_FIXTURE_H
 #define EG_TEST_PATH_FIXTURE_H
 
@@ -11,19 +11,27 @@
 
 #define CALLERS "127.0.0.1:17801"
 #define OPERATORS "127.0.0.1:17802"
+#define OTHER_CALLERS "127.0.0.1:17803"
+#define OTHER_OPERATORS "127.0.0.1:17804"
 #define PLATFORM "127.0.0.1:17800"
 #define ADMIN "127.0.0.1:17899"
 #define SERVICE "127.0.0.1:17821"
 
-struct path_fixture
+struct path_node
 {
   struct eg_router_settings settings;
-  struct eg_host *host;
   struct eg_decision *decision;
   struct eg_callers *callers;
   struct eg_operators *operators;
 };
 
+struct path_fixture
+{
+  struct eg_host *host;
+  struct path_node node;  /* In failure domain a. */
+  struct path_node other; /* In failure domain b. */
+};
+
 /* An HTTP answer, as a caller sees it. */
 struct path_answer
 {
@@ -31,7 +39,7 @@
   struct eg_buffer body;
 };
 
-/* Starts everything and waits until the node knows each backend server. */
+/* Starts everything and waits until the nodes know each backend server. */
 void path_fixture_init (struct path_fixture *self);
 void path_fixture_finish (struct path_fixture *self);
 
@@ -47,7 +55,7 @@
 void path_fault (const char *address, const char *fault);
 void path_heal (const char *address);
 
-/* Returns what ran on the stand-in at an address. */
+/* Returns what ran on the stand-in at an address, as a new reference. */
 json_t *path_record (const char *address);
 
 /* Sends bytes on a bare connection and gathers the answer. */
--- a/test/test_path.c
+++ b/test/test_path.c
@@ -210,6 +210,7 @@
         position = this_position;
         seen++;
       }
+      json_decref (runs);
     }
   return seen;
 }
@@ -267,6 +268,7 @@
   json_array_foreach (runs, index, run) count +=
       strcmp (json_string_value (json_object_get (run, "path")), "/bookings")
       == 0;
+  json_decref (runs);
   return count;
 }
 
@@ -363,6 +365,77 @@
   path_answer_finish (&first);
 }
 
+static void
+test_ticket_of_another_entry_vm (void **state)
+{
+  char header[256];
+  const char *const ticketed[] = {"X-Organisation: temple", header, NULL};
+  size_t before = count_bookings ();
+  struct path_answer first;
+  struct path_answer second;
+
+  (void) state;
+  take_ticket (header, sizeof header);
+  path_call ("POST", OTHER_CALLERS "/services/app/bookings", ticketed,
+             "seat 12", &first);
+  assert_int_equal (first.status, 200);
+  path_call ("POST", BOOKINGS, ticketed, "seat 12", &second);
+  assert_int_equal (second.status, 200);
+  assert_string_equal (first.body.data, second.body.data);
+  assert_int_equal (count_bookings (), before + 1);
+  path_answer_finish (&first);
+  path_answer_finish (&second);
+}
+
+struct sending
+{
+  const char *url;
+  const char *const *headers;
+  struct path_answer answer;
+};
+
+static void *
+send_in_thread (void *context)
+{
+  struct sending *sending = context;
+
+  path_call ("POST", sending->url, sending->headers, "seat 13",
+             &sending->answer);
+  return NULL;
+}
+
+#define SENDINGS 8
+
+static void
+test_key_at_two_entry_vms_at_once (void **state)
+{
+  static const char *const keyed[] = {"X-Organisation: temple",
+                                      "Idempotency-Key: booking-13", NULL};
+  struct sending sendings[SENDINGS];
+  pthread_t threads[SENDINGS];
+  size_t before = count_bookings ();
+
+  (void) state;
+  path_fault (PLATFORM, "{\"fault\":\"lose-reply\",\"count\":2}");
+  for (int i = 0; i < SENDINGS; i++)
+    {
+      sendings[i].url =
+          i % 2 ? BOOKINGS : OTHER_CALLERS "/services/app/bookings";
+      sendings[i].headers = keyed;
+      pthread_create (&threads[i], NULL, send_in_thread, &sendings[i]);
+    }
+  for (int i = 0; i < SENDINGS; i++)
+    {
+      pthread_join (threads[i], NULL);
+      assert_int_equal (sendings[i].answer.status, 200);
+      assert_string_equal (sendings[i].answer.body.data,
+                           sendings[0].answer.body.data);
+    }
+  for (int i = 0; i < SENDINGS; i++)
+    path_answer_finish (&sendings[i].answer);
+  assert_int_equal (count_bookings (), before + 1);
+}
+
 static void
 test_ticket_whose_reply_is_lost (void **state)
 {
@@ -449,8 +522,8 @@
   (void) state;
   pthread_create (&thread, NULL, stream_in_thread, &streamed);
   while (running == 0)
-    eg_decision_inquire (fixture.decision, count_running, &running);
-  eg_decision_stop (fixture.decision);
+    eg_decision_inquire (fixture.node.decision, count_running, &running);
+  eg_decision_stop (fixture.node.decision);
   path_call ("GET", CALLERS "/health", NULL, NULL, &answer);
   assert_int_equal (answer.status, 503);
   path_answer_finish (&answer);
@@ -475,6 +548,8 @@
       cmocka_unit_test (test_idempotent_call_is_repeated),
       cmocka_unit_test (test_key_runs_once),
       cmocka_unit_test (test_ticket_runs_once_without_the_store),
+      cmocka_unit_test (test_ticket_of_another_entry_vm),
+      cmocka_unit_test (test_key_at_two_entry_vms_at_once),
       cmocka_unit_test (test_ticket_whose_reply_is_lost),
       cmocka_unit_test (test_key_with_store_down),
       cmocka_unit_test (test_crashing_request_is_quarantined),
