operators: API for rules, status and drains; eelgrassctl; page for a phone

Operators could read metrics and servers alone; rules were edited by tests. The listener now serves GET /rules, /status, /nodes and a page, and takes POST /rules, /rules/check and /drain, all but the page and /metrics with the token of operators.token.

--- /dev/null
+++ b/ctl/document.c
@@ -0,0 +1,233 @@
+#include "ctl/document.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "ctl/print.h"
+#include "http/json.h"
+#include "policy/rule_text.h"
+#include "policy/rules.h"
+
+#define ID_BYTES 20
+#define SENDS_MAX 3
+#define RESEND_WAIT_NS 300000000L
+
+int
+eg_ctl_document_init (struct eg_ctl_document *self, const struct eg_ctl *ctl)
+{
+  struct eg_ctl_answer *answer = &self->answer;
+  struct eg_error error;
+
+  self->version = 0;
+  eg_rule_document_init (&self->document);
+  eg_ctl_call (ctl, "GET", "/rules", NULL, answer);
+  if (answer->status != 200)
+    return eg_ctl_fail (ctl, answer);
+  self->version =
+      json_integer_value (json_object_get (answer->value, "version"));
+  if (eg_rule_document_decode (&self->document, eg_buffer_view (&answer->body),
+                               &error)
+      == EG_OK)
+    return EG_CTL_OK;
+  eg_ctl_print (ctl->err, "", eg_str_from (error.message));
+  return EG_CTL_REFUSED;
+}
+
+void
+eg_ctl_document_finish (struct eg_ctl_document *self)
+{
+  eg_rule_document_finish (&self->document);
+  eg_ctl_answer_finish (&self->answer);
+}
+
+static void
+print_json_faults (const struct eg_ctl *ctl, const struct eg_rules *rules)
+{
+  struct eg_buffer json = {0};
+
+  for (size_t i = 0; i < rules->fault_count; i++)
+    {
+      eg_buffer_printf (
+          &json, "%s{\"line\":%u,\"column\":%u,\"message\":", i > 0 ? "," : "",
+          rules->faults[i].line, rules->faults[i].column);
+      eg_json_append_string (&json, eg_str_from (rules->faults[i].message));
+      eg_buffer_append (&json, EG_STR ("}"));
+    }
+  fprintf (ctl->out, "{\"faults\":[%s]}\n", eg_buffer_text (&json));
+  eg_buffer_finish (&json);
+}
+
+int
+eg_ctl_check_text (const struct eg_ctl *ctl, struct eg_str text)
+{
+  struct eg_rules rules;
+  bool passed = eg_rules_init (&rules, text) == EG_OK;
+
+  if (!passed && ctl->json)
+    print_json_faults (ctl, &rules);
+  else if (!passed)
+    eg_ctl_printf (ctl->out, "", "faults (line:column):");
+  for (size_t i = 0; !ctl->json && i < rules.fault_count; i++)
+    eg_ctl_printf (ctl->out, "  ", "%u:%u: %s", rules.faults[i].line,
+                   rules.faults[i].column, rules.faults[i].message);
+  eg_rules_finish (&rules);
+  return passed ? EG_CTL_OK : EG_CTL_REFUSED;
+}
+
+static void
+print_lines (const struct eg_ctl *ctl, const char *sign, struct eg_str lines)
+{
+  while (lines.len > 0)
+    {
+      struct eg_str line = eg_str_cut (&lines, '\n');
+
+      if (line.len > 0)
+        eg_ctl_print (ctl->out, sign, line);
+    }
+}
+
+static void
+print_record (const struct eg_ctl *ctl,
+              int64_t wall_ms,
+              const char *who,
+              struct eg_str removed,
+              struct eg_str added)
+{
+  char text[EG_CTL_TIME_BYTES];
+
+  eg_ctl_format_time (wall_ms, text);
+  eg_ctl_printf (ctl->out, "", "%s by %s", text, who);
+  print_lines (ctl, "- ", removed);
+  print_lines (ctl, "+ ", added);
+}
+
+void
+eg_ctl_print_edit (const struct eg_ctl *ctl,
+                   const struct eg_rule_edit_record *edit)
+{
+  eg_ctl_printf (ctl->out, "", "edit %016" PRIx64, edit->id);
+  print_record (ctl, edit->wall_ms, edit->who, eg_buffer_view (&edit->removed),
+                eg_buffer_view (&edit->added));
+}
+
+static struct eg_str
+string_of (json_t *object, const char *name)
+{
+  return eg_str_from (json_string_value (json_object_get (object, name)));
+}
+
+/* Shows both lines to the loser of a race. */
+static void
+print_outrun (const struct eg_ctl *ctl, json_t *value, struct eg_str own)
+{
+  json_t *winner = json_object_get (value, "winner");
+  const char *who = json_string_value (json_object_get (winner, "who"));
+
+  eg_ctl_printf (ctl->out, "", "Another edit came first. Nothing was changed.");
+  if (own.len > 0)
+    eg_ctl_printf (ctl->out, "", "Yours:");
+  print_lines (ctl, "", own);
+  if (!who)
+    return;
+  eg_ctl_printf (ctl->out, "", "First was:");
+  print_record (ctl, json_integer_value (json_object_get (winner, "wall_ms")),
+                who, string_of (winner, "removed"),
+                string_of (winner, "added"));
+}
+
+static bool
+says_unknown (const struct eg_ctl_answer *answer)
+{
+  struct eg_str error = string_of (answer->value, "error");
+
+  return (answer->status == 0 && answer->sent)
+         || eg_str_equal (error, EG_STR ("unknown"));
+}
+
+/* Sends an edit until its outcome is known; the id keeps it a single one. */
+static bool
+send_until_known (const struct eg_ctl *ctl,
+                  json_t *request,
+                  struct eg_ctl_answer *answer)
+{
+  const struct timespec pause = {.tv_nsec = RESEND_WAIT_NS};
+  bool doubt = false;
+
+  for (int i = 0; i < SENDS_MAX; i++)
+    {
+      if (i > 0)
+        {
+          eg_ctl_answer_finish (answer);
+          nanosleep (&pause, NULL);
+        }
+      eg_ctl_call (ctl, "POST", "/rules", request, answer);
+      doubt = doubt || says_unknown (answer);
+      /* After a doubt, only the history or a newer edit settles it. */
+      if (answer->status == 200 || answer->status == 409)
+        return true;
+      if (!doubt)
+        return true;
+    }
+  return false;
+}
+
+static int
+report (const struct eg_ctl *ctl,
+        const struct eg_ctl_answer *answer,
+        const char *id,
+        struct eg_str own)
+{
+  json_t *version = json_object_get (answer->value, "version");
+
+  if (answer->status == 200 && ctl->json)
+    fprintf (ctl->out, "%s\n", answer->body.data);
+  else if (answer->status == 200)
+    eg_ctl_printf (ctl->out, "", "Accepted: version %" PRId64 ", edit %s.",
+                   (int64_t) json_integer_value (version), id);
+  if (answer->status == 200)
+    return EG_CTL_OK;
+  if (answer->status != 409 || ctl->json)
+    return eg_ctl_fail (ctl, answer);
+  print_outrun (ctl, answer->value, own);
+  return EG_CTL_OUTRUN;
+}
+
+int
+eg_ctl_send_text (const struct eg_ctl *ctl,
+                  struct eg_str text,
+                  int64_t base_version,
+                  struct eg_str own)
+{
+  struct eg_ctl_answer answer;
+  char id[ID_BYTES];
+  json_t *request;
+  int result = eg_ctl_check_text (ctl, text);
+
+  if (result != EG_CTL_OK)
+    return result;
+  snprintf (id, sizeof id, "%016" PRIx64, eg_random_system_seed ());
+  request = json_pack ("{s:s, s:I, s:s%, s:s}", "who", ctl->who, "base_version",
+                       (json_int_t) base_version, "text",
+                       text.data ? text.data : "", text.len, "id", id);
+  if (!request)
+    {
+      eg_ctl_printf (ctl->err, "", "the text or the name is not UTF-8");
+      return EG_CTL_REFUSED;
+    }
+  if (send_until_known (ctl, request, &answer))
+    result = report (ctl, &answer, id, own);
+  else
+    {
+      eg_ctl_printf (ctl->err, "",
+                     "It is not known whether the edit was accepted. Look for "
+                     "edit %s in 'rules history'.",
+                     id);
+      result = EG_CTL_UNKNOWN;
+    }
+  json_decref (request);
+  eg_ctl_answer_finish (&answer);
+  return result;
+}
--- /dev/null
+++ b/ctl/print.c
@@ -0,0 +1,91 @@
+#include "ctl/print.h"
+
+#include <ctype.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/status.h"
+
+#define MS_PER_S 1000
+
+/* Longest piece that fits, in bytes. */
+struct piece
+{
+  size_t len;  /* That is printed. */
+  size_t next; /* Where the text goes on. */
+};
+
+static bool
+is_continuation (char byte)
+{
+  return ((unsigned char) byte & 0xC0) == 0x80;
+}
+
+/* Counts a byte of each UTF-8 character as one column. */
+static struct piece
+cut_piece (struct eg_str text, size_t columns)
+{
+  struct piece space = {0, 0};
+  size_t used = 0;
+  size_t i;
+
+  for (i = 0; i < text.len; i++)
+    {
+      if (is_continuation (text.data[i]))
+        continue;
+      if (isspace ((unsigned char) text.data[i]))
+        space = (struct piece){i, i + 1};
+      if (used == columns)
+        break;
+      used++;
+    }
+  if (i < text.len && space.len > 0)
+    return space;
+  return (struct piece){i, i};
+}
+
+void
+eg_ctl_print (FILE *stream, const char *first, struct eg_str text)
+{
+  size_t indent = strlen (first);
+  bool begun = false;
+
+  do
+    {
+      struct piece piece = cut_piece (text, EG_CTL_COLUMNS - indent);
+
+      fprintf (stream, "%*s%.*s\n", (int) indent, begun ? "" : first,
+               (int) piece.len, text.data ? text.data : "");
+      text.data += piece.next;
+      text.len -= piece.next;
+      begun = true;
+    }
+  while (text.len > 0);
+}
+
+void
+eg_ctl_format_time (int64_t wall_ms, char text[EG_CTL_TIME_BYTES])
+{
+  time_t seconds = (time_t) (wall_ms / MS_PER_S);
+  struct tm local;
+
+  localtime_r (&seconds, &local);
+  strftime (text, EG_CTL_TIME_BYTES, "%Y-%m-%d %H:%M:%S", &local);
+}
+
+void
+eg_ctl_printf (FILE *stream, const char *first, const char *format, ...)
+{
+  char *text = NULL;
+  va_list args;
+  int len;
+
+  va_start (args, format);
+  len = vasprintf (&text, format, args);
+  va_end (args);
+  EG_INVARIANT (len >= 0);
+  eg_ctl_print (stream, first, (struct eg_str){text, (size_t) len});
+  free (text);
+}
--- /dev/null
+++ b/ctl/status_commands.c
@@ -0,0 +1,170 @@
+#include "ctl/status_commands.h"
+
+#include <inttypes.h>
+#include <time.h>
+
+#include "base/buffer.h"
+#include "ctl/call.h"
+#include "ctl/print.h"
+
+#define WATCH_INTERVAL_NS 500000000L
+
+static const char *
+text_of (json_t *object, const char *name)
+{
+  const char *text = json_string_value (json_object_get (object, name));
+
+  return text ? text : "?";
+}
+
+static int64_t
+number_of (json_t *object, const char *name)
+{
+  return json_integer_value (json_object_get (object, name));
+}
+
+static void
+print_status (const struct eg_ctl *ctl, json_t *status)
+{
+  eg_ctl_printf (ctl->out, "", "%s in %s", text_of (status, "node"),
+                 text_of (status, "failure_domain"));
+  eg_ctl_printf (ctl->out, "  ", "rules: version %" PRId64,
+                 number_of (status, "version"));
+  eg_ctl_printf (ctl->out, "  ", "requests: %" PRId64 " wait, %" PRId64 " run",
+                 number_of (status, "queued"), number_of (status, "running"));
+  eg_ctl_printf (ctl->out, "  ", "servers: %" PRId64 " of %" PRId64 " usable",
+                 number_of (status, "usable"), number_of (status, "servers"));
+}
+
+static void
+print_node (const struct eg_ctl *ctl, json_t *node)
+{
+  json_t *version = json_object_get (node, "version");
+
+  eg_ctl_printf (ctl->out, "", "%s in %s", text_of (node, "node"),
+                 text_of (node, "failure_domain"));
+  if (json_is_integer (version))
+    eg_ctl_printf (ctl->out, "  ", "%s, version %" PRId64,
+                   text_of (node, "state"),
+                   (int64_t) json_integer_value (version));
+  else
+    eg_ctl_printf (ctl->out, "  ", "%s, version not heard",
+                   text_of (node, "state"));
+}
+
+static void
+print_server (const struct eg_ctl *ctl, json_t *server)
+{
+  const char *model = text_of (server, "model"); /* Of an engine. */
+
+  eg_ctl_printf (ctl->out, "", "%s in %s", text_of (server, "address"),
+                 text_of (server, "failure_domain"));
+  eg_ctl_printf (ctl->out, "  ", "%s%s%s, %s, %" PRId64 " in flight",
+                 text_of (server, "service"), *model ? " " : "", model,
+                 json_is_true (json_object_get (server, "usable"))
+                     ? "usable"
+                     : "not usable",
+                 number_of (server, "in_flight"));
+}
+
+static void
+print_each (const struct eg_ctl *ctl,
+            json_t *items,
+            void (*print) (const struct eg_ctl *ctl, json_t *item))
+{
+  json_t *item;
+  size_t index;
+
+  json_array_foreach (items, index, item) print (ctl, item);
+}
+
+static void
+print_nodes (const struct eg_ctl *ctl, json_t *nodes)
+{
+  print_each (ctl, nodes, print_node);
+}
+
+static void
+print_servers (const struct eg_ctl *ctl, json_t *servers)
+{
+  print_each (ctl, servers, print_server);
+}
+
+static int
+show (const struct eg_ctl *ctl,
+      const char *path,
+      void (*print) (const struct eg_ctl *ctl, json_t *value))
+{
+  struct eg_ctl_answer answer;
+  int result = EG_CTL_OK;
+
+  eg_ctl_call (ctl, "GET", path, NULL, &answer);
+  if (answer.status != 200)
+    result = eg_ctl_fail (ctl, &answer);
+  else if (ctl->json)
+    fprintf (ctl->out, "%s\n", eg_buffer_text (&answer.body));
+  else
+    print (ctl, answer.value);
+  eg_ctl_answer_finish (&answer);
+  return result;
+}
+
+int
+eg_ctl_status (const struct eg_ctl *ctl)
+{
+  return show (ctl, "/status", print_status);
+}
+
+int
+eg_ctl_nodes (const struct eg_ctl *ctl)
+{
+  return show (ctl, "/nodes", print_nodes);
+}
+
+int
+eg_ctl_servers (const struct eg_ctl *ctl)
+{
+  return show (ctl, "/servers", print_servers);
+}
+
+/* Prints the status if it is not @p last, and keeps it there. */
+static void
+print_change (const struct eg_ctl *ctl,
+              struct eg_ctl_answer *answer,
+              struct eg_buffer *last)
+{
+  if (eg_str_equal (eg_buffer_view (&answer->body), eg_buffer_view (last)))
+    return;
+  eg_buffer_clear (last);
+  eg_buffer_append (last, eg_buffer_view (&answer->body));
+  if (ctl->json)
+    fprintf (ctl->out, "%s\n", eg_buffer_text (&answer->body));
+  else
+    print_status (ctl, answer->value);
+  fflush (ctl->out);
+}
+
+int
+eg_ctl_watch (const struct eg_ctl *ctl)
+{
+  const struct timespec pause = {.tv_nsec = WATCH_INTERVAL_NS};
+  struct eg_buffer last = {0};
+  int result = EG_CTL_OK;
+
+  for (int i = 0; result == EG_CTL_OK && (ctl->rounds == 0 || i < ctl->rounds);
+       i++)
+    {
+      struct eg_ctl_answer answer;
+
+      if (i > 0)
+        nanosleep (&pause, NULL);
+      eg_ctl_call (ctl, "GET", "/status", NULL, &answer);
+      if (answer.status == 200)
+        print_change (ctl, &answer, &last);
+      else
+        result = eg_ctl_fail (ctl, &answer);
+      eg_ctl_answer_finish (&answer);
+    }
+  eg_buffer_finish (&last);
+  return result;
+}
--- a/router/decision.c
+++ b/router/decision.c
@@ -291,6 +291,7 @@
       .servers = self->fleet.servers,
       .metrics = eg_dispatcher_metrics (self->dispatcher),
       .ruleset = self->ruleset,
+      .vms = &self->fleet.vms,
       .now_us = eg_clock_now_us (),
   };
 
--- a/router/decision.h
+++ b/router/decision.h
@@ -5,6 +5,7 @@
 #ifndef EG_ROUTER_DECISION_H
 #define EG_ROUTER_DECISION_H
 
+#include "platform/vms.h"
 #include "policy/lifecycle.h"
 #include "router/call.h"
 #include "router/metrics.h"
@@ -58,6 +59,7 @@
   const struct eg_servers *servers;
   const struct eg_metrics *metrics;
   const struct eg_ruleset *ruleset;
+  const struct eg_vm_list *vms; /**< The platform's, as last read. */
   int64_t now_us;
 };
 
--- a/router/operators.c
+++ b/router/operators.c
@@ -1,115 +1,167 @@
 #include "router/operators.h"
 
 #include <civetweb.h>
-#include <inttypes.h>
 #include <stdlib.h>
+#include <string.h>
 
-#define THREADS "4"
+#include "router/operators_page.h"
+#include "router/operators_rules.h"
+#include "router/operators_status.h"
+
+/* An edit may wait for the store while scrapers come. */
+#define THREADS "16"
+#define BODY_CHUNK_BYTES 4096
+/* A text of rules may grow by its escapes. */
+#define BODY_BYTES_MAX (2 * EG_RULES_BYTES_MAX)
 
 struct eg_operators
 {
-  struct eg_decision *decision;
+  struct eg_operators_parts parts;
   struct mg_context *server;
 };
 
-static void
-write_metrics (void *context, const struct eg_decision_view *view)
+struct route
 {
-  struct eg_buffer *text = context;
-  struct eg_lifecycle_counts counts = eg_lifecycle_counts (view->lifecycle);
-  const struct eg_metrics_gauge gauges[] = {
-      {"eelgrass_arrived_total", "counter", "Requests that reached a decision",
-       (double) counts.arrived},
-      {"eelgrass_attempts_total", "counter", "Attempts on backend servers",
-       (double) counts.attempts},
-      {"eelgrass_retries_total", "counter", "Attempts after the first",
-       (double) counts.retries},
-      {"eelgrass_resumed_total", "counter",
-       "Attempts that went on in the middle of an answer",
-       (double) counts.resumed},
-      {"eelgrass_late_tokens_total", "counter",
-       "Tokens dropped, as their attempt was not the last",
-       (double) counts.late_tokens},
-      {"eelgrass_queued", "gauge", "Requests that wait",
-       (double) counts.queued},
-      {"eelgrass_running", "gauge", "Requests with an attempt",
-       (double) counts.running},
-  };
+  const char *method;
+  const char *path;
+  bool open; /* Whether it needs no token. */
+  eg_operators_handler *handle;
+};
 
-  for (size_t i = 0; i < sizeof gauges / sizeof gauges[0]; i++)
-    eg_metrics_write_gauge (text, &gauges[i]);
-  eg_metrics_write (view->metrics, text);
+static const struct route routes[] = {
+    {"GET", "/", true, eg_operators_get_page},
+    {"GET", "/metrics", true, eg_operators_get_metrics},
+    {"GET", "/status", false, eg_operators_get_status},
+    {"GET", "/nodes", false, eg_operators_get_nodes},
+    {"GET", "/servers", false, eg_operators_get_servers},
+    {"GET", "/rules", false, eg_operators_get_rules},
+    {"POST", "/rules", false, eg_operators_edit_rules},
+    {"POST", "/rules/check", false, eg_operators_check_rules},
+    {"POST", "/drain", false, eg_operators_drain},
+};
+
+static const struct route *
+find_route (const struct mg_request_info *info,
+            struct eg_operators_answer *answer)
+{
+  bool known = false;
+
+  for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
+    if (strcmp (routes[i].path, info->local_uri) == 0)
+      {
+        if (strcmp (routes[i].method, info->request_method) == 0)
+          return &routes[i];
+        known = true;
+      }
+  if (known)
+    eg_operators_refuse (answer, 405, "method", "the path has other methods");
+  else
+    eg_operators_refuse (answer, 404, "unknown-path", "there is no such path");
+  return NULL;
 }
 
-static void
-write_server (struct eg_buffer *json,
-              const struct eg_servers *servers,
-              uint32_t index,
-              int64_t now_us)
+/* Takes the same time for each @p shown of one length, right or wrong. */
+static bool
+tokens_equal (struct eg_str shown, struct eg_str token)
 {
-  const struct eg_server *server = eg_servers_get (servers, index);
-
-  eg_buffer_printf (
-      json,
-      "%s{\"address\":\"%s\",\"failure_domain\":\"%s\",\"service\":\"%s\","
-      "\"model\":\"%s\",\"layers\":[%u,%u],\"usable\":%s,\"stops\":%u,"
-      "\"in_flight\":%u,\"load\":%u}",
-      json->len > 1 ? "," : "", server->address, server->failure_domain,
-      server->report.service, server->report.model, server->report.first_layer,
-      server->report.last_layer,
-      eg_servers_usable (servers, index, now_us) ? "true" : "false",
-      server->stops, server->in_flight, eg_servers_load (servers, index));
+  unsigned difference = shown.len != token.len;
+
+  for (size_t i = 0; i < shown.len; i++)
+    difference |= (unsigned char) shown.data[i]
+                  ^ (unsigned char) token.data[token.len ? i % token.len : 0];
+  return difference == 0;
 }
 
-static void
-write_servers (void *context, const struct eg_decision_view *view)
+static bool
+may_pass (const struct eg_operators *self,
+          struct mg_connection *connection,
+          struct eg_operators_answer *answer)
 {
-  struct eg_buffer *json = context;
+  struct eg_str scheme = EG_STR ("Bearer ");
+  struct eg_str token = eg_str_from (self->parts.settings->operators_token);
+  struct eg_str shown =
+      eg_str_from (mg_get_header (connection, "Authorization"));
 
-  eg_buffer_append (json, EG_STR ("["));
-  for (uint32_t i = 0; i < eg_servers_count (view->servers); i++)
+  if (token.len == 0)
     {
-      const struct eg_server *server = eg_servers_get (view->servers, i);
-
-      if (server && *server->address)
-        write_server (json, view->servers, i, view->now_us);
+      eg_operators_refuse (answer, 403, "no-token-set",
+                           "the settings of this entry VM have no "
+                           "operators.token, so it takes no commands");
+      return false;
+    }
+  if (eg_str_starts_with (shown, scheme))
+    {
+      shown.data += scheme.len;
+      shown.len -= scheme.len;
+      if (tokens_equal (shown, token))
+        return true;
     }
-  eg_buffer_append (json, EG_STR ("]"));
+  eg_operators_refuse (answer, 401, "token",
+                       "expected 'Authorization: Bearer TOKEN' with the token "
+                       "of the operators");
+  return false;
 }
 
-static int
-answer (struct mg_connection *connection,
-        struct eg_operators *self,
-        const char *content_type,
-        void (*write) (void *context, const struct eg_decision_view *view))
+static bool
+read_body (struct mg_connection *connection,
+           struct eg_buffer *body,
+           struct eg_operators_answer *answer)
 {
-  struct eg_buffer body = {0};
-
-  if (eg_decision_inquire (self->decision, write, &body))
+  long long stated = mg_get_request_info (connection)->content_length;
+  char chunk[BODY_CHUNK_BYTES];
+  int len = 0;
+
+  if (stated <= (long long) BODY_BYTES_MAX)
+    while (body->len <= BODY_BYTES_MAX
+           && (len = mg_read (connection, chunk, sizeof chunk)) > 0)
+      eg_buffer_append (body, (struct eg_str){chunk, (size_t) len});
+  if (stated > (long long) BODY_BYTES_MAX || body->len > BODY_BYTES_MAX)
     {
-      mg_printf (connection,
-                 "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n"
-                 "Content-Length: %zu\r\n\r\n",
-                 content_type, body.len);
-      mg_write (connection, eg_buffer_text (&body), body.len);
+      eg_operators_refuse (answer, 413, "too-large", "the body is too long");
+      return false;
     }
-  else
-    mg_send_http_error (connection, 503, "%s", "too busy");
-  eg_buffer_finish (&body);
-  return 200;
+  if (len < 0 || (stated >= 0 && body->len != (size_t) stated))
+    {
+      eg_operators_refuse (answer, 400, "malformed",
+                           "the body ended before its stated length");
+      return false;
+    }
+  return true;
 }
 
-static int
-handle_metrics (struct mg_connection *connection, void *context)
+static void
+send_answer (struct mg_connection *connection,
+             struct eg_operators_answer *answer)
 {
-  return answer (connection, context, "text/plain; version=0.0.4",
-                 write_metrics);
+  int status = answer->status ? answer->status : 200;
+
+  /* What was not read of a body would be taken for the next request. */
+  mg_printf (connection,
+             "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
+             "Cache-Control: no-store\r\nX-Content-Type-Options: nosniff\r\n"
+             "%s\r\n",
+             status, mg_get_response_code_text (connection, status),
+             answer->content_type ? answer->content_type : "application/json",
+             answer->body.len, status < 400 ? "" : "Connection: close\r\n");
+  mg_write (connection, eg_buffer_text (&answer->body), answer->body.len);
 }
 
 static int
-handle_servers (struct mg_connection *connection, void *context)
+handle_request (struct mg_connection *connection, void *context)
 {
-  return answer (connection, context, "application/json", write_servers);
+  const struct eg_operators *self = context;
+  struct eg_operators_answer answer = {0};
+  struct eg_buffer body = {0};
+  const struct route *route =
+      find_route (mg_get_request_info (connection), &answer);
+
+  if (route && (route->open || may_pass (self, connection, &answer))
+      && read_body (connection, &body, &answer))
+    route->handle (&self->parts, eg_buffer_view (&body), &answer);
+  send_answer (connection, &answer);
+  eg_buffer_finish (&body);
+  eg_buffer_finish (&answer.body);
+  return answer.status ? answer.status : 200;
 }
 
 struct eg_operators *
@@ -128,7 +180,7 @@
   };
 
   EG_INVARIANT (self != NULL);
-  self->decision = decision;
+  self->parts = (struct eg_operators_parts){settings, decision};
   self->server = mg_start (&callbacks, self, options);
   if (!self->server)
     {
@@ -137,8 +189,7 @@
       free (self);
       return NULL;
     }
-  mg_set_request_handler (self->server, "/metrics$", handle_metrics, self);
-  mg_set_request_handler (self->server, "/servers$", handle_servers, self);
+  mg_set_request_handler (self->server, "/", handle_request, self);
   return self;
 }
 
--- /dev/null
+++ b/router/operators_status.c
@@ -0,0 +1,233 @@
+#include "router/operators_status.h"
+
+#include <inttypes.h>
+
+#include "http/json.h"
+
+static void
+write_metrics (void *context, const struct eg_decision_view *view)
+{
+  struct eg_buffer *text = context;
+  struct eg_lifecycle_counts counts = eg_lifecycle_counts (view->lifecycle);
+  const struct eg_metrics_gauge gauges[] = {
+      {"eelgrass_arrived_total", "counter", "Requests that reached a decision",
+       (double) counts.arrived},
+      {"eelgrass_attempts_total", "counter", "Attempts on backend servers",
+       (double) counts.attempts},
+      {"eelgrass_retries_total", "counter", "Attempts after the first",
+       (double) counts.retries},
+      {"eelgrass_resumed_total", "counter",
+       "Attempts that went on in the middle of an answer",
+       (double) counts.resumed},
+      {"eelgrass_late_tokens_total", "counter",
+       "Tokens dropped, as their attempt was not the last",
+       (double) counts.late_tokens},
+      {"eelgrass_queued", "gauge", "Requests that wait",
+       (double) counts.queued},
+      {"eelgrass_running", "gauge", "Requests with an attempt",
+       (double) counts.running},
+  };
+
+  for (size_t i = 0; i < sizeof gauges / sizeof gauges[0]; i++)
+    eg_metrics_write_gauge (text, &gauges[i]);
+  eg_metrics_write (view->metrics, text);
+}
+
+static void
+write_server (struct eg_buffer *json,
+              const struct eg_servers *servers,
+              uint32_t index,
+              int64_t now_us)
+{
+  const struct eg_server *server = eg_servers_get (servers, index);
+
+  eg_buffer_printf (
+      json,
+      "%s{\"address\":\"%s\",\"failure_domain\":\"%s\",\"service\":\"%s\","
+      "\"model\":\"%s\",\"layers\":[%u,%u],\"usable\":%s,\"stops\":%u,"
+      "\"in_flight\":%u,\"load\":%u}",
+      json->len > 1 ? "," : "", server->address, server->failure_domain,
+      server->report.service, server->report.model, server->report.first_layer,
+      server->report.last_layer,
+      eg_servers_usable (servers, index, now_us) ? "true" : "false",
+      server->stops, server->in_flight, eg_servers_load (servers, index));
+}
+
+static void
+write_servers (void *context, const struct eg_decision_view *view)
+{
+  struct eg_buffer *json = context;
+
+  eg_buffer_append (json, EG_STR ("["));
+  for (uint32_t i = 0; i < eg_servers_count (view->servers); i++)
+    {
+      const struct eg_server *server = eg_servers_get (view->servers, i);
+
+      if (server && *server->address)
+        write_server (json, view->servers, i, view->now_us);
+    }
+  eg_buffer_append (json, EG_STR ("]"));
+}
+
+void
+eg_operators_get_metrics (const struct eg_operators_parts *parts,
+                          struct eg_str body,
+                          struct eg_operators_answer *answer)
+{
+  (void) body;
+  answer->content_type = "text/plain; version=0.0.4";
+  eg_operators_inquire (parts, write_metrics, &answer->body, answer);
+}
+
+void
+eg_operators_get_servers (const struct eg_operators_parts *parts,
+                          struct eg_str body,
+                          struct eg_operators_answer *answer)
+{
+  (void) body;
+  eg_operators_inquire (parts, write_servers, &answer->body, answer);
+}
+
+/* A status is written with the settings beside the view. */
+struct writing
+{
+  const struct eg_router_settings *settings;
+  struct eg_buffer *json;
+};
+
+static void
+append_member (struct eg_buffer *json, const char *name, const char *text)
+{
+  eg_buffer_printf (json, "\"%s\":", name);
+  eg_json_append_string (json, eg_str_from (text));
+}
+
+static unsigned
+count_usable (const struct eg_servers *servers, int64_t now_us)
+{
+  unsigned usable = 0;
+
+  for (uint32_t i = 0; i < eg_servers_count (servers); i++)
+    usable += eg_servers_usable (servers, i, now_us);
+  return usable;
+}
+
+static unsigned
+count_known (const struct eg_servers *servers)
+{
+  unsigned known = 0;
+
+  for (uint32_t i = 0; i < eg_servers_count (servers); i++)
+    {
+      const struct eg_server *server = eg_servers_get (servers, i);
+
+      known += server && *server->address;
+    }
+  return known;
+}
+
+static void
+write_status (void *context, const struct eg_decision_view *view)
+{
+  struct writing *writing = context;
+  struct eg_buffer *json = writing->json;
+  struct eg_lifecycle_counts counts = eg_lifecycle_counts (view->lifecycle);
+
+  eg_buffer_append (json, EG_STR ("{"));
+  append_member (json, "node", writing->settings->name);
+  eg_buffer_append (json, EG_STR (","));
+  append_member (json, "failure_domain", writing->settings->failure_domain);
+  eg_buffer_printf (json,
+                    ",\"program\":\"%s\",\"version\":%" PRIu64
+                    ",\"queued\":%" PRIu64 ",\"running\":%" PRIu64 ","
+                    "\"servers\":%u,\"usable\":%u}",
+                    EG_VERSION, eg_ruleset_version (view->ruleset),
+                    counts.queued, counts.running, count_known (view->servers),
+                    count_usable (view->servers, view->now_us));
+}
+
+void
+eg_operators_get_status (const struct eg_operators_parts *parts,
+                         struct eg_str body,
+                         struct eg_operators_answer *answer)
+{
+  struct writing writing = {parts->settings, &answer->body};
+
+  (void) body;
+  eg_operators_inquire (parts, write_status, &writing, answer);
+}
+
+/* One entry VM, as this node knows it. */
+struct node
+{
+  const char *name; /* Or its address, where the name is not known. */
+  const char *failure_domain;
+  const char *state;
+  bool heard; /* Whether its version is known. */
+  uint64_t version;
+};
+
+static void
+write_node (struct eg_buffer *json, const struct node *node)
+{
+  eg_buffer_append (json, json->len > 1 ? EG_STR (",{") : EG_STR ("{"));
+  append_member (json, "node", node->name);
+  eg_buffer_append (json, EG_STR (","));
+  append_member (json, "failure_domain", node->failure_domain);
+  eg_buffer_append (json, EG_STR (","));
+  append_member (json, "state", node->state);
+  if (node->heard)
+    eg_buffer_printf (json, ",\"version\":%" PRIu64 "}", node->version);
+  else
+    eg_buffer_append (json, EG_STR (",\"version\":null}"));
+}
+
+static void
+write_listed_nodes (const struct eg_router_settings *settings,
+                    const struct eg_vm_list *vms,
+                    struct eg_buffer *json)
+{
+  for (size_t i = 0; i < vms->count; i++)
+    {
+      const struct eg_vm *vm = &vms->vms[i];
+      const struct node node = {
+          .name = vm->address,
+          .failure_domain = vm->failure_domain,
+          .state = vm->leaving ? "leaving" : "listed",
+      };
+      bool self = eg_str_equal (eg_str_from (vm->address),
+                                eg_str_from (settings->listen_callers));
+
+      if (vm->entry && !self)
+        write_node (json, &node);
+    }
+}
+
+static void
+write_nodes (void *context, const struct eg_decision_view *view)
+{
+  struct writing *writing = context;
+  const struct node self = {
+      .name = writing->settings->name,
+      .failure_domain = writing->settings->failure_domain,
+      .state = "live",
+      .heard = true,
+      .version = eg_ruleset_version (view->ruleset),
+  };
+
+  eg_buffer_append (writing->json, EG_STR ("["));
+  write_node (writing->json, &self);
+  write_listed_nodes (writing->settings, view->vms, writing->json);
+  eg_buffer_append (writing->json, EG_STR ("]"));
+}
+
+void
+eg_operators_get_nodes (const struct eg_operators_parts *parts,
+                        struct eg_str body,
+                        struct eg_operators_answer *answer)
+{
+  struct writing writing = {parts->settings, &answer->body};
+
+  (void) body;
+  eg_operators_inquire (parts, write_nodes, &writing, answer);
+}
--- a/router/ruleset.c
+++ b/router/ruleset.c
@@ -264,17 +264,25 @@
                        int64_t now_us)
 {
   const struct eg_rule_edit_request request = {
-      .id = eg_random_system_seed (),
+      .id = edit->id ? edit->id : eg_random_system_seed (),
       .who = eg_str_from (edit->who),
       .text = edit->text,
       .base_version = edit->base_version,
       .wall_ms = eg_clock_wall_us () / EG_US_PER_MS,
       .deadline_us = now_us + edit->timeout_us,
   };
+  struct eg_ruleset_result accepted = {.action = EG_RULE_EDIT_ACCEPTED};
   struct eg_ruleset_result outrun = {.action = EG_RULE_EDIT_OUTRUN,
                                      .version = self->version};
   struct edit_state *state;
 
+  /* An operator who got no reply sends the same edit again. */
+  if (edit->id && eg_rule_document_find (&self->document, edit->id))
+    {
+      accepted.version = self->version;
+      edit->done (edit->context, &accepted);
+      return;
+    }
   /* The history of another version cannot be written on. */
   if (edit->base_version != self->version)
     {
--- a/router/ruleset.h
+++ b/router/ruleset.h
@@ -21,6 +21,7 @@
 /** An edit that an operator asks for. */
 struct eg_ruleset_edit
 {
+  uint64_t id; /**< Given by the operator; 0 has one made. */
   char who[EG_NAME_BYTES];
   struct eg_str text;    /**< Copied. */
   uint64_t base_version; /**< That the operator saw. */
