--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -105,9 +105,10 @@
     {
       const struct command *command = &commands[i];
 
-      eg_ctl_printf (
-          out, " ", "%s%s%s %s", command->group ? command->group : "",
-          command->group ? " " : "", command->name, command->arguments);
+      eg_ctl_printf (out, " ", "%s%s%s%s%s",
+                     command->group ? command->group : "",
+                     command->group ? " " : "", command->name,
+                     *command->arguments ? " " : "", command->arguments);
       eg_ctl_printf (out, "    ", "%s", command->help);
     }
 }
--- a/ctl/document.c
+++ b/ctl/document.c
@@ -150,6 +150,7 @@
 /* Sends an edit until its outcome is known; the id keeps it a single one. */
 static bool
 send_until_known (const struct eg_ctl *ctl,
+                  const char *path,
                   json_t *request,
                   struct eg_ctl_answer *answer)
 {
@@ -163,7 +164,7 @@
           eg_ctl_answer_finish (answer);
           nanosleep (&pause, NULL);
         }
-      eg_ctl_call (ctl, "POST", "/rules", request, answer);
+      eg_ctl_call (ctl, "POST", path, request, answer);
       doubt = doubt || says_unknown (answer);
       /* After a doubt, only the history or a newer edit settles it. */
       if (answer->status == 200 || answer->status == 409)
@@ -196,28 +197,27 @@
 }
 
 int
-eg_ctl_send_text (const struct eg_ctl *ctl,
-                  struct eg_str text,
-                  int64_t base_version,
-                  struct eg_str own)
+eg_ctl_send (const struct eg_ctl *ctl,
+             const char *path,
+             json_t *request,
+             struct eg_str own)
 {
   struct eg_ctl_answer answer;
   char id[ID_BYTES];
-  json_t *request;
-  int result = eg_ctl_check_text (ctl, text);
+  json_t *who = json_string (ctl->who);
+  int result;
 
-  if (result != EG_CTL_OK)
-    return result;
-  snprintf (id, sizeof id, "%016" PRIx64, eg_random_system_seed ());
-  request = json_pack ("{s:s, s:I, s:s%, s:s}", "who", ctl->who, "base_version",
-                       (json_int_t) base_version, "text",
-                       text.data ? text.data : "", text.len, "id", id);
-  if (!request)
+  if (!request || !who)
     {
-      eg_ctl_printf (ctl->err, "", "the text or the name is not UTF-8");
+      eg_ctl_printf (ctl->err, "", "The text or the name is not UTF-8.");
+      json_decref (request);
+      json_decref (who);
       return EG_CTL_REFUSED;
     }
-  if (send_until_known (ctl, request, &answer))
+  snprintf (id, sizeof id, "%016" PRIx64, eg_random_system_seed ());
+  json_object_set_new (request, "who", who);
+  json_object_set_new (request, "id", json_string (id));
+  if (send_until_known (ctl, path, request, &answer))
     result = report (ctl, &answer, id, own);
   else
     {
@@ -231,3 +231,20 @@
   eg_ctl_answer_finish (&answer);
   return result;
 }
+
+int
+eg_ctl_send_text (const struct eg_ctl *ctl,
+                  struct eg_str text,
+                  int64_t base_version,
+                  struct eg_str own)
+{
+  int result = eg_ctl_check_text (ctl, text);
+
+  if (result != EG_CTL_OK)
+    return result;
+  return eg_ctl_send (ctl, "/rules",
+                      json_pack ("{s:I, s:s%}", "base_version",
+                                 (json_int_t) base_version, "text",
+                                 text.data ? text.data : "", text.len),
+                      own);
+}
--- a/ctl/document.h
+++ b/ctl/document.h
@@ -39,6 +39,16 @@
                       int64_t base_version,
                       struct eg_str own);
 
+/**
+ * Sends an edit that the node works out itself; @p request is given its `who`
+ * and `id`, and is taken over.
+ * @return as eg_ctl_send_text().
+ */
+int eg_ctl_send (const struct eg_ctl *ctl,
+                 const char *path,
+                 json_t *request,
+                 struct eg_str own);
+
 /** Prints one edit of the history. */
 void eg_ctl_print_edit (const struct eg_ctl *ctl,
                         const struct eg_rule_edit_record *edit);
--- a/ctl/rules_commands.c
+++ b/ctl/rules_commands.c
@@ -13,6 +13,14 @@
 #define FILE_CHUNK_BYTES 4096
 #define HEXADECIMAL 16
 
+static const char reference_head[] =
+    "# Rules\n\n"
+    "One rule a line: `verb key=value ... # who asked, and why`. The comment\n"
+    "is part of the rule: a line that names no one is refused. Empty lines\n"
+    "and lines that begin with `#` are kept as they are. Two lines about the\n"
+    "same contradict each other and are refused.\n\n"
+    "This page is what `eelgrassctl rules reference` prints.\n\n";
+
 static int
 usage (const struct eg_ctl *ctl, const char *message)
 {
@@ -252,41 +260,19 @@
 eg_ctl_drain (const struct eg_ctl *ctl)
 {
   const char *server = ctl->words[1];
-  struct eg_ctl_document current;
-  struct eg_rules rules;
-  struct eg_buffer line = {0};
-  const char *removed = NULL;
+  const char *asked = ctl->words[2];
   int result = need_who (ctl);
 
-  if (result == EG_CTL_OK && !eg_settings_is_address (server))
-    result = usage (ctl, "drain: expected IP:PORT of a server.");
-  if (result == EG_CTL_OK && !ctl->off && !ctl->words[2])
-    result = usage (ctl, "drain: say who asked, and why.");
   if (result != EG_CTL_OK)
     return result;
-  result = eg_ctl_document_init (&current, ctl);
-  eg_rules_init (&rules, eg_buffer_view (&current.document.text));
-  for (size_t i = 0; ctl->off && i < rules.count; i++)
-    if (rules.rules[i].verb == EG_VERB_DRAIN
-        && eg_str_equal (rules.rules[i].values[EG_DRAIN_SERVER].text,
-                         eg_str_from (server)))
-      eg_buffer_printf (&line, "%.*s", EG_STR_ARGS (rules.rules[i].text));
-  if (ctl->off)
-    removed = eg_buffer_text (&line);
-  else
-    eg_buffer_printf (&line, "drain server=%s # %s", server, ctl->words[2]);
-  if (result == EG_CTL_OK && line.len == 0)
-    {
-      eg_ctl_printf (ctl->err, "", "No rule drains %s.", server);
-      result = EG_CTL_REFUSED;
-    }
-  else if (result == EG_CTL_OK)
-    result = edit_line (ctl, &current, removed,
-                        ctl->off ? NULL : eg_buffer_text (&line));
-  eg_rules_finish (&rules);
-  eg_buffer_finish (&line);
-  eg_ctl_document_finish (&current);
-  return result;
+  if (!eg_settings_is_address (server))
+    return usage (ctl, "drain: expected IP:PORT of a server.");
+  if (!ctl->off == !asked)
+    return usage (ctl, "drain: say who asked, and why; or give --off.");
+  return eg_ctl_send (ctl, "/drain",
+                      json_pack ("{s:s, s:b, s:s}", "server", server, "drain",
+                                 !ctl->off, "asked", asked ? asked : ""),
+                      (struct eg_str){0});
 }
 
 /* History. */
@@ -386,8 +372,10 @@
 {
   struct eg_buffer text = {0};
 
+  eg_buffer_append (&text, eg_str_from (reference_head));
   eg_rule_verbs_write_reference (&text);
-  fwrite (text.data, 1, text.len, ctl->out);
+  /* The last row ends the page. */
+  fwrite (text.data, 1, text.len - 1, ctl->out);
   eg_buffer_finish (&text);
   return EG_CTL_OK;
 }
--- a/router/operators_rules.c
+++ b/router/operators_rules.c
@@ -14,6 +14,7 @@
 
 #define EDIT_TIMEOUT_US (4 * EG_US_PER_S)
 #define ID_TEXT_BYTES 17
+#define HEXADECIMAL 16
 #define ASKED_BYTES 256
 
 /* Reading. */
@@ -65,8 +66,8 @@
 is_plain_text (struct eg_str text)
 {
   for (size_t i = 0; i < text.len; i++)
-    if (iscntrl ((unsigned char) text.data[i])
-        && !memchr ("\n\r\t", text.data[i], 3))
+    if (iscntrl ((unsigned char) text.data[i]) && text.data[i] != '\n'
+        && text.data[i] != '\r' && text.data[i] != '\t')
       return false;
   return true;
 }
@@ -321,6 +322,25 @@
          && strspn (text, "0123456789abcdef") == ID_TEXT_BYTES - 1;
 }
 
+/* Returns 0 where none is given. */
+static uint64_t
+id_of (const char *text)
+{
+  return strtoull (text, NULL, HEXADECIMAL);
+}
+
+static enum eg_status
+check_sender (const char *who, const char *id, struct eg_error *error)
+{
+  if (!is_name (who))
+    return eg_error_set (error, EG_INVALID,
+                         "field 'who': expected the operator's name");
+  if (*id && !is_id (id))
+    return eg_error_set (error, EG_INVALID,
+                         "field 'id': expected 16 digits 0-9, a-f");
+  return EG_OK;
+}
+
 static enum eg_status
 read_edit_request (json_t *object,
                    struct edit_request *request,
@@ -336,14 +356,10 @@
   enum eg_status status =
       eg_json_read (object, members, sizeof members / sizeof members[0], error);
 
+  if (status == EG_OK)
+    status = check_sender (request->who, request->id, error);
   if (status != EG_OK)
     return status;
-  if (!is_name (request->who))
-    return eg_error_set (error, EG_INVALID,
-                         "field 'who': expected the operator's name");
-  if (*request->id && !is_id (request->id))
-    return eg_error_set (error, EG_INVALID,
-                         "field 'id': expected 16 digits 0-9, a-f");
   if (!request->text.data == !request->edits)
     return eg_error_set (error, EG_INVALID,
                          "expected one of the fields 'text' and 'edits'");
@@ -402,7 +418,7 @@
   else if (snapshot.version > (uint64_t) request->base_version)
     {
       /* It may have come in since the caller looked. */
-      if (!is_repeat (parts, strtoull (request->id, NULL, 16), answer))
+      if (!is_repeat (parts, id_of (request->id), answer))
         answer_outrun (parts, answer);
     }
   else if (snapshot.version < (uint64_t) request->base_version)
@@ -437,7 +453,7 @@
       goto out;
     }
   eg_str_copy (eg_str_from (request.who), edit.who, sizeof edit.who);
-  edit.id = strtoull (request.id, NULL, 16);
+  edit.id = id_of (request.id);
   edit.base_version = (uint64_t) request.base_version;
   edit.text = request.text;
   if (is_repeat (parts, edit.id, answer))
@@ -478,6 +494,7 @@
   char who[EG_NAME_BYTES];
   char server[EG_ADDRESS_BYTES];
   char asked[ASKED_BYTES];
+  char id[ID_TEXT_BYTES];
   bool drain;
 };
 
@@ -491,15 +508,15 @@
       {"server", EG_JSON_TEXT, true, request->server, sizeof request->server},
       {"drain", EG_JSON_BOOLEAN, true, &request->drain, 0},
       {"asked", EG_JSON_TEXT, false, request->asked, sizeof request->asked},
+      {"id", EG_JSON_TEXT, false, request->id, sizeof request->id},
   };
   enum eg_status status =
       eg_json_read (object, members, sizeof members / sizeof members[0], error);
 
+  if (status == EG_OK)
+    status = check_sender (request->who, request->id, error);
   if (status != EG_OK)
     return status;
-  if (!is_name (request->who))
-    return eg_error_set (error, EG_INVALID,
-                         "field 'who': expected the operator's name");
   if (!eg_settings_is_address (request->server))
     return eg_error_set (error, EG_INVALID, "field 'server': expected IP:PORT");
   if (strpbrk (request->asked, "\n\r"))
@@ -513,7 +530,10 @@
             const struct snapshot *snapshot,
             struct eg_operators_answer *answer)
 {
-  struct eg_ruleset_edit edit = {.base_version = snapshot->version};
+  struct eg_ruleset_edit edit = {
+      .id = id_of (request->id),
+      .base_version = snapshot->version,
+  };
   struct eg_buffer line = {0};
   struct eg_buffer text = {0};
   struct eg_str now = eg_buffer_view (&snapshot->text);
@@ -542,13 +562,15 @@
                     struct eg_str body,
                     struct eg_operators_answer *answer)
 {
-  struct drain_request request = {{0}, {0}, {0}, false};
+  struct drain_request request = {0};
   struct snapshot snapshot = {0};
   struct eg_error error;
   json_t *object = eg_json_parse (body, &error);
 
   if (!object || read_drain (object, &request, &error) != EG_OK)
     eg_operators_refuse (answer, 400, "malformed", error.message);
+  else if (is_repeat (parts, id_of (request.id), answer))
+    ;
   else if (!eg_decision_inquire (parts->decision, take_snapshot, &snapshot))
     eg_operators_refuse (answer, 503, "busy", "the node is too busy");
   else
--- a/router/operators_rules.h
+++ b/router/operators_rules.h
@@ -20,7 +20,8 @@
  */
 eg_operators_handler eg_operators_edit_rules;
 
-/** `POST /drain`: `{"who","server","drain","asked"}`, an edit of one line. */
+/** `POST /drain`: `{"who","server","drain","asked","id"}`, an edit of one line.
+ */
 eg_operators_handler eg_operators_drain;
 
 #endif
--- a/router/settings.c
+++ b/router/settings.c
@@ -13,7 +13,7 @@
      FIELD (listen_callers), "Where callers come in"},
     {"listen.operators", EG_SETTING_ADDRESS, "", 0, EG_ADDRESS_BYTES, NULL,
      FIELD (listen_operators), "Where operators and metrics come in"},
-    {"operators.token", EG_SETTING_TEXT, "", 0, EG_TOKEN_BYTES, "",
+    {"operators.token", EG_SETTING_TEXT, "", 0, EG_OPERATORS_TOKEN_BYTES, "",
      FIELD (operators_token),
      "What operators show as bearer token; without one, all but /metrics is "
      "refused"},
--- a/router/settings.h
+++ b/router/settings.h
@@ -9,7 +9,7 @@
 #include "policy/request.h"
 
 /** Longest token of operators, with its final zero. */
-#define EG_TOKEN_BYTES 128
+#define EG_OPERATORS_TOKEN_BYTES 128
 
 /** The daemon's settings, as its table describes them. */
 struct eg_router_settings
@@ -20,7 +20,7 @@
   char listen_operators[EG_ADDRESS_BYTES];
   char platform_address[EG_ADDRESS_BYTES];
   char log_level[16];
-  char operators_token[EG_TOKEN_BYTES];
+  char operators_token[EG_OPERATORS_TOKEN_BYTES];
   int64_t caller_threads;
   int64_t body_max;
   int64_t tokens_max;
--- a/test/path_fixture.c
+++ b/test/path_fixture.c
@@ -21,39 +21,31 @@
     "log.level = \"error\"\n";
 
 #define VM(port, domain, service)                                              \
-  "{\"address\":\"127.0.0.1:" port "\",\"failure_domain\":\"" domain           \
+  "{\"address\":\"" EG_TEST_HOST port "\",\"failure_domain\":\"" domain        \
   "\",\"kind\":\"backend\",\"service\":\"" service "\",\"state\":\"live\"}"
 #define ENGINE(port, layers)                                                   \
-  "{\"listen\":\"127.0.0.1:" port "\",\"server\":\"e" port                     \
+  "{\"listen\":\"" EG_TEST_HOST port "\",\"server\":\"e" port                  \
   "\",\"service\":\"llm\",\"model\":\"m\",\"version\":\"1\","                  \
   "\"layers\":" layers                                                         \
   ",\"model_layers\":32,\"accelerator\":\"large\",\"slots\":8,\"token_us\":"   \
   "2000,\"prefill_us\":10,\"load_lag_ms\":50,\"checks_fencing\":true,"         \
   "\"kv_total\":100000,\"threads\":16}"
 
+/* clang-format off */
 /* Three servers for each half of the model, in two failure domains. */
 static const char standins_text[] =
-    "{\"admin\":\"" ADMIN "\",\"platform\":{\"listen\":\"" PLATFORM
-    "\",\"latency_ms\":0,\"vms\":[" VM ("17811", "a", "llm") "," VM ("17812", "a", "llm") "," VM ("17813", "b", "llm") "," VM (
-        "17814",
-        "a",
-        "llm") "," VM ("17815",
-                       "a",
-                       "llm") "," VM ("17816",
-                                      "b",
-                                      "llm") "," VM ("17821",
-                                                     "a",
-                                                     "app") "]},\"engines\":"
-                                                            "[" ENGINE (
-                                                                "17811",
-                                                                "[1,"
-                                                                "16]") "," ENGINE ("17812",
-                                                                                   "[1,16]") "," ENGINE ("17813",
-                                                                                                         "[1,16]") "," ENGINE ("17814",
-                                                                                                                               "[17,32]") "," ENGINE ("17815",
-                                                                                                                                                      "[17,32]") "," ENGINE ("17816",
-                                                                                                                                                                             "[17,32]") "],\"services\":[{\"listen\":\"" SERVICE
-                                                                                                                                                                                        "\",\"service\":\"app\",\"latency_ms\":1,\"slots\":8}]}";
+    "{\"admin\":\"" ADMIN "\",\"platform\":{\"listen\":\"" PLATFORM "\","
+    "\"latency_ms\":0,\"vms\":["
+    VM ("11", "a", "llm") "," VM ("12", "a", "llm") "," VM ("13", "b", "llm") ","
+    VM ("14", "a", "llm") "," VM ("15", "a", "llm") "," VM ("16", "b", "llm") ","
+    VM ("21", "a", "app")
+    "]},\"engines\":["
+    ENGINE ("11", "[1,16]") "," ENGINE ("12", "[1,16]") ","
+    ENGINE ("13", "[1,16]") "," ENGINE ("14", "[17,32]") ","
+    ENGINE ("15", "[17,32]") "," ENGINE ("16", "[17,32]")
+    "],\"services\":[{\"listen\":\"" SERVICE "\",\"service\":\"app\","
+    "\"latency_ms\":1,\"slots\":8}]}";
+/* clang-format on */
 
 #define SERVERS 7
 
@@ -217,8 +209,9 @@
 void
 path_raw (const char *bytes, bool half_close, struct eg_buffer *answer)
 {
-  struct sockaddr_in address = {.sin_family = AF_INET,
-                                .sin_port = htons (17801)};
+  struct sockaddr_in address = {
+      .sin_family = AF_INET,
+      .sin_port = htons ((uint16_t) atoi (EG_TEST_PORTS "01"))};
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   char chunk[1024];
   ssize_t len;
--- a/test/path_fixture.h
+++ b/test/path_fixture.h
@@ -9,11 +9,17 @@
 #include "router/operators.h"
 #include "standin/host.h"
 
-#define CALLERS "127.0.0.1:17801"
-#define OPERATORS "127.0.0.1:17802"
-#define PLATFORM "127.0.0.1:17800"
-#define ADMIN "127.0.0.1:17899"
-#define SERVICE "127.0.0.1:17821"
+/* First digits of all ports, so that several checkouts can be tested at once.
+ */
+#ifndef EG_TEST_PORTS
+#define EG_TEST_PORTS "178"
+#endif
+#define EG_TEST_HOST "127.0.0.1:" EG_TEST_PORTS
+#define CALLERS EG_TEST_HOST "01"
+#define OPERATORS EG_TEST_HOST "02"
+#define PLATFORM EG_TEST_HOST "00"
+#define ADMIN EG_TEST_HOST "99"
+#define SERVICE EG_TEST_HOST "21"
 
 struct path_fixture
 {
--- a/test/test_path.c
+++ b/test/test_path.c
@@ -172,9 +172,9 @@
   path_call ("POST", COMPLETIONS, organisation, body, answer);
 }
 
-static const char *const engines[] = {"127.0.0.1:17811", "127.0.0.1:17812",
-                                      "127.0.0.1:17813", "127.0.0.1:17814",
-                                      "127.0.0.1:17815", "127.0.0.1:17816"};
+static const char *const engines[] = {EG_TEST_HOST "11", EG_TEST_HOST "12",
+                                      EG_TEST_HOST "13", EG_TEST_HOST "14",
+                                      EG_TEST_HOST "15", EG_TEST_HOST "16"};
 
 #define ENGINES (sizeof engines / sizeof engines[0])
 
