--- a/test/path_fixture.c
+++ b/test/path_fixture.c
@@ -29,9 +29,9 @@
   const char *failure_domain;
   const char *layers;
 } engines[] = {
-    {"127.0.0.1:17811", "a", "[1,16]"},  {"127.0.0.1:17812", "a", "[1,16]"},
-    {"127.0.0.1:17813", "b", "[1,16]"},  {"127.0.0.1:17814", "a", "[17,32]"},
-    {"127.0.0.1:17815", "a", "[17,32]"}, {"127.0.0.1:17816", "b", "[17,32]"},
+    {EG_TEST_HOST "11", "a", "[1,16]"},  {EG_TEST_HOST "12", "a", "[1,16]"},
+    {EG_TEST_HOST "13", "b", "[1,16]"},  {EG_TEST_HOST "14", "a", "[17,32]"},
+    {EG_TEST_HOST "15", "a", "[17,32]"}, {EG_TEST_HOST "16", "b", "[17,32]"},
 };
 
 #define ENGINES (sizeof engines / sizeof engines[0])
@@ -121,8 +121,8 @@
 static void
 take_turn (void)
 {
-  int fd =
-      open ("/tmp/eelgrass-test-path.lock", O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+  int fd = open ("/tmp/eelgrass-test-path" EG_TEST_PORTS ".lock",
+                 O_CREAT | O_RDWR | O_CLOEXEC, 0600);
 
   EG_INVARIANT (fd >= 0 && flock (fd, LOCK_EX) == 0);
 }
@@ -283,8 +283,9 @@
 void
 path_raw (const char *bytes, bool half_close, struct eg_buffer *answer)
 {
-  struct sockaddr_in address = {.sin_family = AF_INET,
-                                .sin_port = htons (17801)};
+  struct sockaddr_in address = {
+      .sin_family = AF_INET,
+      .sin_port = htons ((uint16_t) atoi (EG_TEST_PORTS "01"))};
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   char chunk[1024];
   ssize_t len;
