--- a/policy/membership.c
+++ b/policy/membership.c
@@ -48,7 +48,7 @@
     {
       size_t capacity = self->capacity ? self->capacity * 2 : CAPACITY_START;
       struct eg_member **grown =
-          realloc (self->members, capacity * sizeof *grown);
+          realloc (self->members, capacity * sizeof (void *));
 
       if (!grown)
         return false;
@@ -71,7 +71,7 @@
   free (self->members[position]);
   self->count--;
   memmove (self->members + position, self->members + position + 1,
-           (self->count - position) * sizeof *self->members);
+           (self->count - position) * sizeof (void *));
 }
 
 struct eg_member *
--- a/policy/overlay.c
+++ b/policy/overlay.c
@@ -92,7 +92,7 @@
       struct ring ring = ring_at (membership, i);
       size_t distance;
 
-      if (ring.size == 0)
+      if (ring.size == 0 || domain_count == 0)
         continue;
       distance = (index++ + domain_count - own) % domain_count;
       /* A power of two. */
--- a/policy/rumours.c
+++ b/policy/rumours.c
@@ -103,7 +103,8 @@
   while ((fact = eg_map_next (&self->facts, &cursor)))
     if (!first || goes_before (fact, first))
       first = fact;
-  forget (self, first);
+  if (first)
+    forget (self, first);
 }
 
 bool
