--- a/backend/engine.c
+++ b/backend/engine.c
@@ -176,7 +176,10 @@
   /* Clocks differ between VMs: a report is never newer than its arrival. */
   if (report->as_of_us > now_us)
     report->as_of_us = now_us;
-  if (!read_layers (layers, report))
+  report->unloaded = *report->model == '\0';
+  if (report->unloaded)
+    report->model_layers = 0;
+  else if (!read_layers (layers, report))
     status = eg_error_set (error, EG_INVALID,
                            "field 'layers': expected [first, last] within "
                            "1 to model_layers");
--- /dev/null
+++ b/policy/lease.c
@@ -0,0 +1,239 @@
+#include "policy/lease.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/status.h"
+
+void
+eg_lease_init (struct eg_lease *self,
+               const struct eg_lease_config *config,
+               uint64_t incarnation,
+               struct eg_str holder)
+{
+  *self = (struct eg_lease){.config = config};
+  self->next.incarnation = incarnation;
+  eg_str_copy (holder, self->next.holder, sizeof self->next.holder);
+}
+
+/* Counts the lease from @p from_us, a time before the write took effect. */
+static void
+extend (struct eg_lease *self, int64_t from_us)
+{
+  int64_t until_us =
+      from_us + self->config->duration_us - self->config->drift_us;
+
+  if (until_us > self->valid_until_us)
+    self->valid_until_us = until_us;
+}
+
+static void
+see (struct eg_lease *self, uint64_t version, bool ours, int64_t now_us)
+{
+  if (!self->seen || version != self->version)
+    self->seen_us = now_us;
+  self->seen = true;
+  self->in_doubt = false;
+  self->checked_us = now_us;
+  self->version = version;
+  self->ours = ours;
+  self->confirmed_us = ours ? self->sent_us : 0;
+  self->confirming = false;
+  if (!ours)
+    self->valid_until_us = 0;
+}
+
+static void
+take_found (struct eg_lease *self,
+            uint64_t version,
+            const struct eg_lease_record *found,
+            int64_t now_us)
+{
+  bool ours = found->incarnation == self->next.incarnation;
+
+  see (self, version, ours, now_us);
+  /* An older write of ours that came late starts no time of its own: it is
+     renewed at once instead. */
+  if (ours && found->sequence == self->next.sequence)
+    extend (self, self->written_us);
+}
+
+static void
+take_reply (struct eg_lease *self,
+            enum eg_lease_event event,
+            uint64_t version,
+            const struct eg_lease_record *found,
+            int64_t now_us)
+{
+  switch (event)
+    {
+    case EG_LEASE_FOUND:
+      take_found (self, version, found, now_us);
+      return;
+    case EG_LEASE_MISSING:
+      see (self, 0, false, now_us);
+      return;
+    case EG_LEASE_WRITTEN:
+      see (self, version, true, now_us);
+      extend (self, self->sent_us);
+      return;
+    case EG_LEASE_CONFLICT:
+      self->confirmed_us = 0;
+      self->in_doubt = true;
+      return;
+    case EG_LEASE_LOST:
+      self->in_doubt = true;
+      return;
+    case EG_LEASE_UNAVAILABLE:
+    case EG_LEASE_TIME:
+      return;
+    }
+}
+
+/* Returns when the holder writes again, or a candidate may take the lease. */
+static int64_t
+write_due_us (const struct eg_lease *self)
+{
+  const struct eg_lease_config *config = self->config;
+
+  if (!self->ours)
+    return self->seen_us + config->duration_us + config->pause_us;
+  return self->valid_until_us - config->duration_us + config->drift_us
+         + config->renew_us;
+}
+
+static enum eg_lease_action
+begin (struct eg_lease *self, enum eg_lease_action action, int64_t now_us)
+{
+  self->outstanding = action;
+  self->sent_us = now_us;
+  self->wake_us = INT64_MAX;
+  if (action == EG_LEASE_READ)
+    return action;
+  self->next.sequence++;
+  self->written_us = now_us;
+  return action;
+}
+
+static enum eg_lease_action
+decide (struct eg_lease *self, int64_t now_us)
+{
+  int64_t due_us;
+
+  if (!self->seen || self->in_doubt || self->confirming)
+    return begin (self, EG_LEASE_READ, now_us);
+  due_us = write_due_us (self);
+  self->wake_us = due_us;
+  if (now_us < due_us)
+    return EG_LEASE_WAIT;
+  /* A candidate reads first: most often the holder has renewed, and reads are
+     cheaper than refused writes. */
+  if (!self->ours && self->checked_us < due_us)
+    return begin (self, EG_LEASE_READ, now_us);
+  return begin (self, self->version > 0 ? EG_LEASE_UPDATE : EG_LEASE_CREATE,
+                now_us);
+}
+
+enum eg_lease_action
+eg_lease_update (struct eg_lease *self,
+                 enum eg_lease_event event,
+                 uint64_t version,
+                 const struct eg_lease_record *found,
+                 int64_t now_us,
+                 struct eg_random *random)
+{
+  bool failed = event == EG_LEASE_UNAVAILABLE || event == EG_LEASE_LOST;
+
+  if (event != EG_LEASE_TIME)
+    {
+      take_reply (self, event, version, found, now_us);
+      self->outstanding = EG_LEASE_WAIT;
+    }
+  else if (self->outstanding != EG_LEASE_WAIT
+           || (now_us < self->wake_us && !self->confirming))
+    return EG_LEASE_WAIT;
+  if (!failed)
+    return decide (self, now_us);
+  self->confirming = false;
+  self->wake_us =
+      now_us + self->config->retry_us
+      + (int64_t) eg_random_below (random, (uint64_t) self->config->retry_us);
+  return EG_LEASE_WAIT;
+}
+
+void
+eg_lease_confirm (struct eg_lease *self)
+{
+  self->confirming = true;
+}
+
+int64_t
+eg_lease_wake_us (const struct eg_lease *self)
+{
+  return self->wake_us;
+}
+
+bool
+eg_lease_is_held (const struct eg_lease *self, int64_t now_us)
+{
+  return now_us < self->valid_until_us;
+}
+
+int64_t
+eg_lease_until_us (const struct eg_lease *self)
+{
+  return self->valid_until_us;
+}
+
+int64_t
+eg_lease_confirmed_us (const struct eg_lease *self)
+{
+  return self->confirmed_us;
+}
+
+uint64_t
+eg_lease_fencing (const struct eg_lease *self)
+{
+  return self->version;
+}
+
+void
+eg_lease_record_encode (const struct eg_lease_record *self,
+                        struct eg_buffer *json)
+{
+  json_t *holder = json_string (self->holder);
+  char *text;
+
+  EG_INVARIANT (holder != NULL);
+  text = json_dumps (holder, JSON_ENCODE_ANY);
+  EG_INVARIANT (text != NULL);
+  /* Numbers of 64 bits do not pass through every JSON reader. */
+  eg_buffer_printf (json,
+                    "{\"holder\":%s,\"incarnation\":\"%016" PRIx64
+                    "\",\"sequence\":%" PRIu64 "}",
+                    text, self->incarnation, self->sequence);
+  free (text);
+  json_decref (holder);
+}
+
+bool
+eg_lease_record_decode (struct eg_lease_record *self, struct eg_str json)
+{
+  json_t *object = json_loadb (json.data, json.len, 0, NULL);
+  const char *holder = json_string_value (json_object_get (object, "holder"));
+  const char *hex = json_string_value (json_object_get (object, "incarnation"));
+  json_t *sequence = json_object_get (object, "sequence");
+  bool valid = holder && hex && json_is_integer (sequence);
+
+  if (valid)
+    {
+      self->incarnation = strtoull (hex, NULL, 16);
+      self->sequence = (uint64_t) json_integer_value (sequence);
+      valid =
+          eg_str_copy (eg_str_from (holder), self->holder, sizeof self->holder);
+    }
+  json_decref (object);
+  return valid;
+}
--- a/policy/servers.c
+++ b/policy/servers.c
@@ -306,6 +306,7 @@
   server->reported_us = now_us;
   bring_up_to_date (record);
   set_stop (server, EG_SERVER_LEAVING_REPORT, report->draining);
+  set_stop (server, EG_SERVER_UNLOADED, report->unloaded);
   if (report->as_of_us > record->failed_us
       && record->failed_attempts < FAILED_ATTEMPTS_TRUSTED)
     server->failures = 0;
--- a/policy/servers.h
+++ b/policy/servers.h
@@ -27,7 +27,8 @@
   EG_SERVER_LEAVING_REPORT = 1 << 1, /**< Its report says draining. */
   EG_SERVER_LEAVING_ANSWER = 1 << 2, /**< It answered 503 as it stops. */
   EG_SERVER_DRAINED_BY_RULE = 1 << 3,
-  EG_SERVER_GONE = 1 << 4, /**< No longer in the platform's list. */
+  EG_SERVER_GONE = 1 << 4,     /**< No longer in the platform's list. */
+  EG_SERVER_UNLOADED = 1 << 5, /**< An engine whose report names no model. */
 };
 
 /** A load report, late by design. */
@@ -46,6 +47,7 @@
   uint64_t kv_free;
   uint64_t kv_total;
   bool draining;
+  bool unloaded;    /**< An engine without a model; its layers are all 0. */
   int64_t as_of_us; /**< When the report was true, on this node's clock. */
 };
 
@@ -97,7 +99,8 @@
                                         uint32_t index);
 
 /**
- * Takes in a load report, and sets or clears EG_SERVER_LEAVING_REPORT by it.
+ * Takes in a load report, and sets or clears EG_SERVER_LEAVING_REPORT and
+ * EG_SERVER_UNLOADED by it.
  * A report that is newer than the last failure ends the back-off.
  * @return false if it was dropped: older than the last, or its layers are not
  *         within 1 to model_layers (all 0 for a plain service).
@@ -109,7 +112,7 @@
 
 /**
  * Sets or clears one reason to send no new work; only the caller clears it
- * again, but for EG_SERVER_LEAVING_REPORT. EG_SERVER_NONE is ignored, so that
+ * again, but for what reports say. EG_SERVER_NONE is ignored, so that
  * what eg_servers_add() returned can be passed on.
  */
 void eg_servers_stop (struct eg_servers *self,
