--- a/router/dispatcher.c
+++ b/router/dispatcher.c
@@ -10,17 +10,11 @@
 #include "base/log.h"
 #include "base/map.h"
 #include "http/json.h"
-#include "policy/ticket.h"
 #include "router/commands.h"
 #include "router/keyed.h"
 #include "router/policy.h"
+#include "router/ticketed.h"
 
-#define TICKET_LIFETIME_US (300 * EG_US_PER_S)
-#define TICKET_KEEP_US (600 * EG_US_PER_S)
-#define TICKETS_MAX 16384
-#define TICKETS_ORGANISATION_MAX 4096
-#define TICKET_ANSWER_BYTES_MAX ((size_t) 64 * 1024)
-#define TICKET_ANSWERS_BYTES_MAX ((size_t) 8 * 1024 * 1024)
 #define PRIORITY_TOP 100
 #define SWEEP_INTERVAL_US EG_US_PER_S
 #define COST_BYTES_PER_TOKEN 4
@@ -36,7 +30,7 @@
   struct eg_metrics metrics;
   struct eg_map calls;
   struct eg_keyed *keyed;
-  struct eg_tickets *tickets;
+  struct eg_ticketed *ticketed;
   int64_t next_sweep_us;
   struct eg_command_maker maker;
 };
@@ -146,13 +140,10 @@
              struct eg_call *call,
              const struct eg_claim_answer *answer)
 {
-  struct eg_ticket ticket;
-
   if (*call->key)
     eg_keyed_answered (self->keyed, call->id, answer, eg_clock_now_us ());
-  else if (eg_ticket_parse (&ticket, eg_str_from (call->ticket)))
-    eg_tickets_end (self->tickets, &ticket, &call->outcome, answer,
-                    eg_clock_now_us ());
+  else
+    eg_ticketed_end (self->ticketed, call, answer, eg_clock_now_us ());
 }
 
 /* A repeat gets the text of a completion as a whole, even where the first
@@ -217,15 +208,14 @@
               const struct eg_action *action)
 {
   int64_t now_us = eg_clock_now_us ();
-  struct eg_ticket ticket;
 
   if (*call->key)
     {
       eg_keyed_refused (self->keyed, call->id, action->refusal, now_us);
       return;
     }
-  if (eg_ticket_parse (&ticket, eg_str_from (call->ticket)))
-    eg_tickets_end (self->tickets, &ticket, &call->outcome, NULL, now_us);
+  if (*call->ticket)
+    eg_ticketed_end (self->ticketed, call, NULL, now_us);
   refuse_call (self, call, action->refusal, action->ran,
                action->retry_after_us);
 }
@@ -323,9 +313,9 @@
 }
 
 static void
-on_keyed_answer (void *context,
-                 struct eg_call *call,
-                 const struct eg_claim_answer *answer)
+on_kept_answer (void *context,
+                struct eg_call *call,
+                const struct eg_claim_answer *answer)
 {
   answer_call (context, call, answer->status, answer->content_type,
                answer->body);
@@ -340,46 +330,10 @@
                refusal->retry_after_us);
 }
 
-/* Tickets. */
-
-static enum eg_ticket_home
-find_home (void *context, struct eg_str address, uint64_t incarnation)
-{
-  const struct eg_dispatcher *self = context;
-
-  (void) incarnation; /* The entry VM itself knows whether it is the same. */
-  return eg_fleet_has_entry (self->parts.fleet, address) ? EG_TICKET_HOME_LIVE
-                                                         : EG_TICKET_HOME_GONE;
-}
-
 static void
-give_ticket (struct eg_dispatcher *self, struct eg_call *call)
-{
-  const struct eg_ticket_number number = {eg_random_system_seed (),
-                                          eg_random_system_seed ()};
-  char text[EG_TICKET_TEXT_BYTES];
-  struct eg_buffer json = {0};
-
-  if (eg_tickets_give (self->tickets, eg_str_from (call->organisation), number,
-                       eg_clock_now_us (), text)
-      != EG_OK)
-    {
-      refuse_call (self, call, EG_REFUSAL_IN_FLIGHT_LIMIT, EG_RAN_NO,
-                   EG_US_PER_S);
-      return;
-    }
-  eg_buffer_printf (&json, "{\"ticket\":\"%s\",\"expires_in_ms\":%" PRId64 "}",
-                    text, TICKET_LIFETIME_US / EG_US_PER_MS);
-  answer_call (self, call, 200, EG_STR ("application/json"),
-               eg_buffer_view (&json));
-  eg_buffer_finish (&json);
-}
-
-static void
-forward_call (struct eg_dispatcher *self,
-              struct eg_call *call,
-              const char *address)
+on_ticket_forward (void *context, struct eg_call *call, const char *address)
 {
+  struct eg_dispatcher *self = context;
   struct eg_backend_command *command =
       eg_command_forward (call, address, eg_clock_now_us ());
 
@@ -392,34 +346,19 @@
 }
 
 static void
-use_ticket (struct eg_dispatcher *self, struct eg_call *call)
-{
-  struct eg_ticket_verdict verdict;
-
-  eg_outcome_init (&call->outcome, EG_OUTCOME_TICKETED);
-  eg_tickets_use (self->tickets, eg_str_from (call->ticket),
-                  eg_str_from (call->organisation),
-                  eg_claim_fingerprint (eg_str_from (call->method),
-                                        eg_buffer_view (&call->path),
-                                        eg_buffer_view (&call->body)),
-                  eg_clock_now_us (), &call->outcome, &verdict);
-  switch (verdict.decision)
-    {
-    case EG_TICKET_RUN:
-      place_call (self, call, INT64_MAX);
-      return;
-    case EG_TICKET_FORWARD:
-      forward_call (self, call, verdict.ticket.address);
-      return;
-    case EG_TICKET_ANSWER:
-      answer_call (self, call, verdict.answer.status,
-                   verdict.answer.content_type, verdict.answer.body);
-      return;
-    case EG_TICKET_REFUSE:
-      refuse_call (self, call, verdict.refusal, verdict.ran,
-                   verdict.retry_after_us);
-      return;
-    }
+on_ticket_run (void *context, struct eg_call *call)
+{
+  place_call (context, call, INT64_MAX);
+}
+
+static void
+on_ticket_refuse (void *context,
+                  struct eg_call *call,
+                  enum eg_refusal refusal,
+                  enum eg_ran ran,
+                  int64_t retry_after_us)
+{
+  refuse_call (context, call, refusal, ran, retry_after_us);
 }
 
 static void
@@ -481,9 +420,9 @@
     }
   series_of (self, call)->requests++;
   if (call->kind == EG_CALL_TICKET)
-    give_ticket (self, call);
+    eg_ticketed_give (self->ticketed, call, eg_clock_now_us ());
   else if (*call->ticket)
-    use_ticket (self, call);
+    eg_ticketed_use (self->ticketed, call, eg_clock_now_us ());
   else if (*call->key)
     eg_keyed_arrive (self->keyed, call, eg_clock_now_us ());
   else
@@ -648,7 +587,7 @@
   if (now_us >= self->next_sweep_us)
     {
       self->next_sweep_us = now_us + SWEEP_INTERVAL_US;
-      eg_tickets_sweep (self->tickets, now_us);
+      eg_ticketed_sweep (self->ticketed, now_us);
       eg_lifecycle_sweep (self->lifecycle, now_us);
     }
   apply_actions (self);
@@ -672,38 +611,25 @@
   return &self->metrics;
 }
 
-static struct eg_tickets *
-make_tickets (struct eg_dispatcher *self)
-{
-  struct eg_tickets_config config = {
-      .incarnation = self->parts.incarnation,
-      .lifetime_us = TICKET_LIFETIME_US,
-      .keep_us = TICKET_KEEP_US,
-      .retry_after_us = EG_US_PER_S,
-      .entries_max = TICKETS_MAX,
-      .organisation_max = TICKETS_ORGANISATION_MAX,
-      .answer_bytes_max = TICKET_ANSWER_BYTES_MAX,
-      .answers_bytes_max = TICKET_ANSWERS_BYTES_MAX,
-      .home = find_home,
-      .home_context = self,
-  };
-
-  eg_str_copy (eg_str_from (self->parts.settings->listen_callers),
-               config.address, sizeof config.address);
-  return eg_tickets_new (&config);
-}
-
 struct eg_dispatcher *
 eg_dispatcher_new (const struct eg_dispatcher_parts *parts)
 {
   struct eg_dispatcher *self = calloc (1, sizeof *self);
   const struct eg_keyed_callbacks keyed_callbacks = {
       .dispatch = on_keyed_dispatch,
-      .answer = on_keyed_answer,
+      .answer = on_kept_answer,
       .refuse = on_keyed_refuse,
       .context = self,
   };
 
+  const struct eg_ticketed_callbacks ticketed_callbacks = {
+      .run = on_ticket_run,
+      .forward = on_ticket_forward,
+      .answer = on_kept_answer,
+      .refuse = on_ticket_refuse,
+      .context = self,
+  };
+
   if (!self)
     return NULL;
   self->parts = *parts;
@@ -717,8 +643,10 @@
   if (self->lifecycle)
     self->keyed = eg_keyed_new (parts->platform, parts->incarnation,
                                 ~parts->incarnation, &keyed_callbacks);
-  self->tickets = make_tickets (self);
-  if (self->keyed && self->tickets)
+  self->ticketed =
+      eg_ticketed_new (parts->settings->listen_callers, parts->incarnation,
+                       parts->fleet, &ticketed_callbacks);
+  if (self->keyed && self->ticketed)
     return self;
   eg_dispatcher_free (self);
   return NULL;
@@ -736,7 +664,7 @@
     eg_call_unref (call);
   eg_map_finish (&self->calls);
   eg_keyed_free (self->keyed);
-  eg_tickets_free (self->tickets);
+  eg_ticketed_free (self->ticketed);
   eg_lifecycle_free (self->lifecycle);
   eg_metrics_finish (&self->metrics);
   eg_policy_finish (&self->policy);
--- /dev/null
+++ b/router/ticketed.c
@@ -0,0 +1,152 @@
+#include "router/ticketed.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/random.h"
+
+#define TICKET_LIFETIME_US (300 * EG_US_PER_S)
+#define TICKET_KEEP_US (600 * EG_US_PER_S)
+#define TICKETS_MAX 16384
+#define TICKETS_ORGANISATION_MAX 4096
+#define TICKET_ANSWER_BYTES_MAX ((size_t) 64 * 1024)
+#define TICKET_ANSWERS_BYTES_MAX ((size_t) 8 * 1024 * 1024)
+
+struct eg_ticketed
+{
+  struct eg_tickets *tickets;
+  const struct eg_fleet *fleet;
+  struct eg_ticketed_callbacks callbacks;
+};
+
+static enum eg_ticket_home
+find_home (void *context, struct eg_str address, uint64_t incarnation)
+{
+  const struct eg_ticketed *self = context;
+
+  (void) incarnation; /* The entry VM itself knows whether it is the same. */
+  return eg_fleet_has_entry (self->fleet, address) ? EG_TICKET_HOME_LIVE
+                                                   : EG_TICKET_HOME_GONE;
+}
+
+struct eg_ticketed *
+eg_ticketed_new (const char *address,
+                 uint64_t incarnation,
+                 const struct eg_fleet *fleet,
+                 const struct eg_ticketed_callbacks *callbacks)
+{
+  struct eg_ticketed *self = calloc (1, sizeof *self);
+  struct eg_tickets_config config = {
+      .incarnation = incarnation,
+      .lifetime_us = TICKET_LIFETIME_US,
+      .keep_us = TICKET_KEEP_US,
+      .retry_after_us = EG_US_PER_S,
+      .entries_max = TICKETS_MAX,
+      .organisation_max = TICKETS_ORGANISATION_MAX,
+      .answer_bytes_max = TICKET_ANSWER_BYTES_MAX,
+      .answers_bytes_max = TICKET_ANSWERS_BYTES_MAX,
+      .home = find_home,
+      .home_context = self,
+  };
+
+  if (!self)
+    return NULL;
+  self->fleet = fleet;
+  self->callbacks = *callbacks;
+  eg_str_copy (eg_str_from (address), config.address, sizeof config.address);
+  self->tickets = eg_tickets_new (&config);
+  if (self->tickets)
+    return self;
+  free (self);
+  return NULL;
+}
+
+void
+eg_ticketed_free (struct eg_ticketed *self)
+{
+  if (!self)
+    return;
+  eg_tickets_free (self->tickets);
+  free (self);
+}
+
+void
+eg_ticketed_give (struct eg_ticketed *self,
+                  struct eg_call *call,
+                  int64_t now_us)
+{
+  const struct eg_ticket_number number = {eg_random_system_seed (),
+                                          eg_random_system_seed ()};
+  struct eg_claim_answer answer = {
+      .kept = true,
+      .status = 200,
+      .content_type = EG_STR ("application/json"),
+  };
+  char text[EG_TICKET_TEXT_BYTES];
+  struct eg_buffer json = {0};
+
+  if (eg_tickets_give (self->tickets, eg_str_from (call->organisation), number,
+                       now_us, text)
+      != EG_OK)
+    {
+      self->callbacks.refuse (self->callbacks.context, call,
+                              EG_REFUSAL_IN_FLIGHT_LIMIT, EG_RAN_NO,
+                              EG_US_PER_S);
+      return;
+    }
+  eg_buffer_printf (&json, "{\"ticket\":\"%s\",\"expires_in_ms\":%" PRId64 "}",
+                    text, TICKET_LIFETIME_US / EG_US_PER_MS);
+  answer.body = eg_buffer_view (&json);
+  self->callbacks.answer (self->callbacks.context, call, &answer);
+  eg_buffer_finish (&json);
+}
+
+void
+eg_ticketed_use (struct eg_ticketed *self, struct eg_call *call, int64_t now_us)
+{
+  void *context = self->callbacks.context;
+  uint64_t fingerprint = eg_claim_fingerprint (eg_str_from (call->method),
+                                               eg_buffer_view (&call->path),
+                                               eg_buffer_view (&call->body));
+  struct eg_ticket_verdict verdict;
+
+  eg_outcome_init (&call->outcome, EG_OUTCOME_TICKETED);
+  eg_tickets_use (self->tickets, eg_str_from (call->ticket),
+                  eg_str_from (call->organisation), fingerprint, now_us,
+                  &call->outcome, &verdict);
+  switch (verdict.decision)
+    {
+    case EG_TICKET_RUN:
+      self->callbacks.run (context, call);
+      return;
+    case EG_TICKET_FORWARD:
+      self->callbacks.forward (context, call, verdict.ticket.address);
+      return;
+    case EG_TICKET_ANSWER:
+      self->callbacks.answer (context, call, &verdict.answer);
+      return;
+    case EG_TICKET_REFUSE:
+      self->callbacks.refuse (context, call, verdict.refusal, verdict.ran,
+                              verdict.retry_after_us);
+      return;
+    }
+}
+
+void
+eg_ticketed_end (struct eg_ticketed *self,
+                 struct eg_call *call,
+                 const struct eg_claim_answer *answer,
+                 int64_t now_us)
+{
+  struct eg_ticket ticket;
+
+  if (eg_ticket_parse (&ticket, eg_str_from (call->ticket)))
+    eg_tickets_end (self->tickets, &ticket, &call->outcome, answer, now_us);
+}
+
+void
+eg_ticketed_sweep (struct eg_ticketed *self, int64_t now_us)
+{
+  eg_tickets_sweep (self->tickets, now_us);
+}
