--- a/test/test_load.c
+++ b/test/test_load.c
@@ -17,6 +17,7 @@
 #include "standin/load_recovery.h"
 #include "standin/load_scenario.h"
 #include "standin/load_sse.h"
+#include "standin/load_targets.h"
 #include "standin/token.h"
 
 #define PROMPT "Where does the name come from?"
@@ -401,6 +402,26 @@
       1);
 }
 
+static void
+test_targets_avoid_those_that_refuse (void **state)
+{
+  struct eg_load_target list[] = {{"127.0.0.1:1"}, {"127.0.0.1:2"}};
+  struct eg_load_scenario scenario = {
+      .targets = list, .n_targets = 2, .health_interval_us = 1};
+  struct eg_load_targets *targets = eg_load_targets_new (&scenario, NULL, 1);
+
+  (void) state;
+  assert_int_not_equal (eg_load_targets_choose (targets),
+                        eg_load_targets_choose (targets));
+  eg_load_targets_refused (targets, 0);
+  assert_int_equal (eg_load_targets_choose (targets), 1);
+  assert_int_equal (eg_load_targets_choose (targets), 1);
+  eg_load_targets_refused (targets, 1);
+  assert_int_not_equal (eg_load_targets_choose (targets),
+                        eg_load_targets_choose (targets));
+  eg_load_targets_free (targets);
+}
+
 static void
 test_scenario_errors_name_the_key (void **state)
 {
@@ -462,6 +483,7 @@
       cmocka_unit_test (test_recovery_time),
       cmocka_unit_test (test_audit_wants_every_layer_once),
       cmocka_unit_test (test_audit_wants_order),
+      cmocka_unit_test (test_targets_avoid_those_that_refuse),
       cmocka_unit_test (test_scenario_errors_name_the_key),
   };
 
--- a/test/test_load_run.c
+++ b/test/test_load_run.c
@@ -96,6 +96,20 @@
   return fault->status;
 }
 
+/* Takes calls that are marked as non-idempotent alone. */
+static int
+answer_service (struct mg_connection *connection, void *context)
+{
+  bool marked = mg_get_header (connection, "Idempotency-Key") != NULL;
+
+  (void) context;
+  mg_printf (connection,
+             "HTTP/1.1 %d Answer\r\nX-Request-Id: %s\r\n"
+             "Content-Length: 2\r\n\r\n{}",
+             marked ? 200 : 400, mg_get_header (connection, "X-Request-Id"));
+  return 200;
+}
+
 /* Both are elements of a scenario's list of targets. */
 static char listening[TARGET_BYTES];
 static char refusing[TARGET_BYTES];
@@ -142,6 +156,7 @@
     return -1;
   write_target (listening, port.port);
   mg_set_request_handler (server, "/v1/completions", answer, NULL);
+  mg_set_request_handler (server, "/services/shop", answer_service, NULL);
   *state = server;
   return hold_refusing_port ();
 }
@@ -154,12 +169,13 @@
   return 0;
 }
 
+/* Runs one stream; `extra` holds its further keys. */
 static void
-run_model (const char *model,
-           const char *targets,
-           struct eg_load_scenario *scenario,
-           eg_load_progress progress,
-           struct eg_load_results *results)
+run_stream (const char *extra,
+            const char *targets,
+            struct eg_load_scenario *scenario,
+            eg_load_progress progress,
+            struct eg_load_results *results)
 {
   char text[1024];
   struct eg_error error = {0};
@@ -167,9 +183,9 @@
   snprintf (text, sizeof text,
             "{\"name\":\"test\",\"duration_ms\":210,\"fail_over\":true,"
             "\"targets\":[%s],\"streams\":[{\"name\":\"s\","
-            "\"organisation\":\"o\",\"class\":\"counter\",\"model\":\"%s\","
+            "\"organisation\":\"o\",\"class\":\"counter\",%s,"
             "\"rate_per_s\":100,\"arrivals\":\"uniform\",\"max_tokens\":5}]}",
-            targets, model);
+            targets, extra);
   assert_int_equal (eg_load_scenario_init (scenario, text, &error), EG_OK);
   assert_int_equal (eg_load_run (scenario, 3, progress, NULL, results, &error),
                     EG_OK);
@@ -180,14 +196,16 @@
 {
   static const struct
   {
-    const char *model;
+    const char *stream;
     enum eg_load_outcome outcome;
     const char *cause;
   } cases[] = {
-      {"whole", EG_LOAD_WHOLE, NULL},
-      {"gap", EG_LOAD_WRONG, "gap"},
-      {"cut", EG_LOAD_WRONG, "missing-end"},
-      {"refused", EG_LOAD_REFUSED, "no-capacity"},
+      {"\"model\":\"whole\"", EG_LOAD_WHOLE, NULL},
+      {"\"model\":\"gap\"", EG_LOAD_WRONG, "gap"},
+      {"\"model\":\"cut\"", EG_LOAD_WRONG, "missing-end"},
+      {"\"model\":\"refused\"", EG_LOAD_REFUSED, "no-capacity"},
+      {"\"path\":\"/services/shop/x\",\"method\":\"POST\",\"body\":\"{}\"",
+       EG_LOAD_REFUSED, "unstated"},
   };
 
   (void) state;
@@ -197,7 +215,7 @@
       struct eg_load_results results;
       struct eg_load_group total;
 
-      run_model (cases[i].model, listening, &scenario, NULL, &results);
+      run_stream (cases[i].stream, listening, &scenario, NULL, &results);
       eg_load_results_total (&results, &total);
       assert_int_equal (total.arrivals, EXPECTED_ARRIVALS);
       assert_int_equal (total.outcomes[cases[i].outcome], EXPECTED_ARRIVALS);
@@ -210,6 +228,24 @@
     }
 }
 
+static void
+test_a_marked_call_of_a_service_is_whole (void **state)
+{
+  struct eg_load_scenario scenario;
+  struct eg_load_results results;
+  struct eg_load_group total;
+
+  (void) state;
+  run_stream ("\"path\":\"/services/shop/x\",\"method\":\"POST\","
+              "\"body\":\"{}\",\"idempotency_key\":true",
+              listening, &scenario, NULL, &results);
+  eg_load_results_total (&results, &total);
+  assert_int_equal (total.outcomes[EG_LOAD_WHOLE], EXPECTED_ARRIVALS);
+  assert_int_equal (results.missing_request_id, 0);
+  eg_load_results_finish (&results);
+  eg_load_scenario_finish (&scenario);
+}
+
 static void
 test_a_refused_connection_fails_over (void **state)
 {
@@ -222,7 +258,7 @@
 
   (void) state;
   snprintf (targets, sizeof targets, "%s,%s", refusing, listening);
-  run_model ("whole", targets, &scenario, NULL, &results);
+  run_stream ("\"model\":\"whole\"", targets, &scenario, NULL, &results);
   eg_load_results_total (&results, &total);
   assert_int_equal (total.outcomes[EG_LOAD_WHOLE], EXPECTED_ARRIVALS);
   report = eg_load_report_json (&results, 3);
@@ -257,7 +293,7 @@
   struct eg_load_group total;
 
   (void) state;
-  run_model ("whole", listening, &scenario, hold_up, &results);
+  run_stream ("\"model\":\"whole\"", listening, &scenario, hold_up, &results);
   eg_load_results_total (&results, &total);
   assert_int_equal (total.outcomes[EG_LOAD_WHOLE], EXPECTED_ARRIVALS);
   assert_true (results.longest_stall_us > 0);
@@ -270,6 +306,7 @@
 {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (test_each_request_ends_in_its_way),
+      cmocka_unit_test (test_a_marked_call_of_a_service_is_whole),
       cmocka_unit_test (test_a_refused_connection_fails_over),
       cmocka_unit_test (test_late_arrivals_are_sent),
   };
