--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -30,6 +30,7 @@
   char organisation[EG_NAME_BYTES];
   char class_limit[CLASS_LIMIT_BYTES];
   struct eg_target *target;
+  double load_max; /* Relative load that counts as full for its class. */
   enum request_phase phase;
   uint32_t attempt;
   int64_t committed; /* Tokens handed to the caller. */
@@ -292,6 +293,7 @@
   if (request->target && *request->target->preferred)
     memcpy (placement.failure_domain, request->target->preferred,
             sizeof placement.failure_domain);
+  query.load_max = request->load_max;
   if (request->info.plain)
     query.service = request->info.target;
   else
@@ -339,6 +341,8 @@
 
   while (link != &target->waiting)
     {
+      /* The analyzer does not follow a request out of its list.
+         NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
       struct eg_request_state *request = request_of (link);
       struct eg_chain chain;
       enum eg_placement_result result;
@@ -411,6 +415,24 @@
   return false;
 }
 
+/* An engine runs urgent work first, so such work need not wait for a slot to
+   fall free: it may go to servers that are full for the classes below it. */
+static double
+load_max_of (const struct eg_lifecycle *self, unsigned class_index)
+{
+  const struct eg_admission_config *admission = &self->config.admission;
+  int priority = admission->classes[class_index].priority;
+  size_t below = 0;
+
+  for (size_t i = 0; i < admission->class_count; i++)
+    below += admission->classes[i].priority > priority;
+  if (below == 0)
+    return 1.0;
+  return 1.0
+         + self->config.headroom * (double) below
+               / (double) (admission->class_count - 1);
+}
+
 static enum eg_refusal
 find_target (struct eg_lifecycle *self,
              struct eg_request_state *request,
@@ -553,6 +575,7 @@
   if (refusal == EG_REFUSAL_NONE)
     {
       request = new_request (info);
+      request->load_max = load_max_of (self, info->class_index);
       refusal = admit (self, request, now_us, &retry_after_us);
     }
   if (refusal != EG_REFUSAL_NONE)
@@ -819,7 +842,8 @@
       link = link->next;
       if (now_us < request->info.deadline_us)
         continue;
-      leave_phase (self, request);
+      eg_list_remove (&request->link);
+      self->counts.queued--;
       refuse (self, request, EG_REFUSAL_DEADLINE, 0);
     }
   while (eg_admission_take_expired (target->admission, now_us, &item))
@@ -840,17 +864,16 @@
                          int64_t now_us)
 {
   struct eg_admission_item item;
+  struct eg_list *link;
 
   if (target->no_capacity_since_us == 0
       || now_us - target->no_capacity_since_us
              < self->config.no_capacity_patience_us)
     return;
-  while (!eg_list_is_empty (&target->waiting))
+  while ((link = eg_list_take (&target->waiting)))
     {
-      struct eg_request_state *request = request_of (target->waiting.next);
-
-      leave_phase (self, request);
-      refuse (self, request, EG_REFUSAL_NO_CAPACITY,
+      self->counts.queued--;
+      refuse (self, request_of (link), EG_REFUSAL_NO_CAPACITY,
               NO_CAPACITY_RETRY_AFTER_US);
     }
   while (eg_admission_take (target->admission, now_us, &item))
