--- a/policy/lifecycle.c
+++ b/policy/lifecycle.c
@@ -1,5 +1,6 @@
 #include "policy/lifecycle.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,9 @@
 #define NO_CAPACITY_RETRY_AFTER_US EG_US_PER_S
 #define STOPPING_RETRY_AFTER_US EG_US_PER_S
 
+/* Organisation, a slash and the class. */
+#define CLASS_LIMIT_BYTES (2 * EG_NAME_BYTES)
+
 enum request_phase
 {
   PHASE_QUEUED,  /* In the target's admission queue. */
@@ -24,7 +28,9 @@
 {
   struct eg_lifecycle_request info;
   char organisation[EG_NAME_BYTES];
+  char class_limit[CLASS_LIMIT_BYTES];
   struct eg_target *target;
+  double load_max; /* Relative load that counts as full for its class. */
   enum request_phase phase;
   uint32_t attempt;
   int64_t committed; /* Tokens handed to the caller. */
@@ -45,6 +51,7 @@
   struct eg_servers *servers;
   struct eg_random random;
   struct eg_limits *limits;
+  struct eg_limits *class_limits;
   struct eg_quarantine *quarantine;
   struct eg_prefix_table *prefixes;
   struct eg_target_table targets;
@@ -60,6 +67,7 @@
                   struct eg_servers *servers,
                   uint64_t seed)
 {
+  static const struct eg_limit_rule no_limit = {0};
   struct eg_lifecycle *self = calloc (1, sizeof *self);
 
   if (!self)
@@ -69,10 +77,11 @@
   eg_list_init (&self->running);
   eg_random_init (&self->random, seed);
   self->limits = eg_limits_new (&config->default_limit);
+  self->class_limits = eg_limits_new (&no_limit);
   self->quarantine = eg_quarantine_new (&config->quarantine);
   self->prefixes = eg_prefix_table_new (config->prefixes_max);
   self->config.placement.prefixes = self->prefixes;
-  if (self->limits && self->quarantine && self->prefixes)
+  if (self->limits && self->class_limits && self->quarantine && self->prefixes)
     return self;
   eg_lifecycle_free (self);
   return NULL;
@@ -91,6 +100,7 @@
   eg_map_finish (&self->requests);
   eg_target_table_finish (&self->targets);
   eg_limits_free (self->limits);
+  eg_limits_free (self->class_limits);
   eg_quarantine_free (self->quarantine);
   eg_prefix_table_free (self->prefixes);
   eg_action_queue_finish (&self->actions);
@@ -152,6 +162,7 @@
   struct eg_str organisation = eg_str_from (request->organisation);
 
   eg_limits_end (self->limits, organisation);
+  eg_limits_end (self->class_limits, eg_str_from (request->class_limit));
   eg_map_remove (&self->requests, request->info.id);
   free (request);
 }
@@ -275,9 +286,14 @@
         struct eg_chain *chain)
 {
   struct eg_placement_query query = {.prefix_hash = request->info.prefix_hash};
+  struct eg_placement_config placement = self->config.placement;
   enum eg_placement_result result;
   size_t suspects;
 
+  if (request->target && *request->target->preferred)
+    memcpy (placement.failure_domain, request->target->preferred,
+            sizeof placement.failure_domain);
+  query.load_max = request->load_max;
   if (request->info.plain)
     query.service = request->info.target;
   else
@@ -286,7 +302,7 @@
   query.excluded_count = request->excluded_count;
   exclude_suspects (self, request, &query);
   suspects = query.excluded_count - request->excluded_count;
-  result = eg_placement_choose (&self->config.placement, self->servers, &query,
+  result = eg_placement_choose (&placement, self->servers, &query,
                                 &self->random, now_us, chain);
   /* Where the others leave no server, a suspect waits until one of them ends.
    */
@@ -297,8 +313,8 @@
   /* Better a server that failed once than none at all. */
   request->excluded_count = 0;
   query.excluded_count = 0;
-  return eg_placement_choose (&self->config.placement, self->servers, &query,
-                              &self->random, now_us, chain);
+  return eg_placement_choose (&placement, self->servers, &query, &self->random,
+                              now_us, chain);
 }
 
 /* Dispatch. */
@@ -325,6 +341,8 @@
 
   while (link != &target->waiting)
     {
+      /* The analyzer does not follow a request out of its list.
+         NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
       struct eg_request_state *request = request_of (link);
       struct eg_chain chain;
       enum eg_placement_result result;
@@ -397,6 +415,24 @@
   return false;
 }
 
+/* An engine runs urgent work first, so such work need not wait for a slot to
+   fall free: it may go to servers that are full for the classes below it. */
+static double
+load_max_of (const struct eg_lifecycle *self, unsigned class_index)
+{
+  const struct eg_admission_config *admission = &self->config.admission;
+  int priority = admission->classes[class_index].priority;
+  size_t below = 0;
+
+  for (size_t i = 0; i < admission->class_count; i++)
+    below += admission->classes[i].priority > priority;
+  if (below == 0)
+    return 1.0;
+  return 1.0
+         + self->config.headroom * (double) below
+               / (double) (admission->class_count - 1);
+}
+
 static enum eg_refusal
 find_target (struct eg_lifecycle *self,
              struct eg_request_state *request,
@@ -417,6 +453,42 @@
   return EG_REFUSAL_NONE;
 }
 
+struct eg_str
+eg_lifecycle_class_limit_name (struct eg_str organisation,
+                               struct eg_str class_name,
+                               char *text,
+                               size_t capacity)
+{
+  snprintf (text, capacity, "%.*s/%.*s", EG_STR_ARGS (organisation),
+            EG_STR_ARGS (class_name));
+  return eg_str_from (text);
+}
+
+/* A request counts against its organisation, and within its class. */
+static enum eg_refusal
+begin_limits (struct eg_lifecycle *self,
+              struct eg_request_state *request,
+              int64_t now_us,
+              int64_t *retry_after_us)
+{
+  const struct eg_lifecycle_request *info = &request->info;
+  const char *class_name =
+      self->config.admission.classes[info->class_index].name;
+  struct eg_str name = eg_lifecycle_class_limit_name (
+      info->organisation, eg_str_from (class_name), request->class_limit,
+      sizeof request->class_limit);
+  enum eg_refusal refusal;
+
+  refusal = eg_limits_begin (self->limits, info->organisation, now_us,
+                             retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    return refusal;
+  refusal = eg_limits_begin (self->class_limits, name, now_us, retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    eg_limits_end (self->limits, info->organisation);
+  return refusal;
+}
+
 static enum eg_refusal
 admit (struct eg_lifecycle *self,
        struct eg_request_state *request,
@@ -439,14 +511,14 @@
     *retry_after_us = NO_CAPACITY_RETRY_AFTER_US;
   if (refusal != EG_REFUSAL_NONE)
     return refusal;
-  refusal = eg_limits_begin (self->limits, info->organisation, now_us,
-                             retry_after_us);
-  if (refusal != EG_REFUSAL_NONE)
-    return refusal;
+  /* Limits come last, so that what is refused anyway costs no share of them. */
   refusal = eg_admission_offer (request->target->admission, &item, now_us,
                                 retry_after_us);
   if (refusal != EG_REFUSAL_NONE)
-    eg_limits_end (self->limits, info->organisation);
+    return refusal;
+  refusal = begin_limits (self, request, now_us, retry_after_us);
+  if (refusal != EG_REFUSAL_NONE)
+    eg_admission_remove (request->target->admission, info->id);
   return refusal;
 }
 
@@ -503,6 +575,7 @@
   if (refusal == EG_REFUSAL_NONE)
     {
       request = new_request (info);
+      request->load_max = load_max_of (self, info->class_index);
       refusal = admit (self, request, now_us, &retry_after_us);
     }
   if (refusal != EG_REFUSAL_NONE)
@@ -769,7 +842,8 @@
       link = link->next;
       if (now_us < request->info.deadline_us)
         continue;
-      leave_phase (self, request);
+      eg_list_remove (&request->link);
+      self->counts.queued--;
       refuse (self, request, EG_REFUSAL_DEADLINE, 0);
     }
   while (eg_admission_take_expired (target->admission, now_us, &item))
@@ -790,17 +864,16 @@
                          int64_t now_us)
 {
   struct eg_admission_item item;
+  struct eg_list *link;
 
   if (target->no_capacity_since_us == 0
       || now_us - target->no_capacity_since_us
              < self->config.no_capacity_patience_us)
     return;
-  while (!eg_list_is_empty (&target->waiting))
+  while ((link = eg_list_take (&target->waiting)))
     {
-      struct eg_request_state *request = request_of (target->waiting.next);
-
-      leave_phase (self, request);
-      refuse (self, request, EG_REFUSAL_NO_CAPACITY,
+      self->counts.queued--;
+      refuse (self, request_of (link), EG_REFUSAL_NO_CAPACITY,
               NO_CAPACITY_RETRY_AFTER_US);
     }
   while (eg_admission_take (target->admission, now_us, &item))
@@ -868,10 +941,36 @@
     }
 }
 
+void
+eg_lifecycle_configure (struct eg_lifecycle *self,
+                        const struct eg_lifecycle_config *config)
+{
+  size_t cursor = 0;
+  struct eg_target *target;
+
+  self->config = *config;
+  self->config.placement.prefixes = self->prefixes;
+  eg_limits_set_fallback (self->limits, &config->default_limit);
+  while ((target = eg_target_table_next (&self->targets, &cursor)))
+    eg_admission_configure (target->admission, &config->admission);
+}
+
+void
+eg_lifecycle_prefer (struct eg_lifecycle *self,
+                     struct eg_str service,
+                     struct eg_str failure_domain)
+{
+  struct eg_target *target =
+      eg_target_table_add (&self->targets, true, service, &self->config);
+
+  eg_str_copy (failure_domain, target->preferred, sizeof target->preferred);
+}
+
 void
 eg_lifecycle_sweep (struct eg_lifecycle *self, int64_t now_us)
 {
   eg_limits_sweep (self->limits, now_us);
+  eg_limits_sweep (self->class_limits, now_us);
   eg_servers_sweep (self->servers, now_us);
 }
 
@@ -907,6 +1006,12 @@
   return self->limits;
 }
 
+struct eg_limits *
+eg_lifecycle_class_limits (struct eg_lifecycle *self)
+{
+  return self->class_limits;
+}
+
 struct eg_quarantine *
 eg_lifecycle_quarantine (struct eg_lifecycle *self)
 {
--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -28,6 +28,11 @@
   struct eg_retry_config retry;
   struct eg_quarantine_config quarantine;
   struct eg_placement_config placement;
+  /**
+   * Relative load that the most urgent class may add to a full server, whose
+   * engine puts it first; classes between it and the last get a part.
+   */
+  double headroom;
   size_t requests_max;            /**< Requests held at once. */
   int64_t first_token_silence_us; /**< Longest wait for the first token. */
   int64_t token_silence_us;       /**< Longest wait between two tokens. */
@@ -122,9 +127,21 @@
 /** Frees the state. */
 void eg_lifecycle_free (struct eg_lifecycle *self);
 
+/** Takes new settings; requests that wait or run go on under them. */
+void eg_lifecycle_configure (struct eg_lifecycle *self,
+                             const struct eg_lifecycle_config *config);
+
+/**
+ * Says in which failure domain a plain service's servers go first.
+ * @param failure_domain empty for this entry VM's own.
+ */
+void eg_lifecycle_prefer (struct eg_lifecycle *self,
+                          struct eg_str service,
+                          struct eg_str failure_domain);
+
 /** Takes in a request, which ends with exactly one FINISH or REFUSE. */
 void eg_lifecycle_arrive (struct eg_lifecycle *self,
-                          const struct eg_lifecycle_request *request,
+                          const struct eg_lifecycle_request *info,
                           int64_t now_us);
 
 /** Ends a request whose caller left; no FINISH or REFUSE follows. */
@@ -186,9 +203,21 @@
 struct eg_lifecycle_counts
 eg_lifecycle_counts (const struct eg_lifecycle *self);
 
-/** Returns the limits, for rules to change. */
+/** Returns the limits of organisations, for rules to change. */
 struct eg_limits *eg_lifecycle_limits (struct eg_lifecycle *self);
 
+/**
+ * Returns the limits of organisations within one class, for rules to change;
+ * they go by the names that eg_lifecycle_class_limit_name() gives.
+ */
+struct eg_limits *eg_lifecycle_class_limits (struct eg_lifecycle *self);
+
+/** Writes the name of an organisation's limit within a class. */
+struct eg_str eg_lifecycle_class_limit_name (struct eg_str organisation,
+                                             struct eg_str class_name,
+                                             char *text,
+                                             size_t capacity);
+
 /** Returns the quarantine, for rules and peers to change. */
 struct eg_quarantine *eg_lifecycle_quarantine (struct eg_lifecycle *self);
 
