--- a/bus/codec.c
+++ b/bus/codec.c
@@ -10,7 +10,6 @@
 /* Numbers above would overflow where one is added to an incarnation. */
 #define NUMBER_MAX (UINT64_MAX / 4)
 #define LOAD_ENTRY_BYTES 12
-#define LEASE_MS_MAX (60 * 60 * 1000)
 
 /* Writing. */
 
@@ -106,7 +105,7 @@
 pack_shares (msgpack_packer *packer, const struct eg_peer_message *message)
 {
   msgpack_pack_array (packer, 1 + message->count);
-  msgpack_pack_uint32 (packer, message->lease_ms);
+  msgpack_pack_uint32 (packer, message->want);
   for (size_t i = 0; i < message->count; i++)
     {
       msgpack_pack_array (packer, SHARE_FIELDS);
@@ -271,13 +270,13 @@
 static bool
 read_shares (const msgpack_object *body, struct eg_peer_message *message)
 {
-  uint64_t lease_ms;
+  uint64_t want;
 
   if (body->type != MSGPACK_OBJECT_ARRAY || body->via.array.size < 1
       || body->via.array.size - 1 > EG_PEER_SHARES_MAX
-      || !read_uint (&body->via.array.ptr[0], LEASE_MS_MAX, &lease_ms))
+      || !read_uint (&body->via.array.ptr[0], UINT32_MAX, &want))
     return false;
-  message->lease_ms = (uint32_t) lease_ms;
+  message->want = (uint32_t) want;
   message->count = body->via.array.size - 1;
   for (size_t i = 0; i < message->count; i++)
     if (!read_share (&body->via.array.ptr[i + 1], &message->shares[i]))
--- a/policy/peer_message.h
+++ b/policy/peer_message.h
@@ -123,10 +123,10 @@
   uint64_t incarnation; /**< Of the sender. */
   uint64_t subject;     /**< ASK, HEARD. */
   uint64_t subject_incarnation;
-  uint32_t age_ms;   /**< HEARD. */
-  bool reply;        /**< DIGEST: answers another, and gets none. */
-  uint32_t lease_ms; /**< SHARE_GRANT. */
-  size_t count;      /**< Of the list that the kind has. */
+  uint32_t age_ms; /**< HEARD. */
+  bool reply;      /**< DIGEST: answers another, and gets none. */
+  uint32_t want;   /**< SHARE_WANT, and SHARE_GRANT that answers it. */
+  size_t count;    /**< Of the list that the kind has. */
   union
   {
     struct eg_rumour rumours[EG_PEER_RUMOURS_MAX];
