--- a/bus/worker.c
+++ b/bus/worker.c
@@ -31,7 +31,7 @@
 #define IDLE_US (60 * EG_US_PER_S)
 #define POLL_MS 1000
 #define CONNECTIONS_MAX 64
-#define FRAME_MAX (16 * EG_BUS_MESSAGE_MAX)
+#define FRAME_MAX INT64_C (65536)
 #define BACKLOG 256
 
 /* A message on its way from the decision thread. */
@@ -100,7 +100,7 @@
 static bool
 set_common (struct eg_bus_worker *self, void *socket)
 {
-  int64_t frame_max = FRAME_MAX;
+  const int64_t frame_max = FRAME_MAX;
 
   return set_text (socket, ZMQ_CURVE_SECRETKEY, self->secret_key)
          && set_text (socket, ZMQ_CURVE_PUBLICKEY, self->public_key)
