--- a/policy/lease.c
+++ b/policy/lease.c
@@ -117,6 +117,18 @@
   return action;
 }
 
+/* A candidate reads before it writes: most often the holder has renewed, and
+   reads are cheaper than refused writes. */
+static enum eg_lease_action
+watch (struct eg_lease *self, int64_t due_us, int64_t now_us)
+{
+  self->wake_us = self->checked_us + self->config->watch_us;
+  if (self->wake_us > due_us)
+    self->wake_us = due_us;
+  return now_us < self->wake_us ? EG_LEASE_WAIT
+                                : begin (self, EG_LEASE_READ, now_us);
+}
+
 static enum eg_lease_action
 decide (struct eg_lease *self, int64_t now_us)
 {
@@ -125,13 +137,11 @@
   if (!self->seen || self->in_doubt || self->confirming)
     return begin (self, EG_LEASE_READ, now_us);
   due_us = write_due_us (self);
+  if (!self->ours && self->checked_us < due_us)
+    return watch (self, due_us, now_us);
   self->wake_us = due_us;
   if (now_us < due_us)
     return EG_LEASE_WAIT;
-  /* A candidate reads first: most often the holder has renewed, and reads are
-     cheaper than refused writes. */
-  if (!self->ours && self->checked_us < due_us)
-    return begin (self, EG_LEASE_READ, now_us);
   return begin (self, self->version > 0 ? EG_LEASE_UPDATE : EG_LEASE_CREATE,
                 now_us);
 }
--- a/policy/lease.h
+++ b/policy/lease.h
@@ -35,6 +35,7 @@
   int64_t drift_us;    /**< The holder stops this much before the end. */
   int64_t pause_us;    /**< A candidate waits this much longer. */
   int64_t renew_us;    /**< From one write of the holder to the next. */
+  int64_t watch_us;    /**< From one read of a candidate to the next. */
   int64_t retry_us;    /**< After a failure, with jitter. */
 };
 
