--- a/policy/orders.c
+++ b/policy/orders.c
@@ -496,11 +496,12 @@
   wanted = wanted_chains (self, model);
   if (after >= wanted || after == before)
     return RANK_SPARE;
+  /* What is under way may bring a server that is less dear. */
+  if (self->loads > 0)
+    return RANK_NEVER;
   /* With fewer servers than the rules ask for, a roll-out goes on from what
      there is, but not while orders fail. */
-  floor = wanted;
-  if (before < wanted && !self->failing && self->loads == 0)
-    floor = before;
+  floor = before < wanted && !self->failing ? before : wanted;
   return after >= 1 && after + 1 >= floor ? RANK_ROLLING : RANK_NEVER;
 }
 
