standin: eelgrass-once checks "at most once" through real processes

Sends requests that may not run twice to all entry VMs at once, repeats them, brings about faults, and compares every answer with the services' records. tools/experiment once lays out the deployment.

--- a/standin/load_scenario.c
+++ b/standin/load_scenario.c
@@ -86,11 +86,11 @@
   return eg_load_fields_read (&table, value, path, item, error);
 }
 
-static enum eg_status
-read_targets (json_t *value,
-              const char *path,
-              void *target,
-              struct eg_error *error)
+enum eg_status
+eg_load_scenario_read_targets (json_t *value,
+                               const char *path,
+                               void *target,
+                               struct eg_error *error)
 {
   struct eg_load_scenario *self = target;
 
@@ -460,11 +460,11 @@
   return EG_OK;
 }
 
-static enum eg_status
-read_faults (json_t *value,
-             const char *path,
-             void *target,
-             struct eg_error *error)
+enum eg_status
+eg_load_scenario_read_faults (json_t *value,
+                              const char *path,
+                              void *target,
+                              struct eg_error *error)
 {
   struct eg_load_scenario *self = target;
 
@@ -519,11 +519,11 @@
   return eg_load_fields_read (&table, value, path, item, error);
 }
 
-static enum eg_status
-read_audited (json_t *value,
-              const char *path,
-              void *target,
-              struct eg_error *error)
+enum eg_status
+eg_load_scenario_read_records (json_t *value,
+                               const char *path,
+                               void *target,
+                               struct eg_error *error)
 {
   struct eg_load_scenario *self = target;
 
@@ -538,7 +538,8 @@
             struct eg_error *error)
 {
   static const struct eg_load_field rows[] = {
-      {"records", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_audited},
+      {"records", EG_LOAD_FIELD_NESTED, true, 0, 0, 0,
+       eg_load_scenario_read_records},
       {"model_layers", EG_LOAD_FIELD_INTEGER, true,
        FIELD (eg_load_scenario, audited_layers), 1, MAX_LAYERS, NULL},
   };
@@ -550,7 +551,8 @@
 static const struct eg_load_field scenario_rows[] = {
     {"name", EG_LOAD_FIELD_TEXT, true, FIELD (eg_load_scenario, name), 1,
      EG_LOAD_NAME_BYTES, NULL},
-    {"targets", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_targets},
+    {"targets", EG_LOAD_FIELD_NESTED, false, 0, 0, 0,
+     eg_load_scenario_read_targets},
     {"choice", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_choice},
     {"fail_over", EG_LOAD_FIELD_BOOLEAN, false,
      FIELD (eg_load_scenario, fail_over), 0, 0, NULL},
@@ -570,7 +572,8 @@
     {"audit", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_audit},
     {"streams", EG_LOAD_FIELD_NESTED, true, 0, 0, 0, read_streams},
     {"phases", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_phases},
-    {"faults", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_faults},
+    {"faults", EG_LOAD_FIELD_NESTED, false, 0, 0, 0,
+     eg_load_scenario_read_faults},
 };
 
 static enum eg_status
--- a/standin/load_scenario.h
+++ b/standin/load_scenario.h
@@ -7,6 +7,7 @@
 #ifndef EG_STANDIN_LOAD_SCENARIO_H
 #define EG_STANDIN_LOAD_SCENARIO_H
 
+#include <jansson.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -133,6 +134,27 @@
                                            const char *path,
                                            struct eg_error *error);
 
+/**
+ * Reads the list of targets at @p path.
+ * @param target a struct eg_load_scenario, or one that starts with it.
+ */
+enum eg_status eg_load_scenario_read_targets (json_t *value,
+                                              const char *path,
+                                              void *target,
+                                              struct eg_error *error);
+
+/** Reads a list of faults likewise; it must be in order of time. */
+enum eg_status eg_load_scenario_read_faults (json_t *value,
+                                             const char *path,
+                                             void *target,
+                                             struct eg_error *error);
+
+/** Reads a list of execution records likewise. */
+enum eg_status eg_load_scenario_read_records (json_t *value,
+                                              const char *path,
+                                              void *target,
+                                              struct eg_error *error);
+
 /** Frees what the scenario holds. */
 void eg_load_scenario_finish (struct eg_load_scenario *self);
 
--- /dev/null
+++ b/tools/experiments/once.sh
@@ -0,0 +1,106 @@
+# Whether anything runs twice, or any answer is untrue, while the store loses
+# replies and goes down, servers die, one entry VM is killed and another stands
+# still. Read by tools/experiment; EG_SEEDS are the seeds.
+
+. tools/experiments/plain.sh
+
+once_requests=400
+
+# Faults come a little earlier or later with each seed.
+# at MS: in milliseconds
+at() { echo $(($1 + (seed * 7919 + $1) % 300)); }
+
+# platform_fault MS LABEL BODY
+platform_fault() {
+  printf '{"at_ms":%s,"label":"%s","post":{"url":"%s","body":%s}}' \
+    "$(at "$1")" "$2" "$(platform_url faults)" "$3"
+}
+
+# server_fault MS NUMBER LABEL BODY
+server_fault() {
+  printf '{"at_ms":%s,"label":"%s","post":{"url":"%s","body":%s}}' \
+    "$(at "$1")" "$3" "$(plain_url "$2" faults)" "$4"
+}
+
+# vm_signal MS DOMAIN SIGNAL
+vm_signal() {
+  printf '{"at_ms":%s,"label":"%s to entry VM %s","kill":{"pid_file":"%s","signal":"%s"}}' \
+    "$(at "$1")" "$3" "$2" "$run/entry-$2.pid" "$3"
+}
+
+once_faults() {
+  platform_fault 500 "store loses replies" '{"fault":"lose-reply","count":40}'
+  printf ','
+  server_fault 1100 0 "server 0 loses replies" '{"fault":"lose-reply","count":8}'
+  printf ','
+  server_fault 1700 1 "server 1 dies" '{"fault":"die"}'
+  printf ','
+  server_fault 2300 1 "server 1 revives" '{"fault":"revive"}'
+  printf ','
+  vm_signal 2900 b STOP
+  printf ','
+  platform_fault 3500 "store is slow" '{"fault":"slow","ms":150}'
+  printf ','
+  platform_fault 4100 "store is down" '{"fault":"down"}'
+  printf ','
+  server_fault 4700 1 "server 1 loses replies" '{"fault":"lose-reply","count":8}'
+  printf ','
+  platform_fault 5300 "store is silent" '{"fault":"silent"}'
+  printf ','
+  vm_signal 5900 b CONT
+  printf ','
+  platform_fault 6500 "store loses replies again" '{"fault":"lose-reply","count":60}'
+  printf ','
+  vm_signal 7100 c KILL
+  printf ','
+  server_fault 7700 0 "server 0 dies" '{"fault":"die"}'
+  printf ','
+  server_fault 8300 0 "server 0 revives" '{"fault":"revive"}'
+}
+
+once_scenario() {
+  {
+    printf '{"name":"%s","duration_ms":9500,"drain_ms":4000,' "$1"
+    printf '"request_timeout_ms":4000,"deadline_ms":2000,'
+    printf '"service":"%s","organisation":"registry","requests":%s,' \
+      "$plain_service" "$once_requests"
+    printf '"ticket_share":0.25,"plain_share":0.2,"other_body_share":0.2,'
+    printf '"record_interval_ms":100,'
+    targets_json
+    printf ','
+    plain_records_json
+    printf ',"faults":['
+    once_faults
+    printf ']}\n'
+  } >"$run/$1.json"
+}
+
+once_case() {
+  seed=$1
+  begin "once-$seed"
+  plain_start
+  once_scenario "once-$seed"
+  once "once-$seed" "$seed"
+  curl -sf "$(platform_url counts)" >"$results/once-$seed.counts"
+  finish
+  for kind in key ticket plain; do
+    printf 'seed %s: %s: %s requests, %s sendings, %s runs, %s answered, %s ran without an answer\n' \
+      "$seed" "$kind" "$(value "once-$seed" $kind.requests)" \
+      "$(value "once-$seed" $kind.sendings)" "$(value "once-$seed" $kind.runs)" \
+      "$(value "once-$seed" $kind.answered)" \
+      "$(value "once-$seed" $kind.ran_unanswered)"
+  done >>"$results/once.summary"
+  total=$(value "once-$seed" violations.total)
+  verdict "seed $seed: no run twice, no untrue answer" "${total:-1} == 0" \
+    >>"$results/once.summary"
+}
+
+experiment() {
+  mkdir -p "$build/results"
+  : >"$build/results/once.summary"
+  for seed_number in ${EG_SEEDS:-1 2 3 4}; do
+    once_case "$seed_number"
+  done
+  say ""
+  cat "$results/once.summary"
+}
