--- a/policy/peer_message.h
+++ b/policy/peer_message.h
@@ -39,6 +39,7 @@
   EG_RUMOUR_QUARANTINE, /**< A fingerprint; state 1 holds, 2 is released. */
   EG_RUMOUR_RULES,      /**< A version of the rules that can be had. */
   EG_RUMOUR_DRAIN,      /**< A backend server; state 1 leaves, 2 is back. */
+  EG_RUMOUR_SILENT,     /**< A backend server; 1 is silent, 2 answers again. */
   EG_RUMOUR_KINDS,
 };
 
--- a/policy/share.c
+++ b/policy/share.c
@@ -37,6 +37,7 @@
 {
   char organisation[EG_NAME_BYTES];
   double limit;
+  bool set;         /* Since the last eg_shares_keep_set(). */
   uint64_t arrived; /* Since the last tick. */
   double demand;    /* Smoothed, a second. */
   struct loans lent;
@@ -121,9 +122,35 @@
       eg_map_put (&self->shares, eg_hash_str (organisation), share);
     }
   share->limit = rate_per_s;
+  share->set = true;
   return true;
 }
 
+static struct share *
+find_unset (const struct eg_shares *self)
+{
+  struct share *share;
+  size_t cursor = 0;
+
+  while ((share = eg_map_next (&self->shares, &cursor)))
+    if (!share->set)
+      return share;
+  return NULL;
+}
+
+void
+eg_shares_keep_set (struct eg_shares *self)
+{
+  struct share *share;
+  size_t cursor = 0;
+
+  while ((share = find_unset (self)))
+    free (eg_map_remove (&self->shares,
+                         eg_hash_str (eg_str_from (share->organisation))));
+  while ((share = eg_map_next (&self->shares, &cursor)))
+    share->set = false;
+}
+
 void
 eg_shares_demand (struct eg_shares *self, struct eg_str organisation)
 {
@@ -182,6 +209,7 @@
                  int64_t now_us,
                  void (*visit) (void *context,
                                 struct eg_str organisation,
+                                double limit_per_s,
                                 double rate_per_s),
                  void *context)
 {
@@ -189,7 +217,7 @@
   size_t cursor = 0;
 
   while ((share = eg_map_next (&self->shares, &cursor)))
-    visit (context, eg_str_from (share->organisation),
+    visit (context, eg_str_from (share->organisation), share->limit,
            rate_of (self, share, now_us));
 }
 
--- a/policy/share.h
+++ b/policy/share.h
@@ -44,6 +44,12 @@
                           struct eg_str organisation,
                           double rate_per_s);
 
+/**
+ * Removes the limits that were not set again since the last call, as after new
+ * rules.
+ */
+void eg_shares_keep_set (struct eg_shares *self);
+
 /** Counts a request of an organisation, admitted or not. */
 void eg_shares_demand (struct eg_shares *self, struct eg_str organisation);
 
@@ -58,11 +64,12 @@
  */
 bool eg_shares_tick (struct eg_shares *self, int64_t now_us);
 
-/** Calls @p visit with the rate of each organisation that has a limit. */
+/** Calls @p visit with the limit and the rate of each organisation. */
 void eg_shares_visit (struct eg_shares *self,
                       int64_t now_us,
                       void (*visit) (void *context,
                                      struct eg_str organisation,
+                                     double limit_per_s,
                                      double rate_per_s),
                       void *context);
 
--- a/router/decision.c
+++ b/router/decision.c
@@ -1,6 +1,7 @@
 #include "router/decision.h"
 
 #include <ck_pr.h>
+#include <inttypes.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <time.h>
@@ -9,6 +10,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "router/dispatcher.h"
+#include "router/gossip.h"
 #include "router/message.h"
 #include "router/ruleset.h"
 #include "router/sweeper.h"
@@ -39,6 +41,7 @@
   struct eg_dispatcher *dispatcher;
   struct eg_ruleset *ruleset;
   struct eg_sweeper sweeper;
+  struct eg_gossip *gossip; /* NULL while the bus is off. */
   int64_t next_tick_us;
   int64_t next_vms_us;
   bool vms_under_way;
@@ -84,6 +87,9 @@
       message->edit->result.action = EG_RULE_EDIT_REFUSED;
       sem_post (&message->edit->answered);
       break;
+    case EG_MESSAGE_PEER:
+      free (message->peer);
+      break;
     case EG_MESSAGE_STOP:
     case EG_MESSAGE_COUNT:
       break;
@@ -127,6 +133,16 @@
   push_message_waiting (context, &message);
 }
 
+/* Peers repeat what matters, so that a full ring may lose it. */
+static void
+on_peer_message (void *context, struct eg_peer_message *peer)
+{
+  const struct eg_message message = {.kind = EG_MESSAGE_PEER, .peer = peer};
+
+  if (!push_message (context, &message))
+    free (peer);
+}
+
 bool
 eg_decision_submit (struct eg_decision *self, struct eg_call *call)
 {
@@ -222,6 +238,7 @@
 static void
 handle_call (struct eg_decision *self, struct eg_message *message)
 {
+  eg_gossip_demand (self->gossip, eg_str_from (message->call->organisation));
   eg_dispatcher_arrive (self->dispatcher, message->call);
 }
 
@@ -270,6 +287,7 @@
       eg_claim_sweeper_set_entry_vms (&self->sweeper.claims,
                                       eg_fleet_count_entries (&self->fleet));
       eg_dispatcher_servers_listed (self->dispatcher);
+      eg_gossip_listed (self->gossip);
     }
   if (reply->status != self->vms_status)
     eg_log (reply->status == EG_OK ? EG_LOG_NOTICE : EG_LOG_WARNING, "platform",
@@ -290,6 +308,12 @@
   eg_platform_reply_free (message->platform);
 }
 
+static void
+handle_peer (struct eg_decision *self, struct eg_message *message)
+{
+  eg_gossip_receive (self->gossip, message->peer);
+}
+
 static void
 handle_inquiry (struct eg_decision *self, struct eg_message *message)
 {
@@ -299,6 +323,7 @@
       .metrics = eg_dispatcher_metrics (self->dispatcher),
       .ruleset = self->ruleset,
       .vms = &self->fleet.vms,
+      .gossip = self->gossip,
       .now_us = eg_clock_now_us (),
   };
 
@@ -319,6 +344,7 @@
   (void) message;
   self->draining = true;
   eg_dispatcher_stop (self->dispatcher);
+  eg_gossip_leave (self->gossip);
 }
 
 static void (*const message_handlers[EG_MESSAGE_COUNT]) (
@@ -330,6 +356,7 @@
     [EG_MESSAGE_PLATFORM] = handle_platform,
     [EG_MESSAGE_INQUIRY] = handle_inquiry,
     [EG_MESSAGE_EDIT] = handle_edit,
+    [EG_MESSAGE_PEER] = handle_peer,
     [EG_MESSAGE_STOP] = handle_stop,
 };
 
@@ -358,6 +385,7 @@
   eg_dispatcher_tick (self->dispatcher, now_us);
   eg_ruleset_tick (self->ruleset, now_us);
   eg_sweeper_tick (&self->sweeper, now_us);
+  eg_gossip_tick (self->gossip, now_us);
   eg_fleet_poll (&self->fleet, self->backend, now_us);
   read_vm_list (self, now_us);
   /* Without a list a node still answers, with honest refusals. */
@@ -419,17 +447,64 @@
 {
   struct eg_decision *self = context;
 
-  (void) version;
   eg_dispatcher_apply_rules (self->dispatcher, rules);
+  eg_gossip_apply_rules (self->gossip, rules, version);
+}
+
+static void
+on_servers_changed (void *context)
+{
+  struct eg_decision *self = context;
+
+  eg_dispatcher_servers_changed (self->dispatcher, EG_SERVER_NONE);
+}
+
+static void
+on_rules_heard (void *context, uint64_t version)
+{
+  struct eg_decision *self = context;
+
+  if (version > eg_ruleset_version (self->ruleset))
+    eg_log (EG_LOG_NOTICE, "gossip", "event=rules-heard version=%" PRIu64,
+            version);
+}
+
+static void
+on_quarantine (void *context, uint64_t fingerprint, int64_t until_us)
+{
+  struct eg_decision *self = context;
+
+  eg_gossip_quarantine (self->gossip, fingerprint, until_us);
 }
 
 static bool
-start (struct eg_decision *self)
+start_gossip (struct eg_decision *self, struct eg_error *error)
+{
+  const struct eg_gossip_parts parts = {
+      .settings = self->settings,
+      .fleet = &self->fleet,
+      .lifecycle = eg_dispatcher_lifecycle_to_change (self->dispatcher),
+      .push = on_peer_message,
+      .servers_changed = on_servers_changed,
+      .rules_heard = on_rules_heard,
+      .context = self,
+  };
+
+  if (!eg_gossip_is_on (self->settings))
+    return true;
+  self->gossip = eg_gossip_new (&parts, error);
+  return self->gossip != NULL;
+}
+
+static bool
+start (struct eg_decision *self, struct eg_error *error)
 {
   struct eg_dispatcher_parts parts = {
       .settings = self->settings,
       .fleet = &self->fleet,
       .incarnation = eg_random_system_seed (),
+      .on_quarantine = on_quarantine,
+      .context = self,
   };
 
   const struct eg_ruleset_callbacks ruleset_callbacks = {on_rules_in_force,
@@ -447,7 +522,7 @@
   self->dispatcher = eg_dispatcher_new (&parts);
   self->ruleset =
       eg_ruleset_new (self->platform, ~parts.incarnation, &ruleset_callbacks);
-  return self->dispatcher
+  return self->dispatcher && start_gossip (self, error)
          && pthread_create (&self->thread, NULL, run, self) == 0;
 }
 
@@ -461,10 +536,10 @@
   self->settings = settings;
   self->ring.event_fd = -1;
   self->started_us = eg_clock_now_us ();
-  self->started = start (self);
+  eg_error_set (error, EG_SYSTEM, "threads could not be started");
+  self->started = start (self, error);
   if (self->started)
     return self;
-  eg_error_set (error, EG_SYSTEM, "threads could not be started");
   eg_decision_free (self);
   return NULL;
 }
@@ -484,6 +559,7 @@
     }
   eg_backend_worker_free (self->backend);
   eg_platform_worker_free (self->platform);
+  eg_gossip_free (self->gossip);
   while (self->ring.slots && (message = eg_ring_pop (&self->ring)))
     {
       release_message (message);
--- a/router/decision.h
+++ b/router/decision.h
@@ -8,6 +8,7 @@
 #include "platform/vms.h"
 #include "policy/lifecycle.h"
 #include "router/call.h"
+#include "router/gossip.h"
 #include "router/metrics.h"
 #include "router/ruleset.h"
 #include "router/settings.h"
@@ -59,7 +60,8 @@
   const struct eg_servers *servers;
   const struct eg_metrics *metrics;
   const struct eg_ruleset *ruleset;
-  const struct eg_vm_list *vms; /**< The platform's, as last read. */
+  const struct eg_gossip *gossip; /**< NULL while the bus is off. */
+  const struct eg_vm_list *vms;   /**< The platform's, as last read. */
   int64_t now_us;
 };
 
--- a/router/dispatcher.c
+++ b/router/dispatcher.c
@@ -255,6 +255,9 @@
     case EG_ACTION_QUARANTINE:
       eg_log (EG_LOG_WARNING, "lifecycle",
               "event=quarantine fingerprint=%016" PRIx64, action->fingerprint);
+      if (self->parts.on_quarantine)
+        self->parts.on_quarantine (self->parts.context, action->fingerprint,
+                                   action->until_us);
       return;
     }
 }
@@ -666,6 +669,12 @@
   return self->lifecycle;
 }
 
+struct eg_lifecycle *
+eg_dispatcher_lifecycle_to_change (struct eg_dispatcher *self)
+{
+  return self->lifecycle;
+}
+
 const struct eg_metrics *
 eg_dispatcher_metrics (const struct eg_dispatcher *self)
 {
--- a/router/dispatcher.h
+++ b/router/dispatcher.h
@@ -25,6 +25,9 @@
   struct eg_backend_worker *backend;
   struct eg_platform_worker *platform;
   uint64_t incarnation; /**< Random, drawn as the process starts. */
+  /** A quarantine began here, so that peers be told; may be NULL. */
+  void (*on_quarantine) (void *context, uint64_t fingerprint, int64_t until_us);
+  void *context;
 };
 
 /** Makes a dispatcher without requests; NULL without memory. */
@@ -75,6 +78,10 @@
 const struct eg_lifecycle *
 eg_dispatcher_lifecycle (const struct eg_dispatcher *self);
 
+/** Returns the lifecycle, for peers to change its limits and quarantine. */
+struct eg_lifecycle *
+eg_dispatcher_lifecycle_to_change (struct eg_dispatcher *self);
+
 /** Returns the metrics, for inquiries. */
 const struct eg_metrics *
 eg_dispatcher_metrics (const struct eg_dispatcher *self);
--- a/router/fleet.c
+++ b/router/fleet.c
@@ -77,11 +77,11 @@
   return false;
 }
 
-static void
-take_report (struct eg_fleet *self,
-             uint32_t server,
-             const struct eg_server_report *report,
-             int64_t now_us)
+void
+eg_fleet_take_report (struct eg_fleet *self,
+                      uint32_t server,
+                      const struct eg_server_report *report,
+                      int64_t now_us)
 {
   int64_t backed_off_us = eg_servers_get (self->servers, server)->retry_at_us;
 
@@ -105,9 +105,11 @@
     return EG_SERVER_NONE;
   silent = eg_poller_ended (&self->poller, server, event);
   if (event->kind == EG_BACKEND_LOAD)
-    take_report (self, server, &event->report, now_us);
+    eg_fleet_take_report (self, server, &event->report, now_us);
   else if (!event->not_found)
     eg_servers_failed (self->servers, server, now_us);
+  if (self->observer.polled)
+    self->observer.polled (self->observer.context, server, event, silent);
   if (!silent)
     return EG_SERVER_NONE;
   eg_log (EG_LOG_WARNING, "fleet", "event=server-silent server=%s",
@@ -120,8 +122,11 @@
 {
   uint32_t server = eg_servers_find (self->servers, address);
 
-  if (server != EG_SERVER_NONE)
-    eg_servers_stop (self->servers, server, EG_SERVER_LEAVING_ANSWER, true);
+  if (server == EG_SERVER_NONE)
+    return;
+  eg_servers_stop (self->servers, server, EG_SERVER_LEAVING_ANSWER, true);
+  if (self->observer.refused)
+    self->observer.refused (self->observer.context, server);
 }
 
 void
--- a/router/fleet.h
+++ b/router/fleet.h
@@ -11,12 +11,26 @@
 #include "policy/servers.h"
 #include "router/poller.h"
 
+/** Told of what this node finds out itself; all may be NULL. */
+struct eg_fleet_observer
+{
+  /** A poll ended; @p silent if the server has fallen silent. */
+  void (*polled) (void *context,
+                  uint32_t server,
+                  const struct eg_backend_event *event,
+                  bool silent);
+  /** A server refused new work. */
+  void (*refused) (void *context, uint32_t server);
+  void *context;
+};
+
 /** The fleet; memory of its owner. */
 struct eg_fleet
 {
   struct eg_servers *servers;
   struct eg_poller poller;
   struct eg_vm_list vms; /**< The last list that came. */
+  struct eg_fleet_observer observer;
 };
 
 /** Makes an empty fleet; false without memory. */
@@ -37,6 +51,12 @@
                               const struct eg_backend_event *event,
                               int64_t now_us);
 
+/** Takes in a report that another entry VM shared. */
+void eg_fleet_take_report (struct eg_fleet *self,
+                           uint32_t server,
+                           const struct eg_server_report *report,
+                           int64_t now_us);
+
 /** Takes in that a server refused new work, as one that is leaving does. */
 void eg_fleet_refused (struct eg_fleet *self, struct eg_str address);
 
--- /dev/null
+++ b/router/gossip_loads.c
@@ -0,0 +1,245 @@
+#include "router/gossip_loads.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "policy/ownership.h"
+
+/* A load that has not changed is told again after this many polls. */
+#define UNCHANGED_POLLS_MAX 4
+/* Silence of the node that polls a server, in intervals and beyond that, after
+   which others poll it themselves. */
+#define SILENT_INTERVALS 8
+#define SILENT_US (5 * EG_US_PER_S)
+/* Polls a second of servers in other failure domains, all together. */
+#define ELSEWHERE_PER_S 2
+#define KV_FULL 255
+
+struct eg_gossip_server
+{
+  struct eg_load_entry told; /* What this node told last. */
+  unsigned polls_since_told;
+  int64_t heard_us;    /* When an entry last came. */
+  uint8_t description; /* Of the server's last own report. */
+  bool stale;          /* To be polled, whoever else does. */
+};
+
+uint32_t
+eg_gossip_server_id (const char *address)
+{
+  return (uint32_t) eg_hash_str (eg_str_from (address));
+}
+
+void
+eg_gossip_loads_finish (struct eg_gossip_loads *self)
+{
+  eg_map_finish (&self->by_id);
+  free (self->servers);
+  self->servers = NULL;
+}
+
+static void
+cover (struct eg_gossip_loads *self, uint32_t count)
+{
+  if (count <= self->count)
+    return;
+  self->servers = realloc (self->servers, count * sizeof *self->servers);
+  EG_INVARIANT (self->servers != NULL);
+  memset (self->servers + self->count, 0,
+          (count - self->count) * sizeof *self->servers);
+  self->count = count;
+}
+
+static bool
+is_near (const struct eg_gossip_loads *self, const struct eg_server *server)
+{
+  return strcmp (server->failure_domain, self->failure_domain) == 0;
+}
+
+void
+eg_gossip_loads_listed (struct eg_gossip_loads *self)
+{
+  const struct eg_servers *servers = self->fleet->servers;
+
+  cover (self, eg_servers_count (servers));
+  eg_map_finish (&self->by_id);
+  eg_map_init (&self->by_id);
+  self->own_domain = 0;
+  self->elsewhere = 0;
+  for (uint32_t i = 0; i < eg_servers_count (servers); i++)
+    {
+      const struct eg_server *server = eg_servers_get (servers, i);
+
+      if (!server || !*server->address || (server->stops & EG_SERVER_GONE))
+        continue;
+      eg_map_put (&self->by_id, eg_gossip_server_id (server->address),
+                  (void *) ((uintptr_t) i + 1));
+      if (is_near (self, server))
+        self->own_domain++;
+      else
+        self->elsewhere++;
+    }
+}
+
+uint32_t
+eg_gossip_loads_find (const struct eg_gossip_loads *self, uint32_t id)
+{
+  uintptr_t place = (uintptr_t) eg_map_get (&self->by_id, id);
+  const struct eg_server *server;
+
+  if (place == 0)
+    return EG_SERVER_NONE;
+  server = eg_servers_get (self->fleet->servers, (uint32_t) (place - 1));
+  /* Indexes are given anew once a server is gone. */
+  if (!server || eg_gossip_server_id (server->address) != id)
+    return EG_SERVER_NONE;
+  return (uint32_t) (place - 1);
+}
+
+bool
+eg_gossip_loads_owns (const struct eg_gossip_loads *self, uint32_t server)
+{
+  const struct eg_server *known = eg_servers_get (self->fleet->servers, server);
+
+  return known && is_near (self, known)
+         && eg_ownership_find (eg_peers_membership (self->peers),
+                               eg_str_from (known->failure_domain),
+                               eg_hash_str (eg_str_from (known->address)))
+                == eg_peers_own (self->peers);
+}
+
+int64_t
+eg_gossip_loads_interval (struct eg_gossip_loads *self,
+                          uint32_t server,
+                          int64_t now_us)
+{
+  const struct eg_server *known = eg_servers_get (self->fleet->servers, server);
+  int64_t interval_us =
+      eg_ownership_interval (self->own_domain, self->shortest_us);
+  const struct eg_gossip_server *heard;
+
+  cover (self, server + 1);
+  heard = &self->servers[server];
+  if (!is_near (self, known))
+    {
+      int64_t slow_us =
+          (int64_t) self->elsewhere * EG_US_PER_S / ELSEWHERE_PER_S;
+
+      return slow_us > interval_us ? slow_us : interval_us;
+    }
+  if (!known->reported || heard->stale || eg_gossip_loads_owns (self, server))
+    return interval_us;
+  return now_us - heard->heard_us > SILENT_INTERVALS * interval_us + SILENT_US
+             ? interval_us
+             : 0;
+}
+
+void
+eg_gossip_loads_doubt (struct eg_gossip_loads *self, uint32_t server)
+{
+  cover (self, server + 1);
+  self->servers[server].stale = true;
+}
+
+/* Changes whenever something does that an entry does not carry. */
+static uint8_t
+describe (const struct eg_server_report *report)
+{
+  const uint32_t layers[] = {report->first_layer, report->last_layer,
+                             report->model_layers, report->slots};
+  uint64_t hash = EG_HASH_START;
+
+  hash = eg_hash_add (hash, eg_str_from (report->service));
+  hash = eg_hash_add (hash, eg_str_from (report->model));
+  hash = eg_hash_add (hash, eg_str_from (report->version));
+  hash = eg_hash_add (hash, eg_str_from (report->accelerator));
+  hash =
+      eg_hash_add (hash, (struct eg_str){(const char *) layers, sizeof layers});
+  return (uint8_t) eg_hash_mix (hash);
+}
+
+static void
+fill_entry (struct eg_load_entry *entry,
+            const struct eg_server *server,
+            bool failed)
+{
+  const struct eg_server_report *report = &server->report;
+
+  *entry = (struct eg_load_entry){
+      .server = eg_gossip_server_id (server->address),
+      .running = report->running < UINT16_MAX ? (uint16_t) report->running
+                                              : UINT16_MAX,
+      .queued =
+          report->queued < UINT8_MAX ? (uint8_t) report->queued : UINT8_MAX,
+      .flags = (uint8_t) ((report->draining ? EG_LOAD_DRAINING : 0)
+                          | (failed ? EG_LOAD_FAILED : 0)),
+      .description = describe (report),
+  };
+  if (report->kv_total > 0)
+    entry->kv_free = (uint8_t) ((double) report->kv_free * KV_FULL
+                                / (double) report->kv_total);
+}
+
+bool
+eg_gossip_loads_write (struct eg_gossip_loads *self,
+                       uint32_t server,
+                       bool failed,
+                       int64_t now_us,
+                       struct eg_load_entry *entry)
+{
+  const struct eg_server *known = eg_servers_get (self->fleet->servers, server);
+  struct eg_gossip_server *state;
+
+  cover (self, server + 1);
+  state = &self->servers[server];
+  if (!known->reported)
+    return false;
+  fill_entry (entry, known, failed);
+  state->description = entry->description;
+  state->stale = false;
+  if (memcmp (entry, &state->told, sizeof *entry) == 0
+      && ++state->polls_since_told < UNCHANGED_POLLS_MAX)
+    return false;
+  state->told = *entry;
+  state->polls_since_told = 0;
+  if (now_us > known->report.as_of_us)
+    {
+      int64_t age = (now_us - known->report.as_of_us) / EG_LOAD_AGE_UNIT_US;
+
+      entry->age = (uint8_t) (age < UINT8_MAX ? age : UINT8_MAX);
+    }
+  return true;
+}
+
+bool
+eg_gossip_loads_take (struct eg_gossip_loads *self,
+                      const struct eg_load_entry *entry,
+                      int64_t now_us)
+{
+  uint32_t server = eg_gossip_loads_find (self, entry->server);
+  const struct eg_server *known;
+  struct eg_server_report report;
+  struct eg_gossip_server *state;
+
+  if (server == EG_SERVER_NONE)
+    return false;
+  cover (self, server + 1);
+  state = &self->servers[server];
+  known = eg_servers_get (self->fleet->servers, server);
+  state->heard_us = now_us;
+  if (!known->reported || (entry->flags & EG_LOAD_FAILED))
+    return true;
+  state->stale = describe (&known->report) != entry->description;
+  if (state->stale)
+    return true;
+  report = known->report;
+  report.running = entry->running;
+  report.queued = entry->queued;
+  report.kv_free = report.kv_total / KV_FULL * entry->kv_free;
+  report.draining = (entry->flags & EG_LOAD_DRAINING) != 0;
+  report.as_of_us = now_us - entry->age * EG_LOAD_AGE_UNIT_US;
+  eg_fleet_take_report (self->fleet, server, &report, now_us);
+  return true;
+}
--- a/router/message.h
+++ b/router/message.h
@@ -9,6 +9,7 @@
 
 #include "backend/event.h"
 #include "platform/worker.h"
+#include "policy/peer_message.h"
 #include "router/call.h"
 #include "router/decision.h"
 
@@ -21,6 +22,7 @@
   EG_MESSAGE_PLATFORM, /**< A reply of the platform. */
   EG_MESSAGE_INQUIRY,  /**< A question of the operators' listener. */
   EG_MESSAGE_EDIT,     /**< An edit of the rules. */
+  EG_MESSAGE_PEER,     /**< Another entry VM spoke. */
   EG_MESSAGE_STOP,     /**< A planned stop begins. */
   EG_MESSAGE_COUNT
 };
@@ -50,6 +52,7 @@
     struct eg_call *call; /**< Of CALL and ABANDON; owns a reference. */
     struct eg_backend_event *backend;
     struct eg_platform_reply *platform;
+    struct eg_peer_message *peer;
     struct eg_edit_inquiry *edit; /**< Owned by the thread that waits. */
     struct eg_inquiry *inquiry;   /**< Owned by the thread that waits. */
   };
--- a/router/operators_status.c
+++ b/router/operators_status.c
@@ -30,6 +30,7 @@
 
   for (size_t i = 0; i < sizeof gauges / sizeof gauges[0]; i++)
     eg_metrics_write_gauge (text, &gauges[i]);
+  eg_gossip_write_metrics (view->gossip, text);
   eg_metrics_write (view->metrics, text);
 }
 
--- a/router/poller.c
+++ b/router/poller.c
@@ -60,6 +60,14 @@
   return !state->under_way && now_us >= state->next_us;
 }
 
+static int64_t
+interval_of (const struct eg_poller *self, uint32_t server, int64_t now_us)
+{
+  if (!self->plan.interval_us)
+    return self->interval_us;
+  return self->plan.interval_us (self->plan.context, server, now_us);
+}
+
 struct eg_backend_command *
 eg_poller_next (struct eg_poller *self,
                 const struct eg_servers *servers,
@@ -74,6 +82,9 @@
 
       if (!is_due (state, server, now_us))
         continue;
+      interval_us = interval_of (self, i, now_us);
+      if (interval_us == 0)
+        continue;
       /* The first poll is due at once; the second is set by address, so that
          later ones do not all fall together. */
       if (!state->known)
--- a/router/poller.h
+++ b/router/poller.h
@@ -14,12 +14,21 @@
 
 struct eg_poll_state;
 
+/** Says how often a server is to be polled by this node. */
+struct eg_poll_plan
+{
+  /** Returns the interval in microseconds; 0 if it need not be polled now. */
+  int64_t (*interval_us) (void *context, uint32_t server, int64_t now_us);
+  void *context;
+};
+
 /** The schedule; zero-initialised memory is an empty one. */
 struct eg_poller
 {
   struct eg_poll_state *states; /**< By server index. */
   uint32_t count;
   int64_t interval_us;
+  struct eg_poll_plan plan; /**< Without one, interval_us is for all. */
 };
 
 /** Frees the schedule. */
--- a/router/settings.h
+++ b/router/settings.h
@@ -6,6 +6,7 @@
 #define EG_ROUTER_SETTINGS_H
 
 #include "base/settings.h"
+#include "bus/worker.h"
 #include "policy/request.h"
 
 /** Longest token of operators, with its final zero. */
@@ -38,6 +39,10 @@
   int64_t vms_interval_ms;
   int64_t stop_grace_ms;
   int64_t default_slots;
+  char bus_listen[EG_ADDRESS_BYTES];
+  char bus_public_key[EG_BUS_KEY_BYTES];
+  char bus_secret_key[EG_BUS_KEY_BYTES];
+  int64_t bus_port_offset;
 };
 
 /** Every key that the daemon takes. */
