--- a/test/property_lifecycle.cc
+++ b/test/property_lifecycle.cc
@@ -69,6 +69,7 @@
     config.quarantine.entries_max = 64;
     eg_str_copy (EG_STR ("a"), config.placement.failure_domain, 64);
     config.placement.default_slots = 4;
+    config.headroom = 0.5;
     config.requests_max = 50;
     config.first_token_silence_us = 3 * SECOND;
     config.token_silence_us = SECOND;
@@ -148,7 +149,13 @@
     RC_ASSERT (action.attempt == tracked.attempts + 1);
     RC_ASSERT (action.attempt <= 4u);
     for (size_t i = 0; i < action.chain.count; i++)
-      RC_ASSERT (leaving.count (action.chain.stages[i].server) == 0);
+      {
+        uint32_t server = action.chain.stages[i].server;
+
+        RC_ASSERT (leaving.count (server) == 0);
+        // Four slots, and half as many again for the urgent class.
+        RC_ASSERT (eg_servers_get (servers, server)->in_flight <= 6u);
+      }
     (tracked.attempts == 0 ? first_attempts : retries)++;
     RC_ASSERT (static_cast<double> (retries)
                <= reserve + 0.2 * static_cast<double> (first_attempts) + 1e-6);
@@ -395,6 +402,22 @@
       RC_ASSERT (id == culprit || tracked.tokens == tracked.wanted);
   });
 
+  ok &= rc::check ("urgent work does not wait behind a full fleet", [] {
+    World world;
+    unsigned started = 0;
+
+    for (int i = 0; i < 30; i++)
+      world.arrive (true, 1, 20 * SECOND);
+    RC_ASSERT (eg_lifecycle_counts (world.lifecycle).queued > 0u);
+    for (unsigned i = 0; i < 8; i++)
+      {
+        world.arrive (true, 0, 20 * SECOND);
+        started += world.requests.rbegin ()->second.running ? 1 : 0;
+      }
+    // Four heads have room for two more each.
+    RC_ASSERT (started == 8u);
+  });
+
   ok &= rc::check ("a stopping node refuses with a promise and goes on", [] {
     World world;
 
