policy: what finds no room does not hold up more urgent work

Cause: the property of the commit before failed (1 of 8 urgent requests started): a bulk request whose turn came from its floor found no room, was put back, and the queue stopped there, though urgent requests had room. Change: after a class finds no room, only more urgent classes are looked at.

--- a/policy/admission.c
+++ b/policy/admission.c
@@ -522,22 +522,18 @@
   };
 }
 
-bool
-eg_admission_take (struct eg_admission *self,
-                   int64_t now_us,
-                   struct eg_admission_item *item)
+/* Takes the next request of a class that has some waiting. */
+static void
+take_from_class (struct eg_admission *self,
+                 unsigned index,
+                 bool owed,
+                 struct eg_admission_item *item)
 {
   struct last_take *last = &self->last;
   struct eg_fair_organisation *emptied;
-  struct waiting *waiting;
-  unsigned index;
-  bool owed;
-
-  advance (self, now_us);
-  if (!eg_class_order_choose (&self->order, &index, &owed))
-    return false;
-  waiting = waiting_of_queued (
+  struct waiting *waiting = waiting_of_queued (
       eg_fair_queue_take (&self->classes[index].queue, &last->turn, &emptied));
+
   last->valid = true;
   last->request = waiting->request;
   last->class_index = index;
@@ -548,6 +544,35 @@
   retire (self, emptied);
   fill_item (waiting, item);
   free (waiting);
+}
+
+bool
+eg_admission_take (struct eg_admission *self,
+                   int64_t now_us,
+                   struct eg_admission_item *item)
+{
+  unsigned index;
+  bool owed;
+
+  advance (self, now_us);
+  if (!eg_class_order_choose (&self->order, &index, &owed))
+    return false;
+  take_from_class (self, index, owed, item);
+  return true;
+}
+
+bool
+eg_admission_take_above (struct eg_admission *self,
+                         unsigned class_index,
+                         int64_t now_us,
+                         struct eg_admission_item *item)
+{
+  unsigned index;
+
+  advance (self, now_us);
+  if (!eg_class_order_choose_above (&self->order, class_index, &index))
+    return false;
+  take_from_class (self, index, false, item);
   return true;
 }
 
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -108,6 +108,16 @@
                         int64_t now_us,
                         struct eg_admission_item *item);
 
+/**
+ * Takes the next request of a class that is more urgent than @p class_index,
+ * for when there is room for such requests alone.
+ * @return false if none waits.
+ */
+bool eg_admission_take_above (struct eg_admission *self,
+                              unsigned class_index,
+                              int64_t now_us,
+                              struct eg_admission_item *item);
+
 /** Takes one request whose deadline has passed; false if there is none. */
 bool eg_admission_take_expired (struct eg_admission *self,
                                 int64_t now_us,
--- a/policy/class_order.c
+++ b/policy/class_order.c
@@ -88,3 +88,21 @@
   if (owed)
     self->credits[index] -= (1 - self->floors[index]) * (double) cost;
 }
+
+bool
+eg_class_order_choose_above (const struct eg_class_order *self,
+                             unsigned than,
+                             unsigned *index)
+{
+  for (size_t i = 0; i < self->count; i++)
+    {
+      unsigned ranked = self->ranked[i];
+
+      if (self->priorities[ranked] >= self->priorities[than])
+        return false;
+      *index = ranked;
+      if (self->waiting[ranked])
+        return true;
+    }
+  return false;
+}
--- a/policy/class_order.h
+++ b/policy/class_order.h
@@ -52,6 +52,14 @@
                             unsigned *index,
                             bool *owed);
 
+/**
+ * Finds the most urgent class that waits and goes before class @p than,
+ * whatever others are owed.
+ */
+bool eg_class_order_choose_above (const struct eg_class_order *self,
+                                  unsigned than,
+                                  unsigned *index);
+
 /** Accounts for @p cost served to a class, which still counts as waiting. */
 void eg_class_order_charge (struct eg_class_order *self,
                             unsigned index,
--- a/policy/lifecycle_dispatch.c
+++ b/policy/lifecycle_dispatch.c
@@ -3,6 +3,8 @@
 #include "base/status.h"
 #include "policy/lifecycle_state.h"
 
+#define NO_CLASS (-1)
+
 static void
 start_attempt (struct eg_lifecycle *self,
                struct eg_request_state *request,
@@ -141,8 +143,9 @@
 }
 
 /* Starts the attempts whose back-off is over; they go before the queue, as
-   their callers have waited longest. Returns false where no room was left. */
-static bool
+   their callers have waited longest. Returns the class that found no room, or
+   NO_CLASS. */
+static int
 dispatch_waiting (struct eg_lifecycle *self,
                   struct eg_target *target,
                   int64_t now_us)
@@ -166,21 +169,36 @@
       if (result != EG_PLACEMENT_FOUND && request->deaths > 0)
         continue;
       if (result != EG_PLACEMENT_FOUND)
-        return false;
+        return (int) request->info.class_index;
       eg_request_leave_phase (self, request);
       start_attempt (self, request, &chain, now_us);
     }
-  return true;
+  return NO_CLASS;
+}
+
+/* Takes the next request of the queue; where a class found no room, of a more
+   urgent class, which may go to servers that are full for the others. */
+static bool
+take_next (struct eg_target *target,
+           int blocked_class,
+           int64_t now_us,
+           struct eg_admission_item *item)
+{
+  if (blocked_class == NO_CLASS)
+    return eg_admission_take (target->admission, now_us, item);
+  return eg_admission_take_above (target->admission, (unsigned) blocked_class,
+                                  now_us, item);
 }
 
 static void
 dispatch_queue (struct eg_lifecycle *self,
                 struct eg_target *target,
+                int blocked_class,
                 int64_t now_us)
 {
   struct eg_admission_item item;
 
-  while (eg_admission_take (target->admission, now_us, &item))
+  while (take_next (target, blocked_class, now_us, &item))
     {
       struct eg_request_state *request =
           eg_map_get (&self->requests, item.request);
@@ -199,7 +217,8 @@
       if (result != EG_PLACEMENT_FOUND)
         {
           eg_admission_return (target->admission, &item);
-          return;
+          blocked_class = (int) item.class_index;
+          continue;
         }
       self->counts.queued--;
       start_attempt (self, request, &chain, now_us);
@@ -211,6 +230,10 @@
                     struct eg_target *target,
                     int64_t now_us)
 {
-  if (dispatch_waiting (self, target, now_us))
-    dispatch_queue (self, target, now_us);
+  int blocked_class = dispatch_waiting (self, target, now_us);
+
+  /* Its class may be gone from the rules by now. */
+  if (blocked_class >= (int) self->config.admission.class_count)
+    return;
+  dispatch_queue (self, target, blocked_class, now_us);
 }
