--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -28,6 +28,11 @@
   struct eg_retry_config retry;
   struct eg_quarantine_config quarantine;
   struct eg_placement_config placement;
+  /**
+   * Relative load that the most urgent class may add to a full server, whose
+   * engine puts it first; classes between it and the last get a part.
+   */
+  double headroom;
   size_t requests_max;            /**< Requests held at once. */
   int64_t first_token_silence_us; /**< Longest wait for the first token. */
   int64_t token_silence_us;       /**< Longest wait between two tokens. */
@@ -136,7 +141,7 @@
 
 /** Takes in a request, which ends with exactly one FINISH or REFUSE. */
 void eg_lifecycle_arrive (struct eg_lifecycle *self,
-                          const struct eg_lifecycle_request *request,
+                          const struct eg_lifecycle_request *info,
                           int64_t now_us);
 
 /** Ends a request whose caller left; no FINISH or REFUSE follows. */
--- a/test/test_operators.c
+++ b/test/test_operators.c
@@ -33,8 +33,8 @@
 static void
 set_token (const char *token)
 {
-  eg_str_copy (eg_str_from (token), fixture.settings.operators_token,
-               sizeof fixture.settings.operators_token);
+  eg_str_copy (eg_str_from (token), fixture.node.settings.operators_token,
+               sizeof fixture.node.settings.operators_token);
 }
 
 static int
