--- a/router/settings.h
+++ b/router/settings.h
@@ -6,8 +6,12 @@
 #define EG_ROUTER_SETTINGS_H
 
 #include "base/settings.h"
+#include "bus/worker.h"
 #include "policy/request.h"
 
+/** Longest token of operators, with its final zero. */
+#define EG_OPERATORS_TOKEN_BYTES 128
+
 /** The daemon's settings, as its table describes them. */
 struct eg_router_settings
 {
@@ -17,6 +21,7 @@
   char listen_operators[EG_ADDRESS_BYTES];
   char platform_address[EG_ADDRESS_BYTES];
   char log_level[16];
+  char operators_token[EG_OPERATORS_TOKEN_BYTES];
   int64_t caller_threads;
   int64_t body_max;
   int64_t tokens_max;
@@ -34,6 +39,10 @@
   int64_t vms_interval_ms;
   int64_t stop_grace_ms;
   int64_t default_slots;
+  char bus_listen[EG_ADDRESS_BYTES];
+  char bus_public_key[EG_BUS_KEY_BYTES];
+  char bus_secret_key[EG_BUS_KEY_BYTES];
+  int64_t bus_port_offset;
 };
 
 /** Every key that the daemon takes. */
