policy: an answer that cannot be whole in time is refused on arrival

Change: a target learns its time between tokens and how much of what is asked for answers use; a request whose expected time goes past its deadline is refused at once, and one that waits must begin early enough. What was learnt counts for 2 s after the last token, so that a slow spell does not keep out the requests that would show its end.

--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -50,7 +50,8 @@
   struct eg_str target; /**< Model, or name of a plain service. */
   uint64_t fingerprint;
   uint64_t prefix_hash;
-  uint64_t cost;              /**< Expected work, in tokens; at least 1. */
+  int64_t tokens_max; /**< Most that the answer may have; 0 for a service. */
+  uint64_t cost;      /**< Expected work, in tokens; at least 1. */
   struct eg_outcome *outcome; /**< Told of attempts; outlives the request. */
   int64_t arrived_us;
   int64_t deadline_us; /**< The whole answer is due by then. */
--- a/policy/lifecycle_arrival.c
+++ b/policy/lifecycle_arrival.c
@@ -103,7 +103,6 @@
       .organisation = info->organisation,
       .cost = info->cost,
       .arrived_us = info->arrived_us,
-      .deadline_us = info->deadline_us,
   };
   enum eg_refusal refusal;
 
@@ -112,6 +111,12 @@
     *retry_after_us = EG_NO_CAPACITY_RETRY_AFTER_US;
   if (refusal != EG_REFUSAL_NONE)
     return refusal;
+  /* The last moment to begin, if the answer is to be whole in time. */
+  item.deadline_us =
+      info->deadline_us
+      - eg_target_expected_us (request->target, info->tokens_max, now_us);
+  if (now_us >= item.deadline_us)
+    return EG_REFUSAL_DEADLINE;
   /* Limits come last, so that what is refused anyway costs no share of them. */
   refusal = eg_admission_offer (request->target->admission, &item, now_us,
                                 retry_after_us);
--- a/policy/lifecycle_attempts.c
+++ b/policy/lifecycle_attempts.c
@@ -31,6 +31,9 @@
     eg_servers_observe (self->servers, request->chain.stages[i].server,
                         (now_us - request->progress_us)
                             / (int64_t) request->chain.count);
+  if (request->attempt_progressed)
+    eg_target_observe_gap (request->target, now_us - request->progress_us,
+                           now_us);
   eg_outcome_update (request->info.outcome, EG_OUTCOME_EVENT_RAN);
   request->committed++;
   request->progress_us = now_us;
@@ -59,6 +62,9 @@
                           request->chain.stages[0].server);
   eg_request_end_attempt (self, request, EG_SERVER_NONE, now_us);
   eg_outcome_update (request->info.outcome, EG_OUTCOME_EVENT_RAN);
+  if (request->info.tokens_max > 0)
+    eg_target_observe_length (target, request->committed,
+                              request->info.tokens_max);
   eg_admission_served (target->admission, request->info.cost, now_us);
   self->counts.finished++;
   action.attempt = attempt;
--- a/policy/target.c
+++ b/policy/target.c
@@ -2,9 +2,15 @@
 
 #include <stdlib.h>
 
+#include "base/clock.h"
 #include "base/hash.h"
 #include "base/status.h"
 
+/* Weights of a new observation. */
+#define GAP_WEIGHT 0.01
+#define LENGTH_WEIGHT 0.05
+#define EXPECTATION_LIFETIME_US (2 * EG_US_PER_S)
+
 static uint64_t
 key_of (bool plain, struct eg_str name)
 {
@@ -60,3 +66,35 @@
 {
   return eg_map_next (&self->by_name, cursor);
 }
+
+void
+eg_target_observe_gap (struct eg_target *self, int64_t gap_us, int64_t now_us)
+{
+  self->observed_us = now_us;
+  if (self->token_gap_us == 0)
+    self->token_gap_us = (double) gap_us;
+  self->token_gap_us += GAP_WEIGHT * ((double) gap_us - self->token_gap_us);
+}
+
+void
+eg_target_observe_length (struct eg_target *self,
+                          int64_t tokens,
+                          int64_t tokens_max)
+{
+  double share = (double) tokens / (double) tokens_max;
+
+  if (self->length_share == 0)
+    self->length_share = share;
+  self->length_share += LENGTH_WEIGHT * (share - self->length_share);
+}
+
+int64_t
+eg_target_expected_us (const struct eg_target *self,
+                       int64_t tokens_max,
+                       int64_t now_us)
+{
+  if (now_us - self->observed_us > EXPECTATION_LIFETIME_US)
+    return 0;
+  return (int64_t) (self->token_gap_us * self->length_share
+                    * (double) tokens_max);
+}
--- a/router/dispatcher.c
+++ b/router/dispatcher.c
@@ -297,6 +297,7 @@
       .target = eg_str_from (call->target),
       .fingerprint = fingerprint_of (call),
       .prefix_hash = prefix_hash_of (call),
+      .tokens_max = call->kind == EG_CALL_COMPLETION ? call->max_tokens : 0,
       .cost = (uint64_t) call->max_tokens
               + call->prompt.len / COST_BYTES_PER_TOKEN + 1,
       .outcome = &call->outcome,
--- a/test/property_lifecycle.cc
+++ b/test/property_lifecycle.cc
@@ -129,6 +129,7 @@
     request.class_index = class_index;
     request.target = EG_STR ("m");
     request.fingerprint = id;
+    request.tokens_max = tracked.wanted;
     request.cost = 10;
     request.outcome = &tracked.outcome;
     request.arrived_us = now_us;
@@ -418,6 +419,36 @@
     RC_ASSERT (started == 8u);
   });
 
+  ok &= rc::check ("what cannot be whole in time is refused on arrival", [] {
+    World world;
+    int64_t gap_us = *rc::gen::inRange<int64_t> (5, 50) * MS;
+
+    // Five tokens, so four gaps; the first answers teach what to expect.
+    for (int i = 0; i < 10; i++)
+      {
+        world.next_id += (4 + 5 - world.next_id % 5) % 5;
+        world.arrive (true, 0, 20 * SECOND);
+        uint64_t id = world.requests.rbegin ()->first;
+        while (world.requests.at (id).running)
+          {
+            world.now_us += gap_us;
+            world.token (id);
+          }
+      }
+    world.next_id += (4 + 5 - world.next_id % 5) % 5;
+    world.arrive (true, 0, 3 * gap_us);
+    RC_ASSERT (world.requests.rbegin ()->second.finals == 1);
+    RC_ASSERT (world.requests.rbegin ()->second.attempts == 0u);
+    world.next_id += (4 + 5 - world.next_id % 5) % 5;
+    world.arrive (true, 0, 8 * gap_us);
+    RC_ASSERT (world.requests.rbegin ()->second.running);
+    // After a while without a token the expectation no longer keeps any out.
+    world.pass (3 * SECOND);
+    world.next_id += (4 + 5 - world.next_id % 5) % 5;
+    world.arrive (true, 0, 3 * gap_us);
+    RC_ASSERT (world.requests.rbegin ()->second.running);
+  });
+
   ok &= rc::check ("a stopping node refuses with a promise and goes on", [] {
     World world;
 
