--- a/policy/ownership.c
+++ b/policy/ownership.c
@@ -4,7 +4,7 @@
 #include "base/hash.h"
 
 /* Load entries a second that one failure domain shares. */
-#define ENTRIES_PER_S 160
+#define ENTRIES_PER_S 120
 
 uint64_t
 eg_ownership_find (const struct eg_membership *membership,
--- a/router/poller.c
+++ b/router/poller.c
@@ -78,13 +78,17 @@
     {
       struct eg_poll_state *state = &self->states[i];
       const struct eg_server *server = eg_servers_get (servers, i);
-      uint64_t interval_us = (uint64_t) self->interval_us;
+      uint64_t interval_us;
 
       if (!is_due (state, server, now_us))
         continue;
-      interval_us = interval_of (self, i, now_us);
+      interval_us = (uint64_t) interval_of (self, i, now_us);
       if (interval_us == 0)
-        continue;
+        {
+          /* Another node polls it; its owner may change. */
+          state->next_us = now_us + self->interval_us;
+          continue;
+        }
       /* The first poll is due at once; the second is set by address, so that
          later ones do not all fall together. */
       if (!state->known)
