--- a/router/operators.c
+++ b/router/operators.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "router/operators_nodes.h"
 #include "router/operators_page.h"
 #include "router/operators_rules.h"
 #include "router/operators_status.h"
@@ -31,6 +32,7 @@
 static const struct route routes[] = {
     {"GET", "/", true, eg_operators_get_page},
     {"GET", "/metrics", true, eg_operators_get_metrics},
+    {"GET", "/version", true, eg_operators_get_version},
     {"GET", "/status", false, eg_operators_get_status},
     {"GET", "/nodes", false, eg_operators_get_nodes},
     {"GET", "/servers", false, eg_operators_get_servers},
--- a/router/operators_status.c
+++ b/router/operators_status.c
@@ -26,6 +26,8 @@
        (double) counts.queued},
       {"eelgrass_running", "gauge", "Requests with an attempt",
        (double) counts.running},
+      {"eelgrass_rules_version", "gauge", "Version of the rules in force",
+       (double) eg_ruleset_version (view->ruleset)},
   };
 
   for (size_t i = 0; i < sizeof gauges / sizeof gauges[0]; i++)
@@ -158,77 +160,24 @@
   eg_operators_inquire (parts, write_status, &writing, answer);
 }
 
-/* One entry VM, as this node knows it. */
-struct node
-{
-  const char *name; /* Or its address, where the name is not known. */
-  const char *failure_domain;
-  const char *state;
-  bool heard; /* Whether its version is known. */
-  uint64_t version;
-};
-
-static void
-write_node (struct eg_buffer *json, const struct node *node)
-{
-  eg_buffer_append (json, json->len > 1 ? EG_STR (",{") : EG_STR ("{"));
-  append_member (json, "node", node->name);
-  eg_buffer_append (json, EG_STR (","));
-  append_member (json, "failure_domain", node->failure_domain);
-  eg_buffer_append (json, EG_STR (","));
-  append_member (json, "state", node->state);
-  if (node->heard)
-    eg_buffer_printf (json, ",\"version\":%" PRIu64 "}", node->version);
-  else
-    eg_buffer_append (json, EG_STR (",\"version\":null}"));
-}
-
 static void
-write_listed_nodes (const struct eg_router_settings *settings,
-                    const struct eg_vm_list *vms,
-                    struct eg_buffer *json)
-{
-  for (size_t i = 0; i < vms->count; i++)
-    {
-      const struct eg_vm *vm = &vms->vms[i];
-      const struct node node = {
-          .name = vm->address,
-          .failure_domain = vm->failure_domain,
-          .state = vm->leaving ? "leaving" : "listed",
-      };
-      bool self = eg_str_equal (eg_str_from (vm->address),
-                                eg_str_from (settings->listen_callers));
-
-      if (vm->entry && !self)
-        write_node (json, &node);
-    }
-}
-
-static void
-write_nodes (void *context, const struct eg_decision_view *view)
+write_version (void *context, const struct eg_decision_view *view)
 {
   struct writing *writing = context;
-  const struct node self = {
-      .name = writing->settings->name,
-      .failure_domain = writing->settings->failure_domain,
-      .state = "live",
-      .heard = true,
-      .version = eg_ruleset_version (view->ruleset),
-  };
 
-  eg_buffer_append (writing->json, EG_STR ("["));
-  write_node (writing->json, &self);
-  write_listed_nodes (writing->settings, view->vms, writing->json);
-  eg_buffer_append (writing->json, EG_STR ("]"));
+  eg_buffer_append (writing->json, EG_STR ("{"));
+  append_member (writing->json, "node", writing->settings->name);
+  eg_buffer_printf (writing->json, ",\"version\":%" PRIu64 "}",
+                    eg_ruleset_version (view->ruleset));
 }
 
 void
-eg_operators_get_nodes (const struct eg_operators_parts *parts,
-                        struct eg_str body,
-                        struct eg_operators_answer *answer)
+eg_operators_get_version (const struct eg_operators_parts *parts,
+                          struct eg_str body,
+                          struct eg_operators_answer *answer)
 {
   struct writing writing = {parts->settings, &answer->body};
 
   (void) body;
-  eg_operators_inquire (parts, write_nodes, &writing, answer);
+  eg_operators_inquire (parts, write_version, &writing, answer);
 }
--- a/router/operators_status.h
+++ b/router/operators_status.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * What operators and scrapers read: metrics, this node, all nodes, servers.
+ * What operators and scrapers read of this node: metrics, state, servers.
  */
 #ifndef EG_ROUTER_OPERATORS_STATUS_H
 #define EG_ROUTER_OPERATORS_STATUS_H
@@ -11,8 +11,8 @@
 eg_operators_handler eg_operators_get_metrics;
 /** `GET /status`: this node. */
 eg_operators_handler eg_operators_get_status;
-/** `GET /nodes`: the version in force on each entry VM that is known. */
-eg_operators_handler eg_operators_get_nodes;
+/** `GET /version`: name and version in force, for other nodes too. */
+eg_operators_handler eg_operators_get_version;
 /** `GET /servers`: the backend servers. */
 eg_operators_handler eg_operators_get_servers;
 
--- a/test/test_operators.c
+++ b/test/test_operators.c
@@ -12,6 +12,7 @@
 #include <cmocka.h>
 #include <curl/curl.h>
 #include <pthread.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "base/log.h"
@@ -460,12 +461,41 @@
   assert_string_equal (string_of (status, "node"), "n1");
   assert_int_equal (json_integer_value (json_object_get (status, "usable")), 7);
   assert_string_equal (string_of (self, "node"), "n1");
+  assert_int_equal (json_array_size (nodes), 2);
   assert_int_equal (json_integer_value (json_object_get (self, "version")),
                     json_integer_value (json_object_get (status, "version")));
   json_decref (status);
   json_decref (nodes);
 }
 
+static int64_t
+version_of_other_node (void)
+{
+  json_t *nodes = call ("GET", OPERATORS "/nodes", authorized, NULL, 200);
+  json_t *other = json_array_get (nodes, 1);
+  int64_t version = json_integer_value (json_object_get (other, "version"));
+
+  assert_string_equal (string_of (other, "node"), "n2");
+  assert_string_equal (string_of (other, "state"), "live");
+  json_decref (nodes);
+  return version;
+}
+
+static void
+test_edit_reaches_other_node (void **state)
+{
+  const struct timespec pause = {.tv_nsec = 10000000};
+  int64_t version;
+
+  (void) state;
+  json_decref (
+      edit ("[{\"add\":\"limit organisation=both rate=1/s # Ploy\"}]", 200));
+  version = version_in_force ();
+  for (int i = 0; i < 500 && version_of_other_node () < version; i++)
+    nanosleep (&pause, NULL);
+  assert_int_equal (version_of_other_node (), version);
+}
+
 /* eelgrassctl. */
 
 /* Runs the program with words up to NULL; out and error output are gathered. */
@@ -681,6 +711,7 @@
       cmocka_unit_test (test_store_down_refuses),
       cmocka_unit_test (test_many_edits),
       cmocka_unit_test (test_nodes_and_status),
+      cmocka_unit_test (test_edit_reaches_other_node),
       cmocka_unit_test (test_ctl_edits_and_undoes),
       cmocka_unit_test (test_ctl_exit_codes),
       cmocka_unit_test (test_ctl_unknown_outcome),
