--- a/backend/engine.c
+++ b/backend/engine.c
@@ -47,6 +47,24 @@
                     attempt);
 }
 
+void
+eg_engine_write_order (struct eg_buffer *body,
+                       const struct eg_order *order,
+                       uint64_t fencing)
+{
+  static const char *const kinds[] = {
+      [EG_ORDER_LOAD] = "load",
+      [EG_ORDER_UNLOAD] = "unload",
+  };
+
+  eg_buffer_printf (body, "{\"order\":\"%s\",\"model\":", kinds[order->kind]);
+  eg_json_append_string (body, eg_str_from (order->model));
+  eg_buffer_append (body, EG_STR (",\"version\":"));
+  eg_json_append_string (body, eg_str_from (order->version));
+  eg_buffer_printf (body, ",\"layers\":[%u,%u],\"fencing\":%" PRIu64 "}",
+                    order->first_layer, order->last_layer, fencing);
+}
+
 static void
 read_token (json_t *object, struct eg_engine_event *event)
 {
--- a/backend/engine.h
+++ b/backend/engine.h
@@ -8,6 +8,7 @@
 #include "base/buffer.h"
 #include "base/decls.h"
 #include "base/status.h"
+#include "policy/orders.h"
 #include "policy/placement.h"
 
 EG_BEGIN_DECLS
@@ -55,6 +56,14 @@
                              const char *request,
                              uint32_t attempt);
 
+/**
+ * Appends the body of `POST /v1/orders`.
+ * @param fencing version of the orderer's lease.
+ */
+void eg_engine_write_order (struct eg_buffer *body,
+                            const struct eg_order *order,
+                            uint64_t fencing);
+
 /**
  * Reads one event of a stream.
  * @param name of the event; empty for a token or the end.
--- a/backend/event.h
+++ b/backend/event.h
@@ -8,6 +8,7 @@
 #include "base/buffer.h"
 #include "base/decls.h"
 #include "policy/lifecycle.h"
+#include "policy/orders.h"
 
 EG_BEGIN_DECLS
 
@@ -19,6 +20,7 @@
   EG_BACKEND_FAILED,      /**< An attempt failed. */
   EG_BACKEND_LOAD,        /**< A load report came in. */
   EG_BACKEND_POLL_FAILED, /**< A poll got no load report. */
+  EG_BACKEND_ORDERED,     /**< An order to an engine ended. */
 };
 
 /** One token; its text lies in the event's buffer. */
@@ -42,7 +44,7 @@
   size_t token_count;
   size_t token_capacity;
 
-  /* Of DONE, for a plain service. */
+  /* Of DONE, for a plain service; of ORDERED, 0 if no answer came. */
   int http_status;
   char content_type[EG_NAME_BYTES * 2];
 
@@ -51,7 +53,9 @@
   char server[EG_ADDRESS_BYTES]; /**< At fault; empty for the head. */
   bool leaving;                  /**< Whether the head refuses new work. */
 
-  /* Of LOAD and POLL_FAILED. */
+  enum eg_order_result order_result; /**< Of ORDERED. */
+
+  /* Of LOAD, POLL_FAILED and ORDERED. */
   char address[EG_ADDRESS_BYTES];
   struct eg_server_report report;
   bool not_found; /**< The server does not know this kind of poll. */
--- a/backend/worker.c
+++ b/backend/worker.c
@@ -272,6 +272,34 @@
   remove_job (job);
 }
 
+/* Orders. */
+
+static enum eg_order_result
+order_result (const struct eg_http_result *result)
+{
+  if (result->outcome == EG_HTTP_NOT_SENT)
+    return EG_ORDER_NOT_SENT;
+  if (result->outcome != EG_HTTP_ANSWERED)
+    return EG_ORDER_UNKNOWN;
+  if (result->status == 200)
+    return EG_ORDER_TAKEN;
+  /* Of other failures an engine may have done a part. */
+  return result->status < 500 || result->status == 503 ? EG_ORDER_REFUSED
+                                                       : EG_ORDER_UNKNOWN;
+}
+
+static void
+on_order_done (void *context, const struct eg_http_result *result)
+{
+  struct job *job = context;
+  struct eg_backend_event *event = event_of (job, EG_BACKEND_ORDERED);
+
+  event->order_result = order_result (result);
+  event->http_status = result->status;
+  push_event (job, event);
+  remove_job (job);
+}
+
 static void
 on_ignored_done (void *context, const struct eg_http_result *result)
 {
@@ -296,6 +324,7 @@
     [EG_BACKEND_CANCEL] = {"POST", "/v1/cancel", NULL, on_ignored_done},
     [EG_BACKEND_POLL_ENGINE] = {"GET", "/v1/load", NULL, on_poll_done},
     [EG_BACKEND_POLL_SERVICE] = {"GET", "/health", NULL, on_poll_done},
+    [EG_BACKEND_ORDER] = {"POST", "/v1/orders", NULL, on_order_done},
 };
 
 static size_t
@@ -349,7 +378,10 @@
     return;
   if (is_attempt (job))
     push_failure (job, EG_ATTEMPT_NOT_SENT, "");
-  remove_job (job);
+  if (command->kind == EG_BACKEND_ORDER)
+    on_order_done (job, &(struct eg_http_result){.outcome = EG_HTTP_NOT_SENT});
+  else
+    remove_job (job);
 }
 
 /* Ends the attempt that a command replaces or cancels. */
@@ -374,7 +406,7 @@
   if (command->kind == EG_BACKEND_POLL_ENGINE
       || command->kind == EG_BACKEND_POLL_SERVICE)
     command->timeout_us = self->config.poll_timeout_us;
-  else
+  else if (command->kind != EG_BACKEND_ORDER)
     abort_attempt (self, command);
   if (command->kind == EG_BACKEND_CANCEL && !command->has_body)
     {
--- a/backend/worker.h
+++ b/backend/worker.h
@@ -18,6 +18,7 @@
   EG_BACKEND_CANCEL,       /**< Stop an attempt; its reports end. */
   EG_BACKEND_POLL_ENGINE,  /**< Ask an engine for its load. */
   EG_BACKEND_POLL_SERVICE, /**< Ask a plain service for its health. */
+  EG_BACKEND_ORDER,        /**< Order an engine to load or unload. */
 };
 
 /** One command; the worker frees it. */
--- a/policy/orders.c
+++ b/policy/orders.c
@@ -706,6 +706,8 @@
         continue;
       place->ended_us = now_us;
       place->state = PLACE_SETTLING;
+      if (result == EG_ORDER_WITHDRAWN)
+        place->state = PLACE_FREE;
       if (result == EG_ORDER_NOT_SENT || result == EG_ORDER_REFUSED)
         fail (self, place, now_us);
       return;
--- a/policy/orders.h
+++ b/policy/orders.h
@@ -68,10 +68,11 @@
 /** How an order ended. */
 enum eg_order_result
 {
-  EG_ORDER_TAKEN,    /**< The server answered that it does it. */
-  EG_ORDER_NOT_SENT, /**< No byte left. */
-  EG_ORDER_REFUSED,  /**< The server answered that it does not. */
-  EG_ORDER_UNKNOWN,  /**< No answer; it may have taken effect. */
+  EG_ORDER_TAKEN,     /**< The server answered that it does it. */
+  EG_ORDER_NOT_SENT,  /**< No byte left: it cannot be reached. */
+  EG_ORDER_WITHDRAWN, /**< The orderer did not give it; no byte left. */
+  EG_ORDER_REFUSED,   /**< The server answered that it does not. */
+  EG_ORDER_UNKNOWN,   /**< No answer; it may have taken effect. */
 };
 
 /** Why capacity is not as wanted, for operators. */
--- a/router/decision.c
+++ b/router/decision.c
@@ -12,6 +12,7 @@
 #include "router/dispatcher.h"
 #include "router/gossip.h"
 #include "router/message.h"
+#include "router/orderer.h"
 #include "router/ruleset.h"
 #include "router/sweeper.h"
 
@@ -41,6 +42,7 @@
   struct eg_dispatcher *dispatcher;
   struct eg_ruleset *ruleset;
   struct eg_sweeper sweeper;
+  struct eg_orderer *orderer;
   struct eg_gossip *gossip; /* NULL while the bus is off. */
   int64_t next_tick_us;
   int64_t next_vms_us;
@@ -272,6 +274,8 @@
 {
   if (is_poll (message->backend))
     handle_poll (self, message->backend);
+  else if (message->backend->kind == EG_BACKEND_ORDERED)
+    eg_orderer_ordered (self->orderer, message->backend, eg_clock_now_us ());
   else
     eg_dispatcher_attempt_event (self->dispatcher, message->backend);
   eg_backend_event_free (message->backend);
@@ -303,7 +307,8 @@
   if (message->platform->call == EG_PLATFORM_VMS)
     handle_vm_list (self, message->platform);
   else if (!eg_ruleset_reply (self->ruleset, message->platform, now_us)
-           && !eg_sweeper_reply (&self->sweeper, message->platform, now_us))
+           && !eg_sweeper_reply (&self->sweeper, message->platform, now_us)
+           && !eg_orderer_reply (self->orderer, message->platform, now_us))
     eg_dispatcher_store_reply (self->dispatcher, message->platform);
   eg_platform_reply_free (message->platform);
 }
@@ -344,6 +349,7 @@
   (void) message;
   self->draining = true;
   eg_dispatcher_stop (self->dispatcher);
+  eg_orderer_stop (self->orderer);
   eg_gossip_leave (self->gossip);
 }
 
@@ -385,6 +391,7 @@
   eg_dispatcher_tick (self->dispatcher, now_us);
   eg_ruleset_tick (self->ruleset, now_us);
   eg_sweeper_tick (&self->sweeper, now_us);
+  eg_orderer_tick (self->orderer, now_us);
   eg_gossip_tick (self->gossip, now_us);
   eg_fleet_poll (&self->fleet, self->backend, now_us);
   read_vm_list (self, now_us);
@@ -448,6 +455,7 @@
   struct eg_decision *self = context;
 
   eg_dispatcher_apply_rules (self->dispatcher, rules);
+  eg_orderer_apply_rules (self->orderer, rules);
   eg_gossip_apply_rules (self->gossip, rules, version);
 }
 
@@ -477,6 +485,20 @@
   eg_gossip_quarantine (self->gossip, fingerprint, until_us);
 }
 
+static struct eg_orderer *
+start_orderer (struct eg_decision *self, uint64_t incarnation)
+{
+  const struct eg_orderer_parts parts = {
+      .settings = self->settings,
+      .fleet = &self->fleet,
+      .backend = self->backend,
+      .platform = self->platform,
+      .incarnation = incarnation,
+  };
+
+  return eg_orderer_new (&parts);
+}
+
 static bool
 start_gossip (struct eg_decision *self, struct eg_error *error)
 {
@@ -519,6 +541,7 @@
   parts.platform = self->platform;
   eg_sweeper_init (&self->sweeper, self->platform,
                    eg_hash_mix (parts.incarnation));
+  self->orderer = start_orderer (self, parts.incarnation);
   self->dispatcher = eg_dispatcher_new (&parts);
   self->ruleset =
       eg_ruleset_new (self->platform, ~parts.incarnation, &ruleset_callbacks);
@@ -566,6 +589,7 @@
       free (message);
     }
   eg_dispatcher_free (self->dispatcher);
+  eg_orderer_free (self->orderer);
   eg_ruleset_free (self->ruleset);
   eg_fleet_finish (&self->fleet);
   eg_ring_finish (&self->ring);
--- a/router/settings.c
+++ b/router/settings.c
@@ -69,6 +69,9 @@
     {"bus.port_offset", EG_SETTING_INTEGER, "ports", -65535, 65535, "1000",
      FIELD (bus_port_offset),
      "Bus port of an entry VM less the port that the platform's list names"},
+    {"orders.lease_ms", EG_SETTING_INTEGER, "ms", 300, 600000, "15000",
+     FIELD (lease_ms),
+     "Duration of the lease on giving orders; the same on all entry VMs"},
     {"stop.grace_ms", EG_SETTING_INTEGER, "ms", 0, 3600000, "120000",
      FIELD (stop_grace_ms), "Longest wait for requests in flight at a stop"},
 };
--- a/router/settings.h
+++ b/router/settings.h
@@ -39,6 +39,7 @@
   int64_t vms_interval_ms;
   int64_t stop_grace_ms;
   int64_t default_slots;
+  int64_t lease_ms;
   char bus_listen[EG_ADDRESS_BYTES];
   char bus_public_key[EG_BUS_KEY_BYTES];
   char bus_secret_key[EG_BUS_KEY_BYTES];
