standin: faults by DELETE, and a line for each sending of eelgrass-once

The store stayed down after the first fault, as a POST can't heal it. The platform stand-in gets enough threads for the connections that entry VMs keep open.

--- a/standin/load_faults.c
+++ b/standin/load_faults.c
@@ -119,7 +119,7 @@
   const struct eg_load_fault *fault = &self->scenario->faults[index];
   struct post *post = &self->posts[index];
   struct eg_load_exchange exchange = {
-      .method = "POST",
+      .method = fault->body ? "POST" : "DELETE",
       .url = fault->url,
       .headers = self->headers,
       .body = eg_str_from (fault->body),
--- a/standin/load_scenario.c
+++ b/standin/load_scenario.c
@@ -387,6 +387,24 @@
   return eg_load_fields_read (&table, value, path, target, error);
 }
 
+static enum eg_status
+read_delete (json_t *value,
+             const char *path,
+             void *target,
+             struct eg_error *error)
+{
+  static const struct eg_load_field rows[] = {
+      {"url", EG_LOAD_FIELD_TEXT, true, FIELD (eg_load_fault, url), 1,
+       EG_LOAD_PATH_OR_URL_BYTES, NULL},
+  };
+  static const struct eg_load_fields table = TABLE (rows);
+  const struct eg_load_fault *fault = target;
+
+  if (*fault->url)
+    return eg_error_set (error, EG_INVALID, "%s: \"post\" is given too", path);
+  return eg_load_fields_read (&table, value, path, target, error);
+}
+
 static enum eg_status
 read_signal (json_t *value,
              const char *path,
@@ -444,6 +462,7 @@
       {"measured", EG_LOAD_FIELD_BOOLEAN, false,
        FIELD (eg_load_fault, measured), 0, 0, NULL},
       {"post", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_post},
+      {"delete", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_delete},
       {"kill", EG_LOAD_FIELD_NESTED, false, 0, 0, 0, read_kill},
   };
   static const struct eg_load_fields table = TABLE (rows);
@@ -456,7 +475,8 @@
     return status;
   if ((*fault->url != '\0') == (*fault->pid_file != '\0'))
     return eg_error_set (error, EG_INVALID,
-                         "%s: give one of \"post\" and \"kill\"", path);
+                         "%s: give one of \"post\", \"delete\" and \"kill\"",
+                         path);
   return EG_OK;
 }
 
--- a/standin/load_scenario.h
+++ b/standin/load_scenario.h
@@ -72,8 +72,8 @@
   int64_t at_us;
   char label[EG_LOAD_NAME_BYTES];
   bool measured;                       /**< Whether recovery is computed. */
-  char url[EG_LOAD_PATH_OR_URL_BYTES]; /**< Of a POST; or empty. */
-  char *body;
+  char url[EG_LOAD_PATH_OR_URL_BYTES]; /**< Of a POST or DELETE; or empty. */
+  char *body;                          /**< Of a POST; else NULL. */
   char pid_file[EG_LOAD_PATH_OR_URL_BYTES]; /**< Of a signal; or empty. */
   int signal;
 };
--- a/standin/once_book.h
+++ b/standin/once_book.h
@@ -33,12 +33,17 @@
   EG_ONCE_RANS
 };
 
+/** Longest problem type that is kept, with its final zero. */
+#define EG_ONCE_TYPE_BYTES 24
+
 /** How a sending ended. */
 struct eg_once_end
 {
   int status;           /**< HTTP status; 0 if no whole answer came. */
   enum eg_once_ran ran; /**< As a refusal said. */
   bool own_body;        /**< Whether a 200 gave back this sending's body. */
+  char type[EG_ONCE_TYPE_BYTES]; /**< Problem type of a refusal, or how the
+                                    transfer failed; else empty. */
 };
 
 /** One sending. */
--- a/standin/once_main.c
+++ b/standin/once_main.c
@@ -29,6 +29,7 @@
   const char *scenario_path;
   const char *json_path;
   const char *values_path;
+  const char *sendings_path;
   uint64_t seed;
 };
 
@@ -71,6 +72,20 @@
   return written;
 }
 
+static bool
+write_sendings (const struct eg_once_results *results, const char *path)
+{
+  FILE *file = fopen (path, "we");
+
+  if (file)
+    eg_once_report_sendings (results, file);
+  if (file && fclose (file) == 0)
+    return true;
+  eg_log (EG_LOG_ERROR, "once", "event=write-failed path=\"%s\" cause=\"%s\"",
+          path, strerror (errno));
+  return false;
+}
+
 static int
 report (const struct eg_once_results *results, const struct options *options)
 {
@@ -82,6 +97,8 @@
     written = write_json (json, options->json_path);
   if (options->values_path)
     written = write_values (json, options->values_path) && written;
+  if (options->sendings_path)
+    written = write_sendings (results, options->sendings_path) && written;
   json_decref (json);
   if (results->findings.total > 0)
     return EXIT_VIOLATED;
@@ -141,10 +158,12 @@
       arg_file0 (NULL, "json", "OUT.json", "write the results");
   struct arg_file *values = arg_file0 (NULL, "values", "OUT.txt",
                                        "write numbers as lines PATH VALUE");
+  struct arg_file *sendings =
+      arg_file0 (NULL, "sendings", "OUT.txt", "write a line for each sending");
   struct arg_file *scenario =
       arg_file1 (NULL, NULL, "SCENARIO.json", "what to do");
   struct arg_end *end = arg_end (MAX_ARGUMENT_ERRORS);
-  void *table[] = {help, version, seed, json, values, scenario, end};
+  void *table[] = {help, version, seed, json, values, sendings, scenario, end};
   struct options options = {.seed = DEFAULT_SEED};
   int exit_code = EXIT_HELD;
   int errors = arg_parse (argc, argv, table);
@@ -164,6 +183,8 @@
       options.scenario_path = scenario->filename[0];
       options.json_path = json->count > 0 ? json->filename[0] : NULL;
       options.values_path = values->count > 0 ? values->filename[0] : NULL;
+      options.sendings_path =
+          sendings->count > 0 ? sendings->filename[0] : NULL;
       if (seed->count > 0)
         options.seed = (uint64_t) seed->ival[0];
       exit_code = run (&options);
--- a/standin/once_report.c
+++ b/standin/once_report.c
@@ -272,3 +272,26 @@
            (double) results->longest_stall_us / (double) EG_US_PER_MS);
   print_violations (&results->findings, stream);
 }
+
+void
+eg_once_report_sendings (const struct eg_once_results *results, FILE *stream)
+{
+  const struct eg_once_book *book = &results->book;
+
+  fputs ("request kind runs target body from_ms to_ms status ran type\n",
+         stream);
+  for (size_t i = 0; i < book->n_sendings; i++)
+    {
+      const struct eg_once_sending *sending = &book->sendings[i];
+      const struct eg_once_request *request = &book->requests[sending->request];
+
+      fprintf (stream, "%zu %s %u %zu %s %.2f %.2f %d %s %s\n",
+               sending->request, eg_once_kind_name (request->kind),
+               request->runs, sending->target,
+               sending->other_body ? "other" : "own",
+               (double) sending->started_us / (double) EG_US_PER_MS,
+               (double) sending->ended_us / (double) EG_US_PER_MS,
+               sending->end.status, eg_once_ran_name (sending->end.ran),
+               sending->end.type);
+    }
+}
--- a/standin/once_report.h
+++ b/standin/once_report.h
@@ -20,6 +20,10 @@
 /** Prints the results as a table. */
 void eg_once_report_table (const struct eg_once_results *results, FILE *stream);
 
+/** Prints a line for each sending, in the order in which they left. */
+void eg_once_report_sendings (const struct eg_once_results *results,
+                              FILE *stream);
+
 EG_END_DECLS
 
 #endif
--- a/standin/once_run.c
+++ b/standin/once_run.c
@@ -159,18 +159,18 @@
 
 /* Sendings. */
 
-static enum eg_once_ran
-read_ran (struct eg_str answer)
+static void
+read_refusal (struct eg_str answer, struct eg_once_end *end)
 {
   json_t *problem = json_loadb (answer.data, answer.len, 0, NULL);
-  const char *word = json_string_value (json_object_get (problem, "ran"));
-  enum eg_once_ran ran = EG_ONCE_RAN_UNSAID;
+  const char *type = json_string_value (json_object_get (problem, "type"));
+  const char *ran = json_string_value (json_object_get (problem, "ran"));
 
-  for (int i = EG_ONCE_RAN_NO; word && i < EG_ONCE_RANS; i++)
-    if (strcmp (word, eg_once_ran_name ((enum eg_once_ran) i)) == 0)
-      ran = (enum eg_once_ran) i;
+  snprintf (end->type, sizeof end->type, "%s", type ? type : "malformed");
+  for (int i = EG_ONCE_RAN_NO; ran && i < EG_ONCE_RANS; i++)
+    if (strcmp (ran, eg_once_ran_name ((enum eg_once_ran) i)) == 0)
+      end->ran = (enum eg_once_ran) i;
   json_decref (problem);
-  return ran;
 }
 
 static void
@@ -182,12 +182,15 @@
 
   *end = (struct eg_once_end){0};
   if (transfer->transport)
-    return;
+    {
+      snprintf (end->type, sizeof end->type, "%s", transfer->transport);
+      return;
+    }
   end->status = transfer->http_status;
   if (end->status == 200)
     end->own_body = eg_str_equal (answer, eg_buffer_view (&call->body));
   else
-    end->ran = read_ran (answer);
+    read_refusal (answer, end);
 }
 
 static bool
--- a/tools/experiments/once.sh
+++ b/tools/experiments/once.sh
@@ -12,14 +12,20 @@
 
 # platform_fault MS LABEL BODY
 platform_fault() {
-  printf '{"at_ms":%s,"label":"%s","post":{"url":"%s","body":%s}}' \
+  printf '{"at_ms":%s,"label":"store %s","post":{"url":"%s","body":%s}},\n' \
     "$(at "$1")" "$2" "$(platform_url faults)" "$3"
 }
 
+# platform_heals MS
+platform_heals() {
+  printf '{"at_ms":%s,"label":"store heals","delete":{"url":"%s"}},\n' \
+    "$(at "$1")" "$(platform_url faults)"
+}
+
 # server_fault MS NUMBER LABEL BODY
 server_fault() {
-  printf '{"at_ms":%s,"label":"%s","post":{"url":"%s","body":%s}}' \
-    "$(at "$1")" "$3" "$(plain_url "$2" faults)" "$4"
+  printf '{"at_ms":%s,"label":"server %s %s","post":{"url":"%s","body":%s}},\n' \
+    "$(at "$1")" "$2" "$3" "$(plain_url "$2" faults)" "$4"
 }
 
 # vm_signal MS DOMAIN SIGNAL
@@ -29,38 +35,32 @@
 }
 
 once_faults() {
-  platform_fault 500 "store loses replies" '{"fault":"lose-reply","count":40}'
-  printf ','
-  server_fault 1100 0 "server 0 loses replies" '{"fault":"lose-reply","count":8}'
-  printf ','
-  server_fault 1700 1 "server 1 dies" '{"fault":"die"}'
-  printf ','
-  server_fault 2300 1 "server 1 revives" '{"fault":"revive"}'
-  printf ','
-  vm_signal 2900 b STOP
-  printf ','
-  platform_fault 3500 "store is slow" '{"fault":"slow","ms":150}'
-  printf ','
-  platform_fault 4100 "store is down" '{"fault":"down"}'
-  printf ','
-  server_fault 4700 1 "server 1 loses replies" '{"fault":"lose-reply","count":8}'
-  printf ','
-  platform_fault 5300 "store is silent" '{"fault":"silent"}'
-  printf ','
-  vm_signal 5900 b CONT
-  printf ','
-  platform_fault 6500 "store loses replies again" '{"fault":"lose-reply","count":60}'
-  printf ','
-  vm_signal 7100 c KILL
-  printf ','
-  server_fault 7700 0 "server 0 dies" '{"fault":"die"}'
-  printf ','
-  server_fault 8300 0 "server 0 revives" '{"fault":"revive"}'
+  platform_fault 600 "loses replies" '{"fault":"lose-reply","count":40}'
+  server_fault 1200 0 "loses replies" '{"fault":"lose-reply","count":8}'
+  server_fault 1800 1 dies '{"fault":"die"}'
+  server_fault 2400 1 revives '{"fault":"revive"}'
+  platform_fault 3000 "is slow" '{"fault":"slow","ms":100}'
+  vm_signal 3600 b STOP
+  printf ',\n'
+  platform_heals 4200
+  platform_fault 4800 "is down" '{"fault":"down"}'
+  server_fault 5400 1 "loses replies" '{"fault":"lose-reply","count":8}'
+  platform_heals 6000
+  platform_fault 6600 "is silent" '{"fault":"silent"}'
+  vm_signal 7200 b CONT
+  printf ',\n'
+  platform_heals 7800
+  platform_fault 8400 "loses replies again" '{"fault":"lose-reply","count":40}'
+  vm_signal 9000 c KILL
+  printf ',\n'
+  server_fault 9600 0 dies '{"fault":"die"}'
+  server_fault 10200 0 revives '{"fault":"revive"}'
+  platform_heals 10800 | sed 's/,$//'
 }
 
 once_scenario() {
   {
-    printf '{"name":"%s","duration_ms":9500,"drain_ms":4000,' "$1"
+    printf '{"name":"%s","duration_ms":11000,"drain_ms":2000,' "$1"
     printf '"request_timeout_ms":4000,"deadline_ms":2000,'
     printf '"service":"%s","organisation":"registry","requests":%s,' \
       "$plain_service" "$once_requests"
--- a/tools/experiments/plain.sh
+++ b/tools/experiments/plain.sh
@@ -28,7 +28,7 @@
 # shellcheck disable=SC2086
 write_plain_standins() {
   {
-    printf '{"platform":{"listen":"%s","latency_ms":2,"writes_per_s":%s,"vms":[\n' \
+    printf '{"platform":{"listen":"%s","latency_ms":2,"threads":2048,"writes_per_s":%s,"vms":[\n' \
       "$(platform_address)" "$platform_writes_per_s"
     each entry_vm_json ',
 ' $entry_vms
@@ -90,7 +90,7 @@
   once_code=0
   "$build/standin/eelgrass-once" "$run/$1.json" --seed "$2" \
     --json "$results/$1.json" --values "$results/$1.txt" \
-    >"$results/$1.table" || once_code=$?
+    --sendings "$results/$1.sendings" >"$results/$1.table" || once_code=$?
   cat "$results/$1.table"
   if [ $once_code -ne 0 ]; then
     say "$1: eelgrass-once ended with code $once_code"
