bus: lengths that a message claims are checked before it is unpacked

Cause: under the address sanitizer the property of changed bytes failed: the library asked for 137 GB for an array that a message of a few bytes claimed. Change: each length must fit the bytes that follow it before the library sees the message. Result: the property passes.

--- a/bus/codec.c
+++ b/bus/codec.c
@@ -3,6 +3,8 @@
 #include <msgpack.h>
 #include <string.h>
 
+#include "bus/lengths.h"
+
 /* version, kind, sender, its incarnation, and the body of the kind */
 #define FIELDS 5
 #define RUMOUR_FIELDS 7
@@ -346,7 +348,8 @@
   size_t offset = 0;
   bool good;
 
-  if (bytes.len == 0 || bytes.len > EG_BUS_MESSAGE_MAX)
+  if (bytes.len == 0 || bytes.len > EG_BUS_MESSAGE_MAX
+      || !eg_bus_lengths_fit (bytes))
     return EG_INVALID;
   memset (message, 0, sizeof *message);
   msgpack_unpacked_init (&unpacked);
