policy: small failure domains are watched from the next one

A node alone in its failure domain had no watcher, and three that died together were their own. The next domain makes up for missing watchers, and asks its other links before it calls a node dead, as the way between two domains may be cut while others reach both.

--- a/policy/overlay.c
+++ b/policy/overlay.c
@@ -44,18 +44,97 @@
   return rank;
 }
 
-static void
-set_neighbours (struct eg_overlay *self, const struct ring *ring, size_t rank)
+/* Finds the next failure domain with a live member after that of @p ring, or
+   the one before it; false if there is no other. */
+static bool
+find_neighbour (const struct eg_membership *membership,
+                const struct ring *ring,
+                bool before,
+                struct ring *neighbour)
 {
-  for (size_t i = 1; i <= EG_OVERLAY_WATCHERS && i < ring->size; i++)
+  struct ring first = {0};
+  struct ring last = {0};
+  struct ring previous = {0};
+  struct ring next = {0};
+  bool passed = false;
+
+  for (size_t i = 0; i < membership->count; i += ring_at (membership, i).span)
     {
-      size_t before = (rank + ring->size - i) % ring->size;
+      struct ring other = ring_at (membership, i);
 
-      self->successors[self->successor_count++] =
-          ring_get (ring, (rank + i) % ring->size)->id;
-      self->predecessors[self->predecessor_count++] =
-          ring_get (ring, before)->id;
+      if (other.members == ring->members)
+        passed = true;
+      if (other.size == 0 || other.members == ring->members)
+        continue;
+      if (first.size == 0)
+        first = other;
+      last = other;
+      if (!passed)
+        previous = other;
+      else if (next.size == 0)
+        next = other;
     }
+  if (before)
+    *neighbour = previous.size > 0 ? previous : last;
+  else
+    *neighbour = next.size > 0 ? next : first;
+  return neighbour->size > 0;
+}
+
+/* Writes who watches the live member with a rank. */
+static size_t
+find_watchers (const struct eg_membership *membership,
+               const struct ring *ring,
+               size_t rank,
+               uint64_t watchers[EG_OVERLAY_WATCHERS])
+{
+  struct ring next;
+  size_t count = 0;
+
+  for (size_t i = 1; i <= EG_OVERLAY_WATCHERS && i < ring->size; i++)
+    watchers[count++] = ring_get (ring, (rank + i) % ring->size)->id;
+  if (count == EG_OVERLAY_WATCHERS
+      || !find_neighbour (membership, ring, false, &next))
+    return count;
+  for (size_t i = 0; i < next.size && count < EG_OVERLAY_WATCHERS; i++)
+    watchers[count++] = ring_get (&next, (rank + i) % next.size)->id;
+  return count;
+}
+
+static void
+add_if_watched (struct eg_overlay *self,
+                const struct eg_membership *membership,
+                const struct ring *ring,
+                size_t rank,
+                uint64_t own)
+{
+  uint64_t watchers[EG_OVERLAY_WATCHERS];
+  size_t count = find_watchers (membership, ring, rank, watchers);
+
+  for (size_t i = 0; i < count; i++)
+    if (watchers[i] == own && self->predecessor_count < EG_OVERLAY_WATCHED_MAX)
+      self->predecessors[self->predecessor_count++] = ring_get (ring, rank)->id;
+}
+
+static void
+set_neighbours (struct eg_overlay *self,
+                const struct eg_membership *membership,
+                const struct ring *ring,
+                size_t rank)
+{
+  uint64_t own = ring_get (ring, rank)->id;
+  struct ring before;
+
+  self->successor_count =
+      find_watchers (membership, ring, rank, self->successors);
+  for (size_t i = 1; i <= EG_OVERLAY_WATCHERS && i < ring->size; i++)
+    add_if_watched (self, membership, ring,
+                    (rank + ring->size - i) % ring->size, own);
+  if (!find_neighbour (membership, ring, true, &before)
+      || before.size > EG_OVERLAY_WATCHERS)
+    return;
+  for (size_t i = 0; i < before.size; i++)
+    add_if_watched (self, membership, &before, i, own);
 }
 
 static void
@@ -131,8 +210,8 @@
   if (!find_ring (membership, own, &ring) || ring.size == 0)
     return;
   self->size = ring.size;
-  rank = ring_rank (&ring, own);
-  set_neighbours (self, &ring, rank);
+  rank = ring_rank (&ring, own) % ring.size;
+  set_neighbours (self, membership, &ring, rank);
   set_fingers (self, &ring, rank);
   set_domain_links (self, membership, ring.members[0]->domain, rank);
 }
@@ -143,19 +222,16 @@
                      uint64_t own,
                      uint64_t watchers[EG_OVERLAY_WATCHERS])
 {
+  uint64_t all[EG_OVERLAY_WATCHERS];
   struct ring ring;
   size_t count = 0;
-  size_t rank;
+  size_t found;
 
   if (!find_ring (membership, subject, &ring) || ring.size == 0)
     return 0;
-  rank = ring_rank (&ring, subject);
-  for (size_t i = 1; i <= EG_OVERLAY_WATCHERS && i < ring.size; i++)
-    {
-      uint64_t id = ring_get (&ring, (rank + i) % ring.size)->id;
-
-      if (id != own && id != subject)
-        watchers[count++] = id;
-    }
+  found = find_watchers (membership, &ring, ring_rank (&ring, subject), all);
+  for (size_t i = 0; i < found; i++)
+    if (all[i] != own && all[i] != subject)
+      watchers[count++] = all[i];
   return count;
 }
--- a/policy/overlay.h
+++ b/policy/overlay.h
@@ -5,7 +5,9 @@
  *
  * The live members of a failure domain form a ring, sorted by id. A node links
  * to those at distances 1, 2, 4, 8 and so on, and to the member of its own rank
- * in the failure domains at such distances.
+ * in the failure domains at such distances. The next three on the ring watch a
+ * node; where the ring has fewer, nodes of the next failure domain make up for
+ * them.
  */
 #ifndef EG_POLICY_OVERLAY_H
 #define EG_POLICY_OVERLAY_H
@@ -16,6 +18,8 @@
 
 /** Nodes that watch a node. */
 #define EG_OVERLAY_WATCHERS 3
+/** Most nodes that a node watches, of its own and the domain before it. */
+#define EG_OVERLAY_WATCHED_MAX (2 * EG_OVERLAY_WATCHERS)
 /** Most links within the failure domain, for up to 2^12 members. */
 #define EG_OVERLAY_FINGERS_MAX 12
 /** Most links to other failure domains, for up to 2^8 of them. */
@@ -27,7 +31,7 @@
   size_t size; /**< Live members of the domain, this node among them. */
   uint64_t successors[EG_OVERLAY_WATCHERS]; /**< Who watches this node. */
   size_t successor_count;
-  uint64_t predecessors[EG_OVERLAY_WATCHERS]; /**< Whom this node watches. */
+  uint64_t predecessors[EG_OVERLAY_WATCHED_MAX]; /**< Whom this node watches. */
   size_t predecessor_count;
   uint64_t fingers[EG_OVERLAY_FINGERS_MAX]; /**< At distance 2^index. */
   size_t finger_count;
--- a/policy/peers.c
+++ b/policy/peers.c
@@ -298,9 +298,16 @@
   struct eg_peer_message answer = {.kind = EG_PEER_HEARD};
   int64_t age_us;
 
-  if (!subject || subject->state != EG_MEMBER_LIVE || !subject->watched)
+  if (!subject || subject->state != EG_MEMBER_LIVE)
     return;
   age_us = reception->now_us - subject->heard_us;
+  /* Nobody expects heartbeats of those that are not watched, so the first
+     question makes this node probe, and the second finds the answer. */
+  if (!subject->watched && age_us > EG_PEERS_SUSPECT_US)
+    {
+      send_kind (self, subject->id, EG_PEER_PROBE);
+      return;
+    }
   answer.subject = subject->id;
   answer.subject_incarnation = subject->incarnation;
   answer.age_ms = (uint32_t) (age_us / EG_US_PER_MS);
@@ -445,6 +452,13 @@
     send_kind (self, self->overlay.successors[i], EG_PEER_HEARTBEAT);
 }
 
+static bool
+is_elsewhere (const struct eg_peers *self, const struct eg_member *member)
+{
+  return eg_membership_find (&self->membership, self->own)->domain
+         != member->domain;
+}
+
 static void
 ask_about (struct eg_peers *self, const struct eg_member *member)
 {
@@ -460,6 +474,10 @@
   send_kind (self, member->id, EG_PEER_PROBE);
   for (size_t i = 0; i < count; i++)
     send_to (self, watchers[i], &ask);
+  /* The way between two failure domains may be cut while others reach both. */
+  if (is_elsewhere (self, member))
+    for (size_t i = 0; i < self->overlay.domain_link_count; i++)
+      send_to (self, self->overlay.domain_links[i], &ask);
 }
 
 static void
--- a/test/fake_net.c
+++ b/test/fake_net.c
@@ -200,12 +200,18 @@
   return NULL;
 }
 
+static bool
+is_cut (const struct fake_node *a, const struct fake_node *b)
+{
+  return a->group != b->group && !a->reaches_all && !b->reaches_all;
+}
+
 static void
 deliver (struct fake_net *self, struct fake_packet *packet)
 {
   struct fake_node *node = node_by_id (self, packet->to);
 
-  if (!node || node->killed || node->group != self->nodes[packet->from].group)
+  if (!node || node->killed || is_cut (node, &self->nodes[packet->from]))
     {
       free (packet);
       return;
--- a/test/fake_net.h
+++ b/test/fake_net.h
@@ -34,7 +34,8 @@
   uint64_t id;
   bool killed;
   bool paused;
-  unsigned group; /**< Nodes of different groups are cut off. */
+  unsigned group;   /**< Nodes of different groups are cut off, */
+  bool reaches_all; /**< but for nodes that reach all groups. */
   unsigned phase_ms;
   uint64_t sent_by_kind[EG_PEER_KINDS];
   uint64_t sent_bytes;
--- a/test/property_membership.cc
+++ b/test/property_membership.cc
@@ -99,15 +99,10 @@
   n.nodes[victim].killed = killed;
   n.nodes[victim].group = !killed;
   fake_net_run (&n, 3000);
-  if (n.count >= 8)
-    expect_all (n, victim, EG_MEMBER_DEAD, true);
+  expect_all (n, victim, EG_MEMBER_DEAD, true);
   fake_net_run (&n, 60000);
-  for (size_t i = 0; killed && i < n.count; i++)
-    if (same_domain (n, i, victim) && i != victim)
-      {
-        expect_all (n, victim, EG_MEMBER_DEAD, false);
-        return;
-      }
+  if (killed)
+    expect_all (n, victim, EG_MEMBER_DEAD, false);
 }
 
 /* Only the way from a node to one of its watchers is cut: the other watchers
@@ -128,6 +123,41 @@
   RC_ASSERT (incarnation_of (n, subject) <= (uint64_t) n.start_ms);
 }
 
+/* A failure domain of up to three nodes is watched from the next one. */
+void
+a_small_domain_that_dies_whole_is_seen ()
+{
+  const int domains = draw (2, 5);
+  net n (domains * draw (1, 4), domains, draw_seed ());
+
+  make_lossy (n);
+  fake_net_run (&n, 5000);
+  for (size_t i = 0; i < n.count; i++)
+    n.nodes[i].killed = same_domain (n, i, 0);
+  fake_net_run (&n, 10000);
+  for (size_t i = 0; i < n.count; i++)
+    if (n.nodes[i].killed)
+      expect_all (n, i, EG_MEMBER_DEAD, false);
+}
+
+/* Two failure domains cannot reach each other, and a third reaches both. */
+void
+a_cut_that_others_bridge_kills_nobody ()
+{
+  net n (3 * draw (1, 4), 3, draw_seed ());
+
+  fake_net_run (&n, 5000);
+  for (size_t i = 0; i < n.count; i++)
+    {
+      n.nodes[i].group = same_domain (n, i, 0);
+      n.nodes[i].reaches_all = same_domain (n, i, 2);
+    }
+  fake_net_run (&n, 20000);
+  expect_all_live (n);
+  for (size_t i = 0; i < n.count; i++)
+    RC_ASSERT (incarnation_of (n, i) <= (uint64_t) n.start_ms);
+}
+
 void
 a_pause_is_seen_and_forgotten ()
 {
@@ -362,6 +392,10 @@
                    death_is_seen_by_the_domain_within_3_s);
   ok &= rc::check ("a node that others hear stays live",
                    a_node_that_others_hear_stays_live);
+  ok &= rc::check ("a small domain that dies whole is seen",
+                   a_small_domain_that_dies_whole_is_seen);
+  ok &= rc::check ("a cut that others bridge kills nobody",
+                   a_cut_that_others_bridge_kills_nobody);
   ok &= rc::check ("a pause is seen, and forgotten afterwards",
                    a_pause_is_seen_and_forgotten);
   ok &= rc::check ("views agree after a partition heals",
