--- a/policy/orders.c
+++ b/policy/orders.c
@@ -39,7 +39,7 @@
   struct place *place;
   int group;      /* Wanted one that it holds; NO_GROUP for none. */
   int tally;      /* Of its model and version; NO_TALLY for none. */
-  bool managed;   /* Whether a rule names its model. */
+  bool managed;   /* Whether a rule speaks of what it holds. */
   bool usable;    /* Whether it serves now. */
   bool orderable; /* Whether it may be ordered now. */
 };
@@ -206,12 +206,20 @@
 
 /* The servers as they stand. */
 
+/* Tells whether a rule speaks of any layer that a server holds. A rule for the
+   first half of a model says nothing of servers with the second. */
 static bool
-is_managed (const struct eg_orders *self, const char *model)
+is_managed (const struct eg_orders *self, const struct eg_server_report *report)
 {
   for (size_t i = 0; i < self->wanted_count; i++)
-    if (strcmp (self->wanted[i].model, model) == 0)
-      return true;
+    {
+      const struct eg_orders_wanted *wanted = &self->wanted[i];
+
+      if (wanted->first_layer <= report->last_layer
+          && wanted->last_layer >= report->first_layer
+          && strcmp (wanted->model, report->model) == 0)
+        return true;
+    }
   return false;
 }
 
@@ -352,7 +360,7 @@
   bool managed;
 
   settle (self, place, server, now_us);
-  managed = !is_unloaded (server) && is_managed (self, server->report.model);
+  managed = !is_unloaded (server) && is_managed (self, &server->report);
   *member = (struct member){
       .index = index,
       .server = server,
--- a/policy/orders.h
+++ b/policy/orders.h
@@ -4,8 +4,8 @@
  * they come to hold the models that rules ask for.
  *
  * An order names a target state of one server, so that giving it twice, or to
- * a server that is already there, changes nothing. Models that no rule names
- * are left alone.
+ * a server that is already there, changes nothing. Servers with models or
+ * layers that no rule speaks of are left alone.
  */
 #ifndef EG_POLICY_ORDERS_H
 #define EG_POLICY_ORDERS_H
--- a/router/orderer.c
+++ b/router/orderer.c
@@ -20,6 +20,8 @@
 /* Entry VMs of a failure domain that contend for one lease. */
 #define CANDIDATES_MAX 3
 #define LOAD_TIMEOUT_US (600 * EG_US_PER_S)
+/* How long servers are missing before operators are told. */
+#define SHORTAGE_US (30 * EG_US_PER_S)
 
 static const struct eg_orders_config orders_config = {
     .loads_max = 2,
@@ -48,7 +50,8 @@
   struct eg_order order;
   int64_t asked_us; /* When that word was asked for. */
   int64_t next_look_us;
-  enum eg_orders_shortage shortage; /* As logged. */
+  int64_t short_since_us; /* When there was last enough, or help under way. */
+  bool short_told;
 };
 
 struct eg_orderer
@@ -417,11 +420,27 @@
     withdraw (duty, now_us);
 }
 
+/* Servers that back off are soon there again: only what lasts is told. */
 static void
-choose_order (struct eg_orderer *self, struct duty *duty, int64_t now_us)
+note_shortage (const struct eg_orderer *self, struct duty *duty, int64_t now_us)
 {
-  enum eg_orders_shortage shortage;
+  if (eg_orders_shortage (duty->orders) != EG_ORDERS_NO_SERVER)
+    {
+      duty->short_since_us = now_us;
+      duty->short_told = false;
+      return;
+    }
+  if (duty->short_told || now_us - duty->short_since_us < SHORTAGE_US)
+    return;
+  duty->short_told = true;
+  eg_log (EG_LOG_WARNING, "orderer",
+          "event=capacity-short service=%s failure_domain=%s cause=no-server",
+          duty->service, self->parts.settings->failure_domain);
+}
 
+static void
+choose_order (struct eg_orderer *self, struct duty *duty, int64_t now_us)
+{
   if (now_us < duty->next_look_us)
     return;
   duty->next_look_us = now_us + LOOK_INTERVAL_US;
@@ -433,15 +452,7 @@
       eg_lease_confirm (&duty->lease);
       update_lease (self, duty, EG_LEASE_TIME, 0, NULL, now_us);
     }
-  shortage = eg_orders_shortage (duty->orders);
-  if (shortage == duty->shortage)
-    return;
-  duty->shortage = shortage;
-  if (shortage == EG_ORDERS_NO_SERVER)
-    eg_log (EG_LOG_WARNING, "orderer",
-            "event=capacity-short service=%s failure_domain=%s "
-            "cause=no-server",
-            duty->service, self->parts.settings->failure_domain);
+  note_shortage (self, duty, now_us);
 }
 
 static void
@@ -453,6 +464,7 @@
   eg_log (
       EG_LOG_NOTICE, "orderer", "event=lease-%s service=%s fencing=%" PRIu64,
       held ? "taken" : "ended", duty->service, eg_lease_fencing (&duty->lease));
+  duty->short_since_us = now_us;
   if (held)
     eg_orders_reset (duty->orders);
   else if (duty->ready)
--- a/test/path_fixture.c
+++ b/test/path_fixture.c
@@ -20,7 +20,7 @@
     "platform.address = \"%s\"\nplatform.vms_interval_ms = 100\n"
     "limits.caller_threads = 32\nlimits.body_bytes = 65536\n"
     "backend.poll_interval_ms = 100\nbackend.token_silence_ms = 1500\n"
-    "log.level = \"error\"\n";
+    "orders.lease_ms = 300\nlog.level = \"error\"\n";
 
 /* Three servers for each half of the model, in two failure domains. */
 static const struct
@@ -28,10 +28,14 @@
   const char *address;
   const char *failure_domain;
   const char *layers;
+  const char *checks_fencing;
 } engines[] = {
-    {EG_TEST_HOST "11", "a", "[1,16]"},  {EG_TEST_HOST "12", "a", "[1,16]"},
-    {EG_TEST_HOST "13", "b", "[1,16]"},  {EG_TEST_HOST "14", "a", "[17,32]"},
-    {EG_TEST_HOST "15", "a", "[17,32]"}, {EG_TEST_HOST "16", "b", "[17,32]"},
+    {EG_TEST_HOST "11", "a", "[1,16]", "true"},
+    {EG_TEST_HOST "12", "a", "[1,16]", "false"},
+    {EG_TEST_HOST "13", "b", "[1,16]", "true"},
+    {EG_TEST_HOST "14", "a", "[17,32]", "true"},
+    {EG_TEST_HOST "15", "a", "[17,32]", "true"},
+    {EG_TEST_HOST "16", "b", "[17,32]", "true"},
 };
 
 #define ENGINES (sizeof engines / sizeof engines[0])
@@ -84,8 +88,9 @@
         "\"model\":\"m\",\"version\":\"1\",\"layers\":%s,"
         "\"model_layers\":32,\"accelerator\":\"large\",\"slots\":8,"
         "\"token_us\":2000,\"prefill_us\":10,\"load_lag_ms\":50,"
-        "\"checks_fencing\":true,\"kv_total\":100000,\"threads\":16}",
-        i > 0 ? "," : "", engines[i].address, i, engines[i].layers);
+        "\"checks_fencing\":%s,\"kv_total\":100000,\"threads\":16}",
+        i > 0 ? "," : "", engines[i].address, i, engines[i].layers,
+        engines[i].checks_fencing);
   eg_buffer_printf (json,
                     "],\"services\":[{\"listen\":\"%s\",\"service\":\"app\","
                     "\"latency_ms\":1,\"slots\":8}]}",
@@ -263,21 +268,33 @@
   control ("DELETE", address, NULL);
 }
 
-json_t *
-path_record (const char *address)
+static json_t *
+record_part (const char *address, const char *name)
 {
   struct path_answer answer;
   char url[128];
   json_t *record;
-  json_t *runs;
+  json_t *part;
 
   snprintf (url, sizeof url, "%s/standin/%s/record", ADMIN, address);
   path_call ("GET", url, NULL, NULL, &answer);
   record = json_loadb (answer.body.data, answer.body.len, 0, NULL);
   path_answer_finish (&answer);
-  runs = json_incref (json_object_get (record, "runs"));
+  part = json_incref (json_object_get (record, name));
   json_decref (record);
-  return runs;
+  return part;
+}
+
+json_t *
+path_record (const char *address)
+{
+  return record_part (address, "runs");
+}
+
+json_t *
+path_orders (const char *address)
+{
+  return record_part (address, "orders");
 }
 
 void
--- a/test/path_fixture.h
+++ b/test/path_fixture.h
@@ -64,6 +64,9 @@
 /* Returns what ran on the stand-in at an address, as a new reference. */
 json_t *path_record (const char *address);
 
+/* Returns the orders that took effect on the engine at an address. */
+json_t *path_orders (const char *address);
+
 /* Sends bytes on a bare connection and gathers the answer. */
 void path_raw (const char *bytes, bool half_close, struct eg_buffer *answer);
 
--- a/test/property_orders.cc
+++ b/test/property_orders.cc
@@ -447,6 +447,13 @@
     RC_ASSERT (world.order_count == 0u);
     RC_ASSERT (eg_orders_shortage (world.orderers[0].orders)
                == EG_ORDERS_NO_SERVER);
+    // Nor are layers that no rule names.
+    strcpy (world.wanted[0].model, "m");
+    world.wanted[0].version[0] = '2';
+    for (auto &orderer : world.orderers)
+      eg_orders_want (orderer.orders, world.wanted.data (), 1);
+    world.run (300 * S);
+    RC_ASSERT (world.holding ("1", 17, LAYERS) == world.engines.size () / 2);
   });
   return ok ? 0 : 1;
 }
--- /dev/null
+++ b/test/test_orders.c
@@ -0,0 +1,392 @@
+/* Orders to engines, of a whole node and of a former holder of the lease that
+   was paused. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <curl/curl.h>
+#include <time.h>
+
+#include "backend/engine.h"
+#include "base/clock.h"
+#include "router/orderer.h"
+#include "test/path_fixture.h"
+
+#define CHECKING EG_TEST_HOST "11"
+#define NOT_CHECKING EG_TEST_HOST "12"
+#define ELSEWHERE EG_TEST_HOST "13"
+#define RING_SLOTS 64
+#define WAIT_STEP_US (10 * EG_US_PER_MS)
+#define WAIT_STEPS 3000
+#define ACTOR_LEASE_MS 2000
+
+static struct path_fixture fixture;
+
+/* An orderer whose time the test moves. */
+struct actor
+{
+  struct eg_router_settings settings;
+  struct eg_fleet fleet;
+  struct eg_ring replies;
+  struct eg_ring events;
+  struct eg_platform_worker *platform;
+  struct eg_backend_worker *backend;
+  struct eg_orderer *orderer;
+  size_t reply_count;
+  size_t event_count;
+  enum eg_order_result result; /* Of the last order. */
+  int http_status;
+};
+
+static int
+set_up (void **state)
+{
+  (void) state;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  path_fixture_init (&fixture);
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  (void) state;
+  path_fixture_finish (&fixture);
+  curl_global_cleanup ();
+  return 0;
+}
+
+static void
+on_reply (void *context, struct eg_platform_reply *reply)
+{
+  EG_INVARIANT (eg_ring_push (context, reply));
+}
+
+static void
+on_event (void *context, struct eg_backend_event *event)
+{
+  EG_INVARIANT (eg_ring_push (context, event));
+}
+
+/* Tells an actor that its engine holds nothing, or the old version. */
+static void
+report (struct actor *actor, const char *address, bool unloaded)
+{
+  struct eg_server_report row = {
+      .unloaded = unloaded,
+      .as_of_us = eg_clock_now_us (),
+  };
+  uint32_t server = eg_servers_add (actor->fleet.servers, eg_str_from (address),
+                                    EG_STR ("a"));
+
+  memcpy (row.service, actor->settings.name, sizeof row.service);
+  if (!unloaded)
+    {
+      strcpy (row.model, "m");
+      strcpy (row.version, "1");
+      row.first_layer = 1;
+      row.last_layer = 16;
+      row.model_layers = 32;
+    }
+  assert_true (
+      eg_servers_report (actor->fleet.servers, server, &row, row.as_of_us));
+}
+
+/* The service is named after the test, so that it has leases of its own. */
+static void
+actor_init (struct actor *self,
+            const char *service,
+            const char *engine,
+            uint64_t incarnation)
+{
+  const struct eg_backend_config backend = {
+      .connect_timeout_us = EG_US_PER_S,
+      .poll_timeout_us = EG_US_PER_S,
+      .answer_max = 65536,
+  };
+  struct eg_orderer_parts parts = {
+      .settings = &self->settings,
+      .fleet = &self->fleet,
+      .incarnation = incarnation,
+  };
+  struct eg_buffer text = {0};
+  struct eg_rules rules;
+
+  memset (self, 0, sizeof *self);
+  self->settings = fixture.node.settings;
+  self->settings.lease_ms = ACTOR_LEASE_MS;
+  strcpy (self->settings.name, service);
+  assert_true (eg_ring_init (&self->replies, RING_SLOTS));
+  assert_true (eg_ring_init (&self->events, RING_SLOTS));
+  assert_true (eg_fleet_init (&self->fleet, EG_US_PER_S));
+  self->platform = eg_platform_worker_new (
+      PLATFORM, &(struct eg_platform_sink){on_reply, &self->replies});
+  self->backend = eg_backend_worker_new (
+      &backend, &(struct eg_backend_sink){on_event, &self->events});
+  parts.platform = self->platform;
+  parts.backend = self->backend;
+  self->orderer = eg_orderer_new (&parts);
+  eg_buffer_printf (&text,
+                    "capacity service=%s model=m version=2 layers=1-16 "
+                    "count=1 # Nok: a test\n",
+                    service);
+  assert_int_equal (eg_rules_init (&rules, eg_buffer_view (&text)), EG_OK);
+  eg_orderer_apply_rules (self->orderer, &rules);
+  eg_rules_finish (&rules);
+  eg_buffer_finish (&text);
+  report (self, engine, true);
+}
+
+static void
+take_messages (struct actor *self)
+{
+  struct eg_platform_reply *reply;
+  struct eg_backend_event *event;
+
+  while ((reply = eg_ring_pop (&self->replies)))
+    {
+      self->reply_count++;
+      assert_true (eg_orderer_reply (self->orderer, reply, eg_clock_now_us ()));
+      eg_platform_reply_free (reply);
+    }
+  while ((event = eg_ring_pop (&self->events)))
+    {
+      assert_int_equal (event->kind, EG_BACKEND_ORDERED);
+      self->event_count++;
+      self->result = event->order_result;
+      self->http_status = event->http_status;
+      eg_orderer_ordered (self->orderer, event, eg_clock_now_us ());
+      eg_backend_event_free (event);
+    }
+}
+
+static void
+actor_finish (struct actor *self)
+{
+  eg_backend_worker_free (self->backend);
+  eg_platform_worker_free (self->platform);
+  take_messages (self);
+  eg_orderer_free (self->orderer);
+  eg_fleet_finish (&self->fleet);
+  eg_ring_finish (&self->replies);
+  eg_ring_finish (&self->events);
+}
+
+static void
+wait_step (void)
+{
+  const struct timespec pause = {.tv_nsec = WAIT_STEP_US * 1000};
+
+  nanosleep (&pause, NULL);
+}
+
+/* Lets an actor run until @p count orders have ended. */
+static void
+run_until_orders (struct actor *self, size_t count)
+{
+  for (int i = 0; i < WAIT_STEPS && self->event_count < count; i++)
+    {
+      take_messages (self);
+      eg_orderer_tick (self->orderer, eg_clock_now_us ());
+      wait_step ();
+    }
+  assert_int_equal (self->event_count, count);
+}
+
+/*
+ * Lets an actor run until the store has confirmed its lease and the order is
+ * about to be sent, and no further.
+ * @return the time at which it stands still.
+ */
+static int64_t
+run_until_confirmed (struct actor *self)
+{
+  int64_t now_us = 0;
+  size_t replies;
+
+  for (int i = 0; i < WAIT_STEPS; i++)
+    {
+      now_us = eg_clock_now_us ();
+      take_messages (self);
+      if (eg_orderer_held (self->orderer, now_us) > 0)
+        break;
+      eg_orderer_tick (self->orderer, now_us);
+      wait_step ();
+    }
+  assert_int_equal (eg_orderer_held (self->orderer, now_us), 1);
+  replies = self->reply_count;
+  eg_orderer_tick (self->orderer, now_us);
+  for (int i = 0; i < WAIT_STEPS && self->reply_count == replies; i++)
+    {
+      take_messages (self);
+      wait_step ();
+    }
+  assert_int_equal (self->event_count, 0);
+  return now_us;
+}
+
+static void
+expect_last_order (const char *address, size_t count, const char *version)
+{
+  json_t *orders = path_orders (address);
+  json_t *last = json_array_get (orders, json_array_size (orders) - 1);
+
+  assert_int_equal (json_array_size (orders), count);
+  assert_string_equal (json_string_value (json_object_get (last, "version")),
+                       version);
+  json_decref (orders);
+}
+
+/* Sends an order as a holder does that was paused after all of its checks. */
+static void
+send_unchecked (struct actor *self, const char *address)
+{
+  struct eg_backend_command *command =
+      eg_backend_command_new (EG_BACKEND_ORDER);
+  const struct eg_order order = {
+      .kind = EG_ORDER_LOAD,
+      .model = "m",
+      .version = "1",
+      .first_layer = 1,
+      .last_layer = 16,
+  };
+  size_t events = self->event_count;
+
+  strcpy (command->address, address);
+  command->has_body = true;
+  command->timeout_us = 10 * EG_US_PER_S;
+  eg_engine_write_order (&command->body, &order, 1);
+  assert_true (eg_backend_worker_push (self->backend, command));
+  for (int i = 0; i < WAIT_STEPS && self->event_count == events; i++)
+    {
+      take_messages (self);
+      wait_step ();
+    }
+}
+
+/* Pauses a holder until another has ordered, and lets it go on from there. */
+static void
+pause_holder (struct actor *former,
+              struct actor *successor,
+              const char *service,
+              const char *engine)
+{
+  int64_t paused_us;
+
+  actor_init (former, service, engine, 1);
+  actor_init (successor, service, engine, 2);
+  paused_us = run_until_confirmed (former);
+  run_until_orders (successor, 1);
+  assert_int_equal (successor->result, EG_ORDER_TAKEN);
+  expect_last_order (engine, 1, "2");
+
+  /* It goes on without a look at the clock: no byte leaves. */
+  eg_orderer_tick (former->orderer, paused_us);
+  for (int i = 0; i < WAIT_STEPS && former->event_count == 0; i++)
+    {
+      take_messages (former);
+      wait_step ();
+    }
+  assert_int_equal (former->event_count, 1);
+  assert_int_equal (former->result, EG_ORDER_NOT_SENT);
+  expect_last_order (engine, 1, "2");
+
+  /* With a look at the clock it is no holder. */
+  assert_int_equal (eg_orderer_held (former->orderer, eg_clock_now_us ()), 0);
+}
+
+static void
+test_checking_engine_refuses_former_holder (void **state)
+{
+  struct actor former;
+  struct actor successor;
+
+  (void) state;
+  pause_holder (&former, &successor, "pause-1", CHECKING);
+  send_unchecked (&former, CHECKING);
+  assert_int_equal (former.result, EG_ORDER_REFUSED);
+  assert_int_equal (former.http_status, 409);
+  expect_last_order (CHECKING, 1, "2");
+  actor_finish (&former);
+  actor_finish (&successor);
+}
+
+static void
+test_order_of_former_holder_is_put_right (void **state)
+{
+  struct actor former;
+  struct actor successor;
+
+  (void) state;
+  pause_holder (&former, &successor, "pause-2", NOT_CHECKING);
+  /* What remains possible: a pause between the check and the first byte. */
+  send_unchecked (&former, NOT_CHECKING);
+  assert_int_equal (former.result, EG_ORDER_TAKEN);
+  expect_last_order (NOT_CHECKING, 2, "1");
+  /* The holder sees it in a report and orders again. */
+  for (int i = 0; i < WAIT_STEPS && successor.event_count < 2; i++)
+    {
+      report (&successor, NOT_CHECKING, true);
+      take_messages (&successor);
+      eg_orderer_tick (successor.orderer, eg_clock_now_us ());
+      wait_step ();
+    }
+  assert_int_equal (successor.result, EG_ORDER_TAKEN);
+  expect_last_order (NOT_CHECKING, 3, "2");
+  actor_finish (&former);
+  actor_finish (&successor);
+}
+
+static size_t
+count_orders (const char *address)
+{
+  json_t *orders = path_orders (address);
+  size_t count = json_array_size (orders);
+
+  json_decref (orders);
+  return count;
+}
+
+static void
+test_rule_is_carried_out (void **state)
+{
+  struct eg_ruleset_result result;
+  const struct eg_ruleset_edit edit = {
+      .who = "Nok",
+      .text = EG_STR ("capacity service=llm model=m version=9 layers=1-16 "
+                      "count=1 failure-domain=a # Nok: a test\n"),
+      .timeout_us = 10 * EG_US_PER_S,
+  };
+  size_t before = count_orders (CHECKING) + count_orders (NOT_CHECKING);
+  size_t elsewhere = count_orders (ELSEWHERE);
+  size_t after = before;
+
+  (void) state;
+  assert_int_equal (
+      eg_decision_edit_rules (fixture.node.decision, &edit, &result), EG_OK);
+  assert_int_equal (result.action, EG_RULE_EDIT_ACCEPTED);
+  for (int i = 0; i < WAIT_STEPS && after == before; i++)
+    {
+      wait_step ();
+      after = count_orders (CHECKING) + count_orders (NOT_CHECKING);
+    }
+  assert_int_equal (after, before + 1);
+  assert_int_equal (count_orders (ELSEWHERE), elsewhere);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_checking_engine_refuses_former_holder),
+      cmocka_unit_test (test_order_of_former_holder_is_put_right),
+      cmocka_unit_test (test_rule_is_carried_out),
+  };
+
+  return cmocka_run_group_tests (tests, set_up, tear_down);
+}
