--- a/tools/experiments/rules.sh
+++ b/tools/experiments/rules.sh
@@ -127,15 +127,15 @@
     END { i = int(q * NR + 0.9999999); print v[i < 1 ? 1 : i] }' "$1"
 }
 
-# rules_report NAME FIRST LAST: of the versions in this range.
+# rules_report NAME TITLE FIRST LAST: of the versions in this range.
 rules_report() {
-  rules_delays | awk -v first="$2" -v last="$3" '$3 >= first && $3 <= last' \
+  rules_delays | awk -v first="$3" -v last="$4" '$3 >= first && $3 <= last' \
     >"$results/rules-$1.delays"
   count=$(wc -l <"$results/rules-$1.delays")
   short=$(awk '$2 != 9' "$results/rules-$1.delays" | wc -l)
   {
     printf '%s: %s edits accepted, in force on all 9 nodes after p50 %s, p99 %s, at most %s ms; %s not on all; %s races lost on the way\n' \
-      "$1" "$count" "$(quantile "$results/rules-$1.delays" 0.5)" \
+      "$2" "$count" "$(quantile "$results/rules-$1.delays" 0.5)" \
       "$(quantile "$results/rules-$1.delays" 0.99)" \
       "$(quantile "$results/rules-$1.delays" 1)" "$short" "$lost"
     verdict "p99 < 1000 ms, on all nodes" \
@@ -150,14 +150,15 @@
   lost=0
   rules_edit_all 1 "$rules_edits"
   rules_wait_for_all
-  rules_report "2 ms store" 1 "$rules_edits"
-  first=$(($(version_on a1) + 1))
+  last=$(version_on a1)
+  rules_report quick "store of 2 ms" 1 "$last"
+  first=$((last + 1))
   curl -sf -X POST -d '{"fault":"slow","ms":200}' \
     "http://127.0.0.1:$((port_base + 1))/standin/$(platform_address)/faults" >/dev/null
   lost=0
   rules_edit_all $((rules_edits + 1)) $((rules_edits + rules_edits / 4))
   rules_wait_for_all
-  rules_report "store slowed by 200 ms" "$first" "$(version_on a1)"
+  rules_report slow "store slowed by 200 ms" "$first" "$(version_on a1)"
   finish
   say ""
   cat "$results/rules.summary"
