--- a/policy/overlay.h
+++ b/policy/overlay.h
@@ -19,7 +19,7 @@
 /** Nodes that watch a node. */
 #define EG_OVERLAY_WATCHERS 3
 /** Most nodes that a node watches, of its own and the domain before it. */
-#define EG_OVERLAY_WATCHED_MAX (2 * EG_OVERLAY_WATCHERS)
+#define EG_OVERLAY_WATCHED_MAX 6
 /** Most links within the failure domain, for up to 2^12 members. */
 #define EG_OVERLAY_FINGERS_MAX 12
 /** Most links to other failure domains, for up to 2^8 of them. */
