--- a/policy/peer_message.h
+++ b/policy/peer_message.h
@@ -39,6 +39,7 @@
   EG_RUMOUR_QUARANTINE, /**< A fingerprint; state 1 holds, 2 is released. */
   EG_RUMOUR_RULES,      /**< A version of the rules that can be had. */
   EG_RUMOUR_DRAIN,      /**< A backend server; state 1 leaves, 2 is back. */
+  EG_RUMOUR_SILENT,     /**< A backend server; 1 is silent, 2 answers again. */
   EG_RUMOUR_KINDS,
 };
 
@@ -123,10 +124,10 @@
   uint64_t incarnation; /**< Of the sender. */
   uint64_t subject;     /**< ASK, HEARD. */
   uint64_t subject_incarnation;
-  uint32_t age_ms;   /**< HEARD. */
-  bool reply;        /**< DIGEST: answers another, and gets none. */
-  uint32_t lease_ms; /**< SHARE_GRANT. */
-  size_t count;      /**< Of the list that the kind has. */
+  uint32_t age_ms; /**< HEARD. */
+  bool reply;      /**< DIGEST: answers another, and gets none. */
+  uint32_t want;   /**< SHARE_WANT, and SHARE_GRANT that answers it. */
+  size_t count;    /**< Of the list that the kind has. */
   union
   {
     struct eg_rumour rumours[EG_PEER_RUMOURS_MAX];
--- a/test/test_operators.c
+++ b/test/test_operators.c
@@ -12,6 +12,7 @@
 #include <cmocka.h>
 #include <curl/curl.h>
 #include <pthread.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "base/log.h"
@@ -428,6 +429,27 @@
   path_heal (PLATFORM);
 }
 
+/* More edits than the history keeps, and than the store's stand-in has threads:
+   no write may leave a connection behind. */
+static void
+test_many_edits (void **state)
+{
+  json_t *rules;
+
+  (void) state;
+  for (int i = 0; i < 150; i++)
+    {
+      char text[128];
+
+      snprintf (text, sizeof text,
+                "[{\"add\":\"limit organisation=many%d rate=1/s # Ploy\"}]", i);
+      json_decref (edit (text, 200));
+    }
+  rules = call ("GET", RULES, authorized, NULL, 200);
+  assert_int_equal (json_array_size (json_object_get (rules, "edits")), 100);
+  json_decref (rules);
+}
+
 static void
 test_nodes_and_status (void **state)
 {
@@ -439,12 +461,41 @@
   assert_string_equal (string_of (status, "node"), "n1");
   assert_int_equal (json_integer_value (json_object_get (status, "usable")), 7);
   assert_string_equal (string_of (self, "node"), "n1");
+  assert_int_equal (json_array_size (nodes), 2);
   assert_int_equal (json_integer_value (json_object_get (self, "version")),
                     json_integer_value (json_object_get (status, "version")));
   json_decref (status);
   json_decref (nodes);
 }
 
+static int64_t
+version_of_other_node (void)
+{
+  json_t *nodes = call ("GET", OPERATORS "/nodes", authorized, NULL, 200);
+  json_t *other = json_array_get (nodes, 1);
+  int64_t version = json_integer_value (json_object_get (other, "version"));
+
+  assert_string_equal (string_of (other, "node"), "n2");
+  assert_string_equal (string_of (other, "state"), "live");
+  json_decref (nodes);
+  return version;
+}
+
+static void
+test_edit_reaches_other_node (void **state)
+{
+  const struct timespec pause = {.tv_nsec = 10000000};
+  int64_t version;
+
+  (void) state;
+  json_decref (
+      edit ("[{\"add\":\"limit organisation=both rate=1/s # Ploy\"}]", 200));
+  version = version_in_force ();
+  for (int i = 0; i < 500 && version_of_other_node () < version; i++)
+    nanosleep (&pause, NULL);
+  assert_int_equal (version_of_other_node (), version);
+}
+
 /* eelgrassctl. */
 
 /* Runs the program with words up to NULL; out and error output are gathered. */
@@ -658,7 +709,9 @@
       cmocka_unit_test (test_one_of_two_editors_wins),
       cmocka_unit_test (test_repeat_of_an_edit_is_one_edit),
       cmocka_unit_test (test_store_down_refuses),
+      cmocka_unit_test (test_many_edits),
       cmocka_unit_test (test_nodes_and_status),
+      cmocka_unit_test (test_edit_reaches_other_node),
       cmocka_unit_test (test_ctl_edits_and_undoes),
       cmocka_unit_test (test_ctl_exit_codes),
       cmocka_unit_test (test_ctl_unknown_outcome),
