--- a/policy/orders.c
+++ b/policy/orders.c
@@ -39,7 +39,7 @@
   struct place *place;
   int group;      /* Wanted one that it holds; NO_GROUP for none. */
   int tally;      /* Of its model and version; NO_TALLY for none. */
-  bool managed;   /* Whether a rule names its model. */
+  bool managed;   /* Whether a rule speaks of what it holds. */
   bool usable;    /* Whether it serves now. */
   bool orderable; /* Whether it may be ordered now. */
 };
@@ -206,12 +206,20 @@
 
 /* The servers as they stand. */
 
+/* Tells whether a rule speaks of any layer that a server holds. A rule for the
+   first half of a model says nothing of servers with the second. */
 static bool
-is_managed (const struct eg_orders *self, const char *model)
+is_managed (const struct eg_orders *self, const struct eg_server_report *report)
 {
   for (size_t i = 0; i < self->wanted_count; i++)
-    if (strcmp (self->wanted[i].model, model) == 0)
-      return true;
+    {
+      const struct eg_orders_wanted *wanted = &self->wanted[i];
+
+      if (wanted->first_layer <= report->last_layer
+          && wanted->last_layer >= report->first_layer
+          && strcmp (wanted->model, report->model) == 0)
+        return true;
+    }
   return false;
 }
 
@@ -352,7 +360,7 @@
   bool managed;
 
   settle (self, place, server, now_us);
-  managed = !is_unloaded (server) && is_managed (self, server->report.model);
+  managed = !is_unloaded (server) && is_managed (self, &server->report);
   *member = (struct member){
       .index = index,
       .server = server,
@@ -365,7 +373,6 @@
   if (place->state != PLACE_FREE)
     {
       /* It is on its way elsewhere, whatever an old report says. */
-      member->group = NO_GROUP;
       count_order (self, place);
       return;
     }
@@ -496,11 +503,12 @@
   wanted = wanted_chains (self, model);
   if (after >= wanted || after == before)
     return RANK_SPARE;
+  /* What is under way may bring a server that is less dear. */
+  if (self->loads > 0)
+    return RANK_NEVER;
   /* With fewer servers than the rules ask for, a roll-out goes on from what
      there is, but not while orders fail. */
-  floor = wanted;
-  if (before < wanted && !self->failing && self->loads == 0)
-    floor = before;
+  floor = before < wanted && !self->failing ? before : wanted;
   return after >= 1 && after + 1 >= floor ? RANK_ROLLING : RANK_NEVER;
 }
 
@@ -706,6 +714,8 @@
         continue;
       place->ended_us = now_us;
       place->state = PLACE_SETTLING;
+      if (result == EG_ORDER_WITHDRAWN)
+        place->state = PLACE_FREE;
       if (result == EG_ORDER_NOT_SENT || result == EG_ORDER_REFUSED)
         fail (self, place, now_us);
       return;
--- a/standin/load_scenario.h
+++ b/standin/load_scenario.h
@@ -7,6 +7,7 @@
 #ifndef EG_STANDIN_LOAD_SCENARIO_H
 #define EG_STANDIN_LOAD_SCENARIO_H
 
+#include <jansson.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -71,8 +72,8 @@
   int64_t at_us;
   char label[EG_LOAD_NAME_BYTES];
   bool measured;                       /**< Whether recovery is computed. */
-  char url[EG_LOAD_PATH_OR_URL_BYTES]; /**< Of a POST; or empty. */
-  char *body;
+  char url[EG_LOAD_PATH_OR_URL_BYTES]; /**< Of a POST or DELETE; or empty. */
+  char *body;                          /**< Of a POST; else NULL. */
   char pid_file[EG_LOAD_PATH_OR_URL_BYTES]; /**< Of a signal; or empty. */
   int signal;
 };
@@ -133,6 +134,27 @@
                                            const char *path,
                                            struct eg_error *error);
 
+/**
+ * Reads the list of targets at @p path.
+ * @param target a struct eg_load_scenario, or one that starts with it.
+ */
+enum eg_status eg_load_scenario_read_targets (json_t *value,
+                                              const char *path,
+                                              void *target,
+                                              struct eg_error *error);
+
+/** Reads a list of faults likewise; it must be in order of time. */
+enum eg_status eg_load_scenario_read_faults (json_t *value,
+                                             const char *path,
+                                             void *target,
+                                             struct eg_error *error);
+
+/** Reads a list of execution records likewise. */
+enum eg_status eg_load_scenario_read_records (json_t *value,
+                                              const char *path,
+                                              void *target,
+                                              struct eg_error *error);
+
 /** Frees what the scenario holds. */
 void eg_load_scenario_finish (struct eg_load_scenario *self);
 
