--- a/test/test_load.c
+++ b/test/test_load.c
@@ -447,7 +447,7 @@
        "streams[0].direct.chain[0].layers: expected [FIRST, LAST]"},
       {SCENARIO (STREAM (",\"model\":\"m\""),
                  ",\"faults\":[{\"at_ms\":1,\"label\":\"x\"}]"),
-       "faults[0]: give one of \"post\" and \"kill\""},
+       "faults[0]: give one of \"post\", \"delete\" and \"kill\""},
       {SCENARIO (STREAM (",\"model\":\"m\""),
                  ",\"faults\":[{\"at_ms\":1,\"label\":\"x\",\"kill\":"
                  "{\"pid_file\":\"p\",\"signal\":\"HUP\"}}]"),
