--- a/router/main.c
+++ b/router/main.c
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "router/callers.h"
+#include "router/gossip.h"
 #include "router/operators.h"
 
 #define EXIT_USAGE 2
@@ -197,6 +198,13 @@
                arguments.settings_path, settings.log_level);
       return EXIT_USAGE;
     }
+  if (eg_gossip_is_on (&settings)
+      && eg_gossip_check (&settings, &error) != EG_OK)
+    {
+      fprintf (stderr, "eelgrasswood: %s: %s\n", arguments.settings_path,
+               error.message);
+      return EXIT_USAGE;
+    }
   if (arguments.print)
     eg_settings_print (&eg_router_setting_table, &settings, stdout);
   if (arguments.check || arguments.print)
--- a/test/test_gossip.c
+++ b/test/test_gossip.c
@@ -98,6 +98,8 @@
     fprintf (stderr, "%s\n", error.message);
   unlink (path);
   fixture->host = eg_host_new (config, &error);
+  if (!fixture->host)
+    fprintf (stderr, "%s\n", error.message);
   assert_non_null (fixture->host);
   zmq_curve_keypair (public_key, secret_key);
   /* Z85 has no quote and no backslash, so a literal string will do. */
