--- a/router/fleet.c
+++ b/router/fleet.c
@@ -2,7 +2,9 @@
 
 #include <string.h>
 
+#include "base/hash.h"
 #include "base/log.h"
+#include "base/map.h"
 
 bool
 eg_fleet_init (struct eg_fleet *self, int64_t poll_interval_us)
@@ -20,13 +22,27 @@
   eg_vm_list_finish (&self->vms);
 }
 
-static bool
-list_has (const struct eg_vm_list *list, const char *address)
+/* Marks the servers that the list does not name; the list is long, so its
+   addresses are found by their hash. */
+static void
+mark_gone (struct eg_fleet *self, const struct eg_vm_list *list)
 {
+  struct eg_map by_address = {0};
+
   for (size_t i = 0; i < list->count; i++)
-    if (!list->vms[i].entry && strcmp (list->vms[i].address, address) == 0)
-      return true;
-  return false;
+    if (!list->vms[i].entry)
+      eg_map_put (&by_address, eg_hash_str (eg_str_from (list->vms[i].address)),
+                  &list->vms[i]);
+  for (uint32_t i = 0; i < eg_servers_count (self->servers); i++)
+    {
+      const struct eg_server *server = eg_servers_get (self->servers, i);
+
+      if (server && *server->address
+          && !eg_map_get (&by_address,
+                          eg_hash_str (eg_str_from (server->address))))
+        eg_servers_stop (self->servers, i, EG_SERVER_GONE, true);
+    }
+  eg_map_finish (&by_address);
 }
 
 void
@@ -45,13 +61,7 @@
                        vm->leaving);
       eg_servers_stop (self->servers, server, EG_SERVER_GONE, false);
     }
-  for (uint32_t i = 0; i < eg_servers_count (self->servers); i++)
-    {
-      const struct eg_server *server = eg_servers_get (self->servers, i);
-
-      if (server && *server->address && !list_has (list, server->address))
-        eg_servers_stop (self->servers, i, EG_SERVER_GONE, true);
-    }
+  mark_gone (self, list);
   eg_vm_list_finish (&self->vms);
   self->vms = *list;
   *list = (struct eg_vm_list){0};
@@ -139,6 +149,9 @@
   while ((command = eg_poller_next (&self->poller, self->servers, now_us)))
     if (!eg_backend_worker_push (backend, command))
       {
+        eg_poller_not_sent (
+            &self->poller,
+            eg_servers_find (self->servers, eg_str_from (command->address)));
         eg_backend_command_free (command);
         return;
       }
--- a/router/poller.c
+++ b/router/poller.c
@@ -74,8 +74,9 @@
                 int64_t now_us)
 {
   cover (self, eg_servers_count (servers));
-  for (uint32_t i = 0; i < self->count; i++)
+  while (self->cursor < self->count)
     {
+      uint32_t i = self->cursor++;
       struct eg_poll_state *state = &self->states[i];
       const struct eg_server *server = eg_servers_get (servers, i);
       uint64_t interval_us;
@@ -97,9 +98,16 @@
       state->known = true;
       return make_poll (state, server);
     }
+  self->cursor = 0;
   return NULL;
 }
 
+void
+eg_poller_not_sent (struct eg_poller *self, uint32_t server)
+{
+  self->states[server].under_way = false;
+}
+
 bool
 eg_poller_ended (struct eg_poller *self,
                  uint32_t server,
--- a/router/poller.h
+++ b/router/poller.h
@@ -27,6 +27,7 @@
 {
   struct eg_poll_state *states; /**< By server index. */
   uint32_t count;
+  uint32_t cursor; /**< Where the search for due polls goes on. */
   int64_t interval_us;
   struct eg_poll_plan plan; /**< Without one, interval_us is for all. */
 };
@@ -34,11 +35,17 @@
 /** Frees the schedule. */
 void eg_poller_finish (struct eg_poller *self);
 
-/** Returns the next poll that is due as a command, or NULL. */
+/**
+ * Returns the next poll that is due as a command, or NULL; to be called until
+ * it returns NULL.
+ */
 struct eg_backend_command *eg_poller_next (struct eg_poller *self,
                                            const struct eg_servers *servers,
                                            int64_t now_us);
 
+/** Takes in that a poll was not sent; the next one is due as usual. */
+void eg_poller_not_sent (struct eg_poller *self, uint32_t server);
+
 /**
  * Takes in the end of a poll.
  * @param event LOAD or POLL_FAILED.
