--- a/test/test_bus.c
+++ b/test/test_bus.c
@@ -20,6 +20,7 @@
 #include "bus/codec.h"
 #include "bus/worker.h"
 #include "policy/membership.h"
+#include "test/port_lock.h"
 
 #define ADDRESS_A "127.0.0.1:9101"
 #define ADDRESS_B "127.0.0.1:9102"
@@ -273,6 +274,7 @@
       cmocka_unit_test (test_keys_are_checked),
   };
 
+  port_lock ("bus");
   if (zmq_curve_keypair (public_key, secret_key) != 0)
     return EXIT_FAILURE;
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_gossip.c
+++ b/test/test_gossip.c
@@ -17,6 +17,7 @@
 
 #include "router/decision.h"
 #include "standin/host.h"
+#include "test/port_lock.h"
 
 #define WAIT_STEP_NS 20000000
 #define WAIT_STEPS 1000
@@ -214,6 +215,7 @@
   };
   int result;
 
+  port_lock ("gossip");
   curl_global_init (CURL_GLOBAL_DEFAULT);
   result = cmocka_run_group_tests (tests, NULL, NULL);
   curl_global_cleanup ();
--- a/test/test_gossip_parts.c
+++ b/test/test_gossip_parts.c
@@ -17,6 +17,7 @@
 #include "base/ring.h"
 #include "router/defaults.h"
 #include "router/gossip.h"
+#include "test/port_lock.h"
 
 #define NODES 2
 #define SERVER "127.0.0.1:9311"
@@ -330,5 +331,6 @@
                                        set_up, tear_down),
   };
 
+  port_lock ("gossip-parts");
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
