--- a/policy/rule_document.c
+++ b/policy/rule_document.c
@@ -223,3 +223,22 @@
       return &self->edits[i - 1];
   return NULL;
 }
+
+void
+eg_rule_document_copy (struct eg_rule_document *target,
+                       const struct eg_rule_document *source)
+{
+  eg_rule_document_init (target);
+  eg_buffer_append (&target->text, eg_buffer_view (&source->text));
+  target->edit_count = source->edit_count;
+  for (size_t i = 0; i < source->edit_count; i++)
+    {
+      target->edits[i] = source->edits[i];
+      target->edits[i].removed = (struct eg_buffer){0};
+      target->edits[i].added = (struct eg_buffer){0};
+      eg_buffer_append (&target->edits[i].removed,
+                        eg_buffer_view (&source->edits[i].removed));
+      eg_buffer_append (&target->edits[i].added,
+                        eg_buffer_view (&source->edits[i].added));
+    }
+}
--- a/policy/rule_document.h
+++ b/policy/rule_document.h
@@ -44,6 +44,10 @@
 /** Frees the document. */
 void eg_rule_document_finish (struct eg_rule_document *self);
 
+/** Makes @p target, which holds nothing, a copy of @p source. */
+void eg_rule_document_copy (struct eg_rule_document *target,
+                            const struct eg_rule_document *source);
+
 /** Reads the JSON form into an empty document. */
 enum eg_status eg_rule_document_decode (struct eg_rule_document *self,
                                         struct eg_str json,
--- a/policy/rule_edit.c
+++ b/policy/rule_edit.c
@@ -7,25 +7,6 @@
 #define BACKOFF_MIN_US (20 * EG_US_PER_MS)
 #define BACKOFF_MAX_US (500 * EG_US_PER_MS)
 
-static void
-copy_document (struct eg_rule_document *target,
-               const struct eg_rule_document *source)
-{
-  eg_rule_document_init (target);
-  eg_buffer_append (&target->text, eg_buffer_view (&source->text));
-  target->edit_count = source->edit_count;
-  for (size_t i = 0; i < source->edit_count; i++)
-    {
-      target->edits[i] = source->edits[i];
-      target->edits[i].removed = (struct eg_buffer){0};
-      target->edits[i].added = (struct eg_buffer){0};
-      eg_buffer_append (&target->edits[i].removed,
-                        eg_buffer_view (&source->edits[i].removed));
-      eg_buffer_append (&target->edits[i].added,
-                        eg_buffer_view (&source->edits[i].added));
-    }
-}
-
 void
 eg_rule_edit_init (struct eg_rule_edit *self,
                    const struct eg_rule_edit_request *request,
@@ -38,7 +19,7 @@
   self->backoff_us = BACKOFF_MIN_US;
   self->retry_us = INT64_MAX;
   if (current)
-    copy_document (&self->document, current);
+    eg_rule_document_copy (&self->document, current);
   eg_rule_document_edit (&self->document, request->id, request->who,
                          request->wall_ms, request->text);
 }
