router: rules pass between entry VMs, as deltas

Cause: each entry VM watched the store and read the whole object at each change, and one that started while the store was down had no rules. Change: two entry VMs of each failure domain watch; the others hear of a version on the bus and ask the peer that told them. A peer that has the version before gets the delta of one edit, others the document in parts.

--- a/bus/codec.c
+++ b/bus/codec.c
@@ -9,6 +9,7 @@
 #define FIELDS 5
 #define RUMOUR_FIELDS 7
 #define SHARE_FIELDS 2
+#define RULES_FIELDS 5
 /* Numbers above would overflow where one is added to an incarnation. */
 #define NUMBER_MAX (UINT64_MAX / 4)
 #define LOAD_ENTRY_BYTES 12
@@ -144,6 +145,20 @@
          && eg_str_copy (view, text, capacity);
 }
 
+static void
+pack_rules (msgpack_packer *packer, const struct eg_peer_message *message)
+{
+  const struct eg_rules_part *part = &message->rules;
+
+  msgpack_pack_array (packer, RULES_FIELDS);
+  msgpack_pack_uint64 (packer, part->base);
+  msgpack_pack_uint64 (packer, part->version);
+  msgpack_pack_uint32 (packer, part->total);
+  msgpack_pack_uint32 (packer, part->offset);
+  msgpack_pack_bin (packer, part->len);
+  msgpack_pack_bin_body (packer, part->bytes, part->len);
+}
+
 static bool
 is_array (const msgpack_object *object, size_t size)
 {
@@ -293,6 +308,31 @@
   return body->type == MSGPACK_OBJECT_NIL;
 }
 
+static bool
+read_rules (const msgpack_object *body, struct eg_peer_message *message)
+{
+  const msgpack_object *fields = body->via.array.ptr;
+  struct eg_rules_part *part = &message->rules;
+  uint64_t total;
+  uint64_t offset;
+
+  if (!is_array (body, RULES_FIELDS)
+      || !read_uint (&fields[0], NUMBER_MAX, &part->base)
+      || !read_uint (&fields[1], NUMBER_MAX, &part->version)
+      || !read_uint (&fields[2], EG_RULES_OBJECT_MAX, &total)
+      || !read_uint (&fields[3], total, &offset)
+      || fields[4].type != MSGPACK_OBJECT_BIN
+      || fields[4].via.bin.size > EG_PEER_PART_BYTES
+      || fields[4].via.bin.size > total - offset)
+    return false;
+  part->total = (uint32_t) total;
+  part->offset = (uint32_t) offset;
+  part->len = fields[4].via.bin.size;
+  if (part->len > 0)
+    memcpy (part->bytes, fields[4].via.bin.ptr, part->len);
+  return true;
+}
+
 static const struct
 {
   void (*pack) (msgpack_packer *packer, const struct eg_peer_message *message);
@@ -307,6 +347,8 @@
     [EG_PEER_LOADS] = {pack_loads, read_loads},
     [EG_PEER_SHARE_WANT] = {pack_shares, read_shares},
     [EG_PEER_SHARE_GRANT] = {pack_shares, read_shares},
+    [EG_PEER_RULES_ASK] = {pack_rules, read_rules},
+    [EG_PEER_RULES_PART] = {pack_rules, read_rules},
 };
 
 void
--- a/policy/peer_message.h
+++ b/policy/peer_message.h
@@ -101,6 +101,23 @@
   uint32_t rate_milli;   /**< Thousandths of a request a second. */
 };
 
+/** Longest rules object, in bytes: the store takes no longer ones. */
+#define EG_RULES_OBJECT_MAX ((uint32_t) 1024 * 1024)
+/** Most bytes of the rules in one message. */
+#define EG_PEER_PART_BYTES 3072
+
+/** A part of the rules document or of a delta, or the wish for one. */
+struct eg_rules_part
+{
+  uint64_t base;    /**< ASK: version that the sender has; PART: 0 for a whole
+                         document, else the version that a delta begins from. */
+  uint64_t version; /**< PART: that the parts make. */
+  uint32_t total;   /**< PART: bytes of all parts. */
+  uint32_t offset;  /**< Of this part, or of the one asked for. */
+  uint32_t len;     /**< PART: bytes of this one. */
+  char bytes[EG_PEER_PART_BYTES];
+};
+
 /** Kinds of messages. */
 enum eg_peer_kind
 {
@@ -113,6 +130,8 @@
   EG_PEER_LOADS,
   EG_PEER_SHARE_WANT,  /**< Rates that the sender would borrow. */
   EG_PEER_SHARE_GRANT, /**< Rates lent to the receiver. */
+  EG_PEER_RULES_ASK,   /**< The sender wants newer rules. */
+  EG_PEER_RULES_PART,
   EG_PEER_KINDS,
 };
 
@@ -134,6 +153,7 @@
     uint32_t buckets[EG_PEER_BUCKETS];
     struct eg_load_entry loads[EG_PEER_LOADS_MAX];
     struct eg_share_entry shares[EG_PEER_SHARES_MAX];
+    struct eg_rules_part rules;
   };
 };
 
--- a/policy/peers.c
+++ b/policy/peers.c
@@ -401,7 +401,7 @@
 }
 
 static void
-receive_share (struct eg_peers *self, const struct reception *reception)
+receive_for_owner (struct eg_peers *self, const struct reception *reception)
 {
   if (reception->from && reception->from->state == EG_MEMBER_LIVE)
     self->sink.share (self->sink.context, reception->from, reception->message);
@@ -417,8 +417,10 @@
     [EG_PEER_RUMOURS] = receive_rumours,
     [EG_PEER_DIGEST] = receive_digest,
     [EG_PEER_LOADS] = receive_loads,
-    [EG_PEER_SHARE_WANT] = receive_share,
-    [EG_PEER_SHARE_GRANT] = receive_share,
+    [EG_PEER_SHARE_WANT] = receive_for_owner,
+    [EG_PEER_SHARE_GRANT] = receive_for_owner,
+    [EG_PEER_RULES_ASK] = receive_for_owner,
+    [EG_PEER_RULES_PART] = receive_for_owner,
 };
 
 void
@@ -675,9 +677,9 @@
 }
 
 void
-eg_peers_send_share (struct eg_peers *self,
-                     uint64_t to,
-                     struct eg_peer_message *message)
+eg_peers_send (struct eg_peers *self,
+               uint64_t to,
+               struct eg_peer_message *message)
 {
   const struct eg_member *member = eg_membership_find (&self->membership, to);
 
--- a/policy/peers.h
+++ b/policy/peers.h
@@ -87,12 +87,12 @@
                           int64_t now_us);
 
 /**
- * Sends a message about shares.
+ * Sends a message about shares or rules.
  * @param to id of a member; ignored if it is not live.
  */
-void eg_peers_send_share (struct eg_peers *self,
-                          uint64_t to,
-                          struct eg_peer_message *message);
+void eg_peers_send (struct eg_peers *self,
+                    uint64_t to,
+                    struct eg_peer_message *message);
 
 /** Tells all nodes that this one leaves; it falls silent afterwards. */
 void eg_peers_leave (struct eg_peers *self, int64_t wall_ms);
--- a/router/decision.c
+++ b/router/decision.c
@@ -13,6 +13,7 @@
 #include "router/gossip.h"
 #include "router/message.h"
 #include "router/orderer.h"
+#include "router/rules_spread.h"
 #include "router/ruleset.h"
 #include "router/sweeper.h"
 
@@ -41,6 +42,7 @@
   struct eg_fleet fleet;
   struct eg_dispatcher *dispatcher;
   struct eg_ruleset *ruleset;
+  struct eg_rules_spread *spread;
   struct eg_sweeper sweeper;
   struct eg_orderer *orderer;
   struct eg_gossip *gossip; /* NULL while the bus is off. */
@@ -389,7 +391,10 @@
   bool busy;
 
   eg_dispatcher_tick (self->dispatcher, now_us);
+  eg_ruleset_set_watching (self->ruleset,
+                           eg_gossip_watches_rules (self->gossip));
   eg_ruleset_tick (self->ruleset, now_us);
+  eg_rules_spread_tick (self->spread, now_us);
   eg_sweeper_tick (&self->sweeper, now_us);
   eg_orderer_tick (self->orderer, now_us);
   eg_gossip_tick (self->gossip, now_us);
@@ -468,13 +473,27 @@
 }
 
 static void
-on_rules_heard (void *context, uint64_t version)
+on_rules_heard (void *context, uint64_t from, uint64_t version)
 {
   struct eg_decision *self = context;
 
-  if (version > eg_ruleset_version (self->ruleset))
-    eg_log (EG_LOG_NOTICE, "gossip", "event=rules-heard version=%" PRIu64,
-            version);
+  eg_rules_spread_heard (self->spread, from, version, eg_clock_now_us ());
+}
+
+static void
+on_rules_message (void *context, const struct eg_peer_message *message)
+{
+  struct eg_decision *self = context;
+
+  eg_rules_spread_receive (self->spread, message, eg_clock_now_us ());
+}
+
+static void
+send_rules (void *context, uint64_t to, struct eg_peer_message *message)
+{
+  struct eg_decision *self = context;
+
+  eg_gossip_send (self->gossip, to, message);
 }
 
 static void
@@ -509,6 +528,7 @@
       .push = on_peer_message,
       .servers_changed = on_servers_changed,
       .rules_heard = on_rules_heard,
+      .rules_message = on_rules_message,
       .context = self,
   };
 
@@ -529,6 +549,7 @@
       .context = self,
   };
 
+  const struct eg_rules_spread_sink spread_sink = {send_rules, self};
   const struct eg_ruleset_callbacks ruleset_callbacks = {on_rules_in_force,
                                                          self};
 
@@ -545,6 +566,7 @@
   self->dispatcher = eg_dispatcher_new (&parts);
   self->ruleset =
       eg_ruleset_new (self->platform, ~parts.incarnation, &ruleset_callbacks);
+  self->spread = eg_rules_spread_new (self->ruleset, &spread_sink);
   return self->dispatcher && start_gossip (self, error)
          && pthread_create (&self->thread, NULL, run, self) == 0;
 }
@@ -590,6 +612,7 @@
     }
   eg_dispatcher_free (self->dispatcher);
   eg_orderer_free (self->orderer);
+  eg_rules_spread_free (self->spread);
   eg_ruleset_free (self->ruleset);
   eg_fleet_finish (&self->fleet);
   eg_ring_finish (&self->ring);
--- a/router/gossip.c
+++ b/router/gossip.c
@@ -11,6 +11,7 @@
 #include "base/map.h"
 #include "base/random.h"
 #include "bus/worker.h"
+#include "policy/ownership.h"
 #include "policy/peers.h"
 #include "policy/share.h"
 #include "router/gossip_loads.h"
@@ -21,6 +22,8 @@
 /* A report may still be from before the refusal that another node told of. */
 #define DRAIN_SETTLE_MS 3000
 #define WANTS_A_TICK 2
+/* Nodes of a failure domain that watch the store, or fewer that share. */
+#define RULES_WATCHERS 2
 
 struct eg_gossip
 {
@@ -28,6 +31,7 @@
   struct eg_bus_worker *bus;
   struct eg_peers *peers;
   struct eg_shares *shares;
+  uint64_t told_by; /* Sender of the message that is being taken in. */
   struct eg_gossip_loads loads;
   struct eg_map limits; /* Rules in force, by hash of the organisation. */
   int64_t next_tick_us;
@@ -107,7 +111,7 @@
 static void
 hear_rules (struct eg_gossip *self, const struct eg_rumour *rumour)
 {
-  self->parts.rules_heard (self->parts.context, rumour->number);
+  self->parts.rules_heard (self->parts.context, self->told_by, rumour->number);
 }
 
 static void
@@ -191,10 +195,37 @@
   struct eg_peer_message grant;
   int64_t now_us = eg_clock_now_us ();
 
-  if (message->kind == EG_PEER_SHARE_GRANT)
+  if (message->kind == EG_PEER_RULES_ASK || message->kind == EG_PEER_RULES_PART)
+    self->parts.rules_message (self->parts.context, message);
+  else if (message->kind == EG_PEER_SHARE_GRANT)
     eg_shares_borrow (self->shares, message, now_us);
   else if (eg_shares_lend (self->shares, message, now_us, &grant))
-    eg_peers_send_share (self->peers, from->id, &grant);
+    eg_peers_send (self->peers, from->id, &grant);
+}
+
+void
+eg_gossip_send (struct eg_gossip *self,
+                uint64_t to,
+                struct eg_peer_message *message)
+{
+  if (self)
+    eg_peers_send (self->peers, to, message);
+}
+
+bool
+eg_gossip_watches_rules (const struct eg_gossip *self)
+{
+  struct eg_str domain;
+
+  if (!self)
+    return true;
+  domain = eg_str_from (self->parts.settings->failure_domain);
+  for (uint64_t place = 0; place < RULES_WATCHERS; place++)
+    if (eg_ownership_find (eg_peers_membership (self->peers), domain,
+                           eg_hash_mix (place))
+        == eg_peers_own (self->peers))
+      return true;
+  return false;
 }
 
 /* What this node tells. */
@@ -309,7 +340,10 @@
 eg_gossip_receive (struct eg_gossip *self, struct eg_peer_message *message)
 {
   if (self)
-    eg_peers_receive (self->peers, message, eg_clock_now_us (), wall_ms ());
+    {
+      self->told_by = message->from;
+      eg_peers_receive (self->peers, message, eg_clock_now_us (), wall_ms ());
+    }
   free (message);
 }
 
@@ -447,7 +481,7 @@
       struct eg_peer_message want;
 
       if (eg_shares_want (self->shares, link, now_us, &want))
-        eg_peers_send_share (self->peers, link, &want);
+        eg_peers_send (self->peers, link, &want);
     }
 }
 
--- a/router/gossip.h
+++ b/router/gossip.h
@@ -26,8 +26,10 @@
   void (*push) (void *context, struct eg_peer_message *message);
   /** Some servers stopped or began to take new work. */
   void (*servers_changed) (void *context);
-  /** A peer has a version of the rules that is newer than any heard of. */
-  void (*rules_heard) (void *context, uint64_t version);
+  /** Peer @p from told of a version of the rules newer than any heard of. */
+  void (*rules_heard) (void *context, uint64_t from, uint64_t version);
+  /** A peer asks for rules, or sends some. */
+  void (*rules_message) (void *context, const struct eg_peer_message *message);
   void *context;
 };
 
@@ -52,6 +54,17 @@
 void eg_gossip_receive (struct eg_gossip *self,
                         struct eg_peer_message *message);
 
+/** Sends a message to a member; ignored if it is not live. */
+void eg_gossip_send (struct eg_gossip *self,
+                     uint64_t to,
+                     struct eg_peer_message *message);
+
+/**
+ * Tells whether this node is to watch the store for new rules: some in each
+ * failure domain do, and tell the others. True while the bus is off.
+ */
+bool eg_gossip_watches_rules (const struct eg_gossip *self);
+
 /** Takes in that the fleet has a new list of VMs. */
 void eg_gossip_listed (struct eg_gossip *self);
 
--- /dev/null
+++ b/router/rules_spread.c
@@ -0,0 +1,209 @@
+#include "router/rules_spread.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/* Parts sent for one ask, so that a long document does not fill the rings. */
+#define PARTS_AT_ONCE 8
+#define ASK_AGAIN_US (300 * EG_US_PER_MS)
+#define ASKS_MAX 10
+
+struct eg_rules_spread
+{
+  struct eg_ruleset *ruleset;
+  struct eg_rules_spread_sink sink;
+
+  /* The fetch under way. */
+  uint64_t peer;   /* That is asked; 0 for none. */
+  uint64_t wanted; /* At least this version. */
+  uint64_t base;
+  uint64_t version; /* Of the parts, once the first has come. */
+  uint32_t total;
+  struct eg_buffer bytes;
+  int64_t ask_again_us;
+  unsigned asks;
+};
+
+struct eg_rules_spread *
+eg_rules_spread_new (struct eg_ruleset *ruleset,
+                     const struct eg_rules_spread_sink *sink)
+{
+  struct eg_rules_spread *self = calloc (1, sizeof *self);
+
+  if (!self)
+    return NULL;
+  self->ruleset = ruleset;
+  self->sink = *sink;
+  return self;
+}
+
+void
+eg_rules_spread_free (struct eg_rules_spread *self)
+{
+  if (!self)
+    return;
+  eg_buffer_finish (&self->bytes);
+  free (self);
+}
+
+/* Fetching. */
+
+static void
+end_fetch (struct eg_rules_spread *self)
+{
+  self->peer = 0;
+  self->wanted = 0;
+  self->version = 0;
+  eg_buffer_clear (&self->bytes);
+}
+
+static void
+ask (struct eg_rules_spread *self, int64_t now_us)
+{
+  struct eg_peer_message message = {.kind = EG_PEER_RULES_ASK};
+
+  message.rules.base = eg_ruleset_version (self->ruleset);
+  message.rules.total = EG_RULES_OBJECT_MAX;
+  message.rules.offset = (uint32_t) self->bytes.len;
+  self->ask_again_us = now_us + ASK_AGAIN_US;
+  self->asks++;
+  self->sink.send (self->sink.context, self->peer, &message);
+}
+
+void
+eg_rules_spread_heard (struct eg_rules_spread *self,
+                       uint64_t peer,
+                       uint64_t version,
+                       int64_t now_us)
+{
+  if (version <= eg_ruleset_version (self->ruleset) || version <= self->wanted)
+    return;
+  end_fetch (self);
+  self->peer = peer;
+  self->wanted = version;
+  self->asks = 0;
+  ask (self, now_us);
+}
+
+static void
+finish_fetch (struct eg_rules_spread *self)
+{
+  struct eg_str bytes = eg_buffer_view (&self->bytes);
+  enum eg_status status;
+
+  if (self->base > 0)
+    status = eg_ruleset_offer_delta (self->ruleset, self->base, self->version,
+                                     bytes);
+  else
+    status = eg_ruleset_offer (self->ruleset, self->version, bytes);
+  eg_log (EG_LOG_INFO, "rules-spread",
+          "event=rules-fetched version=%" PRIu64 " bytes=%zu delta=%s "
+          "status=%s",
+          self->version, bytes.len, self->base > 0 ? "yes" : "no",
+          eg_status_name (status));
+  end_fetch (self);
+}
+
+/* Begins anew with a part that does not go on from those before. */
+static bool
+takes_part (struct eg_rules_spread *self, const struct eg_rules_part *part)
+{
+  if (self->version != part->version || self->base != part->base
+      || self->total != part->total)
+    eg_buffer_clear (&self->bytes);
+  self->version = part->version;
+  self->base = part->base;
+  self->total = part->total;
+  return part->offset == self->bytes.len;
+}
+
+static void
+receive_part (struct eg_rules_spread *self,
+              const struct eg_peer_message *message,
+              int64_t now_us)
+{
+  const struct eg_rules_part *part = &message->rules;
+
+  if (message->from != self->peer || part->len == 0
+      || part->version <= eg_ruleset_version (self->ruleset)
+      || !takes_part (self, part))
+    return;
+  eg_buffer_append (&self->bytes, (struct eg_str){part->bytes, part->len});
+  self->asks = 0;
+  self->ask_again_us = now_us + ASK_AGAIN_US;
+  if (self->bytes.len == self->total)
+    finish_fetch (self);
+  else if (self->bytes.len % (PARTS_AT_ONCE * EG_PEER_PART_BYTES) == 0)
+    ask (self, now_us);
+}
+
+void
+eg_rules_spread_tick (struct eg_rules_spread *self, int64_t now_us)
+{
+  if (self->peer == 0 || now_us < self->ask_again_us)
+    return;
+  if (self->asks < ASKS_MAX)
+    ask (self, now_us);
+  else
+    end_fetch (self);
+}
+
+/* Answering. */
+
+static void
+send_parts (struct eg_rules_spread *self,
+            uint64_t to,
+            uint64_t base,
+            struct eg_str bytes,
+            size_t offset)
+{
+  for (int i = 0; i < PARTS_AT_ONCE && offset < bytes.len; i++)
+    {
+      struct eg_peer_message message = {.kind = EG_PEER_RULES_PART};
+      struct eg_rules_part *part = &message.rules;
+      size_t len = bytes.len - offset;
+
+      if (len > EG_PEER_PART_BYTES)
+        len = EG_PEER_PART_BYTES;
+      part->base = base;
+      part->version = eg_ruleset_version (self->ruleset);
+      part->total = (uint32_t) bytes.len;
+      part->offset = (uint32_t) offset;
+      part->len = (uint32_t) len;
+      memcpy (part->bytes, bytes.data + offset, len);
+      self->sink.send (self->sink.context, to, &message);
+      offset += len;
+    }
+}
+
+static void
+receive_ask (struct eg_rules_spread *self,
+             const struct eg_peer_message *message)
+{
+  uint64_t base = message->rules.base;
+  struct eg_str delta = eg_ruleset_delta (self->ruleset, base);
+  struct eg_str whole = eg_ruleset_json (self->ruleset);
+
+  if (base >= eg_ruleset_version (self->ruleset)
+      || whole.len > EG_RULES_OBJECT_MAX)
+    return;
+  if (delta.len > 0 && delta.len < whole.len)
+    send_parts (self, message->from, base, delta, message->rules.offset);
+  else
+    send_parts (self, message->from, 0, whole, message->rules.offset);
+}
+
+void
+eg_rules_spread_receive (struct eg_rules_spread *self,
+                         const struct eg_peer_message *message,
+                         int64_t now_us)
+{
+  if (message->kind == EG_PEER_RULES_ASK)
+    receive_ask (self, message);
+  else
+    receive_part (self, message, now_us);
+}
--- a/router/ruleset.c
+++ b/router/ruleset.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/map.h"
 #include "http/json.h"
+#include "policy/rule_delta.h"
 
 #define WATCH_WAIT_US (10 * EG_US_PER_S)
 #define WATCH_RETRY_US (500 * EG_US_PER_MS)
@@ -33,6 +34,8 @@
   uint64_t watched; /* The store's version up to which changes were seen. */
   struct eg_rule_document document;
   struct eg_buffer json;
+  struct eg_buffer delta; /* From the version before; empty if it has none. */
+  uint64_t delta_base;
   struct eg_rules *rules; /* NULL before any. */
   struct eg_map edits;
   uint64_t next_tag;
@@ -82,6 +85,7 @@
   eg_map_finish (&self->edits);
   eg_rule_document_finish (&self->document);
   eg_buffer_finish (&self->json);
+  eg_buffer_finish (&self->delta);
   free_rules (self->rules);
   free (self);
 }
@@ -115,6 +119,10 @@
     eg_log (EG_LOG_ERROR, "ruleset",
             "event=rules-left-out version=%" PRIu64 " line=%u cause=\"%s\"",
             version, after->faults[0].line, after->faults[0].message);
+  eg_buffer_clear (&self->delta);
+  self->delta_base = self->version;
+  if (!eg_rule_delta_encode (&self->document, &document, &self->delta))
+    eg_buffer_clear (&self->delta);
   eg_rule_document_finish (&self->document);
   self->document = document;
   eg_buffer_clear (&self->json);
@@ -129,6 +137,31 @@
   return EG_OK;
 }
 
+enum eg_status
+eg_ruleset_offer_delta (struct eg_ruleset *self,
+                        uint64_t base,
+                        uint64_t version,
+                        struct eg_str delta)
+{
+  struct eg_buffer json = {0};
+  enum eg_status status = EG_CONFLICT;
+
+  if (base == self->version && version > self->version)
+    status = eg_rule_delta_apply (&self->document, delta, &json);
+  if (status == EG_OK)
+    status = eg_ruleset_offer (self, version, eg_buffer_view (&json));
+  eg_buffer_finish (&json);
+  return status;
+}
+
+struct eg_str
+eg_ruleset_delta (const struct eg_ruleset *self, uint64_t base)
+{
+  if (base == 0 || base != self->delta_base)
+    return (struct eg_str){0};
+  return eg_buffer_view (&self->delta);
+}
+
 /* Watching. */
 
 void
--- a/router/ruleset.h
+++ b/router/ruleset.h
@@ -84,6 +84,18 @@
 const struct eg_rule_document *
 eg_ruleset_document (const struct eg_ruleset *self);
 
+/**
+ * Returns the delta that leads from version @p base to the one in force, or an
+ * empty view if there is none.
+ */
+struct eg_str eg_ruleset_delta (const struct eg_ruleset *self, uint64_t base);
+
+/** Takes in a version that a delta makes of version @p base. */
+enum eg_status eg_ruleset_offer_delta (struct eg_ruleset *self,
+                                       uint64_t base,
+                                       uint64_t version,
+                                       struct eg_str delta);
+
 /** Returns the JSON form of the document in force, for peers. */
 struct eg_str eg_ruleset_json (const struct eg_ruleset *self);
 
--- a/test/test_gossip_parts.c
+++ b/test/test_gossip_parts.c
@@ -56,10 +56,11 @@
 }
 
 static void
-on_rules_heard (void *context, uint64_t version)
+on_rules_heard (void *context, uint64_t from, uint64_t version)
 {
   struct node *node = context;
 
+  (void) from;
   node->rules_heard = version;
 }
 
