--- a/backend/engine.c
+++ b/backend/engine.c
@@ -92,7 +92,9 @@
 read_stage_failure (json_t *object, struct eg_engine_event *event)
 {
   const char *address = json_string_value (json_object_get (object, "address"));
+  const char *cause = json_string_value (json_object_get (object, "cause"));
 
+  event->away = cause && strcmp (cause, "unreachable") == 0;
   if (address
       && eg_str_copy (eg_str_from (address), event->address,
                       sizeof event->address))
--- a/backend/engine.h
+++ b/backend/engine.h
@@ -44,7 +44,8 @@
   enum eg_engine_event_kind kind;
   int64_t position;
   char address[EG_ADDRESS_BYTES]; /**< Of the stage that failed. */
-  struct eg_buffer token;         /**< Kept between events. */
+  bool away; /**< Whether that stage had not begun: it was not reached. */
+  struct eg_buffer token; /**< Kept between events. */
 };
 
 /** Appends the body of `POST /v1/generate`. */
--- a/backend/worker.c
+++ b/backend/worker.c
@@ -163,7 +163,9 @@
       return;
     case EG_ENGINE_STAGE_FAILED:
       flush_tokens (job);
-      push_failure (job, EG_ATTEMPT_STAGE, job->event.address);
+      push_failure (job,
+                    job->event.away ? EG_ATTEMPT_STAGE_AWAY : EG_ATTEMPT_STAGE,
+                    job->event.address);
       return;
     case EG_ENGINE_INVALID:
       flush_tokens (job);
--- a/policy/lifecycle.h
+++ b/policy/lifecycle.h
@@ -61,12 +61,13 @@
 /** How an attempt failed. */
 enum eg_attempt_cause
 {
-  EG_ATTEMPT_NOT_SENT, /**< No connection could be made. */
-  EG_ATTEMPT_REFUSED,  /**< The server said that nothing ran. */
-  EG_ATTEMPT_BROKEN,   /**< The connection broke off. */
-  EG_ATTEMPT_STAGE,    /**< The head told that a later stage failed. */
-  EG_ATTEMPT_SILENT,   /**< Nothing came in time. */
-  EG_ATTEMPT_INVALID,  /**< The answer breaks the contract. */
+  EG_ATTEMPT_NOT_SENT,   /**< No connection could be made. */
+  EG_ATTEMPT_REFUSED,    /**< The server said that nothing ran. */
+  EG_ATTEMPT_BROKEN,     /**< The connection broke off. */
+  EG_ATTEMPT_STAGE,      /**< The head told that a later stage failed. */
+  EG_ATTEMPT_STAGE_AWAY, /**< The head could not reach a later stage. */
+  EG_ATTEMPT_SILENT,     /**< Nothing came in time. */
+  EG_ATTEMPT_INVALID,    /**< The answer breaks the contract. */
 };
 
 /** A failed attempt. */
--- a/policy/peer_message.h
+++ b/policy/peer_message.h
@@ -102,9 +102,9 @@
 };
 
 /** Longest rules object, in bytes: the store takes no longer ones. */
-#define EG_RULES_OBJECT_MAX ((uint32_t) 1024 * 1024)
+#define EG_RULES_OBJECT_MAX UINT32_C (1048576)
 /** Most bytes of the rules in one message. */
-#define EG_PEER_PART_BYTES 3072
+#define EG_PEER_PART_BYTES ((size_t) 3072)
 
 /** A part of the rules document or of a delta, or the wish for one. */
 struct eg_rules_part
--- a/router/rules_spread.c
+++ b/router/rules_spread.c
@@ -9,6 +9,7 @@
 
 /* Parts sent for one ask, so that a long document does not fill the rings. */
 #define PARTS_AT_ONCE 8
+#define BURST_BYTES (PARTS_AT_ONCE * EG_PEER_PART_BYTES)
 #define ASK_AGAIN_US (300 * EG_US_PER_MS)
 #define ASKS_MAX 10
 
@@ -137,7 +138,7 @@
   self->ask_again_us = now_us + ASK_AGAIN_US;
   if (self->bytes.len == self->total)
     finish_fetch (self);
-  else if (self->bytes.len % (PARTS_AT_ONCE * EG_PEER_PART_BYTES) == 0)
+  else if (self->bytes.len % BURST_BYTES == 0)
     ask (self, now_us);
 }
 
--- a/test/property_lifecycle.cc
+++ b/test/property_lifecycle.cc
@@ -312,7 +312,7 @@
     world.token (running[*rc::gen::inRange<size_t> (0, running.size ())]);
   else if (kind == 7 && !running.empty ())
     world.fail (running[*rc::gen::inRange<size_t> (0, running.size ())],
-                static_cast<eg_attempt_cause> (*rc::gen::inRange (0, 6)));
+                static_cast<eg_attempt_cause> (*rc::gen::inRange (0, 7)));
   else if (kind == 8 && world.next_id > 1)
     world.abandon (*rc::gen::inRange<uint64_t> (1, world.next_id));
   else if (kind == 9)
