policy: history of rules is cut to what the store takes

One hundred edits of 20 long lines make some 4 MB, and beyond a megabyte the store refuses the object: from then on no edit could be accepted, and each ended as unknown. The oldest edits are now dropped until the JSON form fits. Without fit_object() test_object_fits_the_store fails.

--- a/policy/rule_document.c
+++ b/policy/rule_document.c
@@ -10,6 +10,8 @@
 #include "base/map.h"
 
 #define ID_TEXT_BYTES 20
+/* Names of the members, id and time. */
+#define EDIT_FRAME_BYTES 128
 
 void
 eg_rule_document_init (struct eg_rule_document *self)
@@ -191,6 +193,53 @@
   eg_map_finish (&counts);
 }
 
+/* Bytes that a text takes in JSON. */
+static size_t
+json_bytes (struct eg_str text)
+{
+  size_t bytes = 2;
+
+  for (size_t i = 0; i < text.len; i++)
+    if ((unsigned char) text.data[i] < ' ')
+      bytes += strchr ("\n\r\t\b\f", text.data[i]) ? 2 : 6;
+    else
+      bytes += text.data[i] == '"' || text.data[i] == '\\' ? 2 : 1;
+  return bytes;
+}
+
+static size_t
+edit_bytes (const struct eg_rule_edit_record *edit)
+{
+  return EDIT_FRAME_BYTES + json_bytes (eg_str_from (edit->who))
+         + json_bytes (eg_buffer_view (&edit->removed))
+         + json_bytes (eg_buffer_view (&edit->added));
+}
+
+static void
+drop_oldest (struct eg_rule_document *self)
+{
+  finish_edit (&self->edits[0]);
+  self->edit_count--;
+  memmove (&self->edits[0], &self->edits[1],
+           self->edit_count * sizeof self->edits[0]);
+}
+
+/* Drops old edits until the object fits the store; the last one stays, as it
+   settles a lost reply. */
+static void
+fit_object (struct eg_rule_document *self)
+{
+  size_t bytes = json_bytes (eg_buffer_view (&self->text));
+
+  for (size_t i = 0; i < self->edit_count; i++)
+    bytes += edit_bytes (&self->edits[i]);
+  while (self->edit_count > 1 && bytes > EG_RULES_OBJECT_BYTES_MAX)
+    {
+      bytes -= edit_bytes (&self->edits[0]);
+      drop_oldest (self);
+    }
+}
+
 void
 eg_rule_document_edit (struct eg_rule_document *self,
                        uint64_t id,
@@ -201,18 +250,14 @@
   struct eg_rule_edit_record *edit;
 
   if (self->edit_count == EG_RULE_EDITS_MAX)
-    {
-      finish_edit (&self->edits[0]);
-      memmove (&self->edits[0], &self->edits[1],
-               (EG_RULE_EDITS_MAX - 1) * sizeof self->edits[0]);
-      self->edit_count--;
-    }
+    drop_oldest (self);
   edit = &self->edits[self->edit_count++];
   *edit = (struct eg_rule_edit_record){.id = id, .wall_ms = wall_ms};
   eg_str_copy (who, edit->who, sizeof edit->who);
   compare_texts (eg_buffer_view (&self->text), text, edit);
   eg_buffer_clear (&self->text);
   eg_buffer_append (&self->text, text);
+  fit_object (self);
 }
 
 const struct eg_rule_edit_record *
--- a/policy/rule_document.h
+++ b/policy/rule_document.h
@@ -15,7 +15,10 @@
 
 /** Key of the object. */
 #define EG_RULES_OBJECT_KEY "rules"
-/** Edits that the object keeps; older ones are dropped. */
+/** Longest object, in JSON; the store takes a megabyte. */
+#define EG_RULES_OBJECT_BYTES_MAX ((size_t) 1000 * 1024)
+/** Edits that the object keeps; older ones are dropped, and more of them where
+ *  the object would grow too long. */
 #define EG_RULE_EDITS_MAX 100
 /** Lines of one edit that the history shows in full. */
 #define EG_RULE_EDIT_LINES_MAX 20
--- a/test/test_rules.c
+++ b/test/test_rules.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "base/random.h"
+#include "policy/rule_document.h"
 #include "policy/rules.h"
 
 static const char good[] =
@@ -121,6 +122,43 @@
     }
 }
 
+/* Makes a text of long lines, all of them other ones for another @p seed. */
+static void
+write_long_lines (struct eg_buffer *text, size_t bytes, int seed)
+{
+  eg_buffer_clear (text);
+  for (int i = 0; text->len < bytes; i++)
+    eg_buffer_printf (text, "# \"%d %d%0900d\"\n", seed, i, 0);
+}
+
+static void
+test_object_fits_the_store (void **state)
+{
+  struct eg_rule_document *document = malloc (sizeof *document);
+  struct eg_buffer text = {0};
+  struct eg_buffer json = {0};
+
+  (void) state;
+  assert_non_null (document);
+  eg_rule_document_init (document);
+  for (int i = 0; i < 120; i++)
+    {
+      write_long_lines (&text, (size_t) i * 7 * 1024, i);
+      eg_rule_document_edit (document, (uint64_t) i + 1, EG_STR ("a"), 0,
+                             eg_buffer_view (&text));
+      eg_buffer_clear (&json);
+      eg_rule_document_encode (document, &json);
+      assert_true (json.len <= 1048576);
+      assert_non_null (eg_rule_document_find (document, (uint64_t) i + 1));
+    }
+  assert_true (document->edit_count > 1);
+  assert_true (document->edit_count < EG_RULE_EDITS_MAX);
+  eg_rule_document_finish (document);
+  free (document);
+  eg_buffer_finish (&text);
+  eg_buffer_finish (&json);
+}
+
 int
 main (void)
 {
@@ -128,6 +166,7 @@
       cmocka_unit_test (test_good_file),
       cmocka_unit_test (test_each_fault_is_told),
       cmocka_unit_test (test_any_bytes),
+      cmocka_unit_test (test_object_fits_the_store),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
