--- a/test/test_orders.c
+++ b/test/test_orders.c
@@ -198,16 +198,11 @@
   assert_int_equal (self->event_count, count);
 }
 
-/*
- * Lets an actor run until the store has confirmed its lease and the order is
- * about to be sent, and no further.
- * @return the time at which it stands still.
- */
+/* Lets an actor run until it holds its lease, and returns the time. */
 static int64_t
-run_until_confirmed (struct actor *self)
+run_until_held (struct actor *self)
 {
   int64_t now_us = 0;
-  size_t replies;
 
   for (int i = 0; i < WAIT_STEPS; i++)
     {
@@ -219,7 +214,20 @@
       wait_step ();
     }
   assert_int_equal (eg_orderer_held (self->orderer, now_us), 1);
-  replies = self->reply_count;
+  return now_us;
+}
+
+/*
+ * Lets an actor run until the store has confirmed its lease and the order is
+ * about to be sent, and no further.
+ * @return the time at which it stands still.
+ */
+static int64_t
+run_until_confirmed (struct actor *self)
+{
+  int64_t now_us = run_until_held (self);
+  size_t replies = self->reply_count;
+
   eg_orderer_tick (self->orderer, now_us);
   for (int i = 0; i < WAIT_STEPS && self->reply_count == replies; i++)
     {
@@ -342,6 +350,54 @@
   actor_finish (&successor);
 }
 
+static void
+test_no_order_without_the_word_of_the_store (void **state)
+{
+  struct actor actor;
+  int64_t now_us;
+
+  (void) state;
+  actor_init (&actor, "down", CHECKING, 3);
+  now_us = run_until_held (&actor);
+  path_fault (PLATFORM, "{\"fault\":\"down\"}");
+  /* The lease has not run out, but the store does not confirm it. */
+  for (int i = 0; i < 100; i++)
+    {
+      take_messages (&actor);
+      eg_orderer_tick (actor.orderer, now_us);
+      now_us += WAIT_STEP_US;
+      wait_step ();
+    }
+  assert_int_equal (actor.event_count, 0);
+  path_heal (PLATFORM);
+  run_until_orders (&actor, 1);
+  assert_int_equal (actor.result, EG_ORDER_TAKEN);
+  actor_finish (&actor);
+}
+
+static void
+test_report_of_empty_engine (void **state)
+{
+  const struct eg_str body = EG_STR (
+      "{\"server\":\"e\",\"service\":\"llm\",\"model\":\"\","
+      "\"version\":\"1\",\"layers\":[1,16],\"model_layers\":32,"
+      "\"accelerator\":\"large\",\"running\":0,\"queued\":0,\"kv_free\":9,"
+      "\"kv_total\":9,\"draining\":false,\"as_of_ms\":1}");
+  struct eg_servers *servers = eg_servers_new ();
+  uint32_t server =
+      eg_servers_add (servers, EG_STR ("10.0.0.1:80"), EG_STR ("a"));
+  struct eg_server_report row = {0};
+  struct eg_error error;
+
+  (void) state;
+  assert_int_equal (eg_engine_read_load (body, 1, 1, &row, &error), EG_OK);
+  assert_true (eg_servers_report (servers, server, &row, 1));
+  assert_false (eg_servers_usable (servers, server, 1));
+  assert_int_equal (eg_servers_get (servers, server)->stops,
+                    EG_SERVER_UNLOADED);
+  eg_servers_free (servers);
+}
+
 static size_t
 count_orders (const char *address)
 {
@@ -385,6 +441,8 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (test_checking_engine_refuses_former_holder),
       cmocka_unit_test (test_order_of_former_holder_is_put_right),
+      cmocka_unit_test (test_no_order_without_the_word_of_the_store),
+      cmocka_unit_test (test_report_of_empty_engine),
       cmocka_unit_test (test_rule_is_carried_out),
   };
 
