--- a/test/test_orders.c
+++ b/test/test_orders.c
@@ -120,7 +120,7 @@
   memset (self, 0, sizeof *self);
   self->settings = fixture.node.settings;
   self->settings.lease_ms = ACTOR_LEASE_MS;
-  strcpy (self->settings.name, service);
+  eg_str_copy (eg_str_from (service), self->settings.name, EG_NAME_BYTES);
   assert_true (eg_ring_init (&self->replies, RING_SLOTS));
   assert_true (eg_ring_init (&self->events, RING_SLOTS));
   assert_true (eg_fleet_init (&self->fleet, EG_US_PER_S));
@@ -265,7 +265,7 @@
   };
   size_t events = self->event_count;
 
-  strcpy (command->address, address);
+  eg_str_copy (eg_str_from (address), command->address, EG_ADDRESS_BYTES);
   command->has_body = true;
   command->timeout_us = 10 * EG_US_PER_S;
   eg_engine_write_order (&command->body, &order, 1);
--- /dev/null
+++ b/tools/experiments/leases.sh
@@ -0,0 +1,62 @@
+#!/bin/sh
+# Counts the store calls that leases on giving orders cost: entry VMs of one
+# failure domain, no servers, and SERVICES services with a rule on capacity.
+# usage: tools/experiments/leases.sh [ENTRY-VMS [SERVICES [SECONDS]]]
+set -eu
+cd "$(dirname "$0")/../.."
+. tools/experiments/common.sh
+
+vms=${1:-3}
+services=${2:-2}
+seconds=${3:-60}
+port_base=${EG_PORT_BASE:-11200}
+platform=127.0.0.1:$port_base
+
+callers() { echo "127.0.0.1:$((port_base + 10 + $1))"; }
+operators() { echo "127.0.0.1:$((port_base + 50 + $1))"; }
+counts() { curl -s "http://$platform/standin/counts"; }
+of() { printf '%s' "$1" | sed "s/.*\"$2\": *\([0-9]*\).*/\1/"; }
+
+# report LABEL: counts calls for a while.
+report() {
+  before=$(counts)
+  sleep "$seconds"
+  after=$(counts)
+  for kind in get put; do
+    first=$(of "$before" $kind)
+    last=$(of "$after" $kind)
+    awk -v n="$((last - first))" -v s="$seconds" -v label="$1" -v kind="$kind" \
+      'BEGIN { printf "%s: %s %d in %d s, %.2f/s\n", label, kind, n, s, n / s }'
+  done
+}
+
+begin leases
+numbers=$(seq 0 $((vms - 1)))
+{
+  printf '{"platform":{"listen":"%s","latency_ms":2,"vms":[' "$platform"
+  for i in $numbers; do
+    [ "$i" = 0 ] || printf ','
+    printf '{"address":"%s","failure_domain":"a","kind":"entry","state":"live"}' "$(callers "$i")"
+  done
+  printf ']}}\n'
+} >"$run/platform.json"
+start platform "$build/standin/eelgrass-standin" "$run/platform.json"
+wait_for "http://$platform/vms"
+for i in $numbers; do
+  printf 'node.name = "n%s"\nnode.failure_domain = "a"\nlisten.callers = "%s"\nlisten.operators = "%s"\nplatform.address = "%s"\n' \
+    "$i" "$(callers "$i")" "$(operators "$i")" "$platform" >"$run/n$i.toml"
+  start "n$i" "$build/router/eelgrasswood" --settings "$run/n$i.toml"
+done
+for i in $numbers; do
+  wait_for "http://$(callers "$i")/health"
+done
+report "no rule"
+lines=
+for i in $(seq 1 "$services"); do
+  lines="${lines}capacity service=s$i model=m version=1 layers=1-32 count=1 # Nok: an experiment\\n"
+done
+curl -sf -X POST "http://$(operators 0)/rules" \
+  -d "{\"who\":\"Nok\",\"base_version\":0,\"text\":\"$lines\"}" >/dev/null
+sleep 25
+report "$services services, $vms entry VMs"
+cat "$run"/n*.log | grep -c "event=lease-taken" | sed 's/^/leases taken: /'
