--- a/standin/once_records.c
+++ b/standin/once_records.c
@@ -103,13 +103,18 @@
   return json_string_value (json_object_get (run, member));
 }
 
+/* All requests of a run are POSTs; entry VMs also ask a server that they don't
+   know for its load. */
 static void
 note_run (struct eg_once_records *self, json_t *run)
 {
+  const char *method = text_of (run, "method");
   const char *path = text_of (run, "path");
   const char *id = text_of (run, "request_id");
   size_t request = path ? number_after (path + 1, self->run, '/') : SIZE_MAX;
 
+  if (method && strcmp (method, "POST") != 0)
+    return;
   eg_once_book_run (self->book, request, number_after (id, self->run, '-'),
                     eg_clock_now_us () - self->start_us);
 }
--- a/standin/once_records.h
+++ b/standin/once_records.h
@@ -15,7 +15,8 @@
 struct eg_once_records;
 
 /**
- * Makes a reader of all records that the scenario names; each must be empty.
+ * Makes a reader of all records that the scenario names; they must show no POST
+ * before the run.
  * @param run name of this run, which starts all request ids.
  */
 struct eg_once_records *
