--- a/standin/load_scenario.h
+++ b/standin/load_scenario.h
@@ -70,12 +70,13 @@
 struct eg_load_fault
 {
   int64_t at_us;
+  char *body; /**< Of a POST; else NULL. */
+  int signal;
+  bool measured; /**< Whether recovery is computed. */
   char label[EG_LOAD_NAME_BYTES];
-  bool measured;                       /**< Whether recovery is computed. */
-  char url[EG_LOAD_PATH_OR_URL_BYTES]; /**< Of a POST or DELETE; or empty. */
-  char *body;                          /**< Of a POST; else NULL. */
+  char url[EG_LOAD_PATH_OR_URL_BYTES];      /**< Of a POST or DELETE; or
+                                               empty. */
   char pid_file[EG_LOAD_PATH_OR_URL_BYTES]; /**< Of a signal; or empty. */
-  int signal;
 };
 
 /** How the time to recover is computed; docs/LOAD.md states the definition. */
--- a/standin/once_run.h
+++ b/standin/once_run.h
@@ -28,12 +28,12 @@
 
 /**
  * Runs the scenario; finish the results in either case.
- * @param run name of this run, unlike that of any run before it on the same
+ * @param name name of this run, unlike that of any run before it on the same
  *   deployment.
  * @return EG_SYSTEM if no HTTP client can be made.
  */
 enum eg_status eg_once_run (const struct eg_once_scenario *scenario,
-                            const char *run,
+                            const char *name,
                             uint64_t seed,
                             struct eg_once_results *results,
                             struct eg_error *error);
