--- a/http/client.c
+++ b/http/client.c
@@ -306,8 +306,11 @@
 {
   struct eg_http_transfer *transfer = calloc (1, sizeof *transfer);
 
-  if (!transfer)
-    return NULL;
+  if (!transfer || request->target.len > EG_HTTP_TARGET_MAX)
+    {
+      free (transfer);
+      return NULL;
+    }
   transfer->client = self;
   transfer->easy =
       self->idle_count > 0 ? self->idle[--self->idle_count] : curl_easy_init ();
--- a/http/client.h
+++ b/http/client.h
@@ -15,6 +15,8 @@
 
 EG_BEGIN_DECLS
 
+/** Longest path and query of a request. */
+#define EG_HTTP_TARGET_MAX 2000
 /** Longest URL, with its final zero. */
 #define EG_HTTP_URL_BYTES 2048
 /** Longest value kept of a header of the answer, with its final zero. */
--- a/router/caller_request.c
+++ b/router/caller_request.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "http/client.h"
 #include "http/json.h"
 
 #define DEADLINE_MAX_MS INT64_C (86400000)
@@ -256,6 +257,9 @@
   if (!read_service_path (info, call))
     return refuse (problem, error, EG_REFUSAL_UNKNOWN_SERVICE,
                    "expected /services/NAME/PATH");
+  if (call->path.len > EG_HTTP_TARGET_MAX)
+    return refuse (problem, error, EG_REFUSAL_TOO_LARGE,
+                   "path and query are longer than this entry VM passes on");
   return true;
 }
 
--- a/test/path_fixture.c
+++ b/test/path_fixture.c
@@ -215,7 +215,7 @@
 {
   CURL *easy = curl_easy_init ();
   struct curl_slist *list = NULL;
-  char text[512];
+  char text[4096];
 
   *answer = (struct path_answer){0};
   snprintf (text, sizeof text, "http://%s", url);
--- a/test/test_path.c
+++ b/test/test_path.c
@@ -115,6 +115,19 @@
   free (body);
 }
 
+static void
+test_long_path_is_refused (void **state)
+{
+  char url[3000];
+  struct path_answer answer;
+
+  (void) state;
+  snprintf (url, sizeof url, "%s/services/app/%02500d", CALLERS, 0);
+  path_call ("GET", url, organisation, NULL, &answer);
+  expect_refusal (&answer, 413, "too-large", "no");
+  path_answer_finish (&answer);
+}
+
 static void
 test_broken_requests_get_an_answer (void **state)
 {
@@ -541,6 +554,7 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (test_bad_input_is_refused),
       cmocka_unit_test (test_long_body_is_refused),
+      cmocka_unit_test (test_long_path_is_refused),
       cmocka_unit_test (test_broken_requests_get_an_answer),
       cmocka_unit_test (test_stream_is_whole),
       cmocka_unit_test (test_stream_survives_each_stage),
