--- a/tools/experiments/leases.sh
+++ b/tools/experiments/leases.sh
@@ -11,6 +11,7 @@
 seconds=${3:-60}
 port_base=${EG_PORT_BASE:-11200}
 platform=127.0.0.1:$port_base
+token=leases
 
 callers() { echo "127.0.0.1:$((port_base + 10 + $1))"; }
 operators() { echo "127.0.0.1:$((port_base + 50 + $1))"; }
@@ -30,7 +31,7 @@
   done
 }
 
-begin leases
+begin "leases-$vms"
 numbers=$(seq 0 $((vms - 1)))
 {
   printf '{"platform":{"listen":"%s","latency_ms":2,"vms":[' "$platform"
@@ -43,8 +44,8 @@
 start platform "$build/standin/eelgrass-standin" "$run/platform.json"
 wait_for "http://$platform/vms"
 for i in $numbers; do
-  printf 'node.name = "n%s"\nnode.failure_domain = "a"\nlisten.callers = "%s"\nlisten.operators = "%s"\nplatform.address = "%s"\n' \
-    "$i" "$(callers "$i")" "$(operators "$i")" "$platform" >"$run/n$i.toml"
+  printf 'node.name = "n%s"\nnode.failure_domain = "a"\nlisten.callers = "%s"\nlisten.operators = "%s"\nplatform.address = "%s"\noperators.token = "%s"\n' \
+    "$i" "$(callers "$i")" "$(operators "$i")" "$platform" "$token" >"$run/n$i.toml"
   start "n$i" "$build/router/eelgrasswood" --settings "$run/n$i.toml"
 done
 for i in $numbers; do
@@ -56,6 +57,7 @@
   lines="${lines}capacity service=s$i model=m version=1 layers=1-32 count=1 # Nok: an experiment\\n"
 done
 curl -sf -X POST "http://$(operators 0)/rules" \
+  -H "Authorization: Bearer $token" \
   -d "{\"who\":\"Nok\",\"base_version\":0,\"text\":\"$lines\"}" >/dev/null
 sleep 25
 report "$services services, $vms entry VMs"
