--- a/base/settings.c
+++ b/base/settings.c
@@ -12,6 +12,7 @@
     [EG_SETTING_INTEGER] = "integer",
     [EG_SETTING_BOOLEAN] = "boolean",
     [EG_SETTING_TEXT] = "text",
+    [EG_SETTING_SECRET] = "secret text",
     [EG_SETTING_ADDRESS] = "address",
 };
 
@@ -19,6 +20,7 @@
     [EG_SETTING_INTEGER] = EG_TOML_INTEGER,
     [EG_SETTING_BOOLEAN] = EG_TOML_BOOLEAN,
     [EG_SETTING_TEXT] = EG_TOML_STRING,
+    [EG_SETTING_SECRET] = EG_TOML_STRING,
     [EG_SETTING_ADDRESS] = EG_TOML_STRING,
 };
 
@@ -56,6 +58,7 @@
       snprintf (text, capacity, "true or false");
       return;
     case EG_SETTING_TEXT:
+    case EG_SETTING_SECRET:
       snprintf (text, capacity, "text of %" PRId64 " to %" PRId64 " bytes",
                 setting->min, setting->max - 1);
       return;
@@ -84,6 +87,7 @@
       *(bool *) field_of (setting, target) = integer != 0;
       return true;
     case EG_SETTING_TEXT:
+    case EG_SETTING_SECRET:
       if ((int64_t) len < setting->min || (int64_t) len >= setting->max)
         return false;
       memcpy (field_of (setting, target), text, len + 1);
@@ -145,6 +149,9 @@
                          entry->line, entry->key, expected);
   if (store (setting, target, entry->text, entry->integer))
     return EG_OK;
+  if (setting->type == EG_SETTING_SECRET)
+    return eg_error_set (error, EG_INVALID, "%s:%u: %s: expected %s", path,
+                         entry->line, entry->key, expected);
   if (entry->kind == EG_TOML_INTEGER)
     return eg_error_set (error, EG_INVALID,
                          "%s:%u: %s: expected %s, found %" PRId64, path,
@@ -222,6 +229,8 @@
         fprintf (stream, "%" PRId64, *(const int64_t *) field);
       else if (setting->type == EG_SETTING_BOOLEAN)
         fputs (*(const bool *) field ? "true" : "false", stream);
+      else if (setting->type == EG_SETTING_SECRET && *(const char *) field)
+        fputs ("\"\" # given, and not shown", stream);
       else
         print_quoted (field, stream);
       fputc ('\n', stream);
--- a/router/settings.c
+++ b/router/settings.c
@@ -13,7 +13,7 @@
      FIELD (listen_callers), "Where callers come in"},
     {"listen.operators", EG_SETTING_ADDRESS, "", 0, EG_ADDRESS_BYTES, NULL,
      FIELD (listen_operators), "Where operators and metrics come in"},
-    {"operators.token", EG_SETTING_TEXT, "", 0, EG_OPERATORS_TOKEN_BYTES, "",
+    {"operators.token", EG_SETTING_SECRET, "", 0, EG_OPERATORS_TOKEN_BYTES, "",
      FIELD (operators_token),
      "What operators show as bearer token; without one, all but /metrics is "
      "refused"},
@@ -64,7 +64,7 @@
     {"bus.public_key", EG_SETTING_TEXT, "", 0, EG_BUS_KEY_BYTES, "",
      FIELD (bus_public_key),
      "Public half of the key that all entry VMs share, in Z85"},
-    {"bus.secret_key", EG_SETTING_TEXT, "", 0, EG_BUS_KEY_BYTES, "",
+    {"bus.secret_key", EG_SETTING_SECRET, "", 0, EG_BUS_KEY_BYTES, "",
      FIELD (bus_secret_key), "Secret half of that key, in Z85"},
     {"bus.port_offset", EG_SETTING_INTEGER, "ports", -65535, 65535, "1000",
      FIELD (bus_port_offset),
