--- a/base/settings.c
+++ b/base/settings.c
@@ -9,10 +9,8 @@
 #include "base/toml_document.h"
 
 static const char *const type_names[] = {
-    [EG_SETTING_INTEGER] = "integer",
-    [EG_SETTING_BOOLEAN] = "boolean",
-    [EG_SETTING_TEXT] = "text",
-    [EG_SETTING_SECRET] = "secret text",
+    [EG_SETTING_INTEGER] = "integer", [EG_SETTING_BOOLEAN] = "boolean",
+    [EG_SETTING_TEXT] = "text",       [EG_SETTING_SECRET] = "secret text",
     [EG_SETTING_ADDRESS] = "address",
 };
 
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -24,6 +24,7 @@
   bool enabled;
   char name[8];
   char address[24];
+  char secret[16];
 };
 
 static const struct eg_setting sample_rows[] = {
@@ -35,8 +36,10 @@
      offsetof (struct sample_settings, name), "Name"},
     {"a.address", EG_SETTING_ADDRESS, "", 0, 24, "127.0.0.1:80",
      offsetof (struct sample_settings, address), "Address"},
+    {"a.secret", EG_SETTING_SECRET, "", 4, 16, "",
+     offsetof (struct sample_settings, secret), "Secret"},
 };
-static const struct eg_setting_table sample_table = {sample_rows, 4};
+static const struct eg_setting_table sample_table = {sample_rows, 5};
 
 static enum eg_status
 load_text (const char *text,
@@ -100,6 +103,30 @@
     }
 }
 
+static void
+test_secrets_are_not_shown (void **state)
+{
+  struct sample_settings settings;
+  struct eg_error error;
+  char *text = NULL;
+  size_t len = 0;
+  FILE *stream = open_memstream (&text, &len);
+
+  (void) state;
+  assert_int_equal (load_text ("a.name = \"x\"\na.secret = \"hunter22\"\n",
+                               &settings, &error),
+                    EG_OK);
+  assert_string_equal (settings.secret, "hunter22");
+  eg_settings_print (&sample_table, &settings, stream);
+  fclose (stream);
+  assert_null (strstr (text, "hunter22"));
+  free (text);
+  assert_int_equal (
+      load_text ("a.name = \"x\"\na.secret = \"pw1\"\n", &settings, &error),
+      EG_INVALID);
+  assert_null (strstr (error.message, "pw1"));
+}
+
 static void
 test_str (void **state)
 {
@@ -217,6 +244,7 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (test_settings_defaults_and_values),
       cmocka_unit_test (test_settings_errors_name_line_and_key),
+      cmocka_unit_test (test_secrets_are_not_shown),
       cmocka_unit_test (test_str),
       cmocka_unit_test (test_histogram_quantiles),
       cmocka_unit_test (test_ring_keeps_order_and_bound),
