--- a/tools/experiments/once.sh
+++ b/tools/experiments/once.sh
@@ -54,7 +54,9 @@
   vm_signal 9000 c KILL
   printf ',\n'
   server_fault 9600 0 dies '{"fault":"die"}'
-  server_fault 10200 0 revives '{"fault":"revive"}'
+  server_fault 9900 1 dies '{"fault":"die"}'
+  server_fault 10500 0 revives '{"fault":"revive"}'
+  server_fault 10800 1 revives '{"fault":"revive"}'
   platform_heals 10800 | sed 's/,$//'
 }
 
