--- a/base/log.c
+++ b/base/log.c
@@ -11,6 +11,7 @@
 
 static const char *log_program = "eelgrasswood";
 static enum eg_log_level log_level = EG_LOG_INFO;
+static struct eg_log_writer log_writer;
 
 static const struct
 {
@@ -29,6 +30,12 @@
   log_level = level;
 }
 
+void
+eg_log_set_writer (const struct eg_log_writer *writer)
+{
+  log_writer = *writer;
+}
+
 int
 eg_log_level_from_name (const char *name)
 {
@@ -86,6 +93,11 @@
     len = sizeof line - 2;
   mask_control_bytes (line, len);
   line[len++] = '\n';
+  if (log_writer.write)
+    {
+      log_writer.write (log_writer.context, (struct eg_str){line, len});
+      return;
+    }
   /* One write a line keeps the lines of several threads whole. */
   if (write (STDERR_FILENO, line, len) < 0)
     return;
--- a/base/log.h
+++ b/base/log.h
@@ -8,6 +8,7 @@
 #define EG_BASE_LOG_H
 
 #include "base/decls.h"
+#include "base/str.h"
 
 EG_BEGIN_DECLS
 
@@ -27,6 +28,16 @@
  */
 void eg_log_configure (const char *program, enum eg_log_level level);
 
+/** Takes whole lines with their line feeds; must not block. */
+struct eg_log_writer
+{
+  void (*write) (void *context, struct eg_str line);
+  void *context;
+};
+
+/** Hands lines to @p writer from now on, in place of standard error. */
+void eg_log_set_writer (const struct eg_log_writer *writer);
+
 /** Finds the level called @p name ("error" ... "debug"); -1 if none is. */
 int eg_log_level_from_name (const char *name);
 
--- a/base/settings.c
+++ b/base/settings.c
@@ -11,12 +11,14 @@
 static const char *const type_names[] = {
     [EG_SETTING_INTEGER] = "integer", [EG_SETTING_BOOLEAN] = "boolean",
     [EG_SETTING_TEXT] = "text",       [EG_SETTING_SECRET] = "secret text",
+    [EG_SETTING_NUMBER] = "number",
     [EG_SETTING_ADDRESS] = "address",
 };
 
 static const enum eg_toml_kind type_kinds[] = {
     [EG_SETTING_INTEGER] = EG_TOML_INTEGER,
     [EG_SETTING_BOOLEAN] = EG_TOML_BOOLEAN,
+    [EG_SETTING_NUMBER] = EG_TOML_NUMBER,
     [EG_SETTING_TEXT] = EG_TOML_STRING,
     [EG_SETTING_SECRET] = EG_TOML_STRING,
     [EG_SETTING_ADDRESS] = EG_TOML_STRING,
@@ -55,6 +57,11 @@
     case EG_SETTING_BOOLEAN:
       snprintf (text, capacity, "true or false");
       return;
+    case EG_SETTING_NUMBER:
+      snprintf (text, capacity,
+                "a number from %" PRId64 " to %" PRId64 "%s%s", setting->min,
+                setting->max, *setting->unit ? " " : "", setting->unit);
+      return;
     case EG_SETTING_TEXT:
     case EG_SETTING_SECRET:
       snprintf (text, capacity, "text of %" PRId64 " to %" PRId64 " bytes",
@@ -70,7 +77,8 @@
 store (const struct eg_setting *setting,
        void *target,
        const char *text,
-       int64_t integer)
+       int64_t integer,
+       double number)
 {
   size_t len = strlen (text);
 
@@ -84,6 +92,11 @@
     case EG_SETTING_BOOLEAN:
       *(bool *) field_of (setting, target) = integer != 0;
       return true;
+    case EG_SETTING_NUMBER:
+      if (number < (double) setting->min || number > (double) setting->max)
+        return false;
+      memcpy (field_of (setting, target), &number, sizeof number);
+      return true;
     case EG_SETTING_TEXT:
     case EG_SETTING_SECRET:
       if ((int64_t) len < setting->min || (int64_t) len >= setting->max)
@@ -114,7 +127,8 @@
       *(char *) field_of (setting, target) = '\0';
       return;
     }
-  fits = store (setting, target, setting->default_text, integer);
+  fits = store (setting, target, setting->default_text, integer,
+                strtod (setting->default_text, NULL));
   EG_INVARIANT (fits);
 }
 
@@ -135,6 +149,7 @@
              struct eg_error *error)
 {
   const struct eg_setting *setting = find_setting (table, entry->key);
+  double number = entry->number;
   char expected[128];
 
   if (!setting)
@@ -142,10 +157,12 @@
                          "%s:%u: %s: unknown key; --help lists the keys", path,
                          entry->line, entry->key);
   describe (setting, expected, sizeof expected);
-  if (entry->kind != type_kinds[setting->type])
+  if (setting->type == EG_SETTING_NUMBER && entry->kind == EG_TOML_INTEGER)
+    number = (double) entry->integer;
+  else if (entry->kind != type_kinds[setting->type])
     return eg_error_set (error, EG_INVALID, "%s:%u: %s: expected %s", path,
                          entry->line, entry->key, expected);
-  if (store (setting, target, entry->text, entry->integer))
+  if (store (setting, target, entry->text, entry->integer, number))
     return EG_OK;
   if (setting->type == EG_SETTING_SECRET)
     return eg_error_set (error, EG_INVALID, "%s:%u: %s: expected %s", path,
@@ -227,6 +244,8 @@
         fprintf (stream, "%" PRId64, *(const int64_t *) field);
       else if (setting->type == EG_SETTING_BOOLEAN)
         fputs (*(const bool *) field ? "true" : "false", stream);
+      else if (setting->type == EG_SETTING_NUMBER)
+        fprintf (stream, "%g", *(const double *) field);
       else if (setting->type == EG_SETTING_SECRET && *(const char *) field)
         fputs ("\"\" # given, and not shown", stream);
       else
--- a/base/settings.h
+++ b/base/settings.h
@@ -19,6 +19,7 @@
 {
   EG_SETTING_INTEGER, /**< int64_t, between min and max. */
   EG_SETTING_BOOLEAN, /**< bool. */
+  EG_SETTING_NUMBER,  /**< double, between min and max. */
   EG_SETTING_TEXT,    /**< char[max], at least min bytes long. */
   EG_SETTING_SECRET,  /**< As TEXT, and never shown. */
   EG_SETTING_ADDRESS, /**< char[max]: an IP number and port, `1.2.3.4:80`. */
--- a/base/toml_document.cc
+++ b/base/toml_document.cc
@@ -36,6 +36,11 @@
       entry.kind = EG_TOML_BOOLEAN;
       entry.integer = value.as_boolean () ? 1 : 0;
     }
+  else if (value.is_floating ())
+    {
+      entry.kind = EG_TOML_NUMBER;
+      entry.number = value.as_floating ();
+    }
   return entry;
 }
 
--- a/base/toml_document.h
+++ b/base/toml_document.h
@@ -20,6 +20,7 @@
   EG_TOML_STRING,
   EG_TOML_INTEGER,
   EG_TOML_BOOLEAN,
+  EG_TOML_NUMBER,
   EG_TOML_OTHER,
 };
 
@@ -30,6 +31,7 @@
   enum eg_toml_kind kind;
   char *text; /**< The string, or "" for another kind. */
   int64_t integer;
+  double number;
   unsigned line;
 };
 
--- /dev/null
+++ b/entry/call.c
@@ -0,0 +1,989 @@
+#include "entry/call.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/entry.h"
+#include "net/response_text.h"
+
+/* A connection within a region stands after a millisecond; one lost packet is
+ * sent again after a second, so a second connection is the quicker way. */
+#define CONNECT_TIMEOUT_US (250 * EG_US_PER_MS)
+/* An answer up to this long is kept until it is whole, so that a broken one can
+ * be replaced. */
+#define GATHER_BYTES_MAX (256U << 10)
+/* Tokens of an answer that says nothing of its length. */
+#define ANSWER_TOKENS_DEFAULT 150
+/* Silence of a stream from which its engine is asked for the cause: several
+ * passes long, and well below the pause that callers bear. */
+#define STREAM_SILENCE_US (250 * EG_US_PER_MS)
+/* The same before the first event, when the prompt has to be read. */
+#define FIRST_SILENCE_US (400 * EG_US_PER_MS)
+/* Silence after which a stream moves on even if no engine names a cause:
+ * callers leave after 2 s. */
+#define STREAM_GIVE_UP_US (1300 * EG_US_PER_MS)
+/* A repeatable request waits for its first server for this many times its
+ * latency goal before another is asked. */
+#define PATIENCE_GOALS 4
+/* Refused requests come back after this: the time to load a lost server's
+ * layers onto another, and to see it. */
+#define RETRY_AFTER_PATH_MS 1500
+/* The same for plain servers, which are back sooner or not at all. */
+#define RETRY_AFTER_SERVER_MS 250
+/* The same while a configuration is awaited. */
+#define RETRY_AFTER_CONFIGURATION_MS 500
+/* Priority classes of engines go from 0 to this. */
+#define PRIORITY_CLASS_MAX 9
+/* Time kept back from what a server is told, for the way back. */
+#define DEADLINE_MARGIN_MS 2
+
+static void begin_send (struct eg_call *self, int64_t now_us);
+static void send_failed (struct eg_call *self, const char *cause);
+
+static const char *
+route_name (const struct eg_call *self)
+{
+  return *self->route.name ? self->route.name : "-";
+}
+
+/* One line for each request, at its end. */
+static void
+log_end (const struct eg_call *self, const char *outcome, unsigned status)
+{
+  const struct eg_entry *entry = self->entry;
+  const struct eg_configuration *configuration = entry->configuration.now;
+  int64_t now_us = eg_clock_now_us ();
+
+  eg_log (EG_LOG_INFO, "call",
+          "event=request-ended request=%.*s route=%s service=%s "
+          "organisation=%s outcome=%s status=%u sends=%u moves=%u server=%s "
+          "events=%" PRIu64 " first_event_ms=%" PRId64 " total_ms=%" PRId64
+          " config=%" PRId64 " config_age_ms=%" PRId64,
+          EG_STR_ARGS (self->facts.id), route_name (self), self->service,
+          self->organisation, outcome, status, self->sends, self->moves,
+          self->head_count ? self->heads[self->head_count - 1]->entry.id : "-",
+          self->relay.events,
+          self->first_event_us
+              ? (self->first_event_us - self->arrived_us) / EG_US_PER_MS
+              : -1,
+          (now_us - self->arrived_us) / EG_US_PER_MS,
+          configuration ? configuration->version : -1,
+          (now_us - entry->configuration.as_of_us) / EG_US_PER_MS);
+}
+
+void
+eg_call_init (struct eg_call *self,
+              struct eg_entry *entry,
+              struct eg_caller *caller)
+{
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  self->caller = caller;
+  eg_buffer_init (&self->answer_head);
+  eg_buffer_init (&self->answer_body);
+  eg_event_relay_init (&self->relay, EG_STR (""));
+}
+
+void
+eg_call_finish (struct eg_call *self)
+{
+  eg_buffer_finish (&self->answer_head);
+  eg_buffer_finish (&self->answer_body);
+  eg_event_relay_finish (&self->relay);
+}
+
+/* Lets go of the servers of the present send. */
+static void
+end_send (struct eg_call *self)
+{
+  struct eg_send *send = &self->send;
+
+  eg_exchange_cancel (&send->exchange);
+  if (!send->active)
+    return;
+  send->active = false;
+  for (uint32_t i = 0; i < send->place.count; i++)
+    {
+      struct eg_backend *backend = send->place.stages[i];
+      uint32_t layers = send->place.layers[i].to - send->place.layers[i].from;
+
+      backend->running--;
+      backend->kv_running -= send->kv_tokens * layers;
+      eg_backend_release (backend);
+    }
+  send->place.count = 0;
+}
+
+/* Ends the call; the answer, or its lack, is settled by the caller of this. */
+static void
+close_call (struct eg_call *self)
+{
+  end_send (self);
+  for (size_t i = 0; i < self->head_count; i++)
+    eg_backend_release (self->heads[i]);
+  self->head_count = 0;
+  self->active = false;
+  eg_buffer_clear (&self->answer_head);
+  eg_buffer_clear (&self->answer_body);
+}
+
+/* Answers in place of a server. */
+static void
+answer_own (struct eg_call *self,
+            unsigned status,
+            const char *outcome,
+            const char *cause,
+            int64_t retry_after_ms)
+{
+  struct eg_caller *caller = self->caller;
+  struct eg_buffer out = {0};
+  char body[256];
+  int len = snprintf (body, sizeof body,
+                      "{\"status\":%u,\"cause\":\"%s\",\"ran\":\"%s\"}\n",
+                      status, cause, self->may_have_run ? "unknown" : "no");
+
+  eg_response_begin (&out, status);
+  eg_answer_name_request (&out, self->facts.id);
+  eg_buffer_printf (&out,
+                    "Content-Type: application/problem+json\r\n"
+                    "Content-Length: %d\r\n",
+                    len);
+  if (retry_after_ms > 0)
+    eg_buffer_printf (&out, "Retry-After: %g\r\n",
+                      (double) retry_after_ms / 1000);
+  if (eg_caller_will_close (caller))
+    eg_buffer_append (&out, EG_STR ("Connection: close\r\n"));
+  eg_buffer_append (&out, EG_STR ("\r\n"));
+  eg_buffer_append (&out, (struct eg_str){body, (size_t) len});
+  log_end (self, outcome, status);
+  close_call (self);
+  eg_caller_send (caller, eg_buffer_view (&out));
+  eg_buffer_finish (&out);
+  eg_caller_answered (caller);
+}
+
+static void
+refuse (struct eg_call *self, const char *cause, int64_t retry_after_ms)
+{
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_REFUSED);
+  answer_own (self, 503, cause, cause, retry_after_ms);
+}
+
+static void
+reject (struct eg_call *self, unsigned status, const char *cause)
+{
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_FAILED);
+  answer_own (self, status, cause, cause, 0);
+}
+
+static void
+cut (struct eg_call *self, const char *cause)
+{
+  struct eg_caller *caller = self->caller;
+
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_CUT);
+  log_end (self, cause, 0);
+  close_call (self);
+  eg_caller_abort (caller);
+}
+
+void
+eg_call_abandon (struct eg_call *self)
+{
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_ABANDONED);
+  log_end (self, "caller-left", 0);
+  close_call (self);
+}
+
+static bool
+is_engine (const struct eg_service_config *service)
+{
+  return service->has_engine && service->engine.layers > 0;
+}
+
+static int64_t
+retry_after_ms (const struct eg_call *self)
+{
+  return self->route.kind == EG_ROUTE_STREAM ? RETRY_AFTER_PATH_MS
+                                             : RETRY_AFTER_SERVER_MS;
+}
+
+static bool
+is_repeatable (const struct eg_call *self)
+{
+  return self->route.kind == EG_ROUTE_IDEMPOTENT
+         || (self->route.kind == EG_ROUTE_STREAM && self->route.resumable);
+}
+
+static void
+conclude (struct eg_call *self, enum eg_resend_answer answer, const char *cause)
+{
+  switch (answer)
+    {
+    case EG_RESEND_CUT:
+      cut (self, cause);
+      return;
+    case EG_RESEND_REFUSE:
+      refuse (self, cause, retry_after_ms (self));
+      return;
+    case EG_RESEND_TIMEOUT:
+      reject (self, 504, cause);
+      return;
+    default:
+      reject (self, 502, cause);
+    }
+}
+
+static struct eg_resend_question
+ask_resend (const struct eg_call *self, int64_t now_us)
+{
+  return (struct eg_resend_question){
+      .repeatable = is_repeatable (self),
+      .may_have_run = self->may_have_run,
+      .begun = self->head_sent,
+      .resumable =
+          self->route.kind == EG_ROUTE_STREAM && self->route.resumable,
+      .sends = self->sends,
+      .tries = self->tries,
+      .now_us = now_us,
+      .deadline_us = self->deadline_us,
+  };
+}
+
+static void
+give_up (struct eg_call *self, const char *cause)
+{
+  struct eg_resend_question question = ask_resend (self, eg_clock_now_us ());
+
+  conclude (self, eg_resend_give_up (&question), cause);
+}
+
+/* Passes the answer that was gathered on as it is. */
+static void
+answer_gathered (struct eg_call *self)
+{
+  struct eg_caller *caller = self->caller;
+  struct eg_buffer out = {0};
+  bool no_body = strcmp (self->head->method, "HEAD") == 0
+                 || self->answer_status == 204 || self->answer_status == 304;
+
+  eg_response_begin (&out, self->answer_status);
+  eg_buffer_append (&out, eg_buffer_view (&self->answer_head));
+  if (!no_body)
+    eg_buffer_printf (&out, "Content-Length: %zu\r\n", self->answer_body.len);
+  if (eg_caller_will_close (caller))
+    eg_buffer_append (&out, EG_STR ("Connection: close\r\n"));
+  eg_buffer_append (&out, EG_STR ("\r\n"));
+  if (!no_body)
+    eg_buffer_append (&out, eg_buffer_view (&self->answer_body));
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_ANSWERED);
+  eg_metrics_time (&self->entry->metrics, EG_TIME_ANSWER,
+                   eg_clock_now_us () - self->arrived_us);
+  log_end (self, "answered", self->answer_status);
+  close_call (self);
+  eg_caller_send (caller, eg_buffer_view (&out));
+  eg_buffer_finish (&out);
+  eg_caller_answered (caller);
+}
+
+/* Begins an answer whose length is not known. */
+static void
+begin_open_answer (struct eg_call *self, struct eg_buffer *out)
+{
+  if (self->head_sent)
+    return;
+  self->head_sent = true;
+  eg_response_begin (out, self->answer_status);
+  eg_buffer_append (out, eg_buffer_view (&self->answer_head));
+  if (self->head->minor_version > 0)
+    eg_buffer_append (out, EG_STR ("Transfer-Encoding: chunked\r\n"));
+  if (eg_caller_will_close (self->caller))
+    eg_buffer_append (out, EG_STR ("Connection: close\r\n"));
+  eg_buffer_append (out, EG_STR ("\r\n"));
+}
+
+static void
+append_part (struct eg_call *self, struct eg_buffer *out, struct eg_str bytes)
+{
+  if (self->head->minor_version > 0)
+    eg_response_chunk (out, bytes);
+  else
+    eg_buffer_append (out, bytes);
+}
+
+static void
+end_open_answer (struct eg_call *self)
+{
+  struct eg_caller *caller = self->caller;
+  struct eg_buffer out = {0};
+
+  begin_open_answer (self, &out);
+  if (self->head->minor_version > 0)
+    eg_response_last_chunk (&out);
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_ANSWERED);
+  log_end (self, "answered", self->answer_status);
+  close_call (self);
+  eg_caller_send (caller, eg_buffer_view (&out));
+  eg_buffer_finish (&out);
+  eg_caller_answered (caller);
+}
+
+static struct eg_backend *
+head_server (const struct eg_call *self)
+{
+  return self->send.place.stages[0];
+}
+
+static enum eg_exchange_verdict
+on_head (void *context, const struct eg_http_head *head)
+{
+  struct eg_call *self = context;
+  struct eg_send *send = &self->send;
+  int64_t now_us = eg_clock_now_us ();
+
+  eg_answer_facts_decode (&send->facts, head, self->facts.id);
+  if (send->facts.other_request)
+    {
+      eg_log (EG_LOG_WARNING, "call",
+              "event=foreign-answer request=%.*s server=%s status=%u",
+              EG_STR_ARGS (self->facts.id), head_server (self)->entry.id,
+              head->status);
+      return EG_EXCHANGE_SKIP;
+    }
+  send->heard_us = now_us;
+  send->status = head->status;
+  if (send->facts.tells_load)
+    eg_backend_tells_load (head_server (self),
+                           send->facts.running + send->facts.waiting,
+                           send->facts.slots, now_us);
+  send->mode = EG_ANSWER_GATHER;
+  if (self->route.kind == EG_ROUTE_STREAM && head->status == 200
+      && send->facts.sealed && send->facts.names_request)
+    send->mode = EG_ANSWER_EVENTS;
+  if (!self->head_sent
+      && (send->mode != EG_ANSWER_EVENTS || self->relay.events == 0))
+    {
+      eg_buffer_clear (&self->answer_head);
+      eg_buffer_clear (&self->answer_body);
+      eg_answer_forward (&self->answer_head, head);
+      self->answer_status = head->status;
+    }
+  return EG_EXCHANGE_TAKE;
+}
+
+static void
+pass_on (struct eg_call *self, struct eg_str bytes)
+{
+  struct eg_buffer out = {0};
+
+  begin_open_answer (self, &out);
+  append_part (self, &out, bytes);
+  eg_caller_send (self->caller, eg_buffer_view (&out));
+  eg_buffer_finish (&out);
+  if (eg_caller_is_slow (self->caller))
+    eg_exchange_hold (&self->send.exchange, true);
+}
+
+void
+eg_call_resume_reading (struct eg_call *self)
+{
+  eg_exchange_hold (&self->send.exchange, false);
+}
+
+static void
+take_events (struct eg_call *self, struct eg_str bytes)
+{
+  struct eg_buffer events = {0};
+  enum eg_relay_result result =
+      eg_event_relay_feed (&self->relay, bytes, &events);
+  int64_t now_us = eg_clock_now_us ();
+
+  if (events.len > 0)
+    {
+      if (self->first_event_us == 0)
+        {
+          self->first_event_us = now_us;
+          eg_metrics_time (&self->entry->metrics, EG_TIME_FIRST_EVENT,
+                           now_us - self->arrived_us);
+        }
+      else
+        eg_metrics_time (&self->entry->metrics, EG_TIME_EVENT_GAP,
+                         now_us - self->send.heard_us);
+      self->send.heard_us = now_us;
+      pass_on (self, eg_buffer_view (&events));
+    }
+  eg_buffer_finish (&events);
+  if (result == EG_RELAY_FINE)
+    return;
+  eg_backend_blame (head_server (self), EG_BLAME_BROKEN, self->facts.id,
+                    now_us);
+  send_failed (self, result == EG_RELAY_MISPLACED ? "events-misplaced"
+                                                  : "event-too-long");
+}
+
+static bool
+is_proper_success (const struct eg_call *self)
+{
+  return self->send.status < 300 && self->send.facts.sealed
+         && self->send.facts.names_request;
+}
+
+static void
+on_body (void *context, struct eg_str bytes)
+{
+  struct eg_call *self = context;
+
+  if (self->send.mode == EG_ANSWER_EVENTS)
+    {
+      take_events (self, bytes);
+      return;
+    }
+  self->send.heard_us = eg_clock_now_us ();
+  if (self->head_sent && self->send.mode == EG_ANSWER_GATHER)
+    return; /* A failure of a later run, whose text nobody reads. */
+  if (self->send.mode == EG_ANSWER_GATHER
+      && self->answer_body.len + bytes.len > GATHER_BYTES_MAX
+      && is_proper_success (self))
+    {
+      self->send.mode = EG_ANSWER_PASS;
+      pass_on (self, eg_buffer_view (&self->answer_body));
+    }
+  if (self->send.mode == EG_ANSWER_PASS)
+    pass_on (self, bytes);
+  else if (self->answer_body.len + bytes.len <= GATHER_BYTES_MAX)
+    eg_buffer_append (&self->answer_body, bytes);
+}
+
+/* The server says that it has not run the request. */
+static void
+take_not_run (struct eg_call *self)
+{
+  struct eg_send *send = &self->send;
+  struct eg_backend *culprit = head_server (self);
+  bool misdirected = send->status == 421;
+  int64_t now_us = eg_clock_now_us ();
+
+  if (send->facts.names_culprit)
+    {
+      struct eg_backend *named =
+          eg_fleet_at (&self->entry->fleet, send->facts.culprit);
+
+      if (named)
+        culprit = named;
+    }
+  eg_backend_blame (culprit,
+                    misdirected || culprit != head_server (self)
+                        ? EG_BLAME_NAMED
+                        : EG_BLAME_ERROR,
+                    self->facts.id, now_us);
+  self->may_have_run = send->ran_before;
+  send_failed (self, misdirected ? "misdirected" : "server-refused");
+}
+
+static bool
+is_promise (unsigned status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+static void
+on_done (void *context)
+{
+  struct eg_call *self = context;
+  struct eg_send *send = &self->send;
+  int64_t now_us = eg_clock_now_us ();
+
+  if (send->mode == EG_ANSWER_PASS)
+    end_open_answer (self);
+  else if (send->mode == EG_ANSWER_EVENTS
+           && !eg_event_relay_is_partial (&self->relay))
+    end_open_answer (self);
+  else if (send->mode == EG_ANSWER_EVENTS)
+    {
+      eg_backend_blame (head_server (self), EG_BLAME_BROKEN, self->facts.id,
+                        now_us);
+      send_failed (self, "event-unfinished");
+    }
+  else if (send->facts.not_run)
+    take_not_run (self);
+  else if (is_proper_success (self) && !self->head_sent)
+    answer_gathered (self);
+  else if (send->status < 300 || self->head_sent)
+    {
+      eg_backend_blame (head_server (self), EG_BLAME_BROKEN, self->facts.id,
+                        now_us);
+      send_failed (self, "answer-unsigned");
+    }
+  else
+    {
+      if (send->status >= 500)
+        eg_backend_blame (head_server (self), EG_BLAME_ERROR, self->facts.id,
+                          now_us);
+      if (send->status >= 500 && is_repeatable (self))
+        send_failed (self, "server-error");
+      else if (is_promise (send->status) && !is_repeatable (self))
+        reject (self, 502, "server-error");
+      else
+        answer_gathered (self);
+    }
+}
+
+static void
+on_failed (void *context, enum eg_exchange_fault fault)
+{
+  struct eg_call *self = context;
+  struct eg_backend *head = head_server (self);
+  int64_t now_us = eg_clock_now_us ();
+
+  if (fault == EG_EXCHANGE_UNREACHABLE)
+    {
+      self->sends--;
+      self->may_have_run = self->send.ran_before;
+    }
+  if (fault != EG_EXCHANGE_STALE)
+    eg_backend_blame (head,
+                      fault == EG_EXCHANGE_UNREACHABLE ? EG_BLAME_UNREACHABLE
+                                                       : EG_BLAME_BROKEN,
+                      self->facts.id, now_us);
+  if (self->entry->configuration.now && head->entry.has_engine
+      && fault != EG_EXCHANGE_STALE)
+    eg_backend_probe (head, now_us);
+  send_failed (self, eg_exchange_fault_name (fault));
+}
+
+static const struct eg_exchange_events exchange_events = {on_head, on_body,
+                                                          on_done, on_failed};
+
+/* The present send has come to nothing: another one, or the end. */
+static void
+send_failed (struct eg_call *self, const char *cause)
+{
+  const struct eg_entry_settings *settings = self->entry->settings;
+  int64_t now_us = eg_clock_now_us ();
+  bool reached = self->sends > 0;
+  struct eg_resend_question question;
+  enum eg_resend_answer answer;
+
+  end_send (self);
+  eg_event_relay_restart (&self->relay);
+  question = ask_resend (self, now_us);
+  answer = eg_resend_decide (&question);
+  if (answer == EG_RESEND && reached
+      && !eg_retry_window_spend (
+          eg_entry_retries (self->entry, self->service), settings->retry_ratio,
+          (double) settings->retry_extra / self->entry->entry_vms, now_us))
+    {
+      eg_log (EG_LOG_NOTICE, "call",
+              "event=retry-budget-spent request=%.*s service=%s cause=%s",
+              EG_STR_ARGS (self->facts.id), self->service, cause);
+      answer = eg_resend_give_up (&question);
+    }
+  if (answer != EG_RESEND)
+    {
+      /* A repeatable request whose servers answered gets what they said. */
+      if (answer == EG_RESEND_FAIL && self->answer_head.len > 0
+          && self->answer_status >= 500
+          && strcmp (cause, "server-error") == 0)
+        answer_gathered (self);
+      else
+        conclude (self, answer, cause);
+      return;
+    }
+  eg_log (EG_LOG_INFO, "call",
+          "event=request-resent request=%.*s cause=%s sends=%u events=%" PRIu64
+          " left_ms=%" PRId64,
+          EG_STR_ARGS (self->facts.id), cause, self->sends,
+          self->relay.events,
+          (self->deadline_us - now_us) / EG_US_PER_MS);
+  if (self->head_sent)
+    eg_metrics_count (&self->entry->metrics, EG_COUNT_RESUMES);
+  if (reached)
+    eg_metrics_count (&self->entry->metrics, EG_COUNT_RETRIES);
+  begin_send (self, now_us);
+}
+
+static bool
+remember_head (struct eg_call *self, struct eg_backend *head)
+{
+  for (size_t i = 0; i < self->head_count; i++)
+    if (self->heads[i] == head)
+      return true;
+  if (self->head_count == EG_CALL_HEADS_MAX)
+    return false;
+  eg_backend_hold (head);
+  self->heads[self->head_count++] = head;
+  return true;
+}
+
+static void
+hold_place (struct eg_call *self, const struct eg_placement_choice *place)
+{
+  struct eg_send *send = &self->send;
+
+  send->place = *place;
+  send->active = true;
+  for (uint32_t i = 0; i < place->count; i++)
+    {
+      eg_backend_hold (place->stages[i]);
+      place->stages[i]->running++;
+      place->stages[i]->kv_running +=
+          send->kv_tokens * (place->layers[i].to - place->layers[i].from);
+    }
+}
+
+static void
+write_path (const struct eg_placement_choice *place, struct eg_buffer *path)
+{
+  for (uint32_t i = 0; i < place->count; i++)
+    {
+      struct eg_path_stage stage = {i, place->layers[i].from,
+                                    place->layers[i].to};
+
+      eg_path_text_append (path, eg_str_from (place->stages[i]->entry.address),
+                           &stage);
+    }
+}
+
+static uint32_t
+expected_answer_tokens (const struct eg_call *self,
+                        const struct eg_engine_model *engine)
+{
+  uint32_t most = self->facts.answer_tokens_max;
+  uint32_t expected = self->facts.answer_tokens_hint;
+
+  if (expected == 0)
+    expected = engine->usual_answer ? engine->usual_answer
+                                    : ANSWER_TOKENS_DEFAULT;
+  return most > 0 && most < expected ? most : expected;
+}
+
+/* Sends the request to the servers of @p place. */
+static void
+send_to (struct eg_call *self,
+         const struct eg_service_config *service,
+         const struct eg_placement_choice *place,
+         int64_t now_us)
+{
+  struct eg_send *send = &self->send;
+  struct eg_backend *head = place->stages[0];
+  struct eg_exchange_request request = {.endpoint = head->entry.endpoint,
+                                        .body = self->body};
+  struct eg_buffer path = {0};
+  struct eg_buffer text = {0};
+  struct eg_forward_facts facts = {
+      .patience_ms =
+          (self->deadline_us - now_us) / EG_US_PER_MS - DEADLINE_MARGIN_MS,
+      .server_id = eg_str_from (head->entry.id),
+      .organisation = eg_str_from (self->organisation),
+      .last_event_id = eg_str_from (self->relay.last_id),
+      .priority = self->priority,
+      .has_priority = service->has_engine,
+      .body_len = self->body.len,
+      .has_body = self->head->has_body || self->body.len > 0,
+  };
+
+  if (is_engine (service))
+    write_path (place, &path);
+  facts.path = eg_buffer_view (&path);
+  eg_request_forward (&text, self->head, &facts);
+  request.head = eg_buffer_view (&text);
+  request.no_body = strcmp (self->head->method, "HEAD") == 0;
+  request.fresh = !is_repeatable (self) || self->tries > 1;
+  eg_exchange_init (&send->exchange, &exchange_events, self);
+  send->begun_us = now_us;
+  send->heard_us = now_us;
+  send->mode = EG_ANSWER_NONE;
+  send->status = 0;
+  hold_place (self, place);
+  self->sends++;
+  send->ran_before = self->may_have_run;
+  self->may_have_run = true;
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_SENDS);
+  eg_log (EG_LOG_INFO, "call",
+          "event=request-sent request=%.*s server=%s failure_domain=%s "
+          "stages=%u load=%.2f servers=%zu try=%u left_ms=%" PRId64
+          " path=%.*s",
+          EG_STR_ARGS (self->facts.id), head->entry.id, head->entry.domain,
+          place->count, place->load, self->entry->fleet.count, self->tries,
+          facts.patience_ms, EG_STR_ARGS (facts.path));
+  if (!eg_exchange_start (&send->exchange, &self->entry->pool, &request))
+    on_failed (self, EG_EXCHANGE_UNREACHABLE);
+  eg_buffer_finish (&path);
+  eg_buffer_finish (&text);
+}
+
+static void
+begin_send (struct eg_call *self, int64_t now_us)
+{
+  struct eg_entry *entry = self->entry;
+  const struct eg_configuration *configuration = entry->configuration.now;
+  size_t service =
+      eg_configuration_find_service (configuration, eg_str_from (self->service));
+  struct eg_placement_choice place;
+  struct eg_placement_need need;
+
+  self->tries++;
+  if (service == SIZE_MAX)
+    {
+      give_up (self, "service-removed");
+      return;
+    }
+  if (self->keyed && !eg_entry_keys_are_fresh (entry, now_us))
+    {
+      give_up (self, "keys-too-old");
+      return;
+    }
+  need = (struct eg_placement_need){
+      .service = &configuration->services[service],
+      .prompt_tokens = self->facts.prompt_tokens,
+      .answer_tokens = expected_answer_tokens (
+          self, &configuration->services[service].engine),
+      .used = self->heads,
+      .used_count = self->head_count,
+      .only_used = self->head_count >= self->route.servers_max,
+      .avoid_used = true,
+  };
+  self->send.kv_tokens = (double) need.prompt_tokens + need.answer_tokens;
+  if (eg_placement_choose (entry, &need, now_us, &place) != EG_PLACED
+      || !remember_head (self, place.stages[0]))
+    {
+      give_up (self, "no-server");
+      return;
+    }
+  send_to (self, need.service, &place, now_us);
+}
+
+static void
+lower_case (char *text)
+{
+  for (; *text; text++)
+    if (*text >= 'A' && *text <= 'Z')
+      *text = (char) (*text - 'A' + 'a');
+}
+
+static const struct eg_route *
+find_route (const struct eg_call *self)
+{
+  char host[EG_CONFIG_PATH_BYTES];
+  struct eg_str path = eg_http_head_target (self->head);
+
+  if (!eg_str_copy (self->facts.host, host, sizeof host))
+    return NULL;
+  lower_case (host);
+  path = eg_str_cut (&path, '?');
+  return eg_configuration_route (self->entry->configuration.now,
+                                 eg_str_from (host), path);
+}
+
+/* Finds out who the request is made for; false if it was answered. */
+static bool
+identify (struct eg_call *self, int64_t now_us)
+{
+  const struct eg_configuration *configuration = self->entry->configuration.now;
+  const struct eg_organisation *organisation;
+
+  *self->organisation = '\0';
+  self->keyed = configuration->has_organisations && !self->route.is_public;
+  self->priority = self->route.priority;
+  if (!self->keyed)
+    return true;
+  if (!eg_entry_keys_are_fresh (self->entry, now_us))
+    {
+      refuse (self, "keys-too-old", RETRY_AFTER_CONFIGURATION_MS);
+      return false;
+    }
+  organisation = self->facts.key.len > 0 && !self->facts.key_repeated
+                     ? eg_configuration_find_key (configuration,
+                                                  self->facts.key)
+                     : NULL;
+  if (!organisation)
+    {
+      reject (self, 401, "key-unknown");
+      return false;
+    }
+  eg_str_copy (eg_str_from (organisation->name), self->organisation,
+               sizeof self->organisation);
+  if (organisation->priority >= 0)
+    self->priority = (unsigned) organisation->priority;
+  return true;
+}
+
+static void
+set_deadline (struct eg_call *self)
+{
+  int64_t patience_us = self->route.timeout_us;
+
+  if (self->facts.patience_us >= 0 && self->facts.patience_us < patience_us)
+    patience_us = self->facts.patience_us;
+  self->deadline_us = self->arrived_us + patience_us;
+}
+
+static void
+start (struct eg_call *self, int64_t now_us)
+{
+  const struct eg_configuration *configuration = self->entry->configuration.now;
+  const struct eg_route *route;
+  uint32_t service;
+
+  if (!configuration)
+    {
+      refuse (self, "no-configuration", RETRY_AFTER_CONFIGURATION_MS);
+      return;
+    }
+  if (self->facts.id.len == 0 || self->facts.host.len == 0)
+    {
+      reject (self, 400, "no-id-or-host");
+      return;
+    }
+  route = find_route (self);
+  if (!route)
+    {
+      reject (self, 404, "no-route");
+      return;
+    }
+  self->route = *route;
+  if (!identify (self, now_us))
+    return;
+  set_deadline (self);
+  if (self->priority > PRIORITY_CLASS_MAX)
+    self->priority = PRIORITY_CLASS_MAX;
+  service = eg_route_choose (route, eg_random_next (&self->entry->random));
+  strcpy (self->service, configuration->services[service].name);
+  eg_retry_window_request (eg_entry_retries (self->entry, self->service),
+                           now_us);
+  begin_send (self, now_us);
+}
+
+void
+eg_call_start (struct eg_call *self,
+               const struct eg_http_head *head,
+               struct eg_str body)
+{
+  int64_t now_us = eg_clock_now_us ();
+
+  self->active = true;
+  self->head = head;
+  self->body = body;
+  self->arrived_us = now_us;
+  self->first_event_us = 0;
+  self->sends = 0;
+  self->tries = 0;
+  self->moves = 0;
+  self->may_have_run = false;
+  self->head_sent = false;
+  self->answer_status = 0;
+  memset (&self->route, 0, sizeof self->route);
+  *self->service = '\0';
+  *self->organisation = '\0';
+  eg_request_facts_decode (&self->facts, head);
+  eg_event_relay_finish (&self->relay);
+  eg_event_relay_init (&self->relay, self->facts.last_event_id);
+  start (self, now_us);
+}
+
+void
+eg_call_cut (struct eg_call *self)
+{
+  if (self->head_sent)
+    cut (self, "stopping");
+  else if (self->may_have_run)
+    reject (self, 502, "stopping");
+  else
+    refuse (self, "stopping", RETRY_AFTER_SERVER_MS);
+}
+
+/* Tells whether a server of the path came under suspicion since the stream
+ * was last heard of. */
+static bool
+path_is_suspect (const struct eg_call *self, int64_t now_us)
+{
+  for (uint32_t i = 0; i < self->send.place.count; i++)
+    if (eg_backend_is_suspect (self->send.place.stages[i], now_us))
+      return true;
+  return false;
+}
+
+static void
+check_stream (struct eg_call *self, int64_t now_us)
+{
+  struct eg_send *send = &self->send;
+  int64_t silence_us = now_us - send->heard_us;
+  int64_t limit_us =
+      self->relay.run_begun ? STREAM_SILENCE_US : FIRST_SILENCE_US;
+
+  if (silence_us < limit_us)
+    return;
+  if (path_is_suspect (self, now_us) || silence_us >= STREAM_GIVE_UP_US)
+    {
+      send_failed (self, silence_us >= STREAM_GIVE_UP_US ? "stream-silent"
+                                                         : "stage-suspect");
+      return;
+    }
+  eg_backend_probe (head_server (self), now_us);
+}
+
+static void
+check_plain (struct eg_call *self, int64_t now_us)
+{
+  int64_t waited_us = now_us - self->send.begun_us;
+  int64_t patience_us = self->route.latency_goal_us * PATIENCE_GOALS;
+  int64_t half_us = (self->deadline_us - self->arrived_us) / 2;
+
+  if (patience_us > half_us)
+    patience_us = half_us;
+  if (!is_repeatable (self) || self->sends > 1 || self->head_sent
+      || waited_us < patience_us)
+    return;
+  eg_backend_blame (head_server (self), EG_BLAME_BROKEN, self->facts.id,
+                    now_us);
+  send_failed (self, "server-slow");
+}
+
+void
+eg_call_check (struct eg_call *self, int64_t now_us)
+{
+  if (!self->active)
+    return;
+  if (now_us >= self->deadline_us)
+    {
+      give_up (self, "deadline");
+      return;
+    }
+  if (!self->send.active)
+    return;
+  if (!eg_exchange_is_sent (&self->send.exchange))
+    {
+      if (now_us - self->send.begun_us >= CONNECT_TIMEOUT_US)
+        {
+          eg_exchange_cancel (&self->send.exchange);
+          on_failed (self, EG_EXCHANGE_UNREACHABLE);
+        }
+      return;
+    }
+  if (self->route.kind == EG_ROUTE_STREAM)
+    check_stream (self, now_us);
+  else
+    check_plain (self, now_us);
+}
+
+void
+eg_call_stalled (struct eg_call *self,
+                 const struct eg_stalled_stream *stalled,
+                 int64_t now_us)
+{
+  if (stalled->names_culprit)
+    {
+      struct eg_backend *culprit =
+          eg_fleet_at (&self->entry->fleet, stalled->culprit);
+
+      if (culprit)
+        eg_backend_blame (culprit, EG_BLAME_NAMED, self->facts.id, now_us);
+    }
+  /* The report is late by its lag: the stream may have moved on since. */
+  if (now_us - self->send.heard_us >= STREAM_SILENCE_US)
+    send_failed (self, "stream-stalled");
+}
--- /dev/null
+++ b/entry/call.h
@@ -0,0 +1,111 @@
+/**
+ * @file
+ * One request of a caller: where it goes, how often it is sent, and the one
+ * answer that it gets.
+ */
+#ifndef EG_ENTRY_CALL_H
+#define EG_ENTRY_CALL_H
+
+#include "entry/fleet.h"
+#include "entry/placement.h"
+#include "platform/headers.h"
+#include "policy/configuration.h"
+#include "policy/event_relay.h"
+#include "policy/resend.h"
+
+struct eg_entry;
+struct eg_caller;
+
+/** Most first servers of one request. */
+#define EG_CALL_HEADS_MAX 8
+
+/** How the answer of the present send is handled. */
+enum eg_answer_mode
+{
+  EG_ANSWER_NONE,   /**< No head yet. */
+  EG_ANSWER_GATHER, /**< Kept until it is whole. */
+  EG_ANSWER_PASS,   /**< Too long to keep: passed on as it comes. */
+  EG_ANSWER_EVENTS, /**< A stream, passed on event by event. */
+};
+
+/** One send of the request. */
+struct eg_send
+{
+  struct eg_exchange exchange;
+  struct eg_placement_choice place; /**< Held while the send is under way. */
+  double kv_tokens;                 /**< Counted on each server of the path. */
+  bool active;
+  bool ran_before; /**< An earlier send may have run. */
+  int64_t begun_us;
+  int64_t heard_us; /**< Of the last byte, or of the start. */
+  enum eg_answer_mode mode;
+  struct eg_answer_facts facts;
+  unsigned status;
+};
+
+/** A request; memory of its caller's connection. */
+struct eg_call
+{
+  struct eg_entry *entry;
+  struct eg_caller *caller;
+  const struct eg_http_head *head;
+  struct eg_str body;
+  struct eg_request_facts facts;
+  struct eg_route route;
+  char service[EG_CONFIG_NAME_BYTES];
+  char organisation[EG_CONFIG_NAME_BYTES];
+  bool keyed;
+  unsigned priority;
+  int64_t arrived_us;
+  int64_t deadline_us;
+  int64_t first_event_us; /**< 0: none yet. */
+  unsigned sends;
+  unsigned tries;
+  unsigned moves; /**< To other paths, within one run. */
+  bool may_have_run;
+  bool head_sent; /**< The caller has the answer's head. */
+  bool active;
+  struct eg_backend *heads[EG_CALL_HEADS_MAX]; /**< Held. */
+  size_t head_count;
+  struct eg_send send;
+  struct eg_buffer answer_head;
+  struct eg_buffer answer_body;
+  unsigned answer_status;
+  struct eg_event_relay relay;
+};
+
+/** Prepares a call that is not under way. */
+void eg_call_init (struct eg_call *self,
+                   struct eg_entry *entry,
+                   struct eg_caller *caller);
+
+/** Frees what the call holds. */
+void eg_call_finish (struct eg_call *self);
+
+/**
+ * Begins to serve a request that was read whole. It ends with
+ * eg_caller_answered() or eg_caller_abort(), perhaps before this returns.
+ * @param head stays unchanged until the end.
+ */
+void eg_call_start (struct eg_call *self,
+                    const struct eg_http_head *head,
+                    struct eg_str body);
+
+/** The caller has left: stops the work at once. */
+void eg_call_abandon (struct eg_call *self);
+
+/** A stop cannot wait any longer. */
+void eg_call_cut (struct eg_call *self);
+
+/** Does what is due. */
+void eg_call_check (struct eg_call *self, int64_t now_us);
+
+/** The caller's connection takes bytes again. */
+void eg_call_resume_reading (struct eg_call *self);
+
+/** An engine says that it cannot go on with this stream. */
+void eg_call_stalled (struct eg_call *self,
+                      const struct eg_stalled_stream *stalled,
+                      int64_t now_us);
+
+#endif
--- /dev/null
+++ b/entry/fleet.c
@@ -0,0 +1,491 @@
+#include "entry/fleet.h"
+
+#include <inttypes.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "platform/headers.h"
+#include "platform/store.h"
+
+/* A suspect gets no requests for this long unless a probe is answered. */
+#define SUSPECT_US (1000 * EG_US_PER_MS)
+/* Least time between two probes of one server. */
+#define PROBE_GAP_US (250 * EG_US_PER_MS)
+/* A probe takes a round trip and some ms; lossy links add one resend. */
+#define PROBE_TIMEOUT_US (350 * EG_US_PER_MS)
+/* Penalties fall to a third in this time. */
+#define PENALTY_TIME_US (4.0 * EG_US_PER_S)
+/* Entries that lapsed with the store are back two seconds after it, as the
+ * platform states; 200 ms are left for a request that is being sent. */
+#define LAPSE_US (1800 * EG_US_PER_MS)
+
+static const struct
+{
+  const char *name;
+  double penalty;
+  bool suspect;
+} blames[] = {
+    [EG_BLAME_UNREACHABLE] = {"unreachable", 1.0, true},
+    [EG_BLAME_NAMED] = {"named", 1.0, true},
+    [EG_BLAME_SILENT] = {"silent", 1.0, true},
+    [EG_BLAME_BROKEN] = {"broken", 0.5, false},
+    [EG_BLAME_ERROR] = {"error", 0.2, false},
+};
+
+static void free_backend (struct eg_backend *self);
+
+void
+eg_fleet_init (struct eg_fleet *self,
+               struct eg_exchange_pool *pool,
+               const struct eg_fleet_events *events)
+{
+  memset (self, 0, sizeof *self);
+  EG_INVARIANT (eg_hash_table_init (&self->by_id));
+  eg_list_init (&self->all);
+  self->pool = pool;
+  self->events = *events;
+}
+
+void
+eg_fleet_finish (struct eg_fleet *self)
+{
+  while (!eg_list_is_empty (&self->all))
+    free_backend (EG_CONTAINER_OF (self->all.next, struct eg_backend, all));
+  eg_hash_table_finish (&self->by_id);
+}
+
+static struct eg_backend *
+find_id (struct eg_fleet *self, struct eg_str id)
+{
+  struct eg_hash_node *node =
+      eg_hash_table_find (&self->by_id, eg_hash_mix (eg_hash_str (id)));
+
+  for (; node; node = eg_hash_node_next (node))
+    {
+      struct eg_backend *backend =
+          EG_CONTAINER_OF (node, struct eg_backend, by_id);
+
+      if (eg_str_equal (eg_str_from (backend->entry.id), id))
+        return backend;
+    }
+  return NULL;
+}
+
+static enum eg_exchange_verdict
+on_probe_head (void *context, const struct eg_http_head *head)
+{
+  struct eg_backend *self = context;
+
+  self->probe.status = head->status;
+  return EG_EXCHANGE_TAKE;
+}
+
+static void
+on_probe_body (void *context, struct eg_str bytes)
+{
+  struct eg_backend *self = context;
+  const size_t report_bytes_max = 1U << 20;
+
+  if (self->probe.body.len + bytes.len <= report_bytes_max)
+    eg_buffer_append (&self->probe.body, bytes);
+}
+
+static void
+clear_suspicion (struct eg_backend *self)
+{
+  if (self->suspect_until_us == 0)
+    return;
+  self->suspect_until_us = 0;
+  eg_log (EG_LOG_NOTICE, "fleet",
+          "event=server-trusted server=%s suspected_ms=%" PRId64,
+          self->entry.id,
+          (eg_clock_now_us () - self->suspected_us) / EG_US_PER_MS);
+}
+
+static void
+take_report (struct eg_backend *self)
+{
+  static struct eg_engine_report report;
+  struct eg_error error;
+
+  if (!eg_engine_report_decode (&report, eg_buffer_view (&self->probe.body),
+                                &error))
+    {
+      eg_log (EG_LOG_WARNING, "fleet",
+              "event=report-unreadable server=%s cause=\"%s\"", self->entry.id,
+              error.message);
+      return;
+    }
+  clear_suspicion (self);
+  self->kv_used = report.kv_used;
+  self->kv_total = report.kv_total;
+  self->slowness = report.slowness > 0 ? report.slowness : 1;
+  self->report_us = self->probe.begun_us;
+  if (report.has_layers)
+    {
+      self->entry.layers = report.layers;
+      self->orders = report.orders;
+      self->entry.start_ms = report.start_ms;
+    }
+  self->fleet->events.reported (self->fleet->events.context, self, &report);
+}
+
+static void
+on_probe_done (void *context)
+{
+  struct eg_backend *self = context;
+
+  self->probe.ended_us = eg_clock_now_us ();
+  if (self->probe.status == 200 && self->entry.has_engine)
+    take_report (self);
+  else if (self->probe.status == 200)
+    clear_suspicion (self);
+  else
+    eg_log (EG_LOG_INFO, "fleet", "event=probe-refused server=%s status=%u",
+            self->entry.id, self->probe.status);
+  eg_buffer_clear (&self->probe.body);
+}
+
+static void
+on_probe_failed (void *context, enum eg_exchange_fault fault)
+{
+  struct eg_backend *self = context;
+
+  self->probe.ended_us = eg_clock_now_us ();
+  eg_buffer_clear (&self->probe.body);
+  if (fault != EG_EXCHANGE_STALE)
+    eg_backend_blame (self,
+                      fault == EG_EXCHANGE_UNREACHABLE ? EG_BLAME_UNREACHABLE
+                                                       : EG_BLAME_SILENT,
+                      EG_STR ("probe"), self->probe.ended_us);
+}
+
+static const struct eg_exchange_events probe_events = {
+    on_probe_head, on_probe_body, on_probe_done, on_probe_failed};
+
+static struct eg_backend *
+add_backend (struct eg_fleet *self, const struct eg_server_entry *entry)
+{
+  struct eg_backend *backend = calloc (1, sizeof *backend);
+
+  EG_INVARIANT (backend);
+  backend->fleet = self;
+  backend->entry = *entry;
+  backend->slowness = 1;
+  backend->orders = entry->layers.to > entry->layers.from ? -1 : 0;
+  eg_buffer_init (&backend->probe.body);
+  eg_exchange_init (&backend->probe.exchange, &probe_events, backend);
+  eg_hash_table_insert (
+      &self->by_id, &backend->by_id,
+      eg_hash_mix (eg_hash_str (eg_str_from (backend->entry.id))));
+  eg_list_append (&self->all, &backend->all);
+  self->count++;
+  return backend;
+}
+
+static void
+free_backend (struct eg_backend *self)
+{
+  eg_exchange_cancel (&self->probe.exchange);
+  eg_exchange_cancel (&self->order);
+  eg_buffer_finish (&self->probe.body);
+  eg_hash_table_remove (&self->fleet->by_id, &self->by_id);
+  eg_list_remove (&self->all);
+  self->fleet->count--;
+  free (self);
+}
+
+static void
+remove_if_unused (struct eg_backend *self)
+{
+  if (!self->listed && self->lapse_us == 0 && self->references == 0)
+    free_backend (self);
+}
+
+void
+eg_backend_hold (struct eg_backend *self)
+{
+  self->references++;
+}
+
+void
+eg_backend_release (struct eg_backend *self)
+{
+  EG_INVARIANT (self->references > 0);
+  self->references--;
+  remove_if_unused (self);
+}
+
+/* The entry no longer stands in the store. */
+static void
+vanish (struct eg_backend *self, int64_t now_us)
+{
+  struct eg_fleet *fleet = self->fleet;
+  bool may_return = fleet->lapsing && !self->entry.draining;
+
+  if (!self->listed)
+    return;
+  self->listed = false;
+  self->lapse_us = 0;
+  if (may_return)
+    self->lapse_us =
+        (fleet->lost_us > 0 ? now_us : fleet->found_us) + LAPSE_US;
+  eg_log (EG_LOG_NOTICE, "fleet",
+          "event=server-gone server=%s service=%s may_return=%d",
+          self->entry.id, self->entry.service, may_return);
+  if (!may_return)
+    eg_exchange_pool_drop (fleet->pool, self->entry.endpoint);
+  remove_if_unused (self);
+}
+
+void
+eg_fleet_list_begins (struct eg_fleet *self)
+{
+  for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
+    EG_CONTAINER_OF (at, struct eg_backend, all)->marked = false;
+  self->reading = true;
+}
+
+static void
+update_entry (struct eg_backend *self,
+              const struct eg_server_entry *entry,
+              int64_t now_us)
+{
+  const struct eg_server_entry *old = &self->entry;
+  bool restarted = entry->start_ms != old->start_ms;
+  bool changed = restarted || !self->listed
+                 || entry->draining != old->draining
+                 || entry->layers.from != old->layers.from
+                 || entry->layers.to != old->layers.to
+                 || eg_endpoint_key (entry->endpoint)
+                        != eg_endpoint_key (old->endpoint);
+
+  if (restarted)
+    {
+      self->suspect_until_us = 0;
+      self->kv_used = 0;
+      self->slowness = 1;
+      self->report_us = 0;
+      self->orders = 0;
+      self->ordered = (struct eg_layer_range){0, 0};
+    }
+  if (changed)
+    {
+      self->fleet->changed_us = now_us;
+      eg_log (EG_LOG_NOTICE, "fleet",
+              "event=server-entry server=%s service=%s address=%s "
+              "failure_domain=%s draining=%d layers=%u-%u start_ms=%" PRId64,
+              entry->id, entry->service, entry->address, entry->domain,
+              entry->draining, entry->layers.from, entry->layers.to,
+              entry->start_ms);
+    }
+  self->entry = *entry;
+  self->listed = true;
+  self->marked = true;
+  self->lapse_us = 0;
+}
+
+void
+eg_fleet_entry (struct eg_fleet *self,
+                json_t *object,
+                bool deleted,
+                int64_t now_us)
+{
+  const char *name = eg_store_object_name (object);
+  struct eg_backend *backend = find_id (self, eg_str_from (name));
+  struct eg_server_entry entry;
+  struct eg_error error;
+
+  if (!deleted && eg_server_entry_decode (&entry, object, &error))
+    {
+      if (!backend)
+        backend = add_backend (self, &entry);
+      update_entry (backend, &entry, now_us);
+      return;
+    }
+  if (!deleted)
+    eg_log (EG_LOG_INFO, "fleet", "event=entry-unusable cause=\"%s\"",
+            error.message);
+  if (backend)
+    vanish (backend, now_us);
+}
+
+void
+eg_fleet_synced (struct eg_fleet *self, bool listed, int64_t now_us)
+{
+  if (self->lost_us > 0)
+    {
+      eg_log (EG_LOG_NOTICE, "fleet",
+              "event=store-back kind=servers away_ms=%" PRId64,
+              (now_us - self->lost_us) / EG_US_PER_MS);
+      self->lapsing = true;
+      self->found_us = now_us;
+      self->lost_us = 0;
+    }
+  if (!listed)
+    return;
+  self->known = true;
+  self->reading = false;
+  for (struct eg_list *at = self->all.next; at != &self->all;)
+    {
+      struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
+
+      at = at->next;
+      if (!backend->marked)
+        vanish (backend, now_us);
+    }
+}
+
+void
+eg_fleet_lost (struct eg_fleet *self, int64_t now_us)
+{
+  if (self->lost_us == 0)
+    self->lost_us = now_us;
+  self->lapsing = true;
+}
+
+struct eg_backend *
+eg_fleet_at (struct eg_fleet *self, struct eg_endpoint endpoint)
+{
+  struct eg_backend *found = NULL;
+
+  for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
+    {
+      struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
+
+      if (eg_endpoint_key (backend->entry.endpoint)
+              == eg_endpoint_key (endpoint)
+          && (!found || backend->listed))
+        found = backend;
+    }
+  return found;
+}
+
+static void
+check_probe (struct eg_backend *self, int64_t now_us)
+{
+  if (!eg_exchange_is_active (&self->probe.exchange)
+      || now_us - self->probe.begun_us < PROBE_TIMEOUT_US)
+    return;
+  eg_exchange_cancel (&self->probe.exchange);
+  self->probe.ended_us = now_us;
+  eg_buffer_clear (&self->probe.body);
+  eg_backend_blame (self, EG_BLAME_SILENT, EG_STR ("probe"), now_us);
+}
+
+void
+eg_fleet_check (struct eg_fleet *self, int64_t now_us)
+{
+  if (self->lapsing && self->lost_us == 0
+      && now_us - self->found_us >= LAPSE_US)
+    self->lapsing = false;
+  for (struct eg_list *at = self->all.next; at != &self->all;)
+    {
+      struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
+
+      at = at->next;
+      check_probe (backend, now_us);
+      if (backend->suspect_until_us > 0 && backend->listed)
+        eg_backend_probe (backend, now_us);
+      if (!backend->listed && backend->lapse_us > 0 && self->lost_us == 0
+          && now_us >= backend->lapse_us)
+        {
+          backend->lapse_us = 0;
+          eg_log (EG_LOG_NOTICE, "fleet", "event=server-not-back server=%s",
+                  backend->entry.id);
+          remove_if_unused (backend);
+        }
+    }
+}
+
+bool
+eg_backend_is_suspect (const struct eg_backend *self, int64_t now_us)
+{
+  return now_us < self->suspect_until_us;
+}
+
+bool
+eg_backend_is_usable (const struct eg_backend *self, int64_t now_us)
+{
+  return (self->listed || now_us < self->lapse_us) && !self->entry.draining
+         && !eg_backend_is_suspect (self, now_us);
+}
+
+double
+eg_backend_penalty (const struct eg_backend *self, int64_t now_us)
+{
+  return self->penalty
+         * exp (-(double) (now_us - self->penalty_us) / PENALTY_TIME_US);
+}
+
+void
+eg_backend_blame (struct eg_backend *self,
+                  enum eg_blame blame,
+                  struct eg_str request_id,
+                  int64_t now_us)
+{
+  const double penalty_max = 6;
+  bool was_suspect = eg_backend_is_suspect (self, now_us);
+
+  self->penalty = eg_backend_penalty (self, now_us) + blames[blame].penalty;
+  if (self->penalty > penalty_max)
+    self->penalty = penalty_max;
+  self->penalty_us = now_us;
+  if (blames[blame].suspect)
+    {
+      if (!was_suspect)
+        self->suspected_us = now_us;
+      self->suspect_until_us = now_us + SUSPECT_US;
+      eg_exchange_pool_drop (self->fleet->pool, self->entry.endpoint);
+    }
+  eg_log (was_suspect ? EG_LOG_DEBUG : EG_LOG_NOTICE, "fleet",
+          "event=server-blamed server=%s address=%s cause=%s request=%.*s "
+          "penalty=%.1f suspect=%d",
+          self->entry.id, self->entry.address, blames[blame].name,
+          EG_STR_ARGS (request_id), self->penalty, blames[blame].suspect);
+}
+
+void
+eg_backend_tells_load (struct eg_backend *self,
+                       unsigned load,
+                       unsigned slots,
+                       int64_t now_us)
+{
+  self->tells_load = true;
+  self->load = load;
+  self->slots = slots;
+  self->load_us = now_us;
+}
+
+void
+eg_backend_probe (struct eg_backend *self, int64_t now_us)
+{
+  struct eg_exchange_request request = {.endpoint = self->entry.endpoint,
+                                        .fresh = true};
+  struct eg_buffer head = {0};
+  struct eg_str path = eg_report_path;
+
+  if (eg_exchange_is_active (&self->probe.exchange)
+      || now_us - self->probe.begun_us < PROBE_GAP_US)
+    return;
+  if (!self->entry.has_engine)
+    {
+      /* A plain server has no report: its suspicion ends by time. */
+      if (now_us >= self->suspect_until_us)
+        clear_suspicion (self);
+      return;
+    }
+  eg_own_request (&head, "GET", path, eg_str_from (self->entry.id), 0);
+  request.head = eg_buffer_view (&head);
+  self->probe.begun_us = now_us;
+  self->fleet->probes++;
+  eg_buffer_clear (&self->probe.body);
+  if (!eg_exchange_start (&self->probe.exchange, self->fleet->pool, &request))
+    eg_log (EG_LOG_WARNING, "fleet", "event=probe-not-sent server=%s",
+            self->entry.id);
+  eg_buffer_finish (&head);
+}
--- /dev/null
+++ b/entry/fleet.h
@@ -0,0 +1,155 @@
+/**
+ * @file
+ * The backend servers that this entry VM knows: their entries, what they last
+ * said, what it has under way on them, and which it does not trust for now.
+ */
+#ifndef EG_ENTRY_FLEET_H
+#define EG_ENTRY_FLEET_H
+
+#include "base/hash_table.h"
+#include "base/list.h"
+#include "net/exchange.h"
+#include "platform/servers.h"
+
+struct eg_fleet;
+
+/** Why a server is no longer trusted. */
+enum eg_blame
+{
+  EG_BLAME_UNREACHABLE, /**< It takes no connection. */
+  EG_BLAME_NAMED,       /**< Another server named it as the one at fault. */
+  EG_BLAME_SILENT,      /**< A question was not answered. */
+  EG_BLAME_BROKEN,      /**< It broke off, or sent what is no answer. */
+  EG_BLAME_ERROR,       /**< It answered with a failure. */
+};
+
+/** A request of this entry VM to a server about itself. */
+struct eg_probe
+{
+  struct eg_exchange exchange;
+  struct eg_buffer body;
+  unsigned status;
+  int64_t begun_us;
+  int64_t ended_us;
+};
+
+/** One backend server. */
+struct eg_backend
+{
+  struct eg_hash_node by_id;
+  struct eg_list all;
+  struct eg_fleet *fleet;
+  struct eg_server_entry entry;
+  unsigned references; /**< Requests that name it. */
+  bool listed;         /**< Its entry stands in the store. */
+  bool marked;         /**< Seen in the list that is being read. */
+  int64_t lapse_us;    /**< Not 0: its entry may come back until then. */
+  int64_t suspect_until_us;
+  int64_t suspected_us;
+  double penalty; /**< Recent faults, as of @c penalty_us. */
+  int64_t penalty_us;
+  unsigned running;  /**< Requests of this entry VM. */
+  double kv_running; /**< Their tokens x layers. */
+  bool tells_load;
+  unsigned load;    /**< Running and waiting, when it last said so. */
+  unsigned slots;
+  int64_t load_us;
+  double kv_used;  /**< Of its last report. */
+  double kv_total;
+  double slowness; /**< Of its last report; 1 until then. */
+  int64_t report_us;
+  struct eg_probe probe;
+  struct eg_exchange order; /**< Of the planner. */
+  int64_t orders; /**< That it has begun; negative: not known. */
+  struct eg_layer_range ordered; /**< Under way; from == to: none. */
+  int64_t ordered_us;
+  unsigned order_status;
+};
+
+/** Told of what servers report. */
+struct eg_fleet_events
+{
+  void (*reported) (void *context,
+                    struct eg_backend *backend,
+                    const struct eg_engine_report *report);
+  void *context;
+};
+
+/** All servers; memory of the caller. */
+struct eg_fleet
+{
+  struct eg_hash_table by_id;
+  struct eg_list all;
+  size_t count;
+  struct eg_exchange_pool *pool;
+  struct eg_fleet_events events;
+  bool known;       /**< A whole list was read. */
+  bool reading;     /**< A list is being read. */
+  int64_t lost_us;  /**< Since when the store does not answer; 0: it does. */
+  int64_t found_us; /**< When it last answered again. */
+  bool lapsing;     /**< Entries may have lapsed while it was away. */
+  int64_t changed_us; /**< When an entry last changed. */
+  uint64_t probes;
+};
+
+/** Makes an empty fleet. */
+void eg_fleet_init (struct eg_fleet *self,
+                    struct eg_exchange_pool *pool,
+                    const struct eg_fleet_events *events);
+
+/** Frees all servers. */
+void eg_fleet_finish (struct eg_fleet *self);
+
+/** A list of all entries begins. */
+void eg_fleet_list_begins (struct eg_fleet *self);
+
+/** An entry is as told, or deleted. */
+void eg_fleet_entry (struct eg_fleet *self,
+                     json_t *object,
+                     bool deleted,
+                     int64_t now_us);
+
+/** A list has ended, or a watch has told all; see eg_feed_events. */
+void eg_fleet_synced (struct eg_fleet *self, bool listed, int64_t now_us);
+
+/** The store does not answer. */
+void eg_fleet_lost (struct eg_fleet *self, int64_t now_us);
+
+/** Finds a server by address; NULL if none in use has it. */
+struct eg_backend *eg_fleet_at (struct eg_fleet *self,
+                                struct eg_endpoint endpoint);
+
+/** Does what is due: probes of suspects, entries that stay away. */
+void eg_fleet_check (struct eg_fleet *self, int64_t now_us);
+
+/** Tells whether a server may be sent new requests. */
+bool eg_backend_is_usable (const struct eg_backend *self, int64_t now_us);
+
+/** Tells whether it is suspected of being down. */
+bool eg_backend_is_suspect (const struct eg_backend *self, int64_t now_us);
+
+/** Returns the weight of recent faults, 0 for none. */
+double eg_backend_penalty (const struct eg_backend *self, int64_t now_us);
+
+/** Counts a fault against a server. */
+void eg_backend_blame (struct eg_backend *self,
+                       enum eg_blame blame,
+                       struct eg_str request_id,
+                       int64_t now_us);
+
+/** Takes in the load that an answer tells. */
+void eg_backend_tells_load (struct eg_backend *self,
+                            unsigned load,
+                            unsigned slots,
+                            int64_t now_us);
+
+/** Asks a server for its report or health, unless it was just asked. */
+void eg_backend_probe (struct eg_backend *self, int64_t now_us);
+
+/** Holds a server for a request. */
+void eg_backend_hold (struct eg_backend *self);
+
+/** Lets go of a server, which may be freed by that. */
+void eg_backend_release (struct eg_backend *self);
+
+#endif
--- /dev/null
+++ b/entry/main.c
@@ -0,0 +1,424 @@
+/* The entry daemon: one event loop that owns all of its state. */
+#include <argtable2.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/entry.h"
+#include "platform/configuration.h"
+
+#define EXIT_USAGE 2
+/* Time between two looks at what is due: a tenth of the shortest latency goal
+ * would cost more wake-ups than the traffic itself. */
+#define TICK_MS 25
+/* Idle connections to servers; servers name shorter times where they have
+ * them. */
+#define POOL_IDLE_US (4 * EG_US_PER_S)
+/* A watch is asked again often enough that two in a row may fail before keys
+ * are too old to use. */
+#define CONFIGURATION_WAIT_SHARE 0.38
+/* Longest wait of the watch on servers: bounds the time for which a silent
+ * connection goes unnoticed. */
+#define SERVERS_WAIT_MS 3000
+/* Changes of servers are gathered for this long. */
+#define SERVERS_SETTLE_US (40 * EG_US_PER_MS)
+/* Kept back from the age of keys for what passes between the check and the
+ * server's start of work. */
+#define KEY_MARGIN_US (120 * EG_US_PER_MS)
+/* The balancer needs two misses a second apart to leave a VM out. */
+#define STOP_ROTATION_US (2600 * EG_US_PER_MS)
+/* What is left of the grace when the last requests are broken off. */
+#define STOP_MARGIN_US (250 * EG_US_PER_MS)
+/* What a quarantine takes for a request that crashes servers. */
+#define QUARANTINE_DEATHS 3
+#define QUARANTINE_US (60 * EG_US_PER_S)
+#define QUARANTINE_ENTRIES 4096
+/* Entry VMs assumed until the store has told how many there are. */
+#define ENTRY_VMS_DEFAULT 9
+#define DOMAIN_VMS_DEFAULT 3
+
+static struct eg_entry entry;
+
+struct eg_retry_window *
+eg_entry_retries (struct eg_entry *self, const char *service)
+{
+  struct eg_service_retries *retries;
+
+  for (size_t i = 0; i < self->retry_services; i++)
+    if (strcmp (self->retries[i].service, service) == 0)
+      return &self->retries[i].window;
+  /* The last one serves all services that find no room. */
+  if (self->retry_services == EG_RETRY_SERVICES_MAX)
+    return &self->retries[EG_RETRY_SERVICES_MAX - 1].window;
+  retries = &self->retries[self->retry_services++];
+  strcpy (retries->service, service);
+  eg_retry_window_init (&retries->window,
+                        self->settings->retry_window_ms * EG_US_PER_MS);
+  return &retries->window;
+}
+
+bool
+eg_entry_keys_are_fresh (const struct eg_entry *self, int64_t now_us)
+{
+  int64_t age_us = now_us - self->configuration.as_of_us;
+
+  return !self->settings->revocation_bounded
+         || age_us
+                < self->settings->revocation_ms * EG_US_PER_MS - KEY_MARGIN_US;
+}
+
+bool
+eg_entry_is_ready (const struct eg_entry *self, int64_t now_us)
+{
+  (void) now_us;
+  return self->stop_us == 0 && self->configuration.now && self->fleet.known;
+}
+
+static void
+on_configuration_list (void *context)
+{
+  (void) context;
+}
+
+static void
+on_configuration_object (void *context, json_t *object, bool deleted)
+{
+  struct eg_entry *self = context;
+  const char *name = eg_store_object_name (object);
+  struct eg_configuration *decoded;
+  struct eg_error error;
+
+  if (deleted || !name || strcmp (name, eg_configuration_name) != 0)
+    return;
+  decoded = eg_configuration_decode (eg_store_object_spec (object), &error);
+  if (!decoded)
+    {
+      eg_log (EG_LOG_ERROR, "configuration",
+              "event=configuration-invalid cause=\"%s\"", error.message);
+      return;
+    }
+  if (self->configuration.now
+      && decoded->version <= self->configuration.now->version)
+    {
+      eg_configuration_free_decoded (decoded);
+      return;
+    }
+  eg_log (EG_LOG_NOTICE, "configuration",
+          "event=configuration-in-force version=%" PRId64
+          " routes=%zu services=%zu organisations=%zu",
+          decoded->version, decoded->route_count, decoded->service_count,
+          decoded->organisation_count);
+  eg_configuration_free_decoded (self->configuration.now);
+  self->configuration.now = decoded;
+}
+
+static void
+on_configuration_synced (void *context, int64_t as_of_us, bool listed)
+{
+  struct eg_entry *self = context;
+
+  (void) listed;
+  if (!self->configuration.reachable)
+    eg_log (EG_LOG_NOTICE, "configuration", "event=store-back kind=config");
+  self->configuration.reachable = true;
+  if (self->configuration.now && as_of_us > self->configuration.as_of_us)
+    self->configuration.as_of_us = as_of_us;
+}
+
+static void
+on_configuration_lost (void *context, enum eg_store_outcome outcome)
+{
+  struct eg_entry *self = context;
+
+  self->configuration.reachable = false;
+  eg_log (EG_LOG_WARNING, "configuration",
+          "event=store-lost kind=config outcome=%s age_ms=%" PRId64,
+          eg_store_outcome_name (outcome),
+          (eg_clock_now_us () - self->configuration.as_of_us) / EG_US_PER_MS);
+}
+
+static void
+on_servers_list (void *context)
+{
+  struct eg_entry *self = context;
+
+  eg_fleet_list_begins (&self->fleet);
+}
+
+static void
+on_servers_object (void *context, json_t *object, bool deleted)
+{
+  struct eg_entry *self = context;
+
+  eg_fleet_entry (&self->fleet, object, deleted, eg_clock_now_us ());
+}
+
+static void
+on_servers_synced (void *context, int64_t as_of_us, bool listed)
+{
+  struct eg_entry *self = context;
+
+  (void) as_of_us;
+  eg_fleet_synced (&self->fleet, listed, eg_clock_now_us ());
+}
+
+static void
+on_servers_lost (void *context, enum eg_store_outcome outcome)
+{
+  struct eg_entry *self = context;
+
+  eg_log (EG_LOG_WARNING, "fleet", "event=store-lost kind=servers outcome=%s",
+          eg_store_outcome_name (outcome));
+  eg_fleet_lost (&self->fleet, eg_clock_now_us ());
+}
+
+static void
+on_reported (void *context,
+             struct eg_backend *backend,
+             const struct eg_engine_report *report)
+{
+  struct eg_entry *self = context;
+
+  eg_callers_reported (&self->callers, backend, report);
+}
+
+static void
+check_stop (struct eg_entry *self, int64_t now_us)
+{
+  int64_t stopped_us = now_us - self->stop_us;
+  int64_t grace_us =
+      self->settings->stop_grace_ms * EG_US_PER_MS - STOP_MARGIN_US;
+
+  if (self->stop_us == 0 || stopped_us < STOP_ROTATION_US)
+    return;
+  eg_callers_close_idle (&self->callers);
+  if (self->callers.running > 0 && stopped_us >= grace_us)
+    {
+      eg_log (EG_LOG_WARNING, "main", "event=stop-cuts requests=%zu",
+              self->callers.running);
+      eg_callers_cut (&self->callers);
+    }
+  else if (self->callers.running == 0)
+    uv_stop (&self->loop);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct eg_entry *self = timer->data;
+  int64_t now_us = eg_clock_now_us ();
+
+  eg_store_feed_check (&self->configuration_feed, now_us);
+  eg_store_feed_check (&self->servers_feed, now_us);
+  eg_fleet_check (&self->fleet, now_us);
+  eg_callers_check (&self->callers, now_us);
+  eg_planner_check (&self->planner, now_us);
+  eg_exchange_pool_trim (&self->pool, now_us);
+  check_stop (self, now_us);
+  eg_journal_flush (&self->journal);
+}
+
+static void
+on_signal (uv_signal_t *handle, int number)
+{
+  struct eg_entry *self = handle->data;
+
+  if (number == SIGHUP)
+    {
+      eg_log (EG_LOG_NOTICE, "main", "event=reload signal=%d", number);
+      return;
+    }
+  if (self->stop_us > 0)
+    return;
+  self->stop_us = eg_clock_now_us ();
+  eg_log (EG_LOG_NOTICE, "main", "event=stopping signal=%d requests=%zu",
+          number, self->callers.running);
+}
+
+static void
+watch_signals (struct eg_entry *self, uv_signal_t *handles)
+{
+  static const int numbers[] = {SIGTERM, SIGINT, SIGHUP};
+
+  for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    {
+      uv_signal_init (&self->loop, &handles[i]);
+      handles[i].data = self;
+      uv_signal_start (&handles[i], on_signal, numbers[i]);
+    }
+}
+
+static void
+init_feeds (struct eg_entry *self)
+{
+  const struct eg_feed_events configuration_events = {
+      on_configuration_list, on_configuration_object, on_configuration_synced,
+      on_configuration_lost, self};
+  const struct eg_feed_events servers_events = {
+      on_servers_list, on_servers_object, on_servers_synced, on_servers_lost,
+      self};
+  int64_t wait_ms = (int64_t) (self->settings->revocation_ms
+                               * CONFIGURATION_WAIT_SHARE);
+
+  eg_store_feed_init (&self->configuration_feed, &self->store,
+                      eg_configuration_kind, wait_ms, 0, &self->random,
+                      &configuration_events);
+  eg_store_feed_init (&self->servers_feed, &self->store, eg_servers_kind,
+                      SERVERS_WAIT_MS, SERVERS_SETTLE_US, &self->random,
+                      &servers_events);
+}
+
+static int
+run (struct eg_entry *self)
+{
+  const struct eg_fleet_events fleet_events = {on_reported, self};
+  const struct eg_quarantine_config quarantine_config = {
+      QUARANTINE_DEATHS, QUARANTINE_US, QUARANTINE_US, QUARANTINE_ENTRIES};
+  uv_signal_t signals[3];
+  struct eg_error error;
+  bool opened;
+
+  signal (SIGPIPE, SIG_IGN);
+  eg_journal_init (&self->journal);
+  eg_random_init (&self->random, eg_random_system_seed ());
+  eg_metrics_init (&self->metrics);
+  self->entry_vms = ENTRY_VMS_DEFAULT;
+  self->domain_vms = DOMAIN_VMS_DEFAULT;
+  self->quarantine = eg_quarantine_new (&quarantine_config);
+  EG_INVARIANT (self->quarantine && uv_loop_init (&self->loop) == 0);
+  eg_exchange_pool_init (&self->pool, &self->loop, POOL_IDLE_US);
+  self->store.pool = &self->pool;
+  EG_INVARIANT (eg_endpoint_parse (
+      eg_str_from (self->settings->store_address), &self->store.endpoint));
+  eg_fleet_init (&self->fleet, &self->pool, &fleet_events);
+  init_feeds (self);
+  eg_planner_init (&self->planner, self);
+  opened = eg_callers_open (&self->callers, self, &error);
+  if (opened)
+    {
+      watch_signals (self, signals);
+      uv_timer_init (&self->loop, &self->tick);
+      self->tick.data = self;
+      uv_timer_start (&self->tick, on_tick, 0, TICK_MS);
+      eg_log (EG_LOG_NOTICE, "main",
+              "event=started version=%s node=%s failure_domain=%s callers=%s",
+              EG_VERSION, self->settings->name, self->settings->domain,
+              self->settings->listen_callers);
+      uv_run (&self->loop, UV_RUN_DEFAULT);
+      eg_log (EG_LOG_NOTICE, "main", "event=stopped");
+    }
+  else
+    eg_log (EG_LOG_ERROR, "main", "event=start-failed cause=\"%s\"",
+            error.message);
+  eg_journal_finish (&self->journal);
+  return opened ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+/** What the command line asks for. */
+struct arguments
+{
+  const char *settings_path;
+  bool check;
+  bool print;
+  int exit_code; /**< Negative: go on. */
+};
+
+static void
+print_help (void **table)
+{
+  printf ("Usage: eelgrass-entry");
+  arg_print_syntax (stdout, table, "\n\n");
+  printf ("Serves callers before model engines and plain services.\n\n");
+  arg_print_glossary (stdout, table, "  %-24s %s\n");
+  printf ("\nKeys of the settings file (TOML):\n");
+  eg_settings_print_reference (&eg_entry_setting_table, stdout);
+}
+
+static void
+parse_arguments (int argc, char **argv, struct arguments *arguments)
+{
+  struct arg_file *settings =
+      arg_file0 ("s", "settings", "FILE",
+                 "run with the settings in FILE (default: the file that "
+                 "EELGRASSWOOD_SETTINGS names)");
+  struct arg_file *check =
+      arg_file0 (NULL, "check-settings", "FILE", "check FILE and exit");
+  struct arg_file *print = arg_file0 (NULL, "print-settings", "FILE",
+                                      "print the settings in force and exit");
+  struct arg_lit *help = arg_lit0 ("h", "help", "show this help and exit");
+  struct arg_lit *version =
+      arg_lit0 ("V", "version", "show the version and exit");
+  struct arg_end *end = arg_end (8);
+  void *table[] = {settings, check, print, help, version, end};
+  int errors = arg_parse (argc, argv, table);
+
+  *arguments = (struct arguments){getenv ("EELGRASSWOOD_SETTINGS"),
+                                  check->count > 0, print->count > 0, -1};
+  if (settings->count > 0)
+    arguments->settings_path = settings->filename[0];
+  if (arguments->check || arguments->print)
+    arguments->settings_path =
+        arguments->check ? check->filename[0] : print->filename[0];
+  if (help->count > 0)
+    {
+      print_help (table);
+      arguments->exit_code = EXIT_SUCCESS;
+    }
+  else if (version->count > 0)
+    {
+      printf ("eelgrass-entry %s\n", EG_VERSION);
+      arguments->exit_code = EXIT_SUCCESS;
+    }
+  else if (errors > 0)
+    {
+      arg_print_errors (stderr, end, "eelgrass-entry");
+      arguments->exit_code = EXIT_USAGE;
+    }
+  else if (!arguments->settings_path)
+    {
+      fprintf (stderr, "eelgrass-entry: no settings file is given; "
+                       "see --help\n");
+      arguments->exit_code = EXIT_USAGE;
+    }
+  arg_freetable (table, sizeof table / sizeof table[0]);
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct eg_entry_settings settings;
+  struct arguments arguments;
+  struct eg_error error;
+  int level;
+
+  parse_arguments (argc, argv, &arguments);
+  if (arguments.exit_code >= 0)
+    return arguments.exit_code;
+  if (eg_settings_load (&eg_entry_setting_table, arguments.settings_path,
+                        &settings, &error)
+      != EG_OK)
+    {
+      fprintf (stderr, "eelgrass-entry: %s\n", error.message);
+      return EXIT_USAGE;
+    }
+  level = eg_log_level_from_name (settings.log_level);
+  if (level < 0)
+    {
+      fprintf (stderr,
+               "eelgrass-entry: %s: log.level: expected error, warning, "
+               "notice, info or debug, found \"%s\"\n",
+               arguments.settings_path, settings.log_level);
+      return EXIT_USAGE;
+    }
+  if (arguments.print)
+    eg_settings_print (&eg_entry_setting_table, &settings, stdout);
+  if (arguments.check || arguments.print)
+    return EXIT_SUCCESS;
+  eg_log_configure ("eelgrass-entry", (enum eg_log_level) level);
+  entry.settings = &settings;
+  return run (&entry);
+}
--- /dev/null
+++ b/entry/planner.c
@@ -0,0 +1,457 @@
+#include "entry/planner.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/entry.h"
+#include "platform/headers.h"
+#include "platform/servers.h"
+#include "policy/layer_plan.h"
+
+/* Place of the lease in the store. */
+#define LEASE_KIND "eelgrasswood-leases"
+#define LEASE_NAME "layer-planner"
+/* A lease outlasts two lost renewals, and a lost holder is followed within the
+ * time that the registry's sheet allows for recovery. */
+#define LEASE_US (3000 * EG_US_PER_MS)
+#define LEASE_DRIFT_US (100 * EG_US_PER_MS)
+#define LEASE_PAUSE_US (300 * EG_US_PER_MS)
+#define LEASE_RENEW_US (1000 * EG_US_PER_MS)
+#define LEASE_WATCH_US (1200 * EG_US_PER_MS)
+#define LEASE_RETRY_US (250 * EG_US_PER_MS)
+#define LEASE_CALL_US (600 * EG_US_PER_MS)
+/* Time between two plans while nothing changes. */
+#define PLAN_GAP_US (300 * EG_US_PER_MS)
+/* A fleet that starts registers within this time of its last new entry. */
+#define GATHER_QUIET_US (400 * EG_US_PER_MS)
+#define GATHER_MAX_US (3000 * EG_US_PER_MS)
+/* An order is answered within milliseconds, or its answer is lost. */
+#define ORDER_TIMEOUT_US (500 * EG_US_PER_MS)
+/* Loads beside each other take longer; after this factor the order is taken
+ * for lost. */
+#define LOAD_PATIENCE 3
+#define LOAD_PATIENCE_MIN_US (1500 * EG_US_PER_MS)
+/* Share of an engine's stated memory for requests that every layer of a failure
+ * domain should have. */
+#define GOAL_TOKENS_SHARE 0.7
+/* What a move has to gain: about the value of five layers' replicas. */
+#define MOVE_COST 15.0
+/* Orders of servers tried where all are empty. */
+#define RESTARTS 24
+/* Servers with layers that are given others at the same time. */
+#define MOVES_AT_ONCE 2
+/* A server silent for this long is planned around; a restart takes longer. */
+#define SUSPECT_PATIENCE_US (400 * EG_US_PER_MS)
+
+static void step_lease (struct eg_planner *self,
+                        enum eg_lease_event event,
+                        uint64_t version,
+                        const struct eg_lease_record *found);
+
+static void
+start_lease_call (struct eg_planner *self, enum eg_lease_action action)
+{
+  struct eg_buffer text = {0};
+  json_t *object = NULL;
+  json_t *spec;
+  bool started = true;
+
+  if (action == EG_LEASE_READ)
+    {
+      started = eg_store_call_start (
+          &self->call, "GET", LEASE_KIND "/" LEASE_NAME "?allowStale=1", NULL,
+          LEASE_CALL_US);
+      goto out;
+    }
+  eg_lease_record_encode (&self->lease.next, &text);
+  spec = json_loadb (text.data, text.len, 0, NULL);
+  EG_INVARIANT (spec);
+  object = eg_store_object (
+      LEASE_NAME,
+      action == EG_LEASE_UPDATE ? (int64_t) self->lease.version : 0, spec);
+  started = eg_store_call_start (
+      &self->call, action == EG_LEASE_CREATE ? "POST" : "PUT",
+      action == EG_LEASE_CREATE ? LEASE_KIND : LEASE_KIND "/" LEASE_NAME,
+      object, LEASE_CALL_US);
+out:
+  json_decref (object);
+  eg_buffer_finish (&text);
+  if (!started)
+    step_lease (self, EG_LEASE_UNAVAILABLE, 0, NULL);
+}
+
+static void
+step_lease (struct eg_planner *self,
+            enum eg_lease_event event,
+            uint64_t version,
+            const struct eg_lease_record *found)
+{
+  enum eg_lease_action action =
+      eg_lease_update (&self->lease, event, version, found,
+                       eg_clock_now_us (), &self->entry->random);
+
+  if (action != EG_LEASE_WAIT)
+    start_lease_call (self, action);
+}
+
+static bool
+read_record (json_t *object, struct eg_lease_record *record, int64_t *revision)
+{
+  char *text = json_dumps (eg_store_object_spec (object), JSON_COMPACT);
+  bool valid = text && eg_store_object_revision (object, revision)
+               && eg_lease_record_decode (record, eg_str_from (text));
+
+  free (text);
+  return valid;
+}
+
+static void
+on_lease_reply (void *context,
+                enum eg_store_outcome outcome,
+                json_t *document)
+{
+  struct eg_planner *self = context;
+  bool read = self->lease.outstanding == EG_LEASE_READ;
+  struct eg_lease_record record = {0};
+  int64_t revision = 0;
+
+  switch (outcome)
+    {
+    case EG_STORE_OK:
+      if (!read_record (document, &record, &revision))
+        step_lease (self, read ? EG_LEASE_UNAVAILABLE : EG_LEASE_LOST, 0, NULL);
+      else
+        step_lease (self, read ? EG_LEASE_FOUND : EG_LEASE_WRITTEN,
+                    (uint64_t) revision, read ? &record : NULL);
+      return;
+    case EG_STORE_MISSING:
+      step_lease (self, read ? EG_LEASE_MISSING : EG_LEASE_CONFLICT, 0, NULL);
+      return;
+    case EG_STORE_CONFLICT:
+      step_lease (self, EG_LEASE_CONFLICT, 0, NULL);
+      return;
+    case EG_STORE_LOST:
+      step_lease (self, EG_LEASE_LOST, 0, NULL);
+      return;
+    default:
+      step_lease (self, EG_LEASE_UNAVAILABLE, 0, NULL);
+    }
+}
+
+void
+eg_planner_init (struct eg_planner *self, struct eg_entry *entry)
+{
+  struct eg_store_reply_sink sink = {on_lease_reply, self};
+
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  self->config = (struct eg_lease_config){
+      .duration_us = LEASE_US,
+      .drift_us = LEASE_DRIFT_US,
+      .pause_us = LEASE_PAUSE_US,
+      .renew_us = LEASE_RENEW_US,
+      .watch_us = LEASE_WATCH_US,
+      .retry_us = LEASE_RETRY_US,
+  };
+  eg_lease_init (&self->lease, &self->config,
+                 eg_random_next (&entry->random),
+                 eg_str_from (entry->settings->name));
+  eg_store_call_init (&self->call, &entry->store, &sink);
+}
+
+void
+eg_planner_finish (struct eg_planner *self)
+{
+  eg_store_call_finish (&self->call);
+}
+
+static bool
+is_ordered (const struct eg_backend *backend)
+{
+  return backend->ordered.to > backend->ordered.from;
+}
+
+static enum eg_exchange_verdict
+on_order_head (void *context, const struct eg_http_head *head)
+{
+  struct eg_backend *backend = context;
+
+  backend->order_status = head->status;
+  return EG_EXCHANGE_TAKE;
+}
+
+static void
+on_order_body (void *context, struct eg_str bytes)
+{
+  (void) context;
+  (void) bytes;
+}
+
+static void
+on_order_done (void *context)
+{
+  struct eg_backend *backend = context;
+  bool begun = backend->order_status == 202 || backend->order_status == 200;
+
+  eg_log (EG_LOG_NOTICE, "planner",
+          "event=order-answered server=%s layers=%u-%u orders=%" PRId64
+          " status=%u",
+          backend->entry.id, backend->ordered.from, backend->ordered.to,
+          backend->orders, backend->order_status);
+  if (backend->order_status == 202 && backend->orders >= 0)
+    backend->orders++;
+  if (begun)
+    return;
+  backend->ordered = (struct eg_layer_range){0, 0};
+  eg_backend_probe (backend, eg_clock_now_us ());
+}
+
+static void
+on_order_failed (void *context, enum eg_exchange_fault fault)
+{
+  struct eg_backend *backend = context;
+
+  eg_log (EG_LOG_NOTICE, "planner",
+          "event=order-lost server=%s layers=%u-%u cause=%s",
+          backend->entry.id, backend->ordered.from, backend->ordered.to,
+          eg_exchange_fault_name (fault));
+  if (fault == EG_EXCHANGE_UNREACHABLE)
+    backend->ordered = (struct eg_layer_range){0, 0};
+  eg_backend_probe (backend, eg_clock_now_us ());
+}
+
+static const struct eg_exchange_events order_events = {
+    on_order_head, on_order_body, on_order_done, on_order_failed};
+
+static void
+send_order (struct eg_planner *self,
+            struct eg_backend *backend,
+            struct eg_layer_range range,
+            int64_t now_us)
+{
+  struct eg_exchange_request request = {.endpoint = backend->entry.endpoint,
+                                        .fresh = true};
+  struct eg_buffer head = {0};
+  struct eg_buffer body = {0};
+
+  eg_order_layers (&body, range, backend->orders);
+  eg_own_request (&head, "POST", eg_order_path,
+                  eg_str_from (backend->entry.id), body.len);
+  request.head = eg_buffer_view (&head);
+  request.body = eg_buffer_view (&body);
+  backend->ordered = range;
+  backend->ordered_us = now_us;
+  eg_exchange_init (&backend->order, &order_events, backend);
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_ORDERS);
+  eg_log (EG_LOG_NOTICE, "planner",
+          "event=order-sent server=%s layers=%u-%u held=%u-%u orders=%" PRId64
+          " lease=%" PRIu64,
+          backend->entry.id, range.from, range.to, backend->entry.layers.from,
+          backend->entry.layers.to, backend->orders,
+          eg_lease_fencing (&self->lease));
+  if (!eg_exchange_start (&backend->order, &self->entry->pool, &request))
+    backend->ordered = (struct eg_layer_range){0, 0};
+  eg_buffer_finish (&head);
+  eg_buffer_finish (&body);
+}
+
+/* Settles orders whose layers are there, and those that take too long. */
+static void
+settle_order (struct eg_backend *backend,
+              const struct eg_engine_model *engine,
+              int64_t now_us)
+{
+  const struct eg_layer_range *held = &backend->entry.layers;
+  const struct eg_layer_range *ordered = &backend->ordered;
+  int64_t patience_us;
+
+  if (!is_ordered (backend))
+    return;
+  if (eg_exchange_is_active (&backend->order)
+      && now_us - backend->ordered_us >= ORDER_TIMEOUT_US)
+    {
+      eg_exchange_cancel (&backend->order);
+      on_order_failed (backend, EG_EXCHANGE_NO_ANSWER);
+    }
+  if (held->from == ordered->from && held->to == ordered->to)
+    {
+      backend->ordered = (struct eg_layer_range){0, 0};
+      return;
+    }
+  patience_us = (int64_t) (engine->load_us * (ordered->to - ordered->from)
+                           / engine->layers * LOAD_PATIENCE)
+                + LOAD_PATIENCE_MIN_US;
+  if (now_us - backend->ordered_us < patience_us)
+    return;
+  eg_log (EG_LOG_NOTICE, "planner",
+          "event=order-overdue server=%s layers=%u-%u held=%u-%u",
+          backend->entry.id, ordered->from, ordered->to, held->from, held->to);
+  backend->ordered = (struct eg_layer_range){0, 0};
+  eg_backend_probe (backend, now_us);
+}
+
+/** The servers of one service, as the plan and as the fleet sees them. */
+struct plan_input
+{
+  struct eg_plan_server *servers;
+  struct eg_backend **backends;
+  size_t count;
+  const char *domains[EG_PLAN_DOMAINS_MAX];
+  uint32_t domain_count;
+  size_t moving; /**< Servers with layers whose order is under way. */
+  size_t empty;  /**< Servers that hold nothing and were ordered nothing. */
+};
+
+static uint32_t
+plan_domain (struct plan_input *input, const char *name)
+{
+  for (uint32_t i = 0; i < input->domain_count; i++)
+    if (strcmp (input->domains[i], name) == 0)
+      return i;
+  if (input->domain_count == EG_PLAN_DOMAINS_MAX)
+    return EG_PLAN_DOMAINS_MAX - 1;
+  input->domains[input->domain_count] = name;
+  return input->domain_count++;
+}
+
+static bool
+may_be_planned (const struct eg_backend *backend, int64_t now_us)
+{
+  return backend->listed && !backend->entry.draining
+         && !(eg_backend_is_suspect (backend, now_us)
+              && now_us - backend->suspected_us >= SUSPECT_PATIENCE_US);
+}
+
+static void
+gather (struct eg_planner *self,
+        const struct eg_service_config *service,
+        struct plan_input *input,
+        int64_t now_us)
+{
+  struct eg_list *all = &self->entry->fleet.all;
+
+  for (struct eg_list *at = all->next; at != all; at = at->next)
+    {
+      struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
+      struct eg_plan_server *server = &input->servers[input->count];
+      const struct eg_accelerator *accelerator;
+
+      if (strcmp (backend->entry.service, service->name) != 0)
+        continue;
+      settle_order (backend, &service->engine, now_us);
+      accelerator = eg_engine_accelerator (
+          &service->engine, eg_str_from (backend->entry.accelerator));
+      if (!accelerator || !may_be_planned (backend, now_us))
+        continue;
+      server->domain = plan_domain (input, backend->entry.domain);
+      server->accelerator = accelerator;
+      server->fixed = is_ordered (backend);
+      server->held =
+          is_ordered (backend) ? backend->ordered : backend->entry.layers;
+      if (is_ordered (backend)
+          && backend->entry.layers.to > backend->entry.layers.from)
+        input->moving++;
+      if (server->held.to == server->held.from)
+        input->empty++;
+      input->backends[input->count++] = backend;
+    }
+}
+
+/* A fleet that registers is planned once it stands, not server by server. */
+static bool
+is_gathering (struct eg_planner *self,
+              const struct plan_input *input,
+              int64_t now_us)
+{
+  if (input->empty * 2 < input->count)
+    {
+      self->gathered_us = 0;
+      return false;
+    }
+  if (self->gathered_us == 0)
+    self->gathered_us = now_us;
+  return now_us - self->entry->fleet.changed_us < GATHER_QUIET_US
+         && now_us - self->gathered_us < GATHER_MAX_US;
+}
+
+static void
+give_orders (struct eg_planner *self, struct plan_input *input, int64_t now_us)
+{
+  for (size_t i = 0; i < input->count; i++)
+    {
+      const struct eg_plan_server *server = &input->servers[i];
+      bool empty = server->held.to == server->held.from;
+
+      if (server->fixed
+          || (server->planned.from == server->held.from
+              && server->planned.to == server->held.to)
+          || server->planned.to == server->planned.from)
+        continue;
+      if (input->backends[i]->orders < 0)
+        {
+          eg_backend_probe (input->backends[i], now_us);
+          continue;
+        }
+      if (!empty && input->moving >= MOVES_AT_ONCE)
+        continue;
+      if (!empty)
+        input->moving++;
+      send_order (self, input->backends[i], server->planned, now_us);
+    }
+}
+
+static void
+plan_service (struct eg_planner *self,
+              const struct eg_service_config *service,
+              int64_t now_us)
+{
+  size_t room = self->entry->fleet.count + 1;
+  struct plan_input input = {
+      .servers = calloc (room, sizeof *input.servers),
+      .backends = calloc (room, sizeof *input.backends)};
+  struct eg_plan_goal goal = {
+      .tokens = service->engine.kv_tokens * GOAL_TOKENS_SHARE,
+      .move_cost = MOVE_COST,
+      .restarts = RESTARTS};
+
+  EG_INVARIANT (input.servers && input.backends);
+  if (goal.tokens <= 0)
+    goal.tokens = 1;
+  gather (self, service, &input, now_us);
+  if (input.count > 0 && !is_gathering (self, &input, now_us)
+      && eg_layer_plan_make (input.servers, input.count, &service->engine,
+                             &goal)
+             > 0)
+    give_orders (self, &input, now_us);
+  free (input.servers);
+  free (input.backends);
+}
+
+void
+eg_planner_check (struct eg_planner *self, int64_t now_us)
+{
+  const struct eg_configuration *configuration = self->entry->configuration.now;
+  bool held;
+
+  eg_store_call_check (&self->call, now_us);
+  if (!eg_store_call_is_active (&self->call)
+      && now_us >= eg_lease_wake_us (&self->lease)
+      && self->entry->stop_us == 0)
+    step_lease (self, EG_LEASE_TIME, 0, NULL);
+  held = eg_lease_is_held (&self->lease, now_us) && self->entry->stop_us == 0;
+  if (held != self->held)
+    eg_log (EG_LOG_NOTICE, "planner", "event=lease-%s revision=%" PRIu64,
+            held ? "taken" : "lost", self->lease.version);
+  self->held = held;
+  if (!held || !configuration || !self->entry->fleet.known
+      || now_us - self->planned_us < PLAN_GAP_US)
+    return;
+  self->planned_us = now_us;
+  for (size_t i = 0; i < configuration->service_count; i++)
+    if (configuration->services[i].has_engine
+        && configuration->services[i].engine.layers > 0)
+      plan_service (self, &configuration->services[i], now_us);
+}
--- /dev/null
+++ b/entry/settings.h
@@ -0,0 +1,41 @@
+/**
+ * @file
+ * Settings of the entry daemon.
+ */
+#ifndef EG_ENTRY_SETTINGS_H
+#define EG_ENTRY_SETTINGS_H
+
+#include "base/settings.h"
+
+/** Longest name in the settings, with its final zero. */
+#define EG_ENTRY_NAME_BYTES 64
+/** Longest address in the settings, with its final zero. */
+#define EG_ENTRY_ADDRESS_BYTES 32
+
+/** The daemon's settings, as its table describes them. */
+struct eg_entry_settings
+{
+  char name[EG_ENTRY_NAME_BYTES];
+  char domain[EG_ENTRY_NAME_BYTES];
+  bool first_start;
+  char listen_callers[EG_ENTRY_ADDRESS_BYTES];
+  char listen_readiness[EG_ENTRY_ADDRESS_BYTES];
+  char listen_metrics[EG_ENTRY_ADDRESS_BYTES];
+  char store_address[EG_ENTRY_ADDRESS_BYTES];
+  char log_level[16];
+  int64_t memory_mb;
+  int64_t descriptors;
+  int64_t stop_grace_ms;
+  bool revocation_bounded;
+  int64_t revocation_ms;
+  double retry_ratio;
+  int64_t retry_window_ms;
+  int64_t retry_extra;
+  int64_t stall_ms;
+  bool orders_fenced;
+};
+
+/** Every key that the daemon takes. */
+extern const struct eg_setting_table eg_entry_setting_table;
+
+#endif
--- /dev/null
+++ b/net/socket.c
@@ -0,0 +1,235 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/status.h"
+
+/* One read at a time on one thread: all sockets share the buffer. */
+#define READ_BYTES 65536
+static char read_space[READ_BYTES];
+
+/** One write that the kernel did not take at once. */
+struct pending_write
+{
+  uv_write_t request;
+  struct eg_socket *socket;
+  size_t len;
+  char bytes[];
+};
+
+bool
+eg_endpoint_parse (struct eg_str text, struct eg_endpoint *endpoint)
+{
+  struct eg_str rest = text;
+  struct eg_str ip = eg_str_cut (&rest, ':');
+  char ip_text[INET_ADDRSTRLEN];
+  struct in_addr address;
+  int64_t port;
+
+  if (!eg_str_copy (ip, ip_text, sizeof ip_text)
+      || inet_pton (AF_INET, ip_text, &address) != 1
+      || !eg_str_to_int64 (rest, &port) || port < 1 || port > 65535)
+    return false;
+  endpoint->ip = address.s_addr;
+  endpoint->port = htons ((uint16_t) port);
+  return true;
+}
+
+uint64_t
+eg_endpoint_key (struct eg_endpoint endpoint)
+{
+  return (uint64_t) endpoint.ip << 16 | endpoint.port;
+}
+
+int
+eg_socket_init (struct eg_socket *self,
+                uv_loop_t *loop,
+                const struct eg_socket_events *events,
+                void *context)
+{
+  memset (self, 0, sizeof *self);
+  self->events = events;
+  self->context = context;
+  self->tcp.data = self;
+  return uv_tcp_init (loop, &self->tcp);
+}
+
+int
+eg_socket_accept (struct eg_socket *self, uv_stream_t *listener)
+{
+  int status = uv_accept (listener, (uv_stream_t *) &self->tcp);
+
+  if (status == 0)
+    status = uv_tcp_nodelay (&self->tcp, 1);
+  return status;
+}
+
+static void
+on_connected (uv_connect_t *request, int status)
+{
+  struct eg_socket *self = request->handle->data;
+
+  if (self->closing)
+    return;
+  if (status == 0)
+    self->events->connected (self->context);
+  else
+    self->events->ended (self->context, status);
+}
+
+int
+eg_socket_connect (struct eg_socket *self, struct eg_endpoint endpoint)
+{
+  struct sockaddr_in address = {.sin_family = AF_INET,
+                                .sin_port = endpoint.port,
+                                .sin_addr.s_addr = endpoint.ip};
+  int status = uv_tcp_connect (&self->connecting, &self->tcp,
+                               (const struct sockaddr *) &address,
+                               on_connected);
+
+  if (status == 0)
+    status = uv_tcp_nodelay (&self->tcp, 1);
+  return status;
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *space)
+{
+  (void) handle;
+  (void) suggested;
+  space->base = read_space;
+  space->len = sizeof read_space;
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t len, const uv_buf_t *space)
+{
+  struct eg_socket *self = stream->data;
+
+  if (self->closing || len == 0)
+    return;
+  if (len < 0)
+    self->events->ended (self->context, (int) len);
+  else
+    self->events->bytes (self->context,
+                         (struct eg_str){space->base, (size_t) len});
+}
+
+int
+eg_socket_read (struct eg_socket *self)
+{
+  return uv_read_start ((uv_stream_t *) &self->tcp, on_alloc, on_read);
+}
+
+void
+eg_socket_pause (struct eg_socket *self)
+{
+  uv_read_stop ((uv_stream_t *) &self->tcp);
+}
+
+static void
+on_written (uv_write_t *request, int status)
+{
+  struct pending_write *write = (struct pending_write *) request;
+  struct eg_socket *self = write->socket;
+
+  self->queued -= write->len;
+  free (write);
+  if (self->closing)
+    return;
+  if (status != 0)
+    self->events->ended (self->context, status);
+  else if (self->queued == 0)
+    self->events->drained (self->context);
+}
+
+void
+eg_socket_write (struct eg_socket *self, struct eg_str bytes)
+{
+  uv_buf_t part = uv_buf_init ((char *) bytes.data, (unsigned) bytes.len);
+  struct pending_write *write;
+  int taken = 0;
+
+  if (self->closing || bytes.len == 0)
+    return;
+  if (self->queued == 0)
+    taken = uv_try_write ((uv_stream_t *) &self->tcp, &part, 1);
+  if (taken == (int) bytes.len)
+    return;
+  /* An error shows again at the queued write, which reports it. */
+  if (taken < 0)
+    taken = 0;
+  bytes.data += taken;
+  bytes.len -= (size_t) taken;
+  write = malloc (sizeof *write + bytes.len);
+  EG_INVARIANT (write);
+  write->socket = self;
+  write->len = bytes.len;
+  memcpy (write->bytes, bytes.data, bytes.len);
+  part = uv_buf_init (write->bytes, (unsigned) bytes.len);
+  if (uv_write (&write->request, (uv_stream_t *) &self->tcp, &part, 1,
+                on_written)
+      != 0)
+    {
+      free (write);
+      return;
+    }
+  self->queued += bytes.len;
+}
+
+size_t
+eg_socket_queued (const struct eg_socket *self)
+{
+  return self->queued;
+}
+
+static void
+on_closed (uv_handle_t *handle)
+{
+  struct eg_socket *self = handle->data;
+
+  self->events->closed (self->context);
+}
+
+void
+eg_socket_close (struct eg_socket *self)
+{
+  if (self->closing)
+    return;
+  self->closing = true;
+  uv_close ((uv_handle_t *) &self->tcp, on_closed);
+}
+
+static void
+on_shutdown (uv_shutdown_t *request, int status)
+{
+  struct eg_socket *self = request->data;
+
+  (void) status; /* The connection is closed either way. */
+  free (request);
+  eg_socket_close (self);
+}
+
+void
+eg_socket_close_after_writes (struct eg_socket *self)
+{
+  uv_shutdown_t *request;
+
+  if (self->closing)
+    return;
+  if (self->queued == 0)
+    {
+      eg_socket_close (self);
+      return;
+    }
+  request = malloc (sizeof *request);
+  EG_INVARIANT (request);
+  request->data = self;
+  if (uv_shutdown (request, (uv_stream_t *) &self->tcp, on_shutdown) != 0)
+    {
+      free (request);
+      eg_socket_close (self);
+    }
+}
--- /dev/null
+++ b/policy/layer_plan.c
@@ -0,0 +1,266 @@
+#include "policy/layer_plan.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/random.h"
+#include "base/status.h"
+
+/* Value of one layer's state. A layer that nobody holds breaks the failure
+ * domain's path, so it outweighs all else together. */
+#define VALUE_HELD 1000.0
+#define VALUE_REPLICA 3.0 /**< Of a second server for a layer. */
+#define VALUE_MEMORY 2.0  /**< Of memory for all tokens of the goal. */
+/* Sizes tried for a server, down from what its memory holds. */
+#define SIZES_TRIED 5
+/* Passes over all servers; the value mostly stands still after four. */
+#define SWEEPS_MAX 12
+#define SEED UINT64_C (0x5eed1a7e)
+
+/** One failure domain while it is planned. */
+struct domain_plan
+{
+  const struct eg_engine_model *engine;
+  const struct eg_plan_goal *goal;
+  struct eg_plan_server **servers;
+  size_t count;
+  unsigned replicas[EG_MODEL_LAYERS_MAX];
+  double tokens[EG_MODEL_LAYERS_MAX];
+};
+
+static double
+layer_value (const struct domain_plan *self, unsigned replicas, double tokens)
+{
+  double share = tokens / self->goal->tokens;
+
+  if (replicas == 0)
+    return 0;
+  return VALUE_HELD + (replicas > 1 ? VALUE_REPLICA : 0)
+         + VALUE_MEMORY * (share > 1 ? 1 + (share - 1) * 0.1 : share);
+}
+
+static double
+tokens_of (const struct domain_plan *self,
+           const struct eg_plan_server *server,
+           struct eg_layer_range range)
+{
+  uint32_t layers = range.to - range.from;
+
+  return layers ? eg_engine_kv_capacity (self->engine, server->accelerator,
+                                         layers)
+                      / layers
+                : 0;
+}
+
+static void
+apply (struct domain_plan *self,
+       const struct eg_plan_server *server,
+       struct eg_layer_range range,
+       bool add)
+{
+  double tokens = tokens_of (self, server, range);
+
+  for (uint32_t i = range.from; i < range.to; i++)
+    {
+      self->replicas[i] += add ? 1U : -1U;
+      self->tokens[i] += add ? tokens : -tokens;
+    }
+}
+
+/* What a server adds to the value of its failure domain with these layers. */
+static double
+gain (const struct domain_plan *self,
+      const struct eg_plan_server *server,
+      struct eg_layer_range range)
+{
+  double tokens = tokens_of (self, server, range);
+  double sum = 0;
+
+  for (uint32_t i = range.from; i < range.to; i++)
+    sum += layer_value (self, self->replicas[i] + 1, self->tokens[i] + tokens)
+           - layer_value (self, self->replicas[i], self->tokens[i]);
+  return sum;
+}
+
+static bool
+range_equal (struct eg_layer_range a, struct eg_layer_range b)
+{
+  return a.from == b.from && a.to == b.to;
+}
+
+static struct eg_layer_range
+best_range (const struct domain_plan *self, const struct eg_plan_server *server)
+{
+  uint32_t layers = self->engine->layers;
+  uint32_t most = eg_engine_layers_max (self->engine, server->accelerator);
+  uint32_t least = most > SIZES_TRIED ? most - SIZES_TRIED + 1 : 1;
+  struct eg_layer_range best = server->held;
+  double best_gain = gain (self, server, best);
+
+  if (best.to > best.from)
+    best_gain += self->goal->move_cost;
+  for (uint32_t size = most; size >= least && size > 0; size--)
+    for (uint32_t from = 0; from + size <= layers; from++)
+      {
+        struct eg_layer_range range = {from, from + size};
+        double value = range_equal (range, server->held)
+                           ? -1
+                           : gain (self, server, range);
+
+        if (value > best_gain)
+          {
+            best = range;
+            best_gain = value;
+          }
+      }
+  return best;
+}
+
+static double
+total_value (const struct domain_plan *self)
+{
+  double sum = 0;
+
+  for (uint32_t i = 0; i < self->engine->layers; i++)
+    sum += layer_value (self, self->replicas[i], self->tokens[i]);
+  for (size_t i = 0; i < self->count; i++)
+    if (range_equal (self->servers[i]->planned, self->servers[i]->held)
+        && self->servers[i]->held.to > 0)
+      sum += self->goal->move_cost;
+  return sum;
+}
+
+static void
+improve (struct domain_plan *self)
+{
+  bool changed = true;
+
+  for (int sweep = 0; changed && sweep < SWEEPS_MAX; sweep++)
+    {
+      changed = false;
+      for (size_t i = 0; i < self->count; i++)
+        {
+          struct eg_plan_server *server = self->servers[i];
+          struct eg_layer_range range;
+
+          if (server->fixed)
+            continue;
+          apply (self, server, server->planned, false);
+          range = best_range (self, server);
+          apply (self, server, range, true);
+          changed |= !range_equal (range, server->planned);
+          server->planned = range;
+        }
+    }
+}
+
+static void
+reset (struct domain_plan *self)
+{
+  memset (self->replicas, 0, sizeof self->replicas);
+  memset (self->tokens, 0, sizeof self->tokens);
+  for (size_t i = 0; i < self->count; i++)
+    {
+      self->servers[i]->planned = self->servers[i]->held;
+      apply (self, self->servers[i], self->servers[i]->planned, true);
+    }
+}
+
+static void
+shuffle (struct domain_plan *self, struct eg_random *random)
+{
+  for (size_t i = self->count; i > 1; i--)
+    {
+      size_t j = (size_t) eg_random_below (random, i);
+      struct eg_plan_server *other = self->servers[j];
+
+      self->servers[j] = self->servers[i - 1];
+      self->servers[i - 1] = other;
+    }
+}
+
+/* Descends from several orders of the servers and keeps the best plan. */
+static void
+plan_domain (struct domain_plan *self, unsigned tries)
+{
+  struct eg_layer_range *best = calloc (self->count, sizeof *best);
+  struct eg_plan_server **order = calloc (self->count, sizeof *order);
+  struct eg_random random;
+  double best_value = -1;
+
+  EG_INVARIANT (best && order);
+  memcpy (order, self->servers, self->count * sizeof *order);
+  eg_random_init (&random, SEED);
+  for (unsigned attempt = 0; attempt < tries; attempt++)
+    {
+      double value;
+
+      reset (self);
+      improve (self);
+      value = total_value (self);
+      if (value > best_value)
+        {
+          best_value = value;
+          for (size_t i = 0; i < self->count; i++)
+            best[i] = order[i]->planned;
+        }
+      shuffle (self, &random);
+    }
+  for (size_t i = 0; i < self->count; i++)
+    order[i]->planned = best[i];
+  free (order);
+  free (best);
+}
+
+size_t
+eg_layer_plan_make (struct eg_plan_server *servers,
+                    size_t count,
+                    const struct eg_engine_model *engine,
+                    const struct eg_plan_goal *goal)
+{
+  struct domain_plan *plan = calloc (1, sizeof *plan);
+  size_t moved = 0;
+
+  EG_INVARIANT (plan && engine->layers <= EG_MODEL_LAYERS_MAX);
+  plan->engine = engine;
+  plan->goal = goal;
+  plan->servers = calloc (count ? count : 1, sizeof *plan->servers);
+  EG_INVARIANT (plan->servers);
+  for (uint32_t domain = 0; domain < EG_PLAN_DOMAINS_MAX; domain++)
+    {
+      bool empty = true;
+
+      plan->count = 0;
+      for (size_t i = 0; i < count; i++)
+        if (servers[i].domain == domain)
+          {
+            plan->servers[plan->count++] = &servers[i];
+            empty &= servers[i].held.to == servers[i].held.from;
+          }
+      if (plan->count > 0)
+        plan_domain (plan, empty ? goal->restarts : 1);
+    }
+  for (size_t i = 0; i < count; i++)
+    moved += !range_equal (servers[i].planned, servers[i].held);
+  free (plan->servers);
+  free (plan);
+  return moved;
+}
+
+uint32_t
+eg_layer_plan_missing (const struct eg_plan_server *servers,
+                       size_t count,
+                       const struct eg_engine_model *engine,
+                       uint32_t domain)
+{
+  bool held[EG_MODEL_LAYERS_MAX] = {false};
+  uint32_t missing = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (servers[i].domain == domain)
+      for (uint32_t l = servers[i].held.from; l < servers[i].held.to; l++)
+        held[l] = true;
+  for (uint32_t l = 0; l < engine->layers; l++)
+    missing += !held[l];
+  return missing;
+}
--- /dev/null
+++ b/policy/resend.c
@@ -0,0 +1,33 @@
+#include "policy/resend.h"
+
+/* Most sends of one request that reach a server: one run, and three moves
+ * around stages that die one after another. */
+#define SENDS_MAX 4
+/* Most tries, those counted that found no connection. */
+#define TRIES_MAX 8
+/* Less time than this is not worth a send: a server's shortest answer. */
+#define LEAST_TIME_US 10000
+
+enum eg_resend_answer
+eg_resend_give_up (const struct eg_resend_question *question)
+{
+  if (question->begun)
+    return EG_RESEND_CUT;
+  if (!question->may_have_run)
+    return EG_RESEND_REFUSE;
+  return question->now_us >= question->deadline_us ? EG_RESEND_TIMEOUT
+                                                   : EG_RESEND_FAIL;
+}
+
+enum eg_resend_answer
+eg_resend_decide (const struct eg_resend_question *question)
+{
+  bool harmless = question->repeatable || !question->may_have_run;
+  bool wanted = !question->begun || question->resumable;
+
+  if (harmless && wanted && question->sends < SENDS_MAX
+      && question->tries < TRIES_MAX
+      && question->deadline_us - question->now_us > LEAST_TIME_US)
+    return EG_RESEND;
+  return eg_resend_give_up (question);
+}
