policy: plans value the layer with least memory; full servers are passed over

Cause: an engine names the server of the path that has no room in the same way as one that is dead, and every such server was suspected for a second: the load moved to the rest, which filled in turn. Plans held layers on servers with memory for 9,000 tokens, ten streams. Change: a refusal that comes at once marks the server as full for 250 ms; a layer's value falls with goal / memory; moves cost by the layers to load. A hang-up behind the last bytes is asked for a reset (the answer without a length that looked whole). The lease is read from the store itself.

--- a/entry/call.c
+++ b/entry/call.c
@@ -36,6 +36,8 @@
 #define RETRY_AFTER_SERVER_MS 250
 /* The same while a configuration is awaited. */
 #define RETRY_AFTER_CONFIGURATION_MS 500
+/* A refusal that took longer comes from waiting for a dead server. */
+#define STALL_SIGN_US (1000 * EG_US_PER_MS)
 /* Priority classes of engines go from 0 to this. */
 #define PRIORITY_CLASS_MAX 9
 /* Time kept back from what a server is told, for the way back. */
@@ -465,6 +467,7 @@
   struct eg_send *send = &self->send;
   struct eg_backend *culprit = head_server (self);
   bool misdirected = send->status == 421;
+  enum eg_blame blame = EG_BLAME_FULL;
   int64_t now_us = eg_clock_now_us ();
 
   if (send->facts.names_culprit)
@@ -475,11 +478,11 @@
       if (named)
         culprit = named;
     }
-  eg_backend_blame (culprit,
-                    misdirected || culprit != head_server (self)
-                        ? EG_BLAME_NAMED
-                        : EG_BLAME_ERROR,
-                    self->facts.id, now_us);
+  /* An engine waits for a dead server before it refuses, and refuses at once
+   * where one has no room. */
+  if (misdirected || now_us - send->begun_us >= STALL_SIGN_US)
+    blame = EG_BLAME_NAMED;
+  eg_backend_blame (culprit, blame, self->facts.id, now_us);
   self->may_have_run = send->ran_before;
   send_failed (self, misdirected ? "misdirected" : "server-refused");
 }
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -13,6 +13,9 @@
 
 /* A suspect gets no requests for this long unless a probe is answered. */
 #define SUSPECT_US (1000 * EG_US_PER_MS)
+/* A full server gets no requests for this long: several passes, in which others
+ * end. */
+#define FULL_US (250 * EG_US_PER_MS)
 /* Least time between two probes of one server. */
 #define PROBE_GAP_US (250 * EG_US_PER_MS)
 /* A probe takes a round trip and some ms; lossy links add one resend. */
@@ -34,6 +37,7 @@
     [EG_BLAME_SILENT] = {"silent", 1.0, true},
     [EG_BLAME_BROKEN] = {"broken", 0.5, false},
     [EG_BLAME_ERROR] = {"error", 0.2, false},
+    [EG_BLAME_FULL] = {"full", 0, false},
 };
 
 static void free_backend (struct eg_backend *self);
@@ -278,11 +282,20 @@
       self->fleet->changed_us = now_us;
       eg_log (EG_LOG_NOTICE, "fleet",
               "event=server-entry server=%s service=%s address=%s "
-              "failure_domain=%s draining=%d layers=%u-%u start_ms=%" PRId64,
+              "failure_domain=%s accelerator=%s draining=%d layers=%u-%u "
+              "start_ms=%" PRId64,
               entry->id, entry->service, entry->address, entry->domain,
-              entry->draining, entry->layers.from, entry->layers.to,
+              *entry->accelerator ? entry->accelerator : "-", entry->draining,
+              entry->layers.from, entry->layers.to,
               entry->start_ms);
     }
+  /* Another entry VM's order: how many there were is to be asked. */
+  if (!restarted
+      && (entry->layers.from != old->layers.from
+          || entry->layers.to != old->layers.to)
+      && (entry->layers.from != self->ordered.from
+          || entry->layers.to != self->ordered.to))
+    self->orders = -1;
   self->entry = *entry;
   self->listed = true;
   self->marked = true;
@@ -412,7 +425,8 @@
 eg_backend_is_usable (const struct eg_backend *self, int64_t now_us)
 {
   return (self->listed || now_us < self->lapse_us) && !self->entry.draining
-         && !eg_backend_is_suspect (self, now_us);
+         && !eg_backend_is_suspect (self, now_us)
+         && now_us >= self->full_until_us;
 }
 
 double
@@ -435,6 +449,8 @@
   if (self->penalty > penalty_max)
     self->penalty = penalty_max;
   self->penalty_us = now_us;
+  if (blame == EG_BLAME_FULL)
+    self->full_until_us = now_us + FULL_US;
   if (blames[blame].suspect)
     {
       if (!was_suspect)
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -21,6 +21,7 @@
   EG_BLAME_SILENT,      /**< A question was not answered. */
   EG_BLAME_BROKEN,      /**< It broke off, or sent what is no answer. */
   EG_BLAME_ERROR,       /**< It answered with a failure. */
+  EG_BLAME_FULL,        /**< It has no room now, or gives up its layers. */
 };
 
 /** A request of this entry VM to a server about itself. */
@@ -46,6 +47,7 @@
   int64_t lapse_us;    /**< Not 0: its entry may come back until then. */
   int64_t suspect_until_us;
   int64_t suspected_us;
+  int64_t full_until_us; /**< It had no room; see EG_BLAME_FULL. */
   double penalty; /**< Recent faults, as of @c penalty_us. */
   int64_t penalty_us;
   unsigned running;  /**< Requests of this entry VM. */
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -16,11 +16,11 @@
 #define LEASE_NAME "layer-planner"
 /* A lease outlasts two lost renewals, and a lost holder is followed within the
  * time that the registry's sheet allows for recovery. */
-#define LEASE_US (3000 * EG_US_PER_MS)
+#define LEASE_US (2200 * EG_US_PER_MS)
 #define LEASE_DRIFT_US (100 * EG_US_PER_MS)
-#define LEASE_PAUSE_US (300 * EG_US_PER_MS)
-#define LEASE_RENEW_US (1000 * EG_US_PER_MS)
-#define LEASE_WATCH_US (1200 * EG_US_PER_MS)
+#define LEASE_PAUSE_US (200 * EG_US_PER_MS)
+#define LEASE_RENEW_US (700 * EG_US_PER_MS)
+#define LEASE_WATCH_US (2000 * EG_US_PER_MS)
 #define LEASE_RETRY_US (250 * EG_US_PER_MS)
 #define LEASE_CALL_US (600 * EG_US_PER_MS)
 /* Time between two plans while nothing changes. */
@@ -37,12 +37,15 @@
 /* Share of an engine's stated memory for requests that every layer of a failure
  * domain should have. */
 #define GOAL_TOKENS_SHARE 0.7
-/* What a move has to gain: about the value of five layers' replicas. */
-#define MOVE_COST 15.0
+/* What a move has to gain, in units of the plan's value: about that of two
+ * layers' replicas, and half of one for each layer that has to be loaded. */
+#define MOVE_COST 6.0
+#define LOAD_COST 1.5
 /* Orders of servers tried where all are empty. */
-#define RESTARTS 24
-/* Servers with layers that are given others at the same time. */
-#define MOVES_AT_ONCE 2
+#define RESTARTS 8
+/* Servers with layers in one failure domain that are given others at the same
+ * time. */
+#define MOVES_AT_ONCE 1
 /* A server silent for this long is planned around; a restart takes longer. */
 #define SUSPECT_PATIENCE_US (400 * EG_US_PER_MS)
 
@@ -62,7 +65,7 @@
   if (action == EG_LEASE_READ)
     {
       started = eg_store_call_start (
-          &self->call, "GET", LEASE_KIND "/" LEASE_NAME "?allowStale=1", NULL,
+          &self->call, "GET", LEASE_KIND "/" LEASE_NAME "", NULL,
           LEASE_CALL_US);
       goto out;
     }
@@ -301,7 +304,8 @@
   size_t count;
   const char *domains[EG_PLAN_DOMAINS_MAX];
   uint32_t domain_count;
-  size_t moving; /**< Servers with layers whose order is under way. */
+  /** Servers with layers whose order is under way, by failure domain. */
+  size_t moving[EG_PLAN_DOMAINS_MAX];
   size_t empty;  /**< Servers that hold nothing and were ordered nothing. */
 };
 
@@ -353,7 +357,7 @@
           is_ordered (backend) ? backend->ordered : backend->entry.layers;
       if (is_ordered (backend)
           && backend->entry.layers.to > backend->entry.layers.from)
-        input->moving++;
+        input->moving[server->domain]++;
       if (server->held.to == server->held.from)
         input->empty++;
       input->backends[input->count++] = backend;
@@ -378,8 +382,17 @@
 }
 
 static void
-give_orders (struct eg_planner *self, struct plan_input *input, int64_t now_us)
+give_orders (struct eg_planner *self,
+             const struct eg_engine_model *engine,
+             struct plan_input *input,
+             int64_t now_us)
 {
+  bool whole[EG_PLAN_DOMAINS_MAX];
+
+  for (uint32_t domain = 0; domain < EG_PLAN_DOMAINS_MAX; domain++)
+    whole[domain] = eg_layer_plan_missing (input->servers, input->count, engine,
+                                           domain)
+                    == 0;
   for (size_t i = 0; i < input->count; i++)
     {
       const struct eg_plan_server *server = &input->servers[i];
@@ -395,10 +408,13 @@
           eg_backend_probe (input->backends[i], now_us);
           continue;
         }
-      if (!empty && input->moving >= MOVES_AT_ONCE)
+      /* Moves beside each other may take both replicas of a layer, which does
+         no harm where there is no path anyway. */
+      if (!empty && whole[server->domain]
+          && input->moving[server->domain] >= MOVES_AT_ONCE)
         continue;
       if (!empty)
-        input->moving++;
+        input->moving[server->domain]++;
       send_order (self, input->backends[i], server->planned, now_us);
     }
 }
@@ -415,6 +431,7 @@
   struct eg_plan_goal goal = {
       .tokens = service->engine.kv_tokens * GOAL_TOKENS_SHARE,
       .move_cost = MOVE_COST,
+      .load_cost = LOAD_COST,
       .restarts = RESTARTS};
 
   EG_INVARIANT (input.servers && input.backends);
@@ -425,7 +442,7 @@
       && eg_layer_plan_make (input.servers, input.count, &service->engine,
                              &goal)
              > 0)
-    give_orders (self, &input, now_us);
+    give_orders (self, &service->engine, &input, now_us);
   free (input.servers);
   free (input.backends);
 }
--- a/net/socket.c
+++ b/net/socket.c
@@ -1,8 +1,10 @@
 #include "net/socket.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "base/status.h"
 
@@ -103,6 +105,21 @@
   space->len = sizeof read_space;
 }
 
+/* libuv tells a hang-up as the end of the stream even where the connection was
+ * reset behind the last bytes. */
+static int
+end_or_reset (struct eg_socket *self)
+{
+  uv_os_fd_t descriptor;
+  char byte;
+  ssize_t len;
+
+  if (uv_fileno ((uv_handle_t *) &self->tcp, &descriptor) != 0)
+    return UV_EBADF;
+  len = recv (descriptor, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+  return len == 0 ? UV_EOF : len > 0 ? UV_ECONNRESET : -errno;
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t len, const uv_buf_t *space)
 {
@@ -110,7 +127,9 @@
 
   if (self->closing || len == 0)
     return;
-  if (len < 0)
+  if (len == UV_EOF)
+    self->events->ended (self->context, end_or_reset (self));
+  else if (len < 0)
     self->events->ended (self->context, (int) len);
   else
     self->events->bytes (self->context,
--- a/policy/layer_plan.c
+++ b/policy/layer_plan.c
@@ -1,5 +1,6 @@
 #include "policy/layer_plan.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,7 +11,11 @@
  * domain's path, so it outweighs all else together. */
 #define VALUE_HELD 1000.0
 #define VALUE_REPLICA 3.0 /**< Of a second server for a layer. */
-#define VALUE_MEMORY 2.0  /**< Of memory for all tokens of the goal. */
+/* A layer with memory for the goal's tokens loses this much value, one with
+ * half of that twice as much: the layer with least memory bounds the path. */
+#define LOSS_MEMORY 4.0
+/* Beyond this many times the goal a lack of memory counts no further. */
+#define LOSS_TIMES_MAX 16.0
 /* Sizes tried for a server, down from what its memory holds. */
 #define SIZES_TRIED 5
 /* Passes over all servers; the value mostly stands still after four. */
@@ -31,14 +36,22 @@
 static double
 layer_value (const struct domain_plan *self, unsigned replicas, double tokens)
 {
-  double share = tokens / self->goal->tokens;
+  double times = tokens > 0 ? self->goal->tokens / tokens : LOSS_TIMES_MAX;
 
   if (replicas == 0)
     return 0;
-  return VALUE_HELD + (replicas > 1 ? VALUE_REPLICA : 0)
-         + VALUE_MEMORY * (share > 1 ? 1 + (share - 1) * 0.1 : share);
+  if (times > LOSS_TIMES_MAX)
+    times = LOSS_TIMES_MAX;
+  return VALUE_HELD + (replicas > 1 ? VALUE_REPLICA : 0) - LOSS_MEMORY * times;
 }
 
+static bool
+range_equal (struct eg_layer_range a, struct eg_layer_range b)
+{
+  return a.from == b.from && a.to == b.to;
+}
+
+
 static double
 tokens_of (const struct domain_plan *self,
            const struct eg_plan_server *server,
@@ -82,10 +95,21 @@
   return sum;
 }
 
-static bool
-range_equal (struct eg_layer_range a, struct eg_layer_range b)
+/* Layers that a server holds already need no loading. */
+static double
+move_cost (const struct domain_plan *self,
+           const struct eg_plan_server *server,
+           struct eg_layer_range range)
 {
-  return a.from == b.from && a.to == b.to;
+  const struct eg_layer_range held = server->held;
+  uint32_t from = range.from > held.from ? range.from : held.from;
+  uint32_t to = range.to < held.to ? range.to : held.to;
+  uint32_t kept = to > from ? to - from : 0;
+
+  if (held.to == held.from || range_equal (range, held))
+    return 0;
+  return self->goal->move_cost
+         + self->goal->load_cost * (range.to - range.from - kept);
 }
 
 static struct eg_layer_range
@@ -97,15 +121,12 @@
   struct eg_layer_range best = server->held;
   double best_gain = gain (self, server, best);
 
-  if (best.to > best.from)
-    best_gain += self->goal->move_cost;
   for (uint32_t size = most; size >= least && size > 0; size--)
     for (uint32_t from = 0; from + size <= layers; from++)
       {
         struct eg_layer_range range = {from, from + size};
-        double value = range_equal (range, server->held)
-                           ? -1
-                           : gain (self, server, range);
+        double value =
+            gain (self, server, range) - move_cost (self, server, range);
 
         if (value > best_gain)
           {
@@ -124,9 +145,7 @@
   for (uint32_t i = 0; i < self->engine->layers; i++)
     sum += layer_value (self, self->replicas[i], self->tokens[i]);
   for (size_t i = 0; i < self->count; i++)
-    if (range_equal (self->servers[i]->planned, self->servers[i]->held)
-        && self->servers[i]->held.to > 0)
-      sum += self->goal->move_cost;
+    sum -= move_cost (self, self->servers[i], self->servers[i]->planned);
   return sum;
 }
 
@@ -186,7 +205,7 @@
   struct eg_layer_range *best = calloc (self->count, sizeof *best);
   struct eg_plan_server **order = calloc (self->count, sizeof *order);
   struct eg_random random;
-  double best_value = -1;
+  double best_value = -INFINITY;
 
   EG_INVARIANT (best && order);
   memcpy (order, self->servers, self->count * sizeof *order);
--- a/policy/layer_plan.h
+++ b/policy/layer_plan.h
@@ -39,8 +39,8 @@
 {
   /** Tokens that each layer of a failure domain should have memory for. */
   double tokens;
-  /** Worth of leaving a server as it is, in the units of the plan's value. */
-  double move_cost;
+  double move_cost; /**< Of any change of a server that holds layers. */
+  double load_cost; /**< Of each layer that it has to load for that. */
   unsigned restarts; /**< Tries from other starts, where all are empty. */
 };
 
