--- a/base/settings.c
+++ b/base/settings.c
@@ -11,8 +11,7 @@
 static const char *const type_names[] = {
     [EG_SETTING_INTEGER] = "integer", [EG_SETTING_BOOLEAN] = "boolean",
     [EG_SETTING_TEXT] = "text",       [EG_SETTING_SECRET] = "secret text",
-    [EG_SETTING_NUMBER] = "number",
-    [EG_SETTING_ADDRESS] = "address",
+    [EG_SETTING_NUMBER] = "number",   [EG_SETTING_ADDRESS] = "address",
 };
 
 static const enum eg_toml_kind type_kinds[] = {
@@ -58,9 +57,9 @@
       snprintf (text, capacity, "true or false");
       return;
     case EG_SETTING_NUMBER:
-      snprintf (text, capacity,
-                "a number from %" PRId64 " to %" PRId64 "%s%s", setting->min,
-                setting->max, *setting->unit ? " " : "", setting->unit);
+      snprintf (text, capacity, "a number from %" PRId64 " to %" PRId64 "%s%s",
+                setting->min, setting->max, *setting->unit ? " " : "",
+                setting->unit);
       return;
     case EG_SETTING_TEXT:
     case EG_SETTING_SECRET:
--- a/entry/call.c
+++ b/entry/call.c
@@ -38,6 +38,9 @@
 #define RETRY_AFTER_CONFIGURATION_MS 500
 /* A refusal that took longer comes from waiting for a dead server. */
 #define STALL_SIGN_US (1000 * EG_US_PER_MS)
+/* A process that starts again does not know what it has sent before: half of
+ * the extra retries are left for that. */
+#define RETRY_EXTRA_SHARE 0.5
 /* Priority classes of engines go from 0 to this. */
 #define PRIORITY_CLASS_MAX 9
 /* Time kept back from what a server is told, for the way back. */
@@ -247,8 +250,7 @@
       .repeatable = is_repeatable (self),
       .may_have_run = self->may_have_run,
       .begun = self->head_sent,
-      .resumable =
-          self->route.kind == EG_ROUTE_STREAM && self->route.resumable,
+      .resumable = self->route.kind == EG_ROUTE_STREAM && self->route.resumable,
       .sends = self->sends,
       .tries = self->tries,
       .now_us = now_us,
@@ -578,7 +580,9 @@
   if (answer == EG_RESEND && reached
       && !eg_retry_window_spend (
           eg_entry_retries (self->entry, self->service), settings->retry_ratio,
-          (double) settings->retry_extra / self->entry->entry_vms, now_us))
+          (double) settings->retry_extra * RETRY_EXTRA_SHARE
+              / eg_members_count (&self->entry->members),
+          now_us))
     {
       eg_log (EG_LOG_NOTICE, "call",
               "event=retry-budget-spent request=%.*s service=%s cause=%s",
@@ -589,8 +593,7 @@
     {
       /* A repeatable request whose servers answered gets what they said. */
       if (answer == EG_RESEND_FAIL && self->answer_head.len > 0
-          && self->answer_status >= 500
-          && strcmp (cause, "server-error") == 0)
+          && self->answer_status >= 500 && strcmp (cause, "server-error") == 0)
         answer_gathered (self);
       else
         conclude (self, answer, cause);
@@ -599,8 +602,7 @@
   eg_log (EG_LOG_INFO, "call",
           "event=request-resent request=%.*s cause=%s sends=%u events=%" PRIu64
           " left_ms=%" PRId64,
-          EG_STR_ARGS (self->facts.id), cause, self->sends,
-          self->relay.events,
+          EG_STR_ARGS (self->facts.id), cause, self->sends, self->relay.events,
           (self->deadline_us - now_us) / EG_US_PER_MS);
   if (self->head_sent)
     eg_metrics_count (&self->entry->metrics, EG_COUNT_RESUMES);
@@ -659,8 +661,8 @@
   uint32_t expected = self->facts.answer_tokens_hint;
 
   if (expected == 0)
-    expected = engine->usual_answer ? engine->usual_answer
-                                    : ANSWER_TOKENS_DEFAULT;
+    expected =
+        engine->usual_answer ? engine->usual_answer : ANSWER_TOKENS_DEFAULT;
   return most > 0 && most < expected ? most : expected;
 }
 
@@ -724,8 +726,8 @@
 {
   struct eg_entry *entry = self->entry;
   const struct eg_configuration *configuration = entry->configuration.now;
-  size_t service =
-      eg_configuration_find_service (configuration, eg_str_from (self->service));
+  size_t service = eg_configuration_find_service (configuration,
+                                                  eg_str_from (self->service));
   struct eg_placement_choice place;
   struct eg_placement_need need;
 
@@ -799,10 +801,10 @@
       refuse (self, "keys-too-old", RETRY_AFTER_CONFIGURATION_MS);
       return false;
     }
-  organisation = self->facts.key.len > 0 && !self->facts.key_repeated
-                     ? eg_configuration_find_key (configuration,
-                                                  self->facts.key)
-                     : NULL;
+  organisation =
+      self->facts.key.len > 0 && !self->facts.key_repeated
+          ? eg_configuration_find_key (configuration, self->facts.key)
+          : NULL;
   if (!organisation)
     {
       reject (self, 401, "key-unknown");
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -244,8 +244,8 @@
 {
   struct eg_caller *self = context;
   size_t *all = &self->entry->callers.body_bytes;
-  size_t all_max = (size_t) self->entry->settings->memory_mb * BYTES_PER_MB
-                   / BODY_SHARE;
+  size_t all_max =
+      (size_t) self->entry->settings->memory_mb * BYTES_PER_MB / BODY_SHARE;
 
   if (self->reject_status > 0)
     return;
@@ -295,8 +295,8 @@
   free (self);
 }
 
-static const struct eg_socket_events socket_events = {
-    NULL, on_bytes, on_ended, on_drained, on_closed};
+static const struct eg_socket_events socket_events = {NULL, on_bytes, on_ended,
+                                                      on_drained, on_closed};
 static const struct eg_http_reader_events reader_events = {on_head, on_body};
 
 static void
@@ -327,8 +327,8 @@
   callers->connections++;
   if (self->kind == EG_LISTEN_CALLERS)
     eg_metrics_count (&callers->entry->metrics, EG_COUNT_CONNECTIONS);
-  status = eg_socket_init (&self->socket, &callers->entry->loop,
-                           &socket_events, self);
+  status = eg_socket_init (&self->socket, &callers->entry->loop, &socket_events,
+                           self);
   EG_INVARIANT (status == 0);
   status = eg_socket_accept (&self->socket, listener);
   if (status == 0)
--- a/entry/callers.h
+++ b/entry/callers.h
@@ -45,7 +45,7 @@
   bool listening[EG_LISTENERS];
   struct eg_list all;
   size_t connections;
-  size_t running; /**< Requests being served. */
+  size_t running;    /**< Requests being served. */
   size_t body_bytes; /**< Of requests being read. */
 };
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -9,6 +9,7 @@
 #include "entry/callers.h"
 #include "entry/fleet.h"
 #include "entry/journal.h"
+#include "entry/members.h"
 #include "entry/metrics.h"
 #include "entry/planner.h"
 #include "entry/settings.h"
@@ -54,9 +55,8 @@
   struct eg_quarantine *quarantine;
   struct eg_service_retries retries[EG_RETRY_SERVICES_MAX];
   size_t retry_services;
-  unsigned entry_vms; /**< Of the whole system, as far as known; at least 1. */
-  unsigned domain_vms; /**< Of this failure domain. */
-  int64_t stop_us;     /**< When a planned stop began; 0: none has. */
+  struct eg_members members;
+  int64_t stop_us; /**< When a planned stop began; 0: none has. */
 };
 
 /** Returns the retry window of a service. */
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -236,8 +236,7 @@
   self->listed = false;
   self->lapse_us = 0;
   if (may_return)
-    self->lapse_us =
-        (fleet->lost_us > 0 ? now_us : fleet->found_us) + LAPSE_US;
+    self->lapse_us = (fleet->lost_us > 0 ? now_us : fleet->found_us) + LAPSE_US;
   eg_log (EG_LOG_NOTICE, "fleet",
           "event=server-gone server=%s service=%s may_return=%d",
           self->entry.id, self->entry.service, may_return);
@@ -261,12 +260,11 @@
 {
   const struct eg_server_entry *old = &self->entry;
   bool restarted = entry->start_ms != old->start_ms;
-  bool changed = restarted || !self->listed
-                 || entry->draining != old->draining
-                 || entry->layers.from != old->layers.from
-                 || entry->layers.to != old->layers.to
-                 || eg_endpoint_key (entry->endpoint)
-                        != eg_endpoint_key (old->endpoint);
+  bool changed =
+      restarted || !self->listed || entry->draining != old->draining
+      || entry->layers.from != old->layers.from
+      || entry->layers.to != old->layers.to
+      || eg_endpoint_key (entry->endpoint) != eg_endpoint_key (old->endpoint);
 
   if (restarted)
     {
@@ -286,8 +284,7 @@
               "start_ms=%" PRId64,
               entry->id, entry->service, entry->address, entry->domain,
               *entry->accelerator ? entry->accelerator : "-", entry->draining,
-              entry->layers.from, entry->layers.to,
-              entry->start_ms);
+              entry->layers.from, entry->layers.to, entry->start_ms);
     }
   /* Another entry VM's order: how many there were is to be asked. */
   if (!restarted
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -48,21 +48,21 @@
   int64_t suspect_until_us;
   int64_t suspected_us;
   int64_t full_until_us; /**< It had no room; see EG_BLAME_FULL. */
-  double penalty; /**< Recent faults, as of @c penalty_us. */
+  double penalty;        /**< Recent faults, as of @c penalty_us. */
   int64_t penalty_us;
   unsigned running;  /**< Requests of this entry VM. */
   double kv_running; /**< Their tokens x layers. */
   bool tells_load;
-  unsigned load;    /**< Running and waiting, when it last said so. */
+  unsigned load; /**< Running and waiting, when it last said so. */
   unsigned slots;
   int64_t load_us;
-  double kv_used;  /**< Of its last report. */
+  double kv_used; /**< Of its last report. */
   double kv_total;
   double slowness; /**< Of its last report; 1 until then. */
   int64_t report_us;
   struct eg_probe probe;
-  struct eg_exchange order; /**< Of the planner. */
-  int64_t orders; /**< That it has begun; negative: not known. */
+  struct eg_exchange order;      /**< Of the planner. */
+  int64_t orders;                /**< That it has begun; negative: not known. */
   struct eg_layer_range ordered; /**< Under way; from == to: none. */
   int64_t ordered_us;
   unsigned order_status;
@@ -85,11 +85,11 @@
   size_t count;
   struct eg_exchange_pool *pool;
   struct eg_fleet_events events;
-  bool known;       /**< A whole list was read. */
-  bool reading;     /**< A list is being read. */
-  int64_t lost_us;  /**< Since when the store does not answer; 0: it does. */
-  int64_t found_us; /**< When it last answered again. */
-  bool lapsing;     /**< Entries may have lapsed while it was away. */
+  bool known;         /**< A whole list was read. */
+  bool reading;       /**< A list is being read. */
+  int64_t lost_us;    /**< Since when the store does not answer; 0: it does. */
+  int64_t found_us;   /**< When it last answered again. */
+  bool lapsing;       /**< Entries may have lapsed while it was away. */
   int64_t changed_us; /**< When an entry last changed. */
   uint64_t probes;
 };
--- a/entry/main.c
+++ b/entry/main.c
@@ -37,9 +37,6 @@
 #define QUARANTINE_DEATHS 3
 #define QUARANTINE_US (60 * EG_US_PER_S)
 #define QUARANTINE_ENTRIES 4096
-/* Entry VMs assumed until the store has told how many there are. */
-#define ENTRY_VMS_DEFAULT 9
-#define DOMAIN_VMS_DEFAULT 3
 
 static struct eg_entry entry;
 
@@ -217,6 +214,7 @@
   eg_fleet_check (&self->fleet, now_us);
   eg_callers_check (&self->callers, now_us);
   eg_planner_check (&self->planner, now_us);
+  eg_members_check (&self->members, now_us);
   eg_exchange_pool_trim (&self->pool, now_us);
   check_stop (self, now_us);
   eg_journal_flush (&self->journal);
@@ -261,8 +259,8 @@
   const struct eg_feed_events servers_events = {
       on_servers_list, on_servers_object, on_servers_synced, on_servers_lost,
       self};
-  int64_t wait_ms = (int64_t) (self->settings->revocation_ms
-                               * CONFIGURATION_WAIT_SHARE);
+  int64_t wait_ms =
+      (int64_t) (self->settings->revocation_ms * CONFIGURATION_WAIT_SHARE);
 
   eg_store_feed_init (&self->configuration_feed, &self->store,
                       eg_configuration_kind, wait_ms, 0, &self->random,
@@ -286,16 +284,15 @@
   eg_journal_init (&self->journal);
   eg_random_init (&self->random, eg_random_system_seed ());
   eg_metrics_init (&self->metrics);
-  self->entry_vms = ENTRY_VMS_DEFAULT;
-  self->domain_vms = DOMAIN_VMS_DEFAULT;
   self->quarantine = eg_quarantine_new (&quarantine_config);
   EG_INVARIANT (self->quarantine && uv_loop_init (&self->loop) == 0);
   eg_exchange_pool_init (&self->pool, &self->loop, POOL_IDLE_US);
   self->store.pool = &self->pool;
-  EG_INVARIANT (eg_endpoint_parse (
-      eg_str_from (self->settings->store_address), &self->store.endpoint));
+  EG_INVARIANT (eg_endpoint_parse (eg_str_from (self->settings->store_address),
+                                   &self->store.endpoint));
   eg_fleet_init (&self->fleet, &self->pool, &fleet_events);
   init_feeds (self);
+  eg_members_init (&self->members, self);
   eg_planner_init (&self->planner, self);
   opened = eg_callers_open (&self->callers, self, &error);
   if (opened)
--- /dev/null
+++ b/entry/members.c
@@ -0,0 +1,244 @@
+#include "entry/members.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/entry.h"
+
+#define MEMBER_KIND "eelgrasswood-vms"
+/* A VM writes its object anew this often, and is dropped after three times. */
+#define WRITE_GAP_US (60 * EG_US_PER_S)
+#define EXPIRY_US (3 * WRITE_GAP_US)
+/* The list is read soon after a start, when all VMs write, and then seldom. */
+#define LIST_FIRST_US (1500 * EG_US_PER_MS)
+#define LIST_GAP_US (10 * EG_US_PER_S)
+#define RETRY_US (1 * EG_US_PER_S)
+#define CALL_TIMEOUT_US (1500 * EG_US_PER_MS)
+/* VMs taken to be there until the list is read: more than most systems have,
+ * so that a share is rather too small. */
+#define UNKNOWN_COUNT 64
+#define UNKNOWN_IN_DOMAIN 4
+
+static struct eg_member *
+find (struct eg_members *self, const char *name)
+{
+  for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
+    {
+      struct eg_member *member = EG_CONTAINER_OF (at, struct eg_member, all);
+
+      if (strcmp (member->name, name) == 0)
+        return member;
+    }
+  return NULL;
+}
+
+static void
+drop (struct eg_member *member)
+{
+  eg_list_remove (&member->all);
+  free (member);
+}
+
+static void
+take_member (struct eg_members *self, const json_t *object, int64_t now_us)
+{
+  const char *name = eg_store_object_name (object);
+  const char *domain = json_string_value (
+      json_object_get (eg_store_object_spec (object), "failure_domain"));
+  struct eg_member *member;
+  int64_t revision;
+
+  if (!name || !domain || !eg_store_object_revision (object, &revision)
+      || strlen (name) >= sizeof member->name
+      || strlen (domain) >= sizeof member->domain)
+    {
+      eg_log (EG_LOG_WARNING, "members", "event=member-unreadable name=%s",
+              name ? name : "-");
+      return;
+    }
+  member = find (self, name);
+  if (!member)
+    {
+      member = calloc (1, sizeof *member);
+      EG_INVARIANT (member);
+      strcpy (member->name, name);
+      strcpy (member->domain, domain);
+      eg_list_append (&self->all, &member->all);
+    }
+  member->marked = true;
+  if (member->revision != revision)
+    member->seen_us = now_us;
+  member->revision = revision;
+}
+
+static void
+count_members (struct eg_members *self)
+{
+  self->count = 0;
+  self->in_domain = 0;
+  for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
+    {
+      self->count++;
+      self->in_domain +=
+          strcmp (EG_CONTAINER_OF (at, struct eg_member, all)->domain,
+                  self->entry->settings->domain)
+          == 0;
+    }
+  if (self->count == 0)
+    self->count = 1;
+  if (self->in_domain == 0)
+    self->in_domain = 1;
+}
+
+static void
+drop_expired (struct eg_members *self, int64_t now_us)
+{
+  for (struct eg_list *at = self->all.next; at != &self->all;)
+    {
+      struct eg_member *member = EG_CONTAINER_OF (at, struct eg_member, all);
+
+      at = at->next;
+      if (!member->marked || now_us - member->seen_us > EXPIRY_US)
+        drop (member);
+    }
+}
+
+static void
+on_list_reply (void *context, enum eg_store_outcome outcome, json_t *document)
+{
+  struct eg_members *self = context;
+  int64_t now_us = eg_clock_now_us ();
+  json_t *items = json_object_get (document, "items");
+  const char *last = NULL;
+  json_t *object;
+  size_t index;
+
+  if (outcome != EG_STORE_OK)
+    {
+      self->list_due_us = now_us + RETRY_US;
+      *self->after = '\0';
+      return;
+    }
+  if (!*self->after)
+    for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
+      EG_CONTAINER_OF (at, struct eg_member, all)->marked = false;
+  json_array_foreach (items, index, object)
+  {
+    take_member (self, object, now_us);
+    last = eg_store_object_name (object);
+  }
+  if (json_is_true (json_object_get (document, "hasMore")) && last
+      && strlen (last) < sizeof self->after)
+    {
+      strcpy (self->after, last);
+      self->list_due_us = now_us;
+      return;
+    }
+  *self->after = '\0';
+  drop_expired (self, now_us);
+  count_members (self);
+  self->list_due_us = now_us + LIST_GAP_US;
+  eg_log (EG_LOG_INFO, "members", "event=members-read count=%u in_domain=%u",
+          eg_members_count (self), eg_members_in_domain (self));
+}
+
+static void
+on_own_reply (void *context, enum eg_store_outcome outcome, json_t *document)
+{
+  struct eg_members *self = context;
+  int64_t now_us = eg_clock_now_us ();
+  int64_t revision = 0;
+
+  /* A conflict brings the object as it is, of an earlier start. */
+  if ((outcome == EG_STORE_OK || outcome == EG_STORE_CONFLICT) && document
+      && eg_store_object_revision (document, &revision))
+    {
+      self->revision = revision;
+      self->write_due_us = now_us + WRITE_GAP_US;
+      return;
+    }
+  if (outcome == EG_STORE_MISSING)
+    self->revision = 0;
+  self->write_due_us = now_us + RETRY_US;
+}
+
+void
+eg_members_init (struct eg_members *self, struct eg_entry *entry)
+{
+  struct eg_store_reply_sink list_sink = {on_list_reply, self};
+  struct eg_store_reply_sink own_sink = {on_own_reply, self};
+
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  eg_list_init (&self->all);
+  self->count = UNKNOWN_COUNT;
+  self->in_domain = UNKNOWN_IN_DOMAIN;
+  eg_store_call_init (&self->list_call, &entry->store, &list_sink);
+  eg_store_call_init (&self->own_call, &entry->store, &own_sink);
+  self->list_due_us = eg_clock_now_us () + LIST_FIRST_US;
+}
+
+void
+eg_members_finish (struct eg_members *self)
+{
+  eg_store_call_finish (&self->list_call);
+  eg_store_call_finish (&self->own_call);
+  while (!eg_list_is_empty (&self->all))
+    drop (EG_CONTAINER_OF (self->all.next, struct eg_member, all));
+}
+
+static void
+write_own (struct eg_members *self, int64_t now_us)
+{
+  const struct eg_entry_settings *settings = self->entry->settings;
+  bool create = self->revision == 0;
+  char path[128];
+  json_t *spec = json_pack ("{s:s, s:I}", "failure_domain", settings->domain,
+                            "written_us", (json_int_t) now_us);
+  json_t *object = eg_store_object (settings->name, self->revision, spec);
+
+  snprintf (path, sizeof path, MEMBER_KIND "%s%s", create ? "" : "/",
+            create ? "" : settings->name);
+  self->written_us = now_us;
+  self->write_due_us = now_us + RETRY_US;
+  if (!eg_store_call_start (&self->own_call, create ? "POST" : "PUT", path,
+                            object, CALL_TIMEOUT_US))
+    eg_log (EG_LOG_WARNING, "members", "event=member-not-written");
+  json_decref (object);
+}
+
+void
+eg_members_check (struct eg_members *self, int64_t now_us)
+{
+  char path[128];
+
+  eg_store_call_check (&self->list_call, now_us);
+  eg_store_call_check (&self->own_call, now_us);
+  if (now_us >= self->write_due_us
+      && !eg_store_call_is_active (&self->own_call))
+    write_own (self, now_us);
+  if (now_us < self->list_due_us || eg_store_call_is_active (&self->list_call))
+    return;
+  snprintf (path, sizeof path, MEMBER_KIND "?allowStale=1%s%s",
+            *self->after ? "&after=" : "", self->after);
+  self->list_due_us = now_us + RETRY_US;
+  if (!eg_store_call_start (&self->list_call, "GET", path, NULL,
+                            CALL_TIMEOUT_US))
+    eg_log (EG_LOG_WARNING, "members", "event=members-not-read");
+}
+
+unsigned
+eg_members_count (const struct eg_members *self)
+{
+  return self->count;
+}
+
+unsigned
+eg_members_in_domain (const struct eg_members *self)
+{
+  return self->in_domain;
+}
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -68,8 +68,8 @@
                     "eelgrasswood_%s_bucket{le=\"+Inf\"} %" PRIu64 "\n"
                     "eelgrasswood_%s_sum %g\neelgrasswood_%s_count %" PRIu64
                     "\n",
-                    name, times->count, name,
-                    (double) times->sum / EG_US_PER_S, name, times->count);
+                    name, times->count, name, (double) times->sum / EG_US_PER_S,
+                    name, times->count);
 }
 
 void
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -44,16 +44,18 @@
           const struct eg_engine_model *engine,
           double tokens)
 {
-  const struct eg_accelerator *accelerator = eg_engine_accelerator (
-      engine, eg_str_from (backend->entry.accelerator));
+  const struct eg_accelerator *accelerator =
+      eg_engine_accelerator (engine, eg_str_from (backend->entry.accelerator));
   uint32_t layers = backend->entry.layers.to - backend->entry.layers.from;
-  double capacity =
-      accelerator ? eg_engine_kv_capacity (engine, accelerator, layers)
-                  : engine->kv_tokens * layers;
+  double capacity = accelerator
+                        ? eg_engine_kv_capacity (engine, accelerator, layers)
+                        : engine->kv_tokens * layers;
 
   if (capacity <= 0)
     return 1;
-  return (backend->kv_running * entry->domain_vms + tokens * layers) / capacity;
+  return (backend->kv_running * eg_members_in_domain (&entry->members)
+          + tokens * layers)
+         / capacity;
 }
 
 /* The fuller a server, the longer its passes and the likelier a preemption. */
@@ -72,8 +74,8 @@
                int64_t now_us)
 {
   const struct eg_engine_model *engine = &need->service->engine;
-  const struct eg_accelerator *accelerator = eg_engine_accelerator (
-      engine, eg_str_from (backend->entry.accelerator));
+  const struct eg_accelerator *accelerator =
+      eg_engine_accelerator (engine, eg_str_from (backend->entry.accelerator));
   double tokens = (double) need->prompt_tokens + need->answer_tokens;
   double step = accelerator ? accelerator->step_factor : 1;
   double read = accelerator ? accelerator->read_factor : 1;
@@ -151,8 +153,8 @@
                 struct eg_layer_path *path)
 {
   static struct eg_path_candidate candidates[EG_PATH_CANDIDATES_MAX];
-  const struct eg_path_costs costs = {
-      .hop_us = HOP_US * need->answer_tokens, .home = domain};
+  const struct eg_path_costs costs = {.hop_us = HOP_US * need->answer_tokens,
+                                      .home = domain};
   size_t count = 0;
 
   for (size_t i = 0; i < search->count; i++)
@@ -191,8 +193,7 @@
   for (uint32_t i = 0; i < best.count; i++)
     {
       struct eg_backend *backend = search.backends[best.stages[i].server];
-      double share =
-          kv_share (entry, backend, &need->service->engine, tokens);
+      double share = kv_share (entry, backend, &need->service->engine, tokens);
 
       choice->stages[i] = backend;
       choice->layers[i] =
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -20,8 +20,8 @@
   /** Servers that the request was sent to already. */
   struct eg_backend *const *used;
   size_t used_count;
-  bool only_used;   /**< No other first server may be used. */
-  bool avoid_used;  /**< Another first server is wanted where there is one. */
+  bool only_used;  /**< No other first server may be used. */
+  bool avoid_used; /**< Another first server is wanted where there is one. */
 };
 
 /** Where a request runs. */
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -64,17 +64,17 @@
 
   if (action == EG_LEASE_READ)
     {
-      started = eg_store_call_start (
-          &self->call, "GET", LEASE_KIND "/" LEASE_NAME "", NULL,
-          LEASE_CALL_US);
+      started =
+          eg_store_call_start (&self->call, "GET", LEASE_KIND "/" LEASE_NAME "",
+                               NULL, LEASE_CALL_US);
       goto out;
     }
   eg_lease_record_encode (&self->lease.next, &text);
   spec = json_loadb (text.data, text.len, 0, NULL);
   EG_INVARIANT (spec);
   object = eg_store_object (
-      LEASE_NAME,
-      action == EG_LEASE_UPDATE ? (int64_t) self->lease.version : 0, spec);
+      LEASE_NAME, action == EG_LEASE_UPDATE ? (int64_t) self->lease.version : 0,
+      spec);
   started = eg_store_call_start (
       &self->call, action == EG_LEASE_CREATE ? "POST" : "PUT",
       action == EG_LEASE_CREATE ? LEASE_KIND : LEASE_KIND "/" LEASE_NAME,
@@ -93,8 +93,8 @@
             const struct eg_lease_record *found)
 {
   enum eg_lease_action action =
-      eg_lease_update (&self->lease, event, version, found,
-                       eg_clock_now_us (), &self->entry->random);
+      eg_lease_update (&self->lease, event, version, found, eg_clock_now_us (),
+                       &self->entry->random);
 
   if (action != EG_LEASE_WAIT)
     start_lease_call (self, action);
@@ -112,9 +112,7 @@
 }
 
 static void
-on_lease_reply (void *context,
-                enum eg_store_outcome outcome,
-                json_t *document)
+on_lease_reply (void *context, enum eg_store_outcome outcome, json_t *document)
 {
   struct eg_planner *self = context;
   bool read = self->lease.outstanding == EG_LEASE_READ;
@@ -159,8 +157,7 @@
       .watch_us = LEASE_WATCH_US,
       .retry_us = LEASE_RETRY_US,
   };
-  eg_lease_init (&self->lease, &self->config,
-                 eg_random_next (&entry->random),
+  eg_lease_init (&self->lease, &self->config, eg_random_next (&entry->random),
                  eg_str_from (entry->settings->name));
   eg_store_call_init (&self->call, &entry->store, &sink);
 }
@@ -218,8 +215,8 @@
   struct eg_backend *backend = context;
 
   eg_log (EG_LOG_NOTICE, "planner",
-          "event=order-lost server=%s layers=%u-%u cause=%s",
-          backend->entry.id, backend->ordered.from, backend->ordered.to,
+          "event=order-lost server=%s layers=%u-%u cause=%s", backend->entry.id,
+          backend->ordered.from, backend->ordered.to,
           eg_exchange_fault_name (fault));
   if (fault == EG_EXCHANGE_UNREACHABLE)
     backend->ordered = (struct eg_layer_range){0, 0};
@@ -241,8 +238,8 @@
   struct eg_buffer body = {0};
 
   eg_order_layers (&body, range, backend->orders);
-  eg_own_request (&head, "POST", eg_order_path,
-                  eg_str_from (backend->entry.id), body.len);
+  eg_own_request (&head, "POST", eg_order_path, eg_str_from (backend->entry.id),
+                  body.len);
   request.head = eg_buffer_view (&head);
   request.body = eg_buffer_view (&body);
   backend->ordered = range;
@@ -306,7 +303,7 @@
   uint32_t domain_count;
   /** Servers with layers whose order is under way, by failure domain. */
   size_t moving[EG_PLAN_DOMAINS_MAX];
-  size_t empty;  /**< Servers that hold nothing and were ordered nothing. */
+  size_t empty; /**< Servers that hold nothing and were ordered nothing. */
 };
 
 static uint32_t
@@ -390,9 +387,9 @@
   bool whole[EG_PLAN_DOMAINS_MAX];
 
   for (uint32_t domain = 0; domain < EG_PLAN_DOMAINS_MAX; domain++)
-    whole[domain] = eg_layer_plan_missing (input->servers, input->count, engine,
-                                           domain)
-                    == 0;
+    whole[domain] =
+        eg_layer_plan_missing (input->servers, input->count, engine, domain)
+        == 0;
   for (size_t i = 0; i < input->count; i++)
     {
       const struct eg_plan_server *server = &input->servers[i];
@@ -425,14 +422,13 @@
               int64_t now_us)
 {
   size_t room = self->entry->fleet.count + 1;
-  struct plan_input input = {
-      .servers = calloc (room, sizeof *input.servers),
-      .backends = calloc (room, sizeof *input.backends)};
-  struct eg_plan_goal goal = {
-      .tokens = service->engine.kv_tokens * GOAL_TOKENS_SHARE,
-      .move_cost = MOVE_COST,
-      .load_cost = LOAD_COST,
-      .restarts = RESTARTS};
+  struct plan_input input = {.servers = calloc (room, sizeof *input.servers),
+                             .backends = calloc (room, sizeof *input.backends)};
+  struct eg_plan_goal goal = {.tokens =
+                                  service->engine.kv_tokens * GOAL_TOKENS_SHARE,
+                              .move_cost = MOVE_COST,
+                              .load_cost = LOAD_COST,
+                              .restarts = RESTARTS};
 
   EG_INVARIANT (input.servers && input.backends);
   if (goal.tokens <= 0)
@@ -455,8 +451,7 @@
 
   eg_store_call_check (&self->call, now_us);
   if (!eg_store_call_is_active (&self->call)
-      && now_us >= eg_lease_wake_us (&self->lease)
-      && self->entry->stop_us == 0)
+      && now_us >= eg_lease_wake_us (&self->lease) && self->entry->stop_us == 0)
     step_lease (self, EG_LEASE_TIME, 0, NULL);
   held = eg_lease_is_held (&self->lease, now_us) && self->entry->stop_us == 0;
   if (held != self->held)
--- a/entry/planner.h
+++ b/entry/planner.h
@@ -4,8 +4,8 @@
  * that holds the lease.
  *
  * What servers hold is read from themselves, never from the orders sent, and
- * every order names the last one that its server began: an order that is carried
- * out late, or of an entry VM that lost the lease, does no harm.
+ * every order names the last one that its server began: an order that is
+ * carried out late, or of an entry VM that lost the lease, does no harm.
  */
 #ifndef EG_ENTRY_PLANNER_H
 #define EG_ENTRY_PLANNER_H
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -121,10 +121,10 @@
       if (eg_str_to_int64 (eg_str_trim (eg_str_cut (&keep, ',')), &seconds))
         self->keep_us = seconds * EG_US_PER_S - KEEP_ALIVE_MARGIN_US;
     }
-  self->skipping = !self->exchange
-                   || self->exchange->events->head (self->exchange->context,
-                                                    head)
-                          == EG_EXCHANGE_SKIP;
+  self->skipping =
+      !self->exchange
+      || self->exchange->events->head (self->exchange->context, head)
+             == EG_EXCHANGE_SKIP;
 }
 
 static void
--- a/net/http_head.c
+++ b/net/http_head.c
@@ -81,9 +81,17 @@
 eg_http_is_hop_by_hop (struct eg_str name)
 {
   static const char *const names[] = {
-      "connection", "keep-alive",        "proxy-connection", "te",
-      "trailer",    "transfer-encoding", "upgrade",          "content-length",
-      "expect",     "proxy-authenticate", "proxy-authorization",
+      "connection",
+      "keep-alive",
+      "proxy-connection",
+      "te",
+      "trailer",
+      "transfer-encoding",
+      "upgrade",
+      "content-length",
+      "expect",
+      "proxy-authenticate",
+      "proxy-authorization",
   };
 
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
--- a/net/http_reader.c
+++ b/net/http_reader.c
@@ -196,8 +196,7 @@
       if (self->fault == EG_HTTP_FINE && self->head_bytes > self->head_max)
         self->fault = EG_HTTP_HEAD_TOO_LARGE;
     }
-  else if (self->fault == EG_HTTP_FINE
-           && self->head.text.len > self->head_max)
+  else if (self->fault == EG_HTTP_FINE && self->head.text.len > self->head_max)
     self->fault = EG_HTTP_HEAD_TOO_LARGE;
   if (self->fault == EG_HTTP_FINE && !self->complete && error != HPE_OK)
     self->fault = error == HPE_HEADER_OVERFLOW ? EG_HTTP_HEAD_TOO_LARGE
--- a/net/socket.c
+++ b/net/socket.c
@@ -87,9 +87,9 @@
   struct sockaddr_in address = {.sin_family = AF_INET,
                                 .sin_port = endpoint.port,
                                 .sin_addr.s_addr = endpoint.ip};
-  int status = uv_tcp_connect (&self->connecting, &self->tcp,
-                               (const struct sockaddr *) &address,
-                               on_connected);
+  int status =
+      uv_tcp_connect (&self->connecting, &self->tcp,
+                      (const struct sockaddr *) &address, on_connected);
 
   if (status == 0)
     status = uv_tcp_nodelay (&self->tcp, 1);
--- a/policy/configuration.c
+++ b/policy/configuration.c
@@ -34,8 +34,7 @@
   memset (self, 0, sizeof *self);
   self->routes = new_array (routes, sizeof *self->routes);
   self->services = new_array (services, sizeof *self->services);
-  self->organisations =
-      new_array (organisations, sizeof *self->organisations);
+  self->organisations = new_array (organisations, sizeof *self->organisations);
   EG_INVARIANT (eg_hash_table_init (&self->keys));
 }
 
--- a/policy/configuration.h
+++ b/policy/configuration.h
@@ -49,13 +49,13 @@
   char host[EG_CONFIG_PATH_BYTES];
   char path_prefix[EG_CONFIG_PATH_BYTES];
   enum eg_route_kind kind;
-  bool resumable;           /**< A stream may go on at another server. */
-  bool is_public;           /**< Needs no key. */
-  int64_t timeout_us;       /**< Longest wait that the operator wants. */
-  int64_t latency_goal_us;  /**< Within it an answer is on time. */
-  int64_t event_gap_us;     /**< Longest pause of a stream that is on time. */
-  unsigned servers_max;     /**< Most servers for one request. */
-  unsigned priority;        /**< 0 is first. */
+  bool resumable;          /**< A stream may go on at another server. */
+  bool is_public;          /**< Needs no key. */
+  int64_t timeout_us;      /**< Longest wait that the operator wants. */
+  int64_t latency_goal_us; /**< Within it an answer is on time. */
+  int64_t event_gap_us;    /**< Longest pause of a stream that is on time. */
+  unsigned servers_max;    /**< Most servers for one request. */
+  unsigned priority;       /**< 0 is first. */
   struct eg_route_target targets[EG_ROUTE_TARGETS_MAX];
   uint32_t target_count;
   uint32_t weight_sum;
@@ -80,7 +80,7 @@
   double step_us;         /**< One step of one token. */
   double step_us_per_seq; /**< For each other request that is writing. */
   double read_tokens_per_us;
-  double load_us; /**< Loading all layers. */
+  double load_us;           /**< Loading all layers. */
   double pipe_bytes_per_us; /**< Between two failure domains. */
   double activation_bytes;  /**< Of one token between two servers. */
   uint32_t usual_prompt;    /**< Mean tokens of a prompt. */
--- a/policy/event_relay.h
+++ b/policy/event_relay.h
@@ -25,7 +25,7 @@
 /** The relay of one stream; memory of the caller. */
 struct eg_event_relay
 {
-  struct eg_buffer partial; /**< Of the event that is coming in. */
+  struct eg_buffer partial;        /**< Of the event that is coming in. */
   char last_id[EG_EVENT_ID_BYTES]; /**< Passed on last; empty at first. */
   uint64_t events;                 /**< Passed on so far. */
   bool run_begun;                  /**< An event of the present run came. */
--- a/policy/layer_path.c
+++ b/policy/layer_path.c
@@ -120,9 +120,8 @@
 
       if (count == EG_PATH_STAGES_MAX)
         return false;
-      found.stages[count++] =
-          (struct eg_path_stage){candidates[state->candidate].server,
-                                 state->position, position};
+      found.stages[count++] = (struct eg_path_stage){
+          candidates[state->candidate].server, state->position, position};
       position = state->position;
       domain = state->domain;
     }
--- a/policy/layer_path.h
+++ b/policy/layer_path.h
@@ -53,10 +53,10 @@
 /** What passing from one server to the next costs. */
 struct eg_path_costs
 {
-  double hop_us;       /**< Within a failure domain. */
-  double crossing_us;  /**< Between failure domains. */
-  double far_head_us;  /**< A first server outside @c home. */
-  uint32_t home;       /**< The entry VM's failure domain. */
+  double hop_us;      /**< Within a failure domain. */
+  double crossing_us; /**< Between failure domains. */
+  double far_head_us; /**< A first server outside @c home. */
+  uint32_t home;      /**< The entry VM's failure domain. */
 };
 
 /**
--- a/policy/layer_plan.c
+++ b/policy/layer_plan.c
@@ -51,7 +51,6 @@
   return a.from == b.from && a.to == b.to;
 }
 
-
 static double
 tokens_of (const struct domain_plan *self,
            const struct eg_plan_server *server,
@@ -59,10 +58,10 @@
 {
   uint32_t layers = range.to - range.from;
 
-  return layers ? eg_engine_kv_capacity (self->engine, server->accelerator,
-                                         layers)
-                      / layers
-                : 0;
+  return layers
+             ? eg_engine_kv_capacity (self->engine, server->accelerator, layers)
+                   / layers
+             : 0;
 }
 
 static void
--- a/policy/layer_plan.h
+++ b/policy/layer_plan.h
@@ -26,8 +26,8 @@
 {
   uint32_t domain; /**< Failure domain, below EG_PLAN_DOMAINS_MAX. */
   const struct eg_accelerator *accelerator;
-  struct eg_layer_range held; /**< What it holds or is loading. */
-  bool fixed;                 /**< May not be given other layers now. */
+  struct eg_layer_range held;    /**< What it holds or is loading. */
+  bool fixed;                    /**< May not be given other layers now. */
   struct eg_layer_range planned; /**< Out: what it should hold. */
 };
 
@@ -39,8 +39,8 @@
 {
   /** Tokens that each layer of a failure domain should have memory for. */
   double tokens;
-  double move_cost; /**< Of any change of a server that holds layers. */
-  double load_cost; /**< Of each layer that it has to load for that. */
+  double move_cost;  /**< Of any change of a server that holds layers. */
+  double load_cost;  /**< Of each layer that it has to load for that. */
   unsigned restarts; /**< Tries from other starts, where all are empty. */
 };
 
--- a/policy/resend.h
+++ b/policy/resend.h
@@ -16,12 +16,12 @@
 /** What is known of a request whose last send has failed. */
 struct eg_resend_question
 {
-  bool repeatable;    /**< Running it again does no harm. */
-  bool may_have_run;  /**< Some send may have run, or may run later. */
-  bool begun;         /**< A part of the answer has gone to the caller. */
-  bool resumable;     /**< A begun answer may go on at another server. */
-  unsigned sends;     /**< That reached a server so far. */
-  unsigned tries;     /**< All sends so far, those without a connection too. */
+  bool repeatable;   /**< Running it again does no harm. */
+  bool may_have_run; /**< Some send may have run, or may run later. */
+  bool begun;        /**< A part of the answer has gone to the caller. */
+  bool resumable;    /**< A begun answer may go on at another server. */
+  unsigned sends;    /**< That reached a server so far. */
+  unsigned tries;    /**< All sends so far, those without a connection too. */
   int64_t now_us;
   int64_t deadline_us;
 };
--- /dev/null
+++ b/test/test_adapter.c
@@ -0,0 +1,320 @@
+/* Tests of what speaks to the users' platform: headers, the configuration, the
+ * servers' entries, reports and orders. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "net/http_reader.h"
+#include "platform/configuration.h"
+#include "platform/headers.h"
+#include "platform/servers.h"
+
+static void
+ignore_head (void *context)
+{
+  (void) context;
+}
+
+static void
+ignore_body (void *context, struct eg_str bytes)
+{
+  (void) context;
+  (void) bytes;
+}
+
+static const struct eg_http_reader_events events = {ignore_head, ignore_body};
+
+static void
+read_head (struct eg_http_reader *reader,
+           enum eg_http_kind kind,
+           const char *text)
+{
+  eg_http_reader_init (reader, kind, 16384, &events, NULL);
+  eg_http_reader_feed (reader, eg_str_from (text));
+  assert_int_equal (reader->fault, EG_HTTP_FINE);
+}
+
+static void
+test_request_is_forwarded (void **state)
+{
+  const struct eg_forward_facts facts = {
+      .patience_ms = 900,
+      .server_id = EG_STR ("i-1"),
+      .organisation = EG_STR ("temple"),
+      .path = EG_STR ("10.0.0.1:80=0-80"),
+      .last_event_id = EG_STR ("7"),
+      .priority = 3,
+      .has_priority = true,
+  };
+  struct eg_buffer out = {0};
+  struct eg_http_reader reader;
+  const char *text;
+
+  (void) state;
+  read_head (&reader, EG_HTTP_REQUEST,
+             "GET /a/b?c=%20 HTTP/1.1\r\nHost: h.example\r\n"
+             "X-Attempt-Id: 17\r\nX-Deadline-Ms: 1000\r\nApi-Key: secret\r\n"
+             "x-tenant: forged\r\nX-Expect-Instance: forged\r\n"
+             "Connection: X-Drop\r\nX-Drop: 1\r\nX-Keep: 2\r\n"
+             "X-Model: m\r\nX-Token-Usage: 12,34\r\n\r\n");
+  eg_request_forward (&out, &reader.head, &facts);
+  text = eg_buffer_text (&out);
+  assert_ptr_equal (strstr (text, "GET /a/b?c=%20 HTTP/1.1\r\n"), text);
+  assert_non_null (strstr (text, "X-Attempt-Id: 17\r\n"));
+  assert_non_null (strstr (text, "X-Deadline-Ms: 900\r\n"));
+  assert_non_null (strstr (text, "X-Tenant: temple\r\n"));
+  assert_non_null (strstr (text, "X-Expect-Instance: i-1\r\n"));
+  assert_non_null (strstr (text, "Last-Event-Id: 7\r\n"));
+  assert_non_null (strstr (text, "X-Keep: 2\r\n"));
+  assert_null (strstr (text, "secret"));
+  assert_null (strstr (text, "forged"));
+  assert_null (strstr (text, "X-Drop"));
+  eg_buffer_finish (&out);
+  eg_http_reader_finish (&reader);
+}
+
+static void
+test_request_facts (void **state)
+{
+  struct eg_request_facts facts;
+  struct eg_http_reader reader;
+
+  (void) state;
+  read_head (&reader, EG_HTTP_REQUEST,
+             "GET / HTTP/1.1\r\nHost: h.example:8080\r\nX-Attempt-Id: 17\r\n"
+             "X-Deadline-Ms: 20000\r\nX-Token-Usage: 1460,80\r\n"
+             "Api-Key: a\r\nApi-Key: b\r\n\r\n");
+  eg_request_facts_decode (&facts, &reader.head);
+  assert_true (eg_str_equal (facts.host, EG_STR ("h.example")));
+  assert_int_equal (facts.patience_us, 20000000);
+  assert_int_equal (facts.prompt_tokens, 1460);
+  assert_int_equal (facts.answer_tokens_max, 80);
+  assert_true (facts.key_repeated);
+  eg_http_reader_finish (&reader);
+}
+
+static void
+test_answer_facts (void **state)
+{
+  struct eg_answer_facts facts;
+  struct eg_http_reader reader;
+
+  (void) state;
+  read_head (&reader, EG_HTTP_RESPONSE,
+             "HTTP/1.1 503 No\r\nX-Attempt-Id: 17\r\nX-Not-Executed: 1\r\n"
+             "At-Server: 10.2.64.3:8080\r\nX-Server-Load: 3,1,8\r\n"
+             "Content-Length: 0\r\n\r\n");
+  eg_answer_facts_decode (&facts, &reader.head, EG_STR ("17"));
+  assert_true (facts.not_run && facts.names_culprit && facts.tells_load);
+  assert_false (facts.other_request || facts.sealed);
+  assert_int_equal (facts.running + facts.waiting + facts.slots, 12);
+  eg_answer_facts_decode (&facts, &reader.head, EG_STR ("18"));
+  assert_true (facts.other_request);
+  eg_http_reader_finish (&reader);
+}
+
+/* Framing that two readers take differently lets a request hide in another. */
+static void
+test_smuggling_is_rejected (void **state)
+{
+  static const char *const heads[] = {
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+      "Content-Length: 6\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+      "Content-Length: 5\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +5\r\n\r\n",
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    {
+      struct eg_http_reader reader;
+
+      eg_http_reader_init (&reader, EG_HTTP_REQUEST, 16384, &events, NULL);
+      eg_http_reader_feed (&reader, eg_str_from (heads[i]));
+      if (reader.fault != EG_HTTP_MALFORMED)
+        fail_msg ("accepted: %s", heads[i]);
+      eg_http_reader_finish (&reader);
+    }
+}
+
+static void
+test_messages_follow_each_other (void **state)
+{
+  const char *text = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n"
+                     "Host: h\r\n\r\n";
+  struct eg_http_reader reader;
+  size_t taken;
+
+  (void) state;
+  eg_http_reader_init (&reader, EG_HTTP_REQUEST, 16384, &events, NULL);
+  taken = eg_http_reader_feed (&reader, eg_str_from (text));
+  assert_true (reader.complete);
+  assert_int_equal (taken, strlen (text) / 2);
+  eg_http_reader_next (&reader);
+  eg_http_reader_feed (&reader, eg_str_from (text + taken));
+  assert_true (reader.complete);
+  assert_true (
+      eg_str_equal (eg_http_head_target (&reader.head), EG_STR ("/2")));
+  eg_http_reader_finish (&reader);
+}
+
+static const char configuration_text[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
+    "\"pathPrefix\":\"/a/\",\"kind\":\"streaming\",\"timeoutMs\":20000,"
+    "\"goalLatencyMs\":500,\"priority\":1,\"trafficSplit\":[{\"service\":"
+    "\"s\",\"weight\":90}],\"maxAttempts\":2,\"public\":false,"
+    "\"resumable\":true,\"new\":1}],\"services\":[{\"name\":\"s\","
+    "\"healthPath\":\"/healthz\",\"maxConnections\":110,\"engine\":{"
+    "\"layers\":80,\"layerMb\":1750.0,\"kvBytes\":426000,\"models\":[{"
+    "\"name\":\"m\",\"loadS\":14.0}],\"kinds\":[{\"name\":\"l4\","
+    "\"sizeMb\":21600.0,\"pace\":16.0,\"readFactor\":8.2}]}}],\"limits\":{"
+    "\"maxHeaderBytes\":16384,\"idleTimeoutMs\":15000},\"tenants\":[{"
+    "\"name\":\"t\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1}]}";
+
+static struct eg_configuration *
+decode (const char *text, struct eg_error *error)
+{
+  json_t *spec = json_loads (text, 0, NULL);
+  struct eg_configuration *decoded = eg_configuration_decode (spec, error);
+
+  json_decref (spec);
+  return decoded;
+}
+
+static void
+test_configuration (void **state)
+{
+  struct eg_error error = {0};
+  struct eg_configuration *self = decode (configuration_text, &error);
+
+  (void) state;
+  assert_non_null (self);
+  assert_int_equal (self->version, 7);
+  assert_int_equal (self->routes[0].kind, EG_ROUTE_STREAM);
+  assert_true (self->routes[0].resumable);
+  assert_int_equal (self->routes[0].timeout_us, 20000000);
+  assert_int_equal (self->services[0].engine.layers, 80);
+  assert_int_equal (
+      eg_engine_layers_max (&self->services[0].engine,
+                            &self->services[0].engine.accelerators[0]),
+      12);
+  assert_int_equal (self->limits.idle_timeout_us, 15000000);
+  assert_non_null (eg_configuration_find_key (self, EG_STR ("k2")));
+  eg_configuration_free_decoded (self);
+}
+
+static void
+test_bad_configuration_is_named (void **state)
+{
+  struct eg_error error = {0};
+
+  (void) state;
+  assert_null (
+      decode ("{\"version\":\"7\",\"routes\":[],\"services\":[]}", &error));
+  assert_non_null (strstr (error.message, "version"));
+  assert_null (decode ("{\"version\":1,\"services\":[],\"routes\":[{\"name\":"
+                       "\"r1\",\"host\":\"h\",\"pathPrefix\":\"/\",\"kind\":"
+                       "\"idempotent\",\"service\":\"nowhere\"}]}",
+                       &error));
+  assert_non_null (strstr (error.message, "r1"));
+  assert_null (decode ("[]", &error));
+}
+
+static bool
+decode_entry (const char *text, struct eg_server_entry *entry)
+{
+  json_t *object = json_loads (text, 0, NULL);
+  struct eg_error error;
+  bool valid;
+
+  assert_non_null (object);
+  valid = eg_server_entry_decode (entry, object, &error);
+  json_decref (object);
+  return valid;
+}
+
+static void
+test_server_entries (void **state)
+{
+  struct eg_server_entry entry;
+
+  (void) state;
+  assert_true (decode_entry (
+      "{\"metadata\":{\"name\":\"i-1\"},\"spec\":{\"service\":\"s\","
+      "\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":6,\"state\":"
+      "\"ready\",\"sequence\":4,\"kind\":\"l4\",\"models\":[],\"layers\":{"
+      "\"from\":3,\"to\":9,\"version\":1},\"born\":1781499816107}}",
+      &entry));
+  assert_string_equal (entry.id, "i-1");
+  assert_int_equal (entry.layers.from, 3);
+  assert_int_equal (entry.layers.to, 9);
+  assert_false (entry.draining);
+  assert_true (entry.has_engine);
+  /* Entries of other writers name no server. */
+  assert_false (decode_entry (
+      "{\"metadata\":{\"name\":\"i-2\"},\"spec\":{\"service\":\"s\","
+      "\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":6,\"state\":"
+      "\"asleep\",\"sequence\":4}}",
+      &entry));
+  assert_false (decode_entry (
+      "{\"metadata\":{\"name\":\"i-2\"},\"spec\":{\"service\":\"s\","
+      "\"address\":80,\"zone\":\"z\",\"slots\":6,\"state\":\"ready\","
+      "\"sequence\":4}}",
+      &entry));
+  assert_false (
+      decode_entry ("{\"metadata\":{\"name\":\"i-2\"},\"spec\":7}", &entry));
+}
+
+static void
+test_reports_and_orders (void **state)
+{
+  static struct eg_engine_report report;
+  struct eg_buffer out = {0};
+  struct eg_error error;
+
+  (void) state;
+  assert_true (eg_engine_report_decode (
+      &report,
+      EG_STR ("{\"busy\":false,\"sequence\":2,\"queued\":1,\"active\":12,"
+              "\"kvUsed\":41000,\"kvTotal\":90000,\"stalled\":[{\"id\":\"x\","
+              "\"address\":\"10.0.0.2:80\"},{\"id\":\"y\"}]}"),
+      &error));
+  assert_int_equal (report.orders, 2);
+  assert_int_equal (report.stalled_count, 2);
+  assert_true (report.stalled[0].names_culprit);
+  assert_false (report.stalled[1].names_culprit);
+  assert_false (eg_engine_report_decode (&report, EG_STR ("no json"), &error));
+  eg_order_layers (&out, (struct eg_layer_range){20, 31}, 4);
+  assert_string_equal (eg_buffer_text (&out),
+                       "{\"operation\":\"place\",\"from\":20,\"to\":31,"
+                       "\"handoffMode\":\"queue\",\"expectedRevision\":4}");
+  eg_buffer_finish (&out);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_request_is_forwarded),
+      cmocka_unit_test (test_request_facts),
+      cmocka_unit_test (test_answer_facts),
+      cmocka_unit_test (test_smuggling_is_rejected),
+      cmocka_unit_test (test_messages_follow_each_other),
+      cmocka_unit_test (test_configuration),
+      cmocka_unit_test (test_bad_configuration_is_named),
+      cmocka_unit_test (test_server_entries),
+      cmocka_unit_test (test_reports_and_orders),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_layers.c
@@ -0,0 +1,255 @@
+/* Tests of plans of layers and of paths through them. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/random.h"
+#include "policy/layer_path.h"
+#include "policy/layer_plan.h"
+
+#define SERVERS_MAX 64
+
+static const struct eg_engine_model engine = {
+    .layers = 80,
+    .layer_mb = 1750,
+    .kv_bytes = 426000,
+    .kv_tokens = 100000,
+    .accelerators = {{"a100s", 36000, 3.1, 3.2},
+                     {"l4", 21600, 16, 8.2},
+                     {"t4", 14400, 15, 15}},
+    .accelerator_count = 3,
+};
+
+/* Tokens that a failure domain has to hold at the registry's rate: 22
+ * streams a second of 2.5 s and 900 tokens. */
+#define TOKENS_NEEDED 50000.0
+
+static const struct eg_plan_goal goal = {70000, 6, 1.5, 4};
+
+/** A fleet under plan. */
+struct fleet
+{
+  struct eg_plan_server servers[SERVERS_MAX];
+  size_t count;
+};
+
+static void
+add (struct fleet *fleet, uint32_t domain, unsigned kind, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    fleet->servers[fleet->count++] = (struct eg_plan_server){
+        .domain = domain, .accelerator = &engine.accelerators[kind]};
+}
+
+static void
+plan (struct fleet *fleet)
+{
+  eg_layer_plan_make (fleet->servers, fleet->count, &engine, &goal);
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      struct eg_plan_server *server = &fleet->servers[i];
+      uint32_t layers = server->planned.to - server->planned.from;
+
+      assert_true (server->planned.to <= engine.layers);
+      assert_true (layers
+                   <= eg_engine_layers_max (&engine, server->accelerator));
+      server->held = server->planned;
+    }
+}
+
+/* Memory of the layer that has least, in tokens; 0 where one is not held. */
+static double
+least_memory (const struct fleet *fleet, uint32_t domain)
+{
+  double least = 1e18;
+
+  for (uint32_t layer = 0; layer < engine.layers; layer++)
+    {
+      double tokens = 0;
+
+      for (size_t i = 0; i < fleet->count; i++)
+        {
+          const struct eg_plan_server *server = &fleet->servers[i];
+          uint32_t layers = server->held.to - server->held.from;
+
+          if (server->domain == domain && server->held.from <= layer
+              && layer < server->held.to)
+            tokens +=
+                eg_engine_kv_capacity (&engine, server->accelerator, layers)
+                / layers;
+        }
+      least = tokens < least ? tokens : least;
+    }
+  return least;
+}
+
+static struct fleet
+registry_fleet (void)
+{
+  static const unsigned counts[3][3] = {{1, 8, 5}, {3, 3, 5}, {1, 4, 8}};
+  struct fleet fleet = {.count = 0};
+
+  for (uint32_t domain = 0; domain < 3; domain++)
+    for (unsigned kind = 0; kind < 3; kind++)
+      add (&fleet, domain, kind, counts[domain][kind]);
+  return fleet;
+}
+
+static void
+test_plan_covers_each_domain (void **state)
+{
+  struct fleet fleet = registry_fleet ();
+
+  (void) state;
+  plan (&fleet);
+  for (uint32_t domain = 0; domain < 3; domain++)
+    assert_true (least_memory (&fleet, domain) >= TOKENS_NEEDED);
+}
+
+/* A plan that packs servers full leaves memory for a few streams only. */
+static void
+test_loss_is_planned_around (void **state)
+{
+  (void) state;
+  for (size_t lost = 0; lost < 38; lost++)
+    {
+      struct fleet fleet = registry_fleet ();
+      uint32_t domain;
+
+      plan (&fleet);
+      domain = fleet.servers[lost].domain;
+      fleet.servers[lost] = fleet.servers[--fleet.count];
+      plan (&fleet);
+      assert_int_equal (
+          eg_layer_plan_missing (fleet.servers, fleet.count, &engine, domain),
+          0);
+      assert_true (least_memory (&fleet, domain) >= TOKENS_NEEDED / 2);
+    }
+}
+
+static void
+test_calm_fleet_is_left_alone (void **state)
+{
+  struct fleet fleet = registry_fleet ();
+
+  (void) state;
+  plan (&fleet);
+  assert_int_equal (
+      eg_layer_plan_make (fleet.servers, fleet.count, &engine, &goal), 0);
+}
+
+static void
+test_fixed_server_keeps_its_layers (void **state)
+{
+  struct fleet fleet = registry_fleet ();
+
+  (void) state;
+  fleet.servers[0].fixed = true;
+  fleet.servers[0].held = (struct eg_layer_range){3, 9};
+  eg_layer_plan_make (fleet.servers, fleet.count, &engine, &goal);
+  assert_int_equal (fleet.servers[0].planned.from, 3);
+  assert_int_equal (fleet.servers[0].planned.to, 9);
+}
+
+static void
+test_restarted_server_moves_few (void **state)
+{
+  struct fleet fleet = registry_fleet ();
+
+  (void) state;
+  plan (&fleet);
+  fleet.servers[5].held = (struct eg_layer_range){0, 0};
+  assert_true (eg_layer_plan_make (fleet.servers, fleet.count, &engine, &goal)
+               <= 3);
+  assert_true (fleet.servers[5].planned.to > fleet.servers[5].planned.from);
+}
+
+static void
+test_path_prefers_cheap_servers (void **state)
+{
+  const struct eg_path_candidate candidates[] = {
+      {0, 0, 0, 40, 10}, {1, 0, 20, 80, 5}, {2, 0, 40, 80, 10}};
+  const struct eg_path_costs costs = {.hop_us = 1};
+  struct eg_layer_path path;
+
+  (void) state;
+  assert_true (eg_layer_path_find (candidates, 3, 80, &costs, &path));
+  assert_true (eg_layer_path_is_whole (&path, 80));
+  assert_int_equal (path.count, 2);
+  assert_int_equal (path.stages[0].to, 20);
+  assert_int_equal (path.stages[1].server, 1);
+}
+
+static void
+test_gap_gives_no_path (void **state)
+{
+  const struct eg_path_candidate candidates[] = {{0, 0, 0, 39, 10},
+                                                 {1, 0, 40, 80, 5}};
+  const struct eg_path_costs costs = {.hop_us = 1};
+  struct eg_layer_path path = {.count = 7};
+
+  (void) state;
+  assert_false (eg_layer_path_find (candidates, 2, 80, &costs, &path));
+  assert_int_equal (path.count, 7);
+}
+
+/* Engines reject a path on which a server stands twice. */
+static void
+test_paths_are_whole_on_random_fleets (void **state)
+{
+  struct eg_random random;
+
+  (void) state;
+  eg_random_init (&random, 7);
+  for (int round = 0; round < 400; round++)
+    {
+      struct eg_path_candidate candidates[30];
+      const struct eg_path_costs costs = {
+          .hop_us = eg_random_unit (&random) * 20, .crossing_us = 500};
+      size_t count = 5 + (size_t) eg_random_below (&random, 25);
+      bool held[80] = {false};
+      bool covered = true;
+      struct eg_layer_path path;
+
+      for (uint32_t i = 0; i < count; i++)
+        {
+          uint32_t from = (uint32_t) eg_random_below (&random, 70);
+          uint32_t to = from + 1 + (uint32_t) eg_random_below (&random, 30);
+
+          to = to > 80 ? 80 : to;
+          candidates[i] = (struct eg_path_candidate){
+              i, (uint32_t) eg_random_below (&random, 3), from, to,
+              1 + eg_random_unit (&random) * 50};
+          for (uint32_t l = from; l < to; l++)
+            held[l] = true;
+        }
+      for (int l = 0; l < 80; l++)
+        covered &= held[l];
+      assert_int_equal (
+          eg_layer_path_find (candidates, count, 80, &costs, &path), covered);
+      if (covered)
+        assert_true (eg_layer_path_is_whole (&path, 80));
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_plan_covers_each_domain),
+      cmocka_unit_test (test_loss_is_planned_around),
+      cmocka_unit_test (test_calm_fleet_is_left_alone),
+      cmocka_unit_test (test_fixed_server_keeps_its_layers),
+      cmocka_unit_test (test_restarted_server_moves_few),
+      cmocka_unit_test (test_path_prefers_cheap_servers),
+      cmocka_unit_test (test_gap_gives_no_path),
+      cmocka_unit_test (test_paths_are_whole_on_random_fleets),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_relay.c
@@ -0,0 +1,182 @@
+/* Tests of the relay of events, the budget of retries, the decision to send
+ * again and the table of routes. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "policy/configuration.h"
+#include "policy/event_relay.h"
+#include "policy/resend.h"
+#include "policy/retry_window.h"
+
+#define SECOND_US 1000000
+
+static void
+feed (struct eg_event_relay *relay, const char *text, struct eg_buffer *out)
+{
+  assert_int_equal (eg_event_relay_feed (relay, eg_str_from (text), out),
+                    EG_RELAY_FINE);
+}
+
+static void
+test_events_pass_whole (void **state)
+{
+  struct eg_event_relay relay;
+  struct eg_buffer out = {0};
+
+  (void) state;
+  eg_event_relay_init (&relay, EG_STR (""));
+  feed (&relay, "id: 1\ndata: a", &out);
+  assert_int_equal (out.len, 0);
+  feed (&relay, "b\n", &out);
+  feed (&relay, "\nid: 2\r\ndata: c\r\n\r\nid: 3\nda", &out);
+  assert_string_equal (eg_buffer_text (&out),
+                       "id: 1\ndata: ab\n\nid: 2\r\ndata: c\r\n\r\n");
+  assert_string_equal (relay.last_id, "2");
+  assert_true (eg_event_relay_is_partial (&relay));
+  eg_buffer_finish (&out);
+  eg_event_relay_finish (&relay);
+}
+
+/* A run that breaks off inside an event must leave no part of it behind. */
+static void
+test_second_run_goes_on (void **state)
+{
+  struct eg_event_relay relay;
+  struct eg_buffer out = {0};
+
+  (void) state;
+  eg_event_relay_init (&relay, EG_STR ("4"));
+  feed (&relay, "id: 5\ndata: a\n\nid: 6\ndata: half", &out);
+  eg_event_relay_restart (&relay);
+  feed (&relay, "id: 6\ndata: whole\n\n", &out);
+  assert_string_equal (eg_buffer_text (&out),
+                       "id: 5\ndata: a\n\nid: 6\ndata: whole\n\n");
+  eg_buffer_clear (&out);
+  assert_int_equal (
+      eg_event_relay_feed (&relay, EG_STR ("id: 6\ndata: twice\n\n"), &out),
+      EG_RELAY_MISPLACED);
+  assert_int_equal (
+      eg_event_relay_feed (&relay, EG_STR ("id: 8\ndata: gap\n\n"), &out),
+      EG_RELAY_MISPLACED);
+  assert_int_equal (out.len, 0);
+  eg_buffer_finish (&out);
+  eg_event_relay_finish (&relay);
+}
+
+static void
+test_window_bounds_any_span (void **state)
+{
+  struct eg_retry_window window;
+  unsigned spent = 0;
+
+  (void) state;
+  eg_retry_window_init (&window, 10 * SECOND_US);
+  for (int64_t t = 0; t < 9; t++)
+    {
+      eg_retry_window_request (&window, t * SECOND_US);
+      for (int i = 0; i < 10; i++)
+        spent += eg_retry_window_spend (&window, 0.2, 5, t * SECOND_US);
+    }
+  assert_int_equal (spent, 6);
+  /* The window of all of this has passed. */
+  spent = 0;
+  for (int i = 0; i < 10; i++)
+    spent += eg_retry_window_spend (&window, 0.2, 5, 25 * SECOND_US);
+  assert_int_equal (spent, 5);
+}
+
+static struct eg_resend_question
+question (void)
+{
+  return (struct eg_resend_question){
+      .sends = 1, .tries = 1, .now_us = 0, .deadline_us = 1000000};
+}
+
+static void
+test_resend_once_at_most (void **state)
+{
+  struct eg_resend_question asked = question ();
+
+  (void) state;
+  asked.may_have_run = true;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND_FAIL);
+  asked.may_have_run = false;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND);
+  asked.deadline_us = 0;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND_REFUSE);
+  asked.may_have_run = true;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND_TIMEOUT);
+}
+
+static void
+test_resend_repeatable (void **state)
+{
+  struct eg_resend_question asked = question ();
+
+  (void) state;
+  asked.repeatable = true;
+  asked.may_have_run = true;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND);
+  asked.begun = true;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND_CUT);
+  asked.resumable = true;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND);
+  asked.sends = 4;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND_CUT);
+}
+
+static void
+set_route (struct eg_route *route, const char *host, const char *prefix)
+{
+  strcpy (route->host, host);
+  strcpy (route->path_prefix, prefix);
+}
+
+static void
+test_longest_prefix_wins (void **state)
+{
+  struct eg_configuration self;
+
+  (void) state;
+  eg_configuration_init (&self, 3, 0, 1);
+  self.route_count = 3;
+  set_route (&self.routes[0], "a.example", "/x/");
+  set_route (&self.routes[1], "a.example", "/x/y/");
+  set_route (&self.routes[2], "b.example", "/");
+  assert_ptr_equal (
+      eg_configuration_route (&self, EG_STR ("a.example"), EG_STR ("/x/y/z")),
+      &self.routes[1]);
+  assert_ptr_equal (
+      eg_configuration_route (&self, EG_STR ("a.example"), EG_STR ("/x/z")),
+      &self.routes[0]);
+  assert_null (
+      eg_configuration_route (&self, EG_STR ("a.example"), EG_STR ("/x")));
+  assert_null (
+      eg_configuration_route (&self, EG_STR ("c.example"), EG_STR ("/x/")));
+  eg_configuration_add_key (&self, EG_STR ("secret"), 0);
+  assert_ptr_equal (eg_configuration_find_key (&self, EG_STR ("secret")),
+                    &self.organisations[0]);
+  assert_null (eg_configuration_find_key (&self, EG_STR ("secre")));
+  eg_configuration_finish (&self);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_events_pass_whole),
+      cmocka_unit_test (test_second_run_goes_on),
+      cmocka_unit_test (test_window_bounds_any_span),
+      cmocka_unit_test (test_resend_once_at_most),
+      cmocka_unit_test (test_resend_repeatable),
+      cmocka_unit_test (test_longest_prefix_wins),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
