entry: readers mirror the store for their peers, loads are told by datagram

Change: one VM of a failure domain (two of more than eight) reads the store; peers ask its mirror, whose answers tell their age; only readers stand for the lease. Each VM tells its reader five times a second what it has under way.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -158,6 +158,58 @@
   eg_buffer_finish (&text);
 }
 
+static void
+serve_question (struct eg_caller *self, int64_t now_us)
+{
+  static struct eg_buffer body;
+  const struct eg_str type = EG_STR ("application/json");
+
+  self->parked = false;
+  switch (eg_mirror_ask (&self->question, now_us, &body))
+    {
+    case EG_MIRROR_ANSWERED:
+      answer_text (self, 200, type, eg_buffer_view (&body));
+      return;
+    case EG_MIRROR_WAIT:
+      self->parked = true;
+      return;
+    case EG_MIRROR_EXPIRED:
+      answer_text (self, 410, type, EG_STR ("{}"));
+      return;
+    case EG_MIRROR_ABSENT:
+      answer_text (self, 503, type, EG_STR ("{}"));
+      return;
+    }
+}
+
+static void
+serve_peer (struct eg_caller *self)
+{
+  struct eg_str target = eg_http_head_target (&self->reader.head);
+  int64_t now_us = eg_clock_now_us ();
+
+  if (eg_str_equal (target, EG_STR ("/metrics")))
+    serve_metrics (self);
+  else if (eg_mirror_parse (&self->entry->mirror, target, now_us,
+                            &self->question))
+    serve_question (self, now_us);
+  else
+    answer_text (self, 404, EG_STR ("text/plain"), EG_STR ("no such path\n"));
+}
+
+void
+eg_callers_mirror_changed (struct eg_callers *self, int64_t now_us)
+{
+  for (struct eg_list *at = self->all.next; at != &self->all;)
+    {
+      struct eg_caller *caller = EG_CONTAINER_OF (at, struct eg_caller, all);
+
+      at = at->next;
+      if (caller->parked && !caller->closing)
+        serve_question (caller, now_us);
+    }
+}
+
 static void
 reject (struct eg_caller *self)
 {
@@ -175,8 +227,8 @@
     case EG_LISTEN_READINESS:
       serve_readiness (self);
       return;
-    case EG_LISTEN_METRICS:
-      serve_metrics (self);
+    case EG_LISTEN_PEERS:
+      serve_peer (self);
       return;
     default:
       eg_metrics_count (&self->entry->metrics, EG_COUNT_REQUESTS);
@@ -185,11 +237,18 @@
     }
 }
 
+/* A request is being served: the next one waits. */
+static bool
+is_busy (const struct eg_caller *self)
+{
+  return self->call.active || self->parked;
+}
+
 static void
 process (struct eg_caller *self, struct eg_str bytes)
 {
   self->processing = true;
-  while (bytes.len > 0 && !self->closing && !self->call.active)
+  while (bytes.len > 0 && !self->closing && !is_busy (self))
     {
       size_t taken;
 
@@ -207,7 +266,7 @@
       else if (self->reader.complete)
         serve (self);
     }
-  if (bytes.len > 0 && self->call.active)
+  if (bytes.len > 0 && is_busy (self))
     {
       eg_buffer_append (&self->early, bytes);
       if (self->early.len > EARLY_BYTES_MAX)
@@ -268,6 +327,7 @@
   (void) uv_error; /* Whether in order or not, the caller is gone. */
   if (self->call.active)
     eg_call_abandon (&self->call);
+  self->parked = false;
   drop_body (self);
   end_connection (self, false);
 }
@@ -374,7 +434,7 @@
   const char *addresses[EG_LISTENERS] = {
       [EG_LISTEN_CALLERS] = settings->listen_callers,
       [EG_LISTEN_READINESS] = settings->listen_readiness,
-      [EG_LISTEN_METRICS] = settings->listen_metrics,
+      [EG_LISTEN_PEERS] = settings->listen_peers,
   };
 
   memset (self, 0, sizeof *self);
@@ -433,6 +493,11 @@
           self->running++;
           eg_call_check (&caller->call, now_us);
         }
+      else if (caller->parked)
+        {
+          if (now_us >= caller->question.until_us)
+            serve_question (caller, now_us);
+        }
       else
         check_reading (caller, now_us);
     }
--- a/entry/callers.h
+++ b/entry/callers.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * Connections of callers, of the balancer's readiness checks and of the readers
- * of metrics.
+ * Connections of callers, of the balancer's readiness checks, of other entry
+ * VMs and of the readers of metrics.
  */
 #ifndef EG_ENTRY_CALLERS_H
 #define EG_ENTRY_CALLERS_H
@@ -9,13 +9,14 @@
 #include "entry/call.h"
 #include "net/http_reader.h"
 #include "net/socket.h"
+#include "platform/mirror.h"
 
 /** What a listener is for. */
 enum eg_listener_kind
 {
   EG_LISTEN_CALLERS,
   EG_LISTEN_READINESS,
-  EG_LISTEN_METRICS,
+  EG_LISTEN_PEERS, /**< And readers of metrics. */
   EG_LISTENERS,
 };
 
@@ -32,7 +33,9 @@
   struct eg_buffer early; /**< Bytes behind the request being served. */
   unsigned reject_status; /**< Not 0: found while the request was read. */
   int64_t since_us; /**< Of the last answer, or of the request's first byte. */
-  bool idle;        /**< No byte of a request has come. */
+  struct eg_mirror_question question; /**< Of a peer; waits if @c parked. */
+  bool parked;
+  bool idle; /**< No byte of a request has come. */
   bool processing;
   bool closing;
 };
@@ -57,6 +60,9 @@
 /** Does what is due on all connections. */
 void eg_callers_check (struct eg_callers *self, int64_t now_us);
 
+/** Answers peers whose questions can be answered by now. */
+void eg_callers_mirror_changed (struct eg_callers *self, int64_t now_us);
+
 /** Takes no more connections, and closes those without a request. */
 void eg_callers_close_idle (struct eg_callers *self);
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -9,10 +9,12 @@
 #include "entry/callers.h"
 #include "entry/fleet.h"
 #include "entry/journal.h"
+#include "entry/loads.h"
 #include "entry/members.h"
 #include "entry/metrics.h"
 #include "entry/planner.h"
 #include "entry/settings.h"
+#include "entry/sources.h"
 #include "platform/store.h"
 #include "policy/quarantine.h"
 #include "policy/retry_window.h"
@@ -45,6 +47,8 @@
   struct eg_journal journal;
   struct eg_exchange_pool pool;
   struct eg_store store;
+  struct eg_sources sources;
+  struct eg_mirror mirror;
   struct eg_store_feed configuration_feed;
   struct eg_store_feed servers_feed;
   struct eg_accepted_configuration configuration;
@@ -56,6 +60,8 @@
   struct eg_service_retries retries[EG_RETRY_SERVICES_MAX];
   size_t retry_services;
   struct eg_members members;
+  struct eg_loads loads;
+  int64_t begun_us;
   int64_t stop_us; /**< When a planned stop began; 0: none has. */
 };
 
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -52,6 +52,8 @@
   int64_t penalty_us;
   unsigned running;  /**< Requests of this entry VM. */
   double kv_running; /**< Their tokens x layers. */
+  double kv_others;  /**< Of other entry VMs, as they told. */
+  int64_t kv_others_us;
   bool tells_load;
   unsigned load; /**< Running and waiting, when it last said so. */
   unsigned slots;
--- /dev/null
+++ b/entry/loads.c
@@ -0,0 +1,271 @@
+#include "entry/loads.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/entry.h"
+
+/* Time between two messages. */
+#define TELL_GAP_US (200 * EG_US_PER_MS)
+/* A sender that was not heard for this long no longer counts. */
+#define SENDER_AGE_US (1000 * EG_US_PER_MS)
+/* Longest message: what a datagram carries without being cut everywhere. */
+#define MESSAGE_BYTES_MAX 8192
+/* A message's figures, apart from the rest of it. */
+#define KIND_OWN "own"
+#define KIND_GROUP "group"
+#define KIND_SUM "sum"
+
+/** A datagram that the kernel did not take at once is dropped. */
+static void
+send_message (struct eg_loads *self,
+              struct eg_endpoint endpoint,
+              const char *kind,
+              json_t *loads)
+{
+  struct sockaddr_in address = {.sin_family = AF_INET,
+                                .sin_port = endpoint.port,
+                                .sin_addr.s_addr = endpoint.ip};
+  json_t *message = json_pack ("{s:s, s:O}", "kind", kind, "loads", loads);
+  char *text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
+  uv_buf_t part;
+
+  if (text && strlen (text) <= MESSAGE_BYTES_MAX)
+    {
+      part = uv_buf_init (text, (unsigned) strlen (text));
+      uv_udp_try_send (&self->socket, &part, 1,
+                       (const struct sockaddr *) &address);
+    }
+  free (text);
+  json_decref (message);
+}
+
+static void
+add_load (json_t *loads, const char *id, double tokens)
+{
+  double before = json_number_value (json_object_get (loads, id));
+
+  json_object_set_new (loads, id,
+                       json_integer ((json_int_t) (before + tokens)));
+}
+
+static void
+add_own (const struct eg_loads *self, json_t *loads)
+{
+  const struct eg_list *all = &self->entry->fleet.all;
+
+  for (const struct eg_list *at = all->next; at != all; at = at->next)
+    {
+      const struct eg_backend *backend =
+          EG_CONTAINER_OF (at, struct eg_backend, all);
+
+      if (backend->kv_running >= 1)
+        add_load (loads, backend->entry.id, backend->kv_running);
+    }
+}
+
+static void
+add_senders (const struct eg_loads *self, json_t *loads, bool readers)
+{
+  for (size_t i = 0; i < self->sender_count; i++)
+    {
+      const char *id;
+      json_t *tokens;
+
+      if (self->senders[i].is_reader != readers)
+        continue;
+      json_object_foreach (self->senders[i].loads, id, tokens)
+          add_load (loads, id, json_number_value (tokens));
+    }
+}
+
+/* Takes the sums of all VMs, less what this one counts itself. */
+static void
+take_sum (struct eg_loads *self, json_t *loads, int64_t now_us)
+{
+  struct eg_fleet *fleet = &self->entry->fleet;
+
+  for (struct eg_list *at = fleet->all.next; at != &fleet->all; at = at->next)
+    {
+      struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
+      double tokens =
+          json_number_value (json_object_get (loads, backend->entry.id));
+
+      backend->kv_others = fmax (0, tokens - backend->kv_running);
+      backend->kv_others_us = now_us;
+    }
+}
+
+static struct eg_load_sender *
+find_sender (struct eg_loads *self, struct eg_endpoint endpoint)
+{
+  struct eg_load_sender *sender;
+
+  for (size_t i = 0; i < self->sender_count; i++)
+    if (eg_endpoint_key (self->senders[i].endpoint)
+        == eg_endpoint_key (endpoint))
+      return &self->senders[i];
+  if (self->sender_count == EG_LOADS_SENDERS_MAX)
+    return NULL;
+  sender = &self->senders[self->sender_count++];
+  *sender = (struct eg_load_sender){.endpoint = endpoint};
+  return sender;
+}
+
+static void
+take_message (struct eg_loads *self,
+              struct eg_endpoint from,
+              const json_t *message,
+              int64_t now_us)
+{
+  const char *kind = json_string_value (json_object_get (message, "kind"));
+  json_t *loads = json_object_get (message, "loads");
+  struct eg_load_sender *sender;
+
+  if (!kind || !json_is_object (loads))
+    {
+      eg_log (EG_LOG_WARNING, "loads", "event=message-unreadable");
+      return;
+    }
+  if (strcmp (kind, KIND_SUM) == 0)
+    {
+      take_sum (self, loads, now_us);
+      return;
+    }
+  sender = find_sender (self, from);
+  if (!sender)
+    return;
+  json_decref (sender->loads);
+  sender->loads = json_incref (loads);
+  sender->is_reader = strcmp (kind, KIND_GROUP) == 0;
+  sender->heard_us = now_us;
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *space)
+{
+  static char bytes[65536];
+
+  (void) handle;
+  (void) suggested;
+  space->base = bytes;
+  space->len = sizeof bytes;
+}
+
+static void
+on_message (uv_udp_t *socket,
+            ssize_t len,
+            const uv_buf_t *space,
+            const struct sockaddr *address,
+            unsigned flags)
+{
+  const struct sockaddr_in *from = (const struct sockaddr_in *) address;
+  json_t *message;
+
+  (void) flags;
+  if (len <= 0 || !address)
+    return;
+  message = json_loadb (space->base, (size_t) len, 0, NULL);
+  take_message (socket->data,
+                (struct eg_endpoint){from->sin_addr.s_addr, from->sin_port},
+                message, eg_clock_now_us ());
+  json_decref (message);
+}
+
+bool
+eg_loads_open (struct eg_loads *self, struct eg_entry *entry)
+{
+  struct sockaddr_in bound = {.sin_family = AF_INET};
+  struct eg_endpoint endpoint;
+
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  EG_INVARIANT (eg_endpoint_parse (eg_str_from (entry->settings->listen_peers),
+                                   &endpoint));
+  bound.sin_addr.s_addr = endpoint.ip;
+  bound.sin_port = endpoint.port;
+  self->open = uv_udp_init (&entry->loop, &self->socket) == 0;
+  self->socket.data = self;
+  return self->open
+         && uv_udp_bind (&self->socket, (const struct sockaddr *) &bound, 0)
+                == 0
+         && uv_udp_recv_start (&self->socket, on_alloc, on_message) == 0;
+}
+
+void
+eg_loads_finish (struct eg_loads *self)
+{
+  if (self->open)
+    uv_close ((uv_handle_t *) &self->socket, NULL);
+  self->open = false;
+  for (size_t i = 0; i < self->sender_count; i++)
+    json_decref (self->senders[i].loads);
+  self->sender_count = 0;
+}
+
+static void
+drop_silent (struct eg_loads *self, int64_t now_us)
+{
+  for (size_t i = 0; i < self->sender_count;)
+    {
+      if (now_us - self->senders[i].heard_us <= SENDER_AGE_US)
+        {
+          i++;
+          continue;
+        }
+      json_decref (self->senders[i].loads);
+      self->senders[i] = self->senders[--self->sender_count];
+    }
+}
+
+/* Sums what others told, for them and for the other readers. */
+static void
+tell_as_reader (struct eg_loads *self, int64_t now_us)
+{
+  const struct eg_members *members = &self->entry->members;
+  json_t *group = json_object ();
+  json_t *sum;
+
+  add_own (self, group);
+  add_senders (self, group, false);
+  sum = json_deep_copy (group);
+  add_senders (self, sum, true);
+  take_sum (self, sum, now_us);
+  for (size_t i = 0; i < members->all_reader_count; i++)
+    if (eg_endpoint_key (members->all_readers[i])
+        != eg_endpoint_key (members->own_endpoint))
+      send_message (self, members->all_readers[i], KIND_GROUP, group);
+  for (size_t i = 0; i < self->sender_count; i++)
+    if (!self->senders[i].is_reader)
+      send_message (self, self->senders[i].endpoint, KIND_SUM, sum);
+  json_decref (group);
+  json_decref (sum);
+}
+
+void
+eg_loads_check (struct eg_loads *self, int64_t now_us)
+{
+  struct eg_members *members = &self->entry->members;
+  struct eg_member *reader;
+  json_t *own;
+
+  if (!self->open || members->lists == 0
+      || now_us - self->told_us < TELL_GAP_US)
+    return;
+  self->told_us = now_us;
+  drop_silent (self, now_us);
+  if (eg_sources_is_reader (&self->entry->sources) || self->sender_count > 0)
+    tell_as_reader (self, now_us);
+  if (eg_sources_is_reader (&self->entry->sources))
+    return;
+  reader = eg_members_reader (members, now_us);
+  if (!reader)
+    return;
+  own = json_object ();
+  add_own (self, own);
+  send_message (self, reader->endpoint, KIND_OWN, own);
+  json_decref (own);
+}
--- a/entry/main.c
+++ b/entry/main.c
@@ -18,14 +18,16 @@
 /* Idle connections to servers; servers name shorter times where they have
  * them. */
 #define POOL_IDLE_US (4 * EG_US_PER_S)
-/* A watch is asked again often enough that two in a row may fail before keys
- * are too old to use. */
-#define CONFIGURATION_WAIT_SHARE 0.38
-/* Longest wait of the watch on servers: bounds the time for which a silent
- * connection goes unnoticed. */
-#define SERVERS_WAIT_MS 3000
-/* Changes of servers are gathered for this long. */
-#define SERVERS_SETTLE_US (40 * EG_US_PER_MS)
+/* Longest wait of a watch: what a peer's mirror tells is then at most 3.2 s
+ * old, below the 5 s for which keys may be used, and a silent connection is
+ * noticed within the 2 s in which a leaving server has to be. */
+#define WATCH_WAIT_MS 800
+/* Changes of servers are gathered for this long, and for longer while a fleet
+ * starts and no caller waits for it. */
+#define SERVERS_SETTLE_US (80 * EG_US_PER_MS)
+#define SERVERS_SETTLE_START_US (400 * EG_US_PER_MS)
+#define FIRST_READ_US (2 * EG_US_PER_S)
+#define START_US (3 * EG_US_PER_S)
 /* Kept back from the age of keys for what passes between the check and the
  * server's start of work. */
 #define KEY_MARGIN_US (120 * EG_US_PER_MS)
@@ -119,6 +121,7 @@
   struct eg_entry *self = context;
 
   (void) listed;
+  eg_callers_mirror_changed (&self->callers, eg_clock_now_us ());
   if (!self->configuration.reachable)
     eg_log (EG_LOG_NOTICE, "configuration", "event=store-back kind=config");
   self->configuration.reachable = true;
@@ -161,6 +164,7 @@
 
   (void) as_of_us;
   eg_fleet_synced (&self->fleet, listed, eg_clock_now_us ());
+  eg_callers_mirror_changed (&self->callers, eg_clock_now_us ());
 }
 
 static void
@@ -203,18 +207,32 @@
     uv_stop (&self->loop);
 }
 
+/* When the whole system starts, its VMs find out first who of them reads the
+ * store for the others. */
+static bool
+may_read (const struct eg_entry *self, int64_t now_us)
+{
+  return !self->settings->first_start || self->members.lists > 0
+         || now_us - self->begun_us >= FIRST_READ_US;
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
   struct eg_entry *self = timer->data;
   int64_t now_us = eg_clock_now_us ();
 
-  eg_store_feed_check (&self->configuration_feed, now_us);
-  eg_store_feed_check (&self->servers_feed, now_us);
+  if (now_us - self->begun_us >= START_US)
+    self->servers_feed.settle_us = SERVERS_SETTLE_US;
+  if (may_read (self, now_us))
+    eg_store_feed_check (&self->configuration_feed, now_us);
+  if (may_read (self, now_us))
+    eg_store_feed_check (&self->servers_feed, now_us);
   eg_fleet_check (&self->fleet, now_us);
   eg_callers_check (&self->callers, now_us);
   eg_planner_check (&self->planner, now_us);
   eg_members_check (&self->members, now_us);
+  eg_loads_check (&self->loads, now_us);
   eg_exchange_pool_trim (&self->pool, now_us);
   check_stop (self, now_us);
   eg_journal_flush (&self->journal);
@@ -259,14 +277,14 @@
   const struct eg_feed_events servers_events = {
       on_servers_list, on_servers_object, on_servers_synced, on_servers_lost,
       self};
-  int64_t wait_ms =
-      (int64_t) (self->settings->revocation_ms * CONFIGURATION_WAIT_SHARE);
-
-  eg_store_feed_init (&self->configuration_feed, &self->store,
-                      eg_configuration_kind, wait_ms, 0, &self->random,
-                      &configuration_events);
-  eg_store_feed_init (&self->servers_feed, &self->store, eg_servers_kind,
-                      SERVERS_WAIT_MS, SERVERS_SETTLE_US, &self->random,
+  const struct eg_feed_source source = eg_sources_feed_source (&self->sources);
+
+  eg_store_feed_init (&self->configuration_feed, &source,
+                      eg_mirror_add (&self->mirror, eg_configuration_kind),
+                      WATCH_WAIT_MS, 0, &self->random, &configuration_events);
+  eg_store_feed_init (&self->servers_feed, &source,
+                      eg_mirror_add (&self->mirror, eg_servers_kind),
+                      WATCH_WAIT_MS, SERVERS_SETTLE_START_US, &self->random,
                       &servers_events);
 }
 
@@ -291,10 +309,16 @@
   EG_INVARIANT (eg_endpoint_parse (eg_str_from (self->settings->store_address),
                                    &self->store.endpoint));
   eg_fleet_init (&self->fleet, &self->pool, &fleet_events);
+  eg_sources_init (&self->sources, self);
+  eg_mirror_init (&self->mirror);
+  self->begun_us = eg_clock_now_us ();
   init_feeds (self);
   eg_members_init (&self->members, self);
   eg_planner_init (&self->planner, self);
   opened = eg_callers_open (&self->callers, self, &error);
+  if (!eg_loads_open (&self->loads, self))
+    eg_log (EG_LOG_WARNING, "main", "event=loads-not-open address=%s",
+            self->settings->listen_peers);
   if (opened)
     {
       watch_signals (self, signals);
--- a/entry/members.c
+++ b/entry/members.c
@@ -14,7 +14,7 @@
 #define WRITE_GAP_US (60 * EG_US_PER_S)
 #define EXPIRY_US (3 * WRITE_GAP_US)
 /* The list is read soon after a start, when all VMs write, and then seldom. */
-#define LIST_FIRST_US (1500 * EG_US_PER_MS)
+#define LIST_FIRST_US (600 * EG_US_PER_MS)
 #define LIST_GAP_US (10 * EG_US_PER_S)
 #define RETRY_US (1 * EG_US_PER_S)
 #define CALL_TIMEOUT_US (1500 * EG_US_PER_MS)
@@ -22,6 +22,13 @@
  * so that a share is rather too small. */
 #define UNKNOWN_COUNT 64
 #define UNKNOWN_IN_DOMAIN 4
+/* A reader that failed is not asked again for this long, and for twice as long
+ * after each further failure: a dead one takes a time-out to show. */
+#define PEER_PAUSE_US (1000 * EG_US_PER_MS)
+#define PEER_DOUBLINGS_MAX 5
+/* Up to so many VMs of a failure domain one reads the store for all; beyond,
+ * two share the peers. */
+#define ONE_READER_MAX 8
 
 static struct eg_member *
 find (struct eg_members *self, const char *name)
@@ -47,12 +54,17 @@
 take_member (struct eg_members *self, const json_t *object, int64_t now_us)
 {
   const char *name = eg_store_object_name (object);
-  const char *domain = json_string_value (
-      json_object_get (eg_store_object_spec (object), "failure_domain"));
+  const json_t *spec = eg_store_object_spec (object);
+  const char *domain =
+      json_string_value (json_object_get (spec, "failure_domain"));
+  const char *address = json_string_value (json_object_get (spec, "address"));
+  struct eg_endpoint endpoint;
   struct eg_member *member;
   int64_t revision;
 
-  if (!name || !domain || !eg_store_object_revision (object, &revision)
+  if (!name || !domain || !address
+      || !eg_endpoint_parse (eg_str_from (address), &endpoint)
+      || !eg_store_object_revision (object, &revision)
       || strlen (name) >= sizeof member->name
       || strlen (domain) >= sizeof member->domain)
     {
@@ -66,15 +78,93 @@
       member = calloc (1, sizeof *member);
       EG_INVARIANT (member);
       strcpy (member->name, name);
-      strcpy (member->domain, domain);
       eg_list_append (&self->all, &member->all);
     }
+  strcpy (member->domain, domain);
+  member->endpoint = endpoint;
+  member->capacity = json_integer_value (json_object_get (spec, "capacity"));
   member->marked = true;
   if (member->revision != revision)
     member->seen_us = now_us;
   member->revision = revision;
 }
 
+static unsigned
+readers_of (unsigned in_domain)
+{
+  return in_domain > ONE_READER_MAX ? 2 : 1;
+}
+
+/* The strongest VMs come first; names settle the rest. */
+static bool
+ranks_before (const struct eg_member *a, const struct eg_member *b)
+{
+  if (a->capacity != b->capacity)
+    return a->capacity > b->capacity;
+  return strcmp (a->name, b->name) < 0;
+}
+
+static void
+rank_domain (struct eg_members *self)
+{
+  const struct eg_entry_settings *settings = self->entry->settings;
+  const struct eg_member *own = find (self, settings->name);
+
+  self->readers[0] = NULL;
+  self->readers[1] = NULL;
+  self->own_rank = 0;
+  for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
+    {
+      struct eg_member *member = EG_CONTAINER_OF (at, struct eg_member, all);
+
+      if (strcmp (member->domain, settings->domain) != 0)
+        continue;
+      self->own_rank += own && ranks_before (member, own);
+      if (!self->readers[0] || ranks_before (member, self->readers[0]))
+        {
+          self->readers[1] = self->readers[0];
+          self->readers[0] = member;
+        }
+      else if (!self->readers[1] || ranks_before (member, self->readers[1]))
+        self->readers[1] = member;
+    }
+}
+
+static bool
+is_reader_of_domain (const struct eg_members *self,
+                     const struct eg_member *member)
+{
+  unsigned before = 0;
+  unsigned in_domain = 0;
+
+  for (const struct eg_list *at = self->all.next; at != &self->all;
+       at = at->next)
+    {
+      const struct eg_member *other =
+          EG_CONTAINER_OF (at, struct eg_member, all);
+
+      if (strcmp (other->domain, member->domain) != 0)
+        continue;
+      in_domain++;
+      before += ranks_before (other, member);
+    }
+  return before < readers_of (in_domain);
+}
+
+static void
+gather_readers (struct eg_members *self)
+{
+  self->all_reader_count = 0;
+  for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
+    {
+      struct eg_member *member = EG_CONTAINER_OF (at, struct eg_member, all);
+
+      if (self->all_reader_count < EG_READERS_MAX
+          && is_reader_of_domain (self, member))
+        self->all_readers[self->all_reader_count++] = member->endpoint;
+    }
+}
+
 static void
 count_members (struct eg_members *self)
 {
@@ -140,10 +230,15 @@
     }
   *self->after = '\0';
   drop_expired (self, now_us);
+  self->lists++;
   count_members (self);
+  rank_domain (self);
+  gather_readers (self);
   self->list_due_us = now_us + LIST_GAP_US;
-  eg_log (EG_LOG_INFO, "members", "event=members-read count=%u in_domain=%u",
-          eg_members_count (self), eg_members_in_domain (self));
+  eg_log (EG_LOG_INFO, "members",
+          "event=members-read count=%u in_domain=%u "
+          "rank=%u",
+          self->count, self->in_domain, self->own_rank);
 }
 
 static void
@@ -177,6 +272,8 @@
   eg_list_init (&self->all);
   self->count = UNKNOWN_COUNT;
   self->in_domain = UNKNOWN_IN_DOMAIN;
+  EG_INVARIANT (eg_endpoint_parse (eg_str_from (entry->settings->listen_peers),
+                                   &self->own_endpoint));
   eg_store_call_init (&self->list_call, &entry->store, &list_sink);
   eg_store_call_init (&self->own_call, &entry->store, &own_sink);
   self->list_due_us = eg_clock_now_us () + LIST_FIRST_US;
@@ -197,8 +294,11 @@
   const struct eg_entry_settings *settings = self->entry->settings;
   bool create = self->revision == 0;
   char path[128];
-  json_t *spec = json_pack ("{s:s, s:I}", "failure_domain", settings->domain,
-                            "written_us", (json_int_t) now_us);
+  json_t *spec =
+      json_pack ("{s:s, s:s, s:I, s:I}", "failure_domain", settings->domain,
+                 "address", settings->listen_peers, "capacity",
+                 (json_int_t) (settings->link_mbps * settings->cpu_share),
+                 "written_us", (json_int_t) now_us);
   json_t *object = eg_store_object (settings->name, self->revision, spec);
 
   snprintf (path, sizeof path, MEMBER_KIND "%s%s", create ? "" : "/",
@@ -242,3 +342,60 @@
 {
   return self->in_domain;
 }
+
+unsigned
+eg_members_readers (const struct eg_members *self)
+{
+  return readers_of (self->in_domain);
+}
+
+struct eg_member *
+eg_members_reader (struct eg_members *self, int64_t now_us)
+{
+  unsigned first = self->own_rank % eg_members_readers (self);
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      struct eg_member *reader = self->readers[(first + i) % 2];
+
+      if (reader && now_us >= reader->failed_until_us)
+        return reader;
+    }
+  return NULL;
+}
+
+struct eg_member *
+eg_members_any_reader (struct eg_members *self)
+{
+  return self->readers[0];
+}
+
+void
+eg_members_peer_outcome (struct eg_members *self,
+                         struct eg_endpoint endpoint,
+                         bool answered,
+                         int64_t now_us)
+{
+  for (size_t i = 0; i < 2; i++)
+    {
+      struct eg_member *reader = self->readers[i];
+
+      if (!reader
+          || eg_endpoint_key (reader->endpoint) != eg_endpoint_key (endpoint))
+        continue;
+      if (answered)
+        reader->failures = 0;
+      else
+        {
+          unsigned doublings = reader->failures < PEER_DOUBLINGS_MAX
+                                   ? reader->failures
+                                   : PEER_DOUBLINGS_MAX;
+
+          reader->failed_until_us = now_us + (PEER_PAUSE_US << doublings);
+          reader->failures++;
+          eg_log (EG_LOG_INFO, "members",
+                  "event=reader-failed reader=%s failures=%u", reader->name,
+                  reader->failures);
+        }
+    }
+}
--- a/entry/members.h
+++ b/entry/members.h
@@ -14,6 +14,9 @@
 
 struct eg_entry;
 
+/** Most readers of all failure domains that are known. */
+#define EG_READERS_MAX 32
+
 /** One entry VM, as its object tells. */
 struct eg_member
 {
@@ -21,7 +24,11 @@
   char name[64];
   char domain[64];
   int64_t revision;
-  int64_t seen_us; /**< When the revision was first seen. */
+  int64_t seen_us;             /**< When the revision was first seen. */
+  struct eg_endpoint endpoint; /**< For its peers. */
+  int64_t capacity;            /**< Of its link and processor; rank by this. */
+  int64_t failed_until_us;     /**< As a reader for others. */
+  unsigned failures;           /**< In a row. */
   bool marked;
 };
 
@@ -37,8 +44,14 @@
   int64_t written_us;
   int64_t list_due_us;
   int64_t write_due_us;
-  unsigned count;     /**< As eg_members_count() tells. */
-  unsigned in_domain; /**< As eg_members_in_domain() tells. */
+  unsigned lists;               /**< Read so far. */
+  unsigned count;               /**< As eg_members_count() tells. */
+  unsigned in_domain;           /**< As eg_members_in_domain() tells. */
+  unsigned own_rank;            /**< Within the failure domain, from 0. */
+  struct eg_member *readers[2]; /**< First of the failure domain, or NULL. */
+  struct eg_endpoint own_endpoint;
+  struct eg_endpoint all_readers[EG_READERS_MAX]; /**< Of all domains. */
+  size_t all_reader_count;
 };
 
 /** Prepares a list with this VM alone. */
@@ -56,4 +69,20 @@
 /** Returns how many entry VMs there are in this failure domain. */
 unsigned eg_members_in_domain (const struct eg_members *self);
 
+/** Returns how many VMs of a failure domain read the store themselves. */
+unsigned eg_members_readers (const struct eg_members *self);
+
+/** Returns a reader of this failure domain that has not failed lately, or
+    NULL. */
+struct eg_member *eg_members_reader (struct eg_members *self, int64_t now_us);
+
+/** Returns a reader of this failure domain, or NULL. */
+struct eg_member *eg_members_any_reader (struct eg_members *self);
+
+/** Tells how a call of a reader went. */
+void eg_members_peer_outcome (struct eg_members *self,
+                              struct eg_endpoint endpoint,
+                              bool answered,
+                              int64_t now_us);
+
 #endif
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -14,6 +14,8 @@
 #define FAR_FACTOR 1.35
 /* Utilisation of memory from which a server counts as full. */
 #define KV_FULL 0.95
+/* What other entry VMs have told is used for this long. */
+#define OTHERS_AGE_US (1000 * EG_US_PER_MS)
 /* What an answer's load is worth after this time. */
 #define LOAD_AGE_US (500 * EG_US_PER_MS)
 
@@ -36,8 +38,9 @@
   return false;
 }
 
-/* Expected share of a server's memory that is in use with this request: other
- * entry VMs of the failure domain are taken to send as much as this one. */
+/* Expected share of a server's memory that is in use with this request. Where
+ * the other entry VMs have not told, those of the failure domain are taken to
+ * send as much as this one. */
 static double
 kv_share (const struct eg_entry *entry,
           const struct eg_backend *backend,
@@ -51,11 +54,15 @@
                         ? eg_engine_kv_capacity (engine, accelerator, layers)
                         : engine->kv_tokens * layers;
 
+  double running = backend->kv_running;
+
   if (capacity <= 0)
     return 1;
-  return (backend->kv_running * eg_members_in_domain (&entry->members)
-          + tokens * layers)
-         / capacity;
+  if (eg_clock_now_us () - backend->kv_others_us < OTHERS_AGE_US)
+    running += backend->kv_others;
+  else
+    running *= eg_members_in_domain (&entry->members);
+  return (running + tokens * layers) / capacity;
 }
 
 /* The fuller a server, the longer its passes and the likelier a preemption. */
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -21,7 +21,7 @@
 #define LEASE_PAUSE_US (200 * EG_US_PER_MS)
 #define LEASE_RENEW_US (700 * EG_US_PER_MS)
 #define LEASE_WATCH_US (2000 * EG_US_PER_MS)
-#define LEASE_RETRY_US (250 * EG_US_PER_MS)
+#define LEASE_RETRY_US (500 * EG_US_PER_MS)
 #define LEASE_CALL_US (600 * EG_US_PER_MS)
 /* Time between two plans while nothing changes. */
 #define PLAN_GAP_US (300 * EG_US_PER_MS)
@@ -443,6 +443,15 @@
   free (input.backends);
 }
 
+/* VMs that read the store themselves stand for the lease: they see the fleet
+ * first, and the others' calls would only be counted. */
+static bool
+may_lead (const struct eg_planner *self)
+{
+  return self->entry->members.lists > 0
+         && self->entry->servers_feed.mirror->is_direct;
+}
+
 void
 eg_planner_check (struct eg_planner *self, int64_t now_us)
 {
@@ -451,7 +460,8 @@
 
   eg_store_call_check (&self->call, now_us);
   if (!eg_store_call_is_active (&self->call)
-      && now_us >= eg_lease_wake_us (&self->lease) && self->entry->stop_us == 0)
+      && now_us >= eg_lease_wake_us (&self->lease) && self->entry->stop_us == 0
+      && (self->held || may_lead (self)))
     step_lease (self, EG_LEASE_TIME, 0, NULL);
   held = eg_lease_is_held (&self->lease, now_us) && self->entry->stop_us == 0;
   if (held != self->held)
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -20,11 +20,13 @@
   bool first_start;
   char listen_callers[EG_ENTRY_ADDRESS_BYTES];
   char listen_readiness[EG_ENTRY_ADDRESS_BYTES];
-  char listen_metrics[EG_ENTRY_ADDRESS_BYTES];
+  char listen_peers[EG_ENTRY_ADDRESS_BYTES];
   char store_address[EG_ENTRY_ADDRESS_BYTES];
   char log_level[16];
   int64_t memory_mb;
   int64_t descriptors;
+  double link_mbps;
+  double cpu_share;
   int64_t stop_grace_ms;
   bool revocation_bounded;
   int64_t revocation_ms;
--- /dev/null
+++ b/entry/sources.c
@@ -0,0 +1,74 @@
+#include "entry/sources.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "entry/entry.h"
+
+/* Time between two calls of the store by a VM that is no reader, while the
+ * store does not answer it. */
+#define DIRECT_PAUSE_US (1500 * EG_US_PER_MS)
+
+void
+eg_sources_init (struct eg_sources *self, struct eg_entry *entry)
+{
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  self->peer.pool = &entry->pool;
+  self->peer.is_peer = true;
+}
+
+bool
+eg_sources_is_reader (const struct eg_sources *self)
+{
+  return self->entry->members.own_rank
+         < eg_members_readers (&self->entry->members);
+}
+
+static struct eg_store *
+choose (void *context, struct eg_store_feed *feed)
+{
+  struct eg_sources *self = context;
+  struct eg_entry *entry = self->entry;
+  int64_t now_us = eg_clock_now_us ();
+  struct eg_member *reader;
+
+  (void) feed;
+  if (eg_sources_is_reader (self))
+    return &entry->store;
+  reader = eg_members_reader (&entry->members, now_us);
+  if (!reader && now_us >= self->direct_next_us)
+    return &entry->store;
+  if (!reader)
+    reader = eg_members_any_reader (&entry->members);
+  if (!reader)
+    return &entry->store;
+  self->peer.endpoint = reader->endpoint;
+  return &self->peer;
+}
+
+static void
+on_outcome (void *context, struct eg_store *store, bool answered)
+{
+  struct eg_sources *self = context;
+  int64_t now_us = eg_clock_now_us ();
+
+  if (store->is_peer)
+    {
+      eg_members_peer_outcome (&self->entry->members, store->endpoint, answered,
+                               now_us);
+      return;
+    }
+  if (answered)
+    self->direct_next_us = now_us;
+  else
+    self->direct_next_us =
+        now_us + DIRECT_PAUSE_US / 2
+        + (int64_t) eg_random_below (&self->entry->random, DIRECT_PAUSE_US);
+}
+
+struct eg_feed_source
+eg_sources_feed_source (struct eg_sources *self)
+{
+  return (struct eg_feed_source){choose, on_outcome, self};
+}
--- /dev/null
+++ b/entry/sources.h
@@ -0,0 +1,34 @@
+/**
+ * @file
+ * Where this entry VM reads the configuration and the servers: of the store, or
+ * of a peer of its failure domain that mirrors the store.
+ *
+ * Load answered: the store's calls must not grow with the number of entry VMs.
+ * A peer that fails is left at once for the store itself, whose calls are
+ * then spaced, as all peers may come at the same time.
+ */
+#ifndef EG_ENTRY_SOURCES_H
+#define EG_ENTRY_SOURCES_H
+
+#include "platform/store.h"
+
+struct eg_entry;
+
+/** The sources; memory of the caller. */
+struct eg_sources
+{
+  struct eg_entry *entry;
+  struct eg_store peer;   /**< Stands for the peer chosen last. */
+  int64_t direct_next_us; /**< Earliest next call of the store itself. */
+};
+
+/** Prepares the sources. */
+void eg_sources_init (struct eg_sources *self, struct eg_entry *entry);
+
+/** Returns what feeds need to choose their source. */
+struct eg_feed_source eg_sources_feed_source (struct eg_sources *self);
+
+/** Tells whether this entry VM is one of those that read the store itself. */
+bool eg_sources_is_reader (const struct eg_sources *self);
+
+#endif
