--- a/entry/call.h
+++ b/entry/call.h
@@ -41,6 +41,11 @@
   enum eg_answer_mode mode;
   struct eg_answer_facts facts;
   unsigned status;
+  struct eg_exchange move; /**< An order to go on by another path. */
+  struct eg_placement_choice next; /**< That path; held while @c moving. */
+  bool moving;
+  unsigned move_status;
+  int64_t move_us;
 };
 
 /** A request; memory of its caller's connection. */
@@ -103,6 +108,10 @@
 /** The caller's connection takes bytes again. */
 void eg_call_resume_reading (struct eg_call *self);
 
+/** A server came under suspicion, or is leaving: moves the request if it is
+    concerned. */
+void eg_call_unsettled (struct eg_call *self, int64_t now_us);
+
 /** An engine says that it cannot go on with this stream. */
 void eg_call_stalled (struct eg_call *self,
                       const struct eg_stalled_stream *stalled,
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -582,3 +582,16 @@
           }
     }
 }
+
+void
+eg_callers_unsettled (struct eg_callers *self, int64_t now_us)
+{
+  for (struct eg_list *at = self->all.next; at != &self->all;)
+    {
+      struct eg_caller *caller = EG_CONTAINER_OF (at, struct eg_caller, all);
+
+      at = at->next;
+      if (caller->call.active)
+        eg_call_unsettled (&caller->call, now_us);
+    }
+}
--- a/entry/callers.h
+++ b/entry/callers.h
@@ -63,6 +63,9 @@
 /** Answers peers whose questions can be answered by now. */
 void eg_callers_mirror_changed (struct eg_callers *self, int64_t now_us);
 
+/** Servers came under suspicion, or are leaving. */
+void eg_callers_unsettled (struct eg_callers *self, int64_t now_us);
+
 /** Takes no more connections, and closes those without a request. */
 void eg_callers_close_idle (struct eg_callers *self);
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -43,6 +43,7 @@
   const struct eg_entry_settings *settings;
   uv_loop_t loop;
   uv_timer_t tick;
+  uv_timer_t urgent; /**< Runs once, after what runs now. */
   struct eg_random random;
   struct eg_journal journal;
   struct eg_exchange_pool pool;
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -20,6 +20,10 @@
 #define PROBE_GAP_US (250 * EG_US_PER_MS)
 /* A probe takes a round trip and some ms; lossy links add one resend. */
 #define PROBE_TIMEOUT_US (350 * EG_US_PER_MS)
+/* Probes of one entry VM: a burst asks all servers of two paths, and a lasting
+ * rate follows three suspects. */
+#define PROBES_PER_S 8.0
+#define PROBES_BURST 24.0
 /* Penalties fall to a third in this time. */
 #define PENALTY_TIME_US (4.0 * EG_US_PER_S)
 /* Entries that lapsed with the store are back two seconds after it, as the
@@ -293,6 +297,13 @@
       && (entry->layers.from != self->ordered.from
           || entry->layers.to != self->ordered.to))
     self->orders = -1;
+  if (entry->draining && !old->draining)
+    {
+      self->draining_us = now_us;
+      self->fleet->events.unsettled (self->fleet->events.context);
+    }
+  if (!entry->draining)
+    self->draining_us = 0;
   self->entry = *entry;
   self->listed = true;
   self->marked = true;
@@ -451,7 +462,10 @@
   if (blames[blame].suspect)
     {
       if (!was_suspect)
-        self->suspected_us = now_us;
+        {
+          self->suspected_us = now_us;
+          self->fleet->events.unsettled (self->fleet->events.context);
+        }
       self->suspect_until_us = now_us + SUSPECT_US;
       eg_exchange_pool_drop (self->fleet->pool, self->entry.endpoint);
     }
@@ -474,6 +488,22 @@
   self->load_us = now_us;
 }
 
+/* Probes are counted by the platform, and a fleet that is slow as a whole gives
+ * cause for many: a bucket bounds them. */
+static bool
+may_probe (struct eg_fleet *self, int64_t now_us)
+{
+  self->probe_tokens +=
+      (double) (now_us - self->probe_tokens_us) / EG_US_PER_S * PROBES_PER_S;
+  if (self->probe_tokens > PROBES_BURST)
+    self->probe_tokens = PROBES_BURST;
+  self->probe_tokens_us = now_us;
+  if (self->probe_tokens < 1)
+    return false;
+  self->probe_tokens -= 1;
+  return true;
+}
+
 void
 eg_backend_probe (struct eg_backend *self, int64_t now_us)
 {
@@ -483,7 +513,8 @@
   struct eg_str path = eg_report_path;
 
   if (eg_exchange_is_active (&self->probe.exchange)
-      || now_us - self->probe.begun_us < PROBE_GAP_US)
+      || now_us - self->probe.begun_us < PROBE_GAP_US
+      || !may_probe (self->fleet, now_us))
     return;
   if (!self->entry.has_engine)
     {
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -47,6 +47,7 @@
   int64_t lapse_us;    /**< Not 0: its entry may come back until then. */
   int64_t suspect_until_us;
   int64_t suspected_us;
+  int64_t draining_us; /**< When it was seen to leave; 0: it does not. */
   int64_t full_until_us; /**< It had no room; see EG_BLAME_FULL. */
   double penalty;        /**< Recent faults, as of @c penalty_us. */
   int64_t penalty_us;
@@ -76,6 +77,8 @@
   void (*reported) (void *context,
                     struct eg_backend *backend,
                     const struct eg_engine_report *report);
+  /** A server came under suspicion, or is leaving. */
+  void (*unsettled) (void *context);
   void *context;
 };
 
@@ -94,6 +97,8 @@
   bool lapsing;       /**< Entries may have lapsed while it was away. */
   int64_t changed_us; /**< When an entry last changed. */
   uint64_t probes;
+  double probe_tokens; /**< Probes that may be sent now; see PROBES_PER_S. */
+  int64_t probe_tokens_us;
 };
 
 /** Makes an empty fleet. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -187,6 +187,23 @@
   eg_callers_reported (&self->callers, backend, report);
 }
 
+static void
+on_urgent (uv_timer_t *timer)
+{
+  struct eg_entry *self = timer->data;
+
+  eg_callers_unsettled (&self->callers, eg_clock_now_us ());
+}
+
+/* Calls are moved once the event that told of it has run its course. */
+static void
+on_unsettled (void *context)
+{
+  struct eg_entry *self = context;
+
+  uv_timer_start (&self->urgent, on_urgent, 0, 0);
+}
+
 static void
 check_stop (struct eg_entry *self, int64_t now_us)
 {
@@ -291,7 +308,8 @@
 static int
 run (struct eg_entry *self)
 {
-  const struct eg_fleet_events fleet_events = {on_reported, self};
+  const struct eg_fleet_events fleet_events = {on_reported, on_unsettled,
+                                               self};
   const struct eg_quarantine_config quarantine_config = {
       QUARANTINE_DEATHS, QUARANTINE_US, QUARANTINE_US, QUARANTINE_ENTRIES};
   uv_signal_t signals[3];
@@ -304,6 +322,8 @@
   eg_metrics_init (&self->metrics);
   self->quarantine = eg_quarantine_new (&quarantine_config);
   EG_INVARIANT (self->quarantine && uv_loop_init (&self->loop) == 0);
+  uv_timer_init (&self->loop, &self->urgent);
+  self->urgent.data = self;
   eg_exchange_pool_init (&self->pool, &self->loop, POOL_IDLE_US);
   self->store.pool = &self->pool;
   EG_INVARIANT (eg_endpoint_parse (eg_str_from (self->settings->store_address),
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -12,10 +12,15 @@
 /* Requests whose first server is in another failure domain cost this much more,
  * so that they stay at home while home is no more than a third fuller. */
 #define FAR_FACTOR 1.35
-/* Utilisation of memory from which a server counts as full. */
+/* Utilisation of memory beyond which longer passes grow no dearer. */
 #define KV_FULL 0.95
+/* Utilisation from which a server takes no new request: beyond it first events
+ * came on time for one request in three (registry, trouble-3). */
+#define KV_ADMIT_MAX 1.02
 /* What other entry VMs have told is used for this long. */
 #define OTHERS_AGE_US (1000 * EG_US_PER_MS)
+/* A part that a moved request has already costs no reading. */
+#define KEEP_FACTOR 0.05
 /* What an answer's load is worth after this time. */
 #define LOAD_AGE_US (500 * EG_US_PER_MS)
 
@@ -103,6 +108,7 @@
   size_t count;
   const char *domains[EG_PATH_DOMAINS_MAX];
   uint32_t domain_count;
+  bool full; /**< A server was left out for want of memory. */
 };
 
 static uint32_t
@@ -124,9 +130,11 @@
         struct search *search)
 {
   struct eg_list *all = &entry->fleet.all;
+  double tokens = (double) need->prompt_tokens + need->answer_tokens;
 
   search->count = 0;
   search->domain_count = 0;
+  search->full = false;
   domain_number (search, entry->settings->domain);
   for (struct eg_list *at = all->next; at != all; at = at->next)
     {
@@ -144,6 +152,12 @@
       domain = domain_number (search, backend->entry.domain);
       if (domain == EG_PATH_DOMAINS_MAX)
         continue;
+      if (kv_share (entry, backend, &need->service->engine, tokens)
+          > KV_ADMIT_MAX)
+        {
+          search->full = true;
+          continue;
+        }
       search->backends[search->count] = backend;
       search->candidates[search->count] = (struct eg_path_candidate){
           (uint32_t) search->count, domain, layers.from, layers.to,
@@ -194,7 +208,7 @@
         best = path;
     }
   if (best.count == 0)
-    return EG_PLACE_NONE;
+    return search.full ? EG_PLACE_FULL : EG_PLACE_NONE;
   choice->count = best.count;
   choice->load = 0;
   for (uint32_t i = 0; i < best.count; i++)
@@ -276,3 +290,81 @@
     return choose_path (entry, need, now_us, choice);
   return choose_server (entry, need, now_us, choice);
 }
+
+static bool
+is_stage (const struct eg_placement_choice *choice,
+          const struct eg_backend *backend)
+{
+  for (uint32_t i = 0; i < choice->count; i++)
+    if (choice->stages[i] == backend)
+      return true;
+  return false;
+}
+
+/* Gathers the servers that may run the layers behind the first part. */
+static void
+gather_rest (struct eg_entry *entry,
+             const struct eg_placement_need *need,
+             const struct eg_placement_choice *present,
+             int64_t now_us,
+             struct search *search)
+{
+  struct eg_list *all = &entry->fleet.all;
+  uint32_t first = present->layers[0].to;
+
+  search->count = 0;
+  for (struct eg_list *at = all->next; at != all; at = at->next)
+    {
+      struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
+      struct eg_layer_range layers = backend->entry.layers;
+      double cost_us;
+
+      if (!serves (backend, need, now_us) || backend == present->stages[0]
+          || layers.to <= first || layers.to > need->service->engine.layers
+          || strcmp (backend->entry.domain, present->stages[0]->entry.domain)
+                 != 0
+          || search->count == EG_PATH_CANDIDATES_MAX)
+        continue;
+      cost_us = layer_cost_us (entry, backend, need, now_us);
+      if (is_stage (present, backend))
+        cost_us *= KEEP_FACTOR;
+      search->backends[search->count] = backend;
+      search->candidates[search->count] = (struct eg_path_candidate){
+          (uint32_t) search->count, 0,
+          layers.from > first ? layers.from - first : 0, layers.to - first,
+          cost_us};
+      search->count++;
+    }
+}
+
+bool
+eg_placement_move (struct eg_entry *entry,
+                   const struct eg_placement_need *need,
+                   const struct eg_placement_choice *present,
+                   int64_t now_us,
+                   struct eg_placement_choice *choice)
+{
+  static struct search search;
+  const struct eg_path_costs costs = {.hop_us = HOP_US * need->answer_tokens};
+  uint32_t first = present->layers[0].to;
+  struct eg_layer_path path;
+
+  gather_rest (entry, need, present, now_us, &search);
+  if (first >= need->service->engine.layers
+      || !eg_layer_path_find (search.candidates, search.count,
+                              need->service->engine.layers - first, &costs,
+                              &path)
+      || path.count >= EG_PATH_STAGES_MAX)
+    return false;
+  choice->stages[0] = present->stages[0];
+  choice->layers[0] = present->layers[0];
+  choice->count = path.count + 1;
+  choice->load = present->load;
+  for (uint32_t i = 0; i < path.count; i++)
+    {
+      choice->stages[i + 1] = search.backends[path.stages[i].server];
+      choice->layers[i + 1] = (struct eg_layer_range){
+          path.stages[i].from + first, path.stages[i].to + first};
+    }
+  return true;
+}
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -48,4 +48,15 @@
                      int64_t now_us,
                      struct eg_placement_choice *choice);
 
+/**
+ * Chooses another path for a request under way that keeps its first part, and
+ * of the others as many as can go on.
+ * @return whether there is one.
+ */
+bool eg_placement_move (struct eg_entry *entry,
+                        const struct eg_placement_need *need,
+                        const struct eg_placement_choice *present,
+                        int64_t now_us,
+                        struct eg_placement_choice *choice);
+
 #endif
