--- a/entry/call.c
+++ b/entry/call.c
@@ -20,9 +20,9 @@
 #define ANSWER_TOKENS_DEFAULT 150
 /* Silence of a stream from which its engine is asked for the cause: several
  * passes long, and well below the pause that callers bear. */
-#define STREAM_SILENCE_US (110 * EG_US_PER_MS)
+#define STREAM_SILENCE_US (150 * EG_US_PER_MS)
 /* The same before the first event, when the prompt has to be read. */
-#define FIRST_SILENCE_US (200 * EG_US_PER_MS)
+#define FIRST_SILENCE_US (250 * EG_US_PER_MS)
 /* Silence after which a stream moves on even if no engine names a cause:
  * callers leave after 2 s. */
 #define STREAM_GIVE_UP_US (1300 * EG_US_PER_MS)
@@ -789,7 +789,7 @@
   placed = eg_placement_choose (entry, &need, now_us, &place);
   if (placed != EG_PLACED || !remember_head (self, place.stages[0]))
     {
-      give_up (self, placed == EG_PLACE_FULL ? "servers-full" : "no-server");
+      give_up (self, "no-server");
       return;
     }
   send_to (self, need.service, &place, now_us);
@@ -1101,11 +1101,10 @@
   if (state == PATH_LEAVING)
     return;
   if (state == HEAD_LEAVING
-      && (!is_repeatable (self)
-          || self->head_count >= self->route.servers_max))
+      && (!is_repeatable (self) || self->head_count >= self->route.servers_max))
     return;
-  send_failed (self, state == HEAD_LEAVING ? "server-leaving"
-                                           : "stage-suspect");
+  send_failed (self,
+               state == HEAD_LEAVING ? "server-leaving" : "stage-suspect");
 }
 
 /* Asks every server of the path whether it is there: a dead one refuses the
--- a/entry/call.h
+++ b/entry/call.h
@@ -41,7 +41,7 @@
   enum eg_answer_mode mode;
   struct eg_answer_facts facts;
   unsigned status;
-  struct eg_exchange move; /**< An order to go on by another path. */
+  struct eg_exchange move;         /**< An order to go on by another path. */
   struct eg_placement_choice next; /**< That path; held while @c moving. */
   bool moving;
   unsigned move_status;
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -24,6 +24,14 @@
  * rate follows three suspects. */
 #define PROBES_PER_S 8.0
 #define PROBES_BURST 24.0
+/* What another VM tells of a server is checked this often. */
+#define TOLD_GAP_US (500 * EG_US_PER_MS)
+/* Half of a failure domain's servers that vanish at once are rather cut off
+ * than dead; a cut is taken to last as long as their entries outlive it. */
+#define CUT_LEAST 3
+#define CUT_MEMORY_US (4000 * EG_US_PER_MS)
+/* Servers that were cut off come back within a heartbeat of each other. */
+#define RETURN_QUIET_US (1300 * EG_US_PER_MS)
 /* Penalties fall to a third in this time. */
 #define PENALTY_TIME_US (4.0 * EG_US_PER_S)
 /* Entries that lapsed with the store are back two seconds after it, as the
@@ -228,6 +236,54 @@
   remove_if_unused (self);
 }
 
+static struct eg_domain_watch *
+domain_watch (struct eg_fleet *self, const char *name)
+{
+  struct eg_domain_watch *watch;
+
+  for (size_t i = 0; i < self->domain_count; i++)
+    if (strcmp (self->domains[i].name, name) == 0)
+      return &self->domains[i];
+  if (self->domain_count == EG_FLEET_DOMAINS_MAX)
+    return &self->domains[EG_FLEET_DOMAINS_MAX - 1];
+  watch = &self->domains[self->domain_count++];
+  strcpy (watch->name, name);
+  return watch;
+}
+
+bool
+eg_fleet_domain_is_settled (const struct eg_fleet *self,
+                            const char *domain,
+                            size_t listed,
+                            int64_t now_us)
+{
+  for (size_t i = 0; i < self->domain_count; i++)
+    {
+      const struct eg_domain_watch *watch = &self->domains[i];
+      size_t vanished = 0;
+
+      if (strcmp (watch->name, domain) != 0)
+        continue;
+      for (size_t k = 0; k < EG_VANISHED_KEPT; k++)
+        vanished += watch->vanished_us[k] > 0
+                    && now_us - watch->vanished_us[k] < CUT_MEMORY_US;
+      if (now_us - watch->returned_us < RETURN_QUIET_US)
+        return false;
+      return vanished < CUT_LEAST || vanished * 2 < listed;
+    }
+  return true;
+}
+
+void
+eg_fleet_told_down (struct eg_fleet *self, struct eg_str id, int64_t now_us)
+{
+  struct eg_backend *backend = find_id (self, id);
+
+  if (backend && backend->listed && !eg_backend_is_suspect (backend, now_us)
+      && now_us - backend->probe.begun_us >= TOLD_GAP_US)
+    eg_backend_probe (backend, now_us);
+}
+
 /* The entry no longer stands in the store. */
 static void
 vanish (struct eg_backend *self, int64_t now_us)
@@ -235,8 +291,12 @@
   struct eg_fleet *fleet = self->fleet;
   bool may_return = fleet->lapsing && !self->entry.draining;
 
+  struct eg_domain_watch *watch = domain_watch (fleet, self->entry.domain);
+
   if (!self->listed)
     return;
+  if (!self->entry.draining)
+    watch->vanished_us[watch->vanished++ % EG_VANISHED_KEPT] = now_us;
   self->listed = false;
   self->lapse_us = 0;
   if (may_return)
@@ -270,6 +330,9 @@
       || entry->layers.to != old->layers.to
       || eg_endpoint_key (entry->endpoint) != eg_endpoint_key (old->endpoint);
 
+  if (!self->listed && self->fleet->known
+      && entry->layers.to > entry->layers.from)
+    domain_watch (self->fleet, entry->domain)->returned_us = now_us;
   if (restarted)
     {
       self->suspect_until_us = 0;
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -13,6 +13,11 @@
 
 struct eg_fleet;
 
+/** Most failure domains of a fleet that are told apart. */
+#define EG_FLEET_DOMAINS_MAX 32
+/** Vanished servers of one failure domain that are remembered. */
+#define EG_VANISHED_KEPT 64
+
 /** Why a server is no longer trusted. */
 enum eg_blame
 {
@@ -47,7 +52,7 @@
   int64_t lapse_us;    /**< Not 0: its entry may come back until then. */
   int64_t suspect_until_us;
   int64_t suspected_us;
-  int64_t draining_us; /**< When it was seen to leave; 0: it does not. */
+  int64_t draining_us;   /**< When it was seen to leave; 0: it does not. */
   int64_t full_until_us; /**< It had no room; see EG_BLAME_FULL. */
   double penalty;        /**< Recent faults, as of @c penalty_us. */
   int64_t penalty_us;
@@ -71,6 +76,15 @@
   unsigned order_status;
 };
 
+/** Servers of a failure domain that came and went lately. */
+struct eg_domain_watch
+{
+  char name[EG_CONFIG_NAME_BYTES];
+  int64_t returned_us; /**< When one came back with its layers. */
+  int64_t vanished_us[EG_VANISHED_KEPT]; /**< Without leaving first. */
+  unsigned vanished;                     /**< All so far. */
+};
+
 /** Told of what servers report. */
 struct eg_fleet_events
 {
@@ -96,6 +110,8 @@
   int64_t found_us;   /**< When it last answered again. */
   bool lapsing;       /**< Entries may have lapsed while it was away. */
   int64_t changed_us; /**< When an entry last changed. */
+  struct eg_domain_watch domains[EG_FLEET_DOMAINS_MAX];
+  size_t domain_count;
   uint64_t probes;
   double probe_tokens; /**< Probes that may be sent now; see PROBES_PER_S. */
   int64_t probe_tokens_us;
@@ -131,6 +147,20 @@
 /** Does what is due: probes of suspects, entries that stay away. */
 void eg_fleet_check (struct eg_fleet *self, int64_t now_us);
 
+/**
+ * Tells whether what is known of a failure domain is whole enough to move
+ * layers there: its servers are neither cut off nor just coming back.
+ * @param listed how many of its servers stand in the store.
+ */
+bool eg_fleet_domain_is_settled (const struct eg_fleet *self,
+                                 const char *domain,
+                                 size_t listed,
+                                 int64_t now_us);
+
+/** Another entry VM suspects a server: asks it. */
+void
+eg_fleet_told_down (struct eg_fleet *self, struct eg_str id, int64_t now_us);
+
 /** Tells whether a server may be sent new requests. */
 bool eg_backend_is_usable (const struct eg_backend *self, int64_t now_us);
 
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -12,12 +12,68 @@
 #define TELL_GAP_US (200 * EG_US_PER_MS)
 /* A sender that was not heard for this long no longer counts. */
 #define SENDER_AGE_US (1000 * EG_US_PER_MS)
+/* A failure domain whose readers are silent for this long, three messages, is
+ * taken to be cut off. */
+#define HEARD_US (700 * EG_US_PER_MS)
 /* Longest message: what a datagram carries without being cut everywhere. */
 #define MESSAGE_BYTES_MAX 8192
 /* A message's figures, apart from the rest of it. */
 #define KIND_OWN "own"
 #define KIND_GROUP "group"
 #define KIND_SUM "sum"
+/* Suspects named in one message; more are rather a fault of this VM's link. */
+#define SUSPECTS_TOLD_MAX 8
+
+static json_t *
+list_suspects (const struct eg_fleet *fleet)
+{
+  json_t *list = json_array ();
+  int64_t now_us = eg_clock_now_us ();
+
+  for (const struct eg_list *at = fleet->all.next; at != &fleet->all;
+       at = at->next)
+    {
+      const struct eg_backend *backend =
+          EG_CONTAINER_OF (at, struct eg_backend, all);
+
+      if (backend->listed && backend->entry.has_engine
+          && eg_backend_is_suspect (backend, now_us)
+          && json_array_size (list) < SUSPECTS_TOLD_MAX)
+        json_array_append_new (list, json_string (backend->entry.id));
+    }
+  return list;
+}
+
+static void
+hear_domain (struct eg_loads *self, const char *domain, int64_t now_us)
+{
+  struct eg_heard_domain *heard = NULL;
+
+  if (!domain || strlen (domain) >= sizeof heard->domain)
+    return;
+  for (size_t i = 0; i < self->heard_count; i++)
+    if (strcmp (self->heard[i].domain, domain) == 0)
+      heard = &self->heard[i];
+  if (!heard && self->heard_count < EG_LOADS_DOMAINS_MAX)
+    {
+      heard = &self->heard[self->heard_count++];
+      strcpy (heard->domain, domain);
+    }
+  if (heard)
+    heard->heard_us = now_us;
+}
+
+/* Names the failure domains whose readers are heard here. */
+static json_t *
+list_heard (const struct eg_loads *self, int64_t now_us)
+{
+  json_t *list = json_array ();
+
+  for (size_t i = 0; i < self->heard_count; i++)
+    if (now_us - self->heard[i].heard_us < HEARD_US)
+      json_array_append_new (list, json_string (self->heard[i].domain));
+  return list;
+}
 
 /** A datagram that the kernel did not take at once is dropped. */
 static void
@@ -26,10 +82,15 @@
               const char *kind,
               json_t *loads)
 {
+  const struct eg_entry *entry = self->entry;
   struct sockaddr_in address = {.sin_family = AF_INET,
                                 .sin_port = endpoint.port,
                                 .sin_addr.s_addr = endpoint.ip};
-  json_t *message = json_pack ("{s:s, s:O}", "kind", kind, "loads", loads);
+  json_t *message = json_pack (
+      "{s:s, s:s, s:b, s:o, s:o, s:O}", "kind", kind, "domain",
+      entry->settings->domain, "reads", entry->servers_feed.mirror->is_direct,
+      "down", list_suspects (&entry->fleet), "heard",
+      list_heard (self, eg_clock_now_us ()), "loads", loads);
   char *text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
   uv_buf_t part;
 
@@ -123,8 +184,13 @@
 {
   const char *kind = json_string_value (json_object_get (message, "kind"));
   json_t *loads = json_object_get (message, "loads");
+  json_t *down = json_object_get (message, "down");
   struct eg_load_sender *sender;
+  json_t *id;
+  size_t index;
 
+  json_array_foreach (down, index, id) eg_fleet_told_down (
+      &self->entry->fleet, eg_str_from (json_string_value (id)), now_us);
   if (!kind || !json_is_object (loads))
     {
       eg_log (EG_LOG_WARNING, "loads", "event=message-unreadable");
@@ -132,6 +198,8 @@
     }
   if (strcmp (kind, KIND_SUM) == 0)
     {
+      json_array_foreach (json_object_get (message, "heard"), index, id)
+          hear_domain (self, json_string_value (id), now_us);
       take_sum (self, loads, now_us);
       return;
     }
@@ -141,6 +209,10 @@
   json_decref (sender->loads);
   sender->loads = json_incref (loads);
   sender->is_reader = strcmp (kind, KIND_GROUP) == 0;
+  if (sender->is_reader)
+    hear_domain (self, json_string_value (json_object_get (message, "domain")),
+                 now_us);
+  sender->reads = json_is_true (json_object_get (message, "reads"));
   sender->heard_us = now_us;
 }
 
@@ -269,3 +341,36 @@
   send_message (self, reader->endpoint, KIND_OWN, own);
   json_decref (own);
 }
+
+bool
+eg_loads_store_is_away (const struct eg_loads *self, int64_t now_us)
+{
+  bool heard = false;
+
+  if (self->entry->servers_feed.mirror->is_direct)
+    return false;
+  for (size_t i = 0; i < self->sender_count; i++)
+    {
+      const struct eg_load_sender *sender = &self->senders[i];
+
+      if (!sender->is_reader || now_us - sender->heard_us > SENDER_AGE_US)
+        continue;
+      if (sender->reads)
+        return false;
+      heard = true;
+    }
+  return heard;
+}
+
+bool
+eg_loads_hears_domain (const struct eg_loads *self,
+                       const char *domain,
+                       int64_t now_us)
+{
+  if (strcmp (domain, self->entry->settings->domain) == 0)
+    return true;
+  for (size_t i = 0; i < self->heard_count; i++)
+    if (strcmp (self->heard[i].domain, domain) == 0)
+      return now_us - self->heard[i].heard_us < HEARD_US;
+  return false;
+}
--- a/entry/loads.h
+++ b/entry/loads.h
@@ -27,10 +27,21 @@
 {
   struct eg_endpoint endpoint;
   bool is_reader; /**< Figures of all VMs that tell it. */
+  bool reads;     /**< The store answers it. */
   int64_t heard_us;
   json_t *loads;
 };
 
+/** Most failure domains that are told apart. */
+#define EG_LOADS_DOMAINS_MAX 32
+
+/** When a reader of a failure domain was heard last. */
+struct eg_heard_domain
+{
+  char domain[64];
+  int64_t heard_us;
+};
+
 /** The exchange of figures; memory of the caller. */
 struct eg_loads
 {
@@ -39,6 +50,8 @@
   bool open;
   struct eg_load_sender senders[EG_LOADS_SENDERS_MAX];
   size_t sender_count;
+  struct eg_heard_domain heard[EG_LOADS_DOMAINS_MAX];
+  size_t heard_count;
   int64_t told_us;
 };
 
@@ -48,6 +61,20 @@
 /** Closes the socket; run the loop once more before the memory goes. */
 void eg_loads_finish (struct eg_loads *self);
 
+/**
+ * Tells whether the store seems to be away for all: neither this VM nor any
+ * other reader that is heard gets answers.
+ */
+bool eg_loads_store_is_away (const struct eg_loads *self, int64_t now_us);
+
+/**
+ * Tells whether the entry VMs of a failure domain are heard: it is neither cut
+ * off from this VM nor without any.
+ */
+bool eg_loads_hears_domain (const struct eg_loads *self,
+                            const char *domain,
+                            int64_t now_us);
+
 /** Does what is due. */
 void eg_loads_check (struct eg_loads *self, int64_t now_us);
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -308,8 +308,7 @@
 static int
 run (struct eg_entry *self)
 {
-  const struct eg_fleet_events fleet_events = {on_reported, on_unsettled,
-                                               self};
+  const struct eg_fleet_events fleet_events = {on_reported, on_unsettled, self};
   const struct eg_quarantine_config quarantine_config = {
       QUARANTINE_DEATHS, QUARANTINE_US, QUARANTINE_US, QUARANTINE_ENTRIES};
   uv_signal_t signals[3];
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -14,9 +14,6 @@
 #define FAR_FACTOR 1.35
 /* Utilisation of memory beyond which longer passes grow no dearer. */
 #define KV_FULL 0.95
-/* Utilisation from which a server takes no new request: beyond it first events
- * came on time for one request in three (registry, trouble-3). */
-#define KV_ADMIT_MAX 1.02
 /* What other entry VMs have told is used for this long. */
 #define OTHERS_AGE_US (1000 * EG_US_PER_MS)
 /* A part that a moved request has already costs no reading. */
@@ -108,7 +105,6 @@
   size_t count;
   const char *domains[EG_PATH_DOMAINS_MAX];
   uint32_t domain_count;
-  bool full; /**< A server was left out for want of memory. */
 };
 
 static uint32_t
@@ -130,11 +126,9 @@
         struct search *search)
 {
   struct eg_list *all = &entry->fleet.all;
-  double tokens = (double) need->prompt_tokens + need->answer_tokens;
 
   search->count = 0;
   search->domain_count = 0;
-  search->full = false;
   domain_number (search, entry->settings->domain);
   for (struct eg_list *at = all->next; at != all; at = at->next)
     {
@@ -152,12 +146,6 @@
       domain = domain_number (search, backend->entry.domain);
       if (domain == EG_PATH_DOMAINS_MAX)
         continue;
-      if (kv_share (entry, backend, &need->service->engine, tokens)
-          > KV_ADMIT_MAX)
-        {
-          search->full = true;
-          continue;
-        }
       search->backends[search->count] = backend;
       search->candidates[search->count] = (struct eg_path_candidate){
           (uint32_t) search->count, domain, layers.from, layers.to,
@@ -208,7 +196,7 @@
         best = path;
     }
   if (best.count == 0)
-    return search.full ? EG_PLACE_FULL : EG_PLACE_NONE;
+    return EG_PLACE_NONE;
   choice->count = best.count;
   choice->load = 0;
   for (uint32_t i = 0; i < best.count; i++)
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -38,7 +38,6 @@
 {
   EG_PLACED,
   EG_PLACE_NONE, /**< No server, or no whole path, is there. */
-  EG_PLACE_FULL, /**< All that are there are full. */
 };
 
 /** Chooses a server, or a path of servers for a model in layers. */
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -5,10 +5,12 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "entry/entry.h"
 #include "platform/headers.h"
 #include "platform/servers.h"
+#include "policy/layer_moves.h"
 #include "policy/layer_plan.h"
 
 /* Place of the lease in the store. */
@@ -24,9 +26,9 @@
 #define LEASE_RETRY_US (500 * EG_US_PER_MS)
 #define LEASE_CALL_US (600 * EG_US_PER_MS)
 /* Time between two plans while nothing changes. */
-#define PLAN_GAP_US (300 * EG_US_PER_MS)
+#define PLAN_GAP_US (100 * EG_US_PER_MS)
 /* A fleet that starts registers within this time of its last new entry. */
-#define GATHER_QUIET_US (400 * EG_US_PER_MS)
+#define GATHER_QUIET_US (900 * EG_US_PER_MS)
 #define GATHER_MAX_US (3000 * EG_US_PER_MS)
 /* An order is answered within milliseconds, or its answer is lost. */
 #define ORDER_TIMEOUT_US (500 * EG_US_PER_MS)
@@ -41,11 +43,12 @@
  * layers' replicas, and half of one for each layer that has to be loaded. */
 #define MOVE_COST 6.0
 #define LOAD_COST 1.5
+#define GIVE_UP_COST 0.5
 /* Orders of servers tried where all are empty. */
 #define RESTARTS 8
 /* Servers with layers in one failure domain that are given others at the same
  * time. */
-#define MOVES_AT_ONCE 1
+#define MOVES_AT_ONCE 3
 /* A server silent for this long is planned around; a restart takes longer. */
 #define SUSPECT_PATIENCE_US (400 * EG_US_PER_MS)
 
@@ -301,8 +304,6 @@
   size_t count;
   const char *domains[EG_PLAN_DOMAINS_MAX];
   uint32_t domain_count;
-  /** Servers with layers whose order is under way, by failure domain. */
-  size_t moving[EG_PLAN_DOMAINS_MAX];
   size_t empty; /**< Servers that hold nothing and were ordered nothing. */
 };
 
@@ -318,6 +319,18 @@
   return input->domain_count++;
 }
 
+/* Layers that are given up serve only what has begun. */
+static void
+keep_ordered (struct eg_layer_range *serving, struct eg_layer_range ordered)
+{
+  if (serving->from < ordered.from)
+    serving->from = ordered.from;
+  if (serving->to > ordered.to)
+    serving->to = ordered.to;
+  if (serving->to < serving->from)
+    *serving = (struct eg_layer_range){0, 0};
+}
+
 static bool
 may_be_planned (const struct eg_backend *backend, int64_t now_us)
 {
@@ -352,15 +365,37 @@
       server->fixed = is_ordered (backend);
       server->held =
           is_ordered (backend) ? backend->ordered : backend->entry.layers;
-      if (is_ordered (backend)
-          && backend->entry.layers.to > backend->entry.layers.from)
-        input->moving[server->domain]++;
+      server->serving = backend->entry.layers;
+      if (is_ordered (backend))
+        keep_ordered (&server->serving, backend->ordered);
       if (server->held.to == server->held.from)
         input->empty++;
       input->backends[input->count++] = backend;
     }
 }
 
+/* Nothing is moved in a failure domain of which only a part can be seen. */
+static void
+fix_unsettled (struct eg_planner *self,
+               struct plan_input *input,
+               int64_t now_us)
+{
+  size_t listed[EG_PLAN_DOMAINS_MAX] = {0};
+
+  for (size_t i = 0; i < input->count; i++)
+    listed[input->servers[i].domain]++;
+  for (size_t i = 0; i < input->count; i++)
+    {
+      const char *domain = input->backends[i]->entry.domain;
+
+      if (!eg_loads_hears_domain (&self->entry->loads, domain, now_us)
+          || !eg_fleet_domain_is_settled (&self->entry->fleet, domain,
+                                          listed[input->servers[i].domain],
+                                          now_us))
+        input->servers[i].fixed = true;
+    }
+}
+
 /* A fleet that registers is planned once it stands, not server by server. */
 static bool
 is_gathering (struct eg_planner *self,
@@ -379,41 +414,39 @@
 }
 
 static void
-give_orders (struct eg_planner *self,
-             const struct eg_engine_model *engine,
-             struct plan_input *input,
-             int64_t now_us)
+give_orders (struct eg_planner *self, struct plan_input *input, int64_t now_us)
 {
-  bool whole[EG_PLAN_DOMAINS_MAX];
+  for (size_t i = 0; i < input->count; i++)
+    {
+      struct eg_layer_range order = input->servers[i].order;
+      struct eg_backend *backend = input->backends[i];
+
+      if (order.to == order.from)
+        continue;
+      if (backend->orders < 0)
+        eg_backend_probe (backend, now_us);
+      else
+        send_order (self, backend, order, now_us);
+    }
+}
+
+static uint64_t
+hash_input (const struct plan_input *input)
+{
+  uint64_t hash = EG_HASH_START;
 
-  for (uint32_t domain = 0; domain < EG_PLAN_DOMAINS_MAX; domain++)
-    whole[domain] =
-        eg_layer_plan_missing (input->servers, input->count, engine, domain)
-        == 0;
   for (size_t i = 0; i < input->count; i++)
     {
       const struct eg_plan_server *server = &input->servers[i];
-      bool empty = server->held.to == server->held.from;
+      uint32_t state[] = {server->held.from,    server->held.to,
+                          server->serving.from, server->serving.to,
+                          server->domain,       server->fixed};
 
-      if (server->fixed
-          || (server->planned.from == server->held.from
-              && server->planned.to == server->held.to)
-          || server->planned.to == server->planned.from)
-        continue;
-      if (input->backends[i]->orders < 0)
-        {
-          eg_backend_probe (input->backends[i], now_us);
-          continue;
-        }
-      /* Moves beside each other may take both replicas of a layer, which does
-         no harm where there is no path anyway. */
-      if (!empty && whole[server->domain]
-          && input->moving[server->domain] >= MOVES_AT_ONCE)
-        continue;
-      if (!empty)
-        input->moving[server->domain]++;
-      send_order (self, input->backends[i], server->planned, now_us);
+      hash = eg_hash_add (hash,
+                          (struct eg_str){(const char *) state, sizeof state});
+      hash = eg_hash_add (hash, eg_str_from (input->backends[i]->entry.id));
     }
+  return hash;
 }
 
 static void
@@ -428,17 +461,29 @@
                                   service->engine.kv_tokens * GOAL_TOKENS_SHARE,
                               .move_cost = MOVE_COST,
                               .load_cost = LOAD_COST,
+                              .give_up_cost = GIVE_UP_COST,
                               .restarts = RESTARTS};
+  uint64_t input_hash;
 
   EG_INVARIANT (input.servers && input.backends);
   if (goal.tokens <= 0)
     goal.tokens = 1;
   gather (self, service, &input, now_us);
-  if (input.count > 0 && !is_gathering (self, &input, now_us)
-      && eg_layer_plan_make (input.servers, input.count, &service->engine,
-                             &goal)
-             > 0)
-    give_orders (self, &service->engine, &input, now_us);
+  fix_unsettled (self, &input, now_us);
+  input_hash = hash_input (&input);
+  if (input.count == 0 || is_gathering (self, &input, now_us)
+      || input_hash == self->settled)
+    goto out;
+  if (eg_layer_plan_make (input.servers, input.count, &service->engine, &goal)
+      == 0)
+    {
+      self->settled = input_hash;
+      goto out;
+    }
+  eg_layer_moves_choose (input.servers, input.count, &service->engine,
+                         MOVES_AT_ONCE);
+  give_orders (self, &input, now_us);
+out:
   free (input.servers);
   free (input.backends);
 }
@@ -464,6 +509,10 @@
       && (self->held || may_lead (self)))
     step_lease (self, EG_LEASE_TIME, 0, NULL);
   held = eg_lease_is_held (&self->lease, now_us) && self->entry->stop_us == 0;
+  /* While the store is away for all, nobody else can take the lease: its last
+     holder goes on, as servers are lost then too. */
+  if (!held && self->lease.ours && self->entry->stop_us == 0)
+    held = eg_loads_store_is_away (&self->entry->loads, now_us);
   if (held != self->held)
     eg_log (EG_LOG_NOTICE, "planner", "event=lease-%s revision=%" PRIu64,
             held ? "taken" : "lost", self->lease.version);
--- a/entry/planner.h
+++ b/entry/planner.h
@@ -25,6 +25,7 @@
   struct eg_store_call call;
   bool held;           /**< As last logged. */
   int64_t planned_us;  /**< When the plan was last made. */
+  uint64_t settled;    /**< Hash of servers for which there was no move. */
   int64_t gathered_us; /**< Since when servers without layers were seen. */
 };
 
--- a/policy/layer_plan.c
+++ b/policy/layer_plan.c
@@ -20,6 +20,10 @@
 #define SIZES_TRIED 5
 /* Passes over all servers; the value mostly stands still after four. */
 #define SWEEPS_MAX 12
+/* Tries for a failure domain that holds layers: plans made anew, after the
+ * first that changes what is held, are for layers that it leaves without a
+ * server. Elsewhere they moved more servers than they were worth. */
+#define RENEWALS 6
 #define SEED UINT64_C (0x5eed1a7e)
 
 /** One failure domain while it is planned. */
@@ -108,7 +112,8 @@
   if (held.to == held.from || range_equal (range, held))
     return 0;
   return self->goal->move_cost
-         + self->goal->load_cost * (range.to - range.from - kept);
+         + self->goal->load_cost * (range.to - range.from - kept)
+         + self->goal->give_up_cost * (held.to - held.from - kept);
 }
 
 static struct eg_layer_range
@@ -148,6 +153,15 @@
   return sum;
 }
 
+static bool
+is_whole (const struct domain_plan *self)
+{
+  for (uint32_t i = 0; i < self->engine->layers; i++)
+    if (self->replicas[i] == 0)
+      return false;
+  return true;
+}
+
 static void
 improve (struct domain_plan *self)
 {
@@ -173,17 +187,49 @@
 }
 
 static void
-reset (struct domain_plan *self)
+reset (struct domain_plan *self, bool keep)
 {
   memset (self->replicas, 0, sizeof self->replicas);
   memset (self->tokens, 0, sizeof self->tokens);
   for (size_t i = 0; i < self->count; i++)
     {
-      self->servers[i]->planned = self->servers[i]->held;
+      self->servers[i]->planned = keep || self->servers[i]->fixed
+                                      ? self->servers[i]->held
+                                      : (struct eg_layer_range){0, 0};
       apply (self, self->servers[i], self->servers[i]->planned, true);
     }
 }
 
+/* Lays the servers side by side over all layers, each with a share of them
+ * that follows its memory: the plan with most memory for requests. */
+static void
+tile (struct domain_plan *self)
+{
+  double room_mb = 0;
+  double position = 0;
+
+  for (size_t i = 0; i < self->count; i++)
+    if (!self->servers[i]->fixed)
+      room_mb += self->servers[i]->accelerator->memory_mb;
+  for (size_t i = 0; i < self->count; i++)
+    {
+      struct eg_plan_server *server = self->servers[i];
+      uint32_t most = eg_engine_layers_max (self->engine, server->accelerator);
+      struct eg_layer_range range;
+
+      if (server->fixed)
+        continue;
+      range.from = (uint32_t) lround (position);
+      position +=
+          server->accelerator->memory_mb / room_mb * self->engine->layers;
+      range.to = (uint32_t) lround (position);
+      if (range.to > range.from + most)
+        range.to = range.from + most;
+      server->planned = range;
+      apply (self, server, range, true);
+    }
+}
+
 static void
 shuffle (struct domain_plan *self, struct eg_random *random)
 {
@@ -199,7 +245,7 @@
 
 /* Descends from several orders of the servers and keeps the best plan. */
 static void
-plan_domain (struct domain_plan *self, unsigned tries)
+plan_domain (struct domain_plan *self, unsigned tries, bool keep_first)
 {
   struct eg_layer_range *best = calloc (self->count, sizeof *best);
   struct eg_plan_server **order = calloc (self->count, sizeof *order);
@@ -213,7 +259,11 @@
     {
       double value;
 
-      reset (self);
+      /* The first try changes what is held; the others plan anew, which finds
+         the better plan where many servers have to shift by a little. */
+      reset (self, attempt == 0);
+      if (attempt % 2 == 1)
+        tile (self);
       improve (self);
       value = total_value (self);
       if (value > best_value)
@@ -222,6 +272,8 @@
           for (size_t i = 0; i < self->count; i++)
             best[i] = order[i]->planned;
         }
+      if (keep_first && is_whole (self))
+        break;
       shuffle (self, &random);
     }
   for (size_t i = 0; i < self->count; i++)
@@ -256,7 +308,7 @@
             empty &= servers[i].held.to == servers[i].held.from;
           }
       if (plan->count > 0)
-        plan_domain (plan, empty ? goal->restarts : 1);
+        plan_domain (plan, empty ? goal->restarts : RENEWALS, !empty);
     }
   for (size_t i = 0; i < count; i++)
     moved += !range_equal (servers[i].planned, servers[i].held);
--- a/policy/layer_plan.h
+++ b/policy/layer_plan.h
@@ -28,7 +28,9 @@
   const struct eg_accelerator *accelerator;
   struct eg_layer_range held;    /**< What it holds or is loading. */
   bool fixed;                    /**< May not be given other layers now. */
+  struct eg_layer_range serving; /**< What it serves now and goes on to. */
   struct eg_layer_range planned; /**< Out: what it should hold. */
+  struct eg_layer_range order;   /**< Out of eg_layer_moves_choose(). */
 };
 
 /** Most failure domains of one plan. */
@@ -39,8 +41,11 @@
 {
   /** Tokens that each layer of a failure domain should have memory for. */
   double tokens;
-  double move_cost;  /**< Of any change of a server that holds layers. */
-  double load_cost;  /**< Of each layer that it has to load for that. */
+  double move_cost; /**< Of any change of a server that holds layers. */
+  double load_cost; /**< Of each layer that it has to load for that. */
+  /** Of each layer that it gives up, for which running requests have to end
+      before others are loaded. */
+  double give_up_cost;
   unsigned restarts; /**< Tries from other starts, where all are empty. */
 };
 
--- a/test/bench_layer_plan.c
+++ b/test/bench_layer_plan.c
@@ -20,7 +20,7 @@
 static void
 run (const char *name, const unsigned counts[][3], size_t domains)
 {
-  const struct eg_plan_goal goal = {70000, 6, 1.5, 24};
+  const struct eg_plan_goal goal = {70000, 6, 1.5, 3, 8};
   struct eg_plan_server *servers;
   size_t count = 0;
   size_t at = 0;
--- a/test/test_layers.c
+++ b/test/test_layers.c
@@ -29,7 +29,7 @@
  * streams a second of 2.5 s and 900 tokens. */
 #define TOKENS_NEEDED 50000.0
 
-static const struct eg_plan_goal goal = {70000, 6, 1.5, 4};
+static const struct eg_plan_goal goal = {70000, 6, 1.5, 3, 4};
 
 /** A fleet under plan. */
 struct fleet
