--- a/entry/loads.c
+++ b/entry/loads.c
@@ -201,6 +201,7 @@
       json_array_foreach (json_object_get (message, "heard"), index, id)
           hear_domain (self, json_string_value (id), now_us);
       take_sum (self, loads, now_us);
+      self->summed_us = now_us;
       return;
     }
   sender = find_sender (self, from);
@@ -317,11 +318,27 @@
   json_decref (sum);
 }
 
+/* Returns the reader to tell: the other one if this one gives no sums. */
+static const struct eg_member *
+choose_reader (struct eg_loads *self, int64_t now_us)
+{
+  const struct eg_members *members = &self->entry->members;
+
+  if (now_us - self->summed_us > SENDER_AGE_US)
+    {
+      self->other_reader = !self->other_reader;
+      self->summed_us = now_us;
+    }
+  return members->readers[(members->own_rank % eg_members_readers (members)
+                           + self->other_reader)
+                          % 2];
+}
+
 void
 eg_loads_check (struct eg_loads *self, int64_t now_us)
 {
   struct eg_members *members = &self->entry->members;
-  struct eg_member *reader;
+  const struct eg_member *reader;
   json_t *own;
 
   if (!self->open || members->lists == 0
@@ -333,7 +350,7 @@
     tell_as_reader (self, now_us);
   if (eg_sources_is_reader (&self->entry->sources))
     return;
-  reader = eg_members_reader (members, now_us);
+  reader = choose_reader (self, now_us);
   if (!reader)
     return;
   own = json_object ();
@@ -367,10 +384,17 @@
                        const char *domain,
                        int64_t now_us)
 {
+  bool any = false;
+  bool found = false;
+
   if (strcmp (domain, self->entry->settings->domain) == 0)
     return true;
   for (size_t i = 0; i < self->heard_count; i++)
-    if (strcmp (self->heard[i].domain, domain) == 0)
-      return now_us - self->heard[i].heard_us < HEARD_US;
-  return false;
+    {
+      bool heard = now_us - self->heard[i].heard_us < HEARD_US;
+
+      found |= heard && strcmp (self->heard[i].domain, domain) == 0;
+      any |= heard;
+    }
+  return found || !any;
 }
--- a/entry/loads.h
+++ b/entry/loads.h
@@ -53,6 +53,8 @@
   struct eg_heard_domain heard[EG_LOADS_DOMAINS_MAX];
   size_t heard_count;
   int64_t told_us;
+  int64_t summed_us; /**< When a reader's sums came last. */
+  bool other_reader; /**< The second of the failure domain is told. */
 };
 
 /** Opens the datagram socket beside the peers' listener; false if it cannot. */
@@ -69,7 +71,8 @@
 
 /**
  * Tells whether the entry VMs of a failure domain are heard: it is neither cut
- * off from this VM nor without any.
+ * off from this VM nor without any. Where none at all is heard, nothing can be
+ * said, and this is true.
  */
 bool eg_loads_hears_domain (const struct eg_loads *self,
                             const char *domain,
