test: a soak of real daemons under faults drawn from a seed

Kills, planned stops that overlap, freezes, reloads, a store that is busy, silent, reset or loses answers, links that are reset, slowed or cut one way, servers that crash or break off. Callers and backend servers are checked for lost, doubled, mixed and falsely refused requests.

--- a/entry/call.c
+++ b/entry/call.c
@@ -540,10 +540,9 @@
   struct eg_send *send = &self->send;
   int64_t now_us = eg_clock_now_us ();
 
-  if (send->mode == EG_ANSWER_PASS)
-    end_open_answer (self);
-  else if (send->mode == EG_ANSWER_EVENTS
-           && !eg_event_relay_is_partial (&self->relay))
+  if (send->mode == EG_ANSWER_PASS
+      || (send->mode == EG_ANSWER_EVENTS
+          && !eg_event_relay_is_partial (&self->relay)))
     end_open_answer (self);
   else if (send->mode == EG_ANSWER_EVENTS)
     {
@@ -890,7 +889,8 @@
   if (self->priority > PRIORITY_CLASS_MAX)
     self->priority = PRIORITY_CLASS_MAX;
   service = eg_route_choose (route, eg_random_next (&self->entry->random));
-  strcpy (self->service, configuration->services[service].name);
+  eg_str_copy (eg_str_from (configuration->services[service].name),
+               self->service, sizeof self->service);
   eg_retry_window_request (eg_entry_retries (self->entry, self->service),
                            now_us);
   begin_send (self, now_us);
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -247,7 +247,7 @@
   if (self->domain_count == EG_FLEET_DOMAINS_MAX)
     return &self->domains[EG_FLEET_DOMAINS_MAX - 1];
   watch = &self->domains[self->domain_count++];
-  strcpy (watch->name, name);
+  eg_str_copy (eg_str_from (name), watch->name, sizeof watch->name);
   return watch;
 }
 
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -57,7 +57,7 @@
   if (!heard && self->heard_count < EG_LOADS_DOMAINS_MAX)
     {
       heard = &self->heard[self->heard_count++];
-      strcpy (heard->domain, domain);
+      eg_str_copy (eg_str_from (domain), heard->domain, sizeof heard->domain);
     }
   if (heard)
     heard->heard_us = now_us;
--- a/entry/main.c
+++ b/entry/main.c
@@ -54,7 +54,8 @@
   if (self->retry_services == EG_RETRY_SERVICES_MAX)
     return &self->retries[EG_RETRY_SERVICES_MAX - 1].window;
   retries = &self->retries[self->retry_services++];
-  strcpy (retries->service, service);
+  eg_str_copy (eg_str_from (service), retries->service,
+               sizeof retries->service);
   eg_retry_window_init (&retries->window,
                         self->settings->retry_window_ms * EG_US_PER_MS);
   return &retries->window;
--- a/entry/members.c
+++ b/entry/members.c
@@ -77,10 +77,10 @@
     {
       member = calloc (1, sizeof *member);
       EG_INVARIANT (member);
-      strcpy (member->name, name);
+      eg_str_copy (eg_str_from (name), member->name, sizeof member->name);
       eg_list_append (&self->all, &member->all);
     }
-  strcpy (member->domain, domain);
+  eg_str_copy (eg_str_from (domain), member->domain, sizeof member->domain);
   member->endpoint = endpoint;
   member->capacity = json_integer_value (json_object_get (spec, "capacity"));
   member->marked = true;
@@ -202,7 +202,7 @@
 {
   struct eg_members *self = context;
   int64_t now_us = eg_clock_now_us ();
-  json_t *items = json_object_get (document, "items");
+  json_t *items = eg_store_page_objects (document);
   const char *last = NULL;
   json_t *object;
   size_t index;
@@ -221,10 +221,10 @@
     take_member (self, object, now_us);
     last = eg_store_object_name (object);
   }
-  if (json_is_true (json_object_get (document, "hasMore")) && last
+  if (eg_store_page_has_more (document) && last
       && strlen (last) < sizeof self->after)
     {
-      strcpy (self->after, last);
+      eg_str_copy (eg_str_from (last), self->after, sizeof self->after);
       self->list_due_us = now_us;
       return;
     }
@@ -323,8 +323,7 @@
     write_own (self, now_us);
   if (now_us < self->list_due_us || eg_store_call_is_active (&self->list_call))
     return;
-  snprintf (path, sizeof path, MEMBER_KIND "?allowStale=1%s%s",
-            *self->after ? "&after=" : "", self->after);
+  eg_store_list_path (path, sizeof path, MEMBER_KIND, self->after, true);
   self->list_due_us = now_us + RETRY_US;
   if (!eg_store_call_start (&self->list_call, "GET", path, NULL,
                             CALL_TIMEOUT_US))
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -456,7 +456,8 @@
 {
   size_t room = self->entry->fleet.count + 1;
   struct plan_input input = {.servers = calloc (room, sizeof *input.servers),
-                             .backends = calloc (room, sizeof *input.backends)};
+                             .backends =
+                                 calloc (room, sizeof (struct eg_backend *))};
   struct eg_plan_goal goal = {.tokens =
                                   service->engine.kv_tokens * GOAL_TOKENS_SHARE,
                               .move_cost = MOVE_COST,
--- a/policy/layer_plan.c
+++ b/policy/layer_plan.c
@@ -248,12 +248,13 @@
 plan_domain (struct domain_plan *self, unsigned tries, bool keep_first)
 {
   struct eg_layer_range *best = calloc (self->count, sizeof *best);
-  struct eg_plan_server **order = calloc (self->count, sizeof *order);
+  struct eg_plan_server **order =
+      calloc (self->count, sizeof (struct eg_plan_server *));
   struct eg_random random;
   double best_value = -INFINITY;
 
   EG_INVARIANT (best && order);
-  memcpy (order, self->servers, self->count * sizeof *order);
+  memcpy (order, self->servers, self->count * sizeof (struct eg_plan_server *));
   eg_random_init (&random, SEED);
   for (unsigned attempt = 0; attempt < tries; attempt++)
     {
@@ -294,7 +295,7 @@
   EG_INVARIANT (plan && engine->layers <= EG_MODEL_LAYERS_MAX);
   plan->engine = engine;
   plan->goal = goal;
-  plan->servers = calloc (count ? count : 1, sizeof *plan->servers);
+  plan->servers = calloc (count ? count : 1, sizeof (struct eg_plan_server *));
   EG_INVARIANT (plan->servers);
   for (uint32_t domain = 0; domain < EG_PLAN_DOMAINS_MAX; domain++)
     {
--- /dev/null
+++ b/test/soak/http_server.c
@@ -0,0 +1,214 @@
+#include "test/soak/http_server.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/status.h"
+
+void
+soak_address (struct eg_endpoint endpoint, char *text, size_t capacity)
+{
+  snprintf (text, capacity, "127.0.0.1:%u", ntohs (endpoint.port));
+}
+
+static void
+free_when_closed (struct soak_connection *self)
+{
+  if (--self->closing_handles > 0)
+    return;
+  eg_list_remove (&self->all);
+  eg_http_reader_finish (&self->reader);
+  eg_buffer_finish (&self->body);
+  free (self->state);
+  free (self);
+}
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  free_when_closed (handle->data);
+}
+
+static void
+on_closed (void *context)
+{
+  free_when_closed (context);
+}
+
+void
+soak_cut (struct soak_connection *self)
+{
+  if (self->closed)
+    return;
+  self->closed = true;
+  self->closing_handles = 2;
+  uv_close ((uv_handle_t *) &self->timer, on_timer_closed);
+  eg_socket_close (&self->socket);
+}
+
+static void
+on_ended (void *context, int uv_error)
+{
+  (void) uv_error;
+  soak_cut (context);
+}
+
+static void
+on_bytes (void *context, struct eg_str bytes)
+{
+  struct soak_connection *self = context;
+
+  if (self->busy)
+    return;
+  eg_http_reader_feed (&self->reader, bytes);
+  if (self->reader.fault != EG_HTTP_FINE)
+    soak_cut (self);
+  else if (self->reader.complete)
+    {
+      self->busy = true;
+      self->server->handle (self->server->context, self);
+    }
+}
+
+static void
+on_drained (void *context)
+{
+  (void) context;
+}
+
+static void
+on_head (void *context)
+{
+  (void) context;
+}
+
+static void
+on_body (void *context, struct eg_str bytes)
+{
+  eg_buffer_append (&((struct soak_connection *) context)->body, bytes);
+}
+
+static const struct eg_socket_events socket_events = {NULL, on_bytes, on_ended,
+                                                      on_drained, on_closed};
+static const struct eg_http_reader_events reader_events = {on_head, on_body};
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct soak_server *server = listener->data;
+  struct soak_connection *self;
+
+  if (status != 0)
+    return;
+  self = calloc (1, sizeof *self);
+  EG_INVARIANT (self);
+  self->server = server;
+  eg_http_reader_init (&self->reader, EG_HTTP_REQUEST, 65536, &reader_events,
+                       self);
+  uv_timer_init (server->loop, &self->timer);
+  self->timer.data = self;
+  eg_socket_init (&self->socket, server->loop, &socket_events, self);
+  eg_list_append (&server->connections, &self->all);
+  if (eg_socket_accept (&self->socket, listener) != 0
+      || eg_socket_read (&self->socket) != 0)
+    soak_cut (self);
+}
+
+void
+soak_server_init (struct soak_server *self,
+                  uv_loop_t *loop,
+                  uint16_t port,
+                  void (*handle) (void *context,
+                                  struct soak_connection *connection),
+                  void *context)
+{
+  memset (self, 0, sizeof *self);
+  self->loop = loop;
+  self->endpoint.ip = htonl (INADDR_LOOPBACK);
+  self->endpoint.port = htons (port);
+  self->handle = handle;
+  self->context = context;
+  eg_list_init (&self->connections);
+}
+
+void
+soak_server_open (struct soak_server *self)
+{
+  struct sockaddr_in address = {.sin_family = AF_INET,
+                                .sin_port = self->endpoint.port,
+                                .sin_addr.s_addr = self->endpoint.ip};
+  int len = sizeof address;
+
+  uv_tcp_init (self->loop, &self->listener);
+  self->listener.data = self;
+  EG_INVARIANT (uv_tcp_bind (&self->listener, (struct sockaddr *) &address, 0)
+                == 0);
+  EG_INVARIANT (uv_listen ((uv_stream_t *) &self->listener, 256, on_connection)
+                == 0);
+  uv_tcp_getsockname (&self->listener, (struct sockaddr *) &address, &len);
+  self->endpoint.port = address.sin_port;
+  self->listening = true;
+}
+
+void
+soak_server_crash (struct soak_server *self)
+{
+  if (self->listening)
+    uv_close ((uv_handle_t *) &self->listener, NULL);
+  self->listening = false;
+  for (struct eg_list *at = self->connections.next; at != &self->connections;)
+    {
+      struct soak_connection *connection =
+          EG_CONTAINER_OF (at, struct soak_connection, all);
+
+      at = at->next;
+      soak_cut (connection);
+    }
+}
+
+void
+soak_done (struct soak_connection *self)
+{
+  free (self->state);
+  self->state = NULL;
+  self->busy = false;
+  eg_buffer_clear (&self->body);
+  eg_http_reader_next (&self->reader);
+}
+
+void
+soak_answer (struct soak_connection *self,
+             unsigned status,
+             struct eg_str fields,
+             struct eg_str body)
+{
+  struct eg_buffer out = {0};
+
+  if (self->closed)
+    return;
+  eg_buffer_printf (&out, "HTTP/1.1 %u X\r\nContent-Length: %zu\r\n%.*s\r\n",
+                    status, body.len, EG_STR_ARGS (fields));
+  eg_buffer_append (&out, body);
+  eg_socket_write (&self->socket, eg_buffer_view (&out));
+  eg_buffer_finish (&out);
+  soak_done (self);
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  struct soak_connection *self = timer->data;
+
+  self->timed (self);
+}
+
+void
+soak_later (struct soak_connection *self,
+            uint64_t ms,
+            void (*timed) (struct soak_connection *self))
+{
+  self->timed = timed;
+  uv_timer_start (&self->timer, on_timer, ms, 0);
+}
