--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -69,8 +69,10 @@
 void
 eg_fleet_finish (struct eg_fleet *self)
 {
-  while (!eg_list_is_empty (&self->all))
-    free_backend (EG_CONTAINER_OF (self->all.next, struct eg_backend, all));
+  struct eg_list *link;
+
+  while ((link = eg_list_take (&self->all)))
+    free_backend (EG_CONTAINER_OF (link, struct eg_backend, all));
   eg_hash_table_finish (&self->by_id);
 }
 
@@ -210,7 +212,6 @@
   eg_exchange_cancel (&self->order);
   eg_buffer_finish (&self->probe.body);
   eg_hash_table_remove (&self->fleet->by_id, &self->by_id);
-  eg_list_remove (&self->all);
   self->fleet->count--;
   free (self);
 }
@@ -218,8 +219,10 @@
 static void
 remove_if_unused (struct eg_backend *self)
 {
-  if (!self->listed && self->lapse_us == 0 && self->references == 0)
-    free_backend (self);
+  if (self->listed || self->lapse_us > 0 || self->references > 0)
+    return;
+  eg_list_remove (&self->all);
+  free_backend (self);
 }
 
 void
--- a/entry/members.c
+++ b/entry/members.c
@@ -43,13 +43,6 @@
   return NULL;
 }
 
-static void
-drop (struct eg_member *member)
-{
-  eg_list_remove (&member->all);
-  free (member);
-}
-
 static void
 take_member (struct eg_members *self, const json_t *object, int64_t now_us)
 {
@@ -187,14 +180,21 @@
 static void
 drop_expired (struct eg_members *self, int64_t now_us)
 {
-  for (struct eg_list *at = self->all.next; at != &self->all;)
+  struct eg_list kept;
+  struct eg_list *link;
+
+  eg_list_init (&kept);
+  while ((link = eg_list_take (&self->all)))
     {
-      struct eg_member *member = EG_CONTAINER_OF (at, struct eg_member, all);
+      struct eg_member *member = EG_CONTAINER_OF (link, struct eg_member, all);
 
-      at = at->next;
-      if (!member->marked || now_us - member->seen_us > EXPIRY_US)
-        drop (member);
+      if (member->marked && now_us - member->seen_us <= EXPIRY_US)
+        eg_list_append (&kept, link);
+      else
+        free (member);
     }
+  while ((link = eg_list_take (&kept)))
+    eg_list_append (&self->all, link);
 }
 
 static void
@@ -282,10 +282,12 @@
 void
 eg_members_finish (struct eg_members *self)
 {
+  struct eg_list *link;
+
   eg_store_call_finish (&self->list_call);
   eg_store_call_finish (&self->own_call);
-  while (!eg_list_is_empty (&self->all))
-    drop (EG_CONTAINER_OF (self->all.next, struct eg_member, all));
+  while ((link = eg_list_take (&self->all)))
+    free (EG_CONTAINER_OF (link, struct eg_member, all));
 }
 
 static void
--- a/policy/layer_plan.h
+++ b/policy/layer_plan.h
@@ -24,13 +24,13 @@
 /** One server as the planner sees it. */
 struct eg_plan_server
 {
-  uint32_t domain; /**< Failure domain, below EG_PLAN_DOMAINS_MAX. */
   const struct eg_accelerator *accelerator;
   struct eg_layer_range held;    /**< What it holds or is loading. */
-  bool fixed;                    /**< May not be given other layers now. */
   struct eg_layer_range serving; /**< What it serves now and goes on to. */
   struct eg_layer_range planned; /**< Out: what it should hold. */
   struct eg_layer_range order;   /**< Out of eg_layer_moves_choose(). */
+  uint32_t domain; /**< Failure domain, below EG_PLAN_DOMAINS_MAX. */
+  bool fixed;      /**< May not be given other layers now. */
 };
 
 /** Most failure domains of one plan. */
--- a/test/bench_layer_plan.c
+++ b/test/bench_layer_plan.c
@@ -18,28 +18,11 @@
 };
 
 static void
-run (const char *name, const unsigned counts[][3], size_t domains)
+print_domains (const char *name,
+               const struct eg_plan_server *servers,
+               size_t count,
+               size_t domains)
 {
-  const struct eg_plan_goal goal = {70000, 6, 1.5, 3, 8};
-  struct eg_plan_server *servers;
-  size_t count = 0;
-  size_t at = 0;
-  int64_t begun_us;
-  int64_t first_us;
-
-  for (size_t d = 0; d < domains; d++)
-    count += counts[d][0] + counts[d][1] + counts[d][2];
-  servers = calloc (count, sizeof *servers);
-  for (size_t d = 0; d < domains; d++)
-    for (size_t kind = 0; kind < 3; kind++)
-      for (unsigned i = 0; i < counts[d][kind]; i++)
-        {
-          servers[at].domain = (uint32_t) d;
-          servers[at++].accelerator = &engine.accelerators[kind];
-        }
-  begun_us = eg_clock_now_us ();
-  eg_layer_plan_make (servers, count, &engine, &goal);
-  first_us = eg_clock_now_us () - begun_us;
   for (size_t d = 0; d < domains && d < 4; d++)
     {
       double tokens[80] = {0};
@@ -69,6 +52,32 @@
               "tokens\n",
               name, d, single, least);
     }
+}
+
+static void
+run (const char *name, const unsigned counts[][3], size_t domains)
+{
+  const struct eg_plan_goal goal = {70000, 6, 1.5, 3, 8};
+  struct eg_plan_server *servers;
+  size_t count = 0;
+  size_t at = 0;
+  int64_t begun_us;
+  int64_t first_us;
+
+  for (size_t d = 0; d < domains; d++)
+    count += counts[d][0] + counts[d][1] + counts[d][2];
+  servers = calloc (count, sizeof *servers);
+  for (size_t d = 0; d < domains; d++)
+    for (size_t kind = 0; kind < 3; kind++)
+      for (unsigned i = 0; i < counts[d][kind]; i++)
+        {
+          servers[at].domain = (uint32_t) d;
+          servers[at++].accelerator = &engine.accelerators[kind];
+        }
+  begun_us = eg_clock_now_us ();
+  eg_layer_plan_make (servers, count, &engine, &goal);
+  first_us = eg_clock_now_us () - begun_us;
+  print_domains (name, servers, count, domains);
   for (size_t i = 0; i < count; i++)
     servers[i].held = servers[i].planned;
   servers[0].held = (struct eg_layer_range){0, 0};
--- a/test/soak/nodes.c
+++ b/test/soak/nodes.c
@@ -3,11 +3,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/status.h"
 #include "test/soak/soak.h"
 
+#define PORT_LEAST 10000
+#define PORTS 20000
 #define RESTART_MS 200
 /* Shorter than the users', so that a soak sees many whole stops. */
 #define GRACE_MS 6000
@@ -280,21 +284,26 @@
   uv_process_kill (&self->process, number);
 }
 
-/* Finds a port that is free now. */
+/* Finds a port that is free now, below those that the system gives to outgoing
+ * connections: one of these could take it before the daemon listens. */
 static uint16_t
-free_port (struct soak *soak)
+free_port (void)
 {
-  struct sockaddr_in address = {.sin_family = AF_INET,
-                                .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
-  int len = sizeof address;
-  uv_tcp_t probe;
-
-  uv_tcp_init (&soak->loop, &probe);
-  uv_tcp_bind (&probe, (struct sockaddr *) &address, 0);
-  uv_tcp_getsockname (&probe, (struct sockaddr *) &address, &len);
-  uv_close ((uv_handle_t *) &probe, NULL);
-  uv_run (&soak->loop, UV_RUN_NOWAIT);
-  return ntohs (address.sin_port);
+  for (;;)
+    {
+      uint16_t port =
+          (uint16_t) (PORT_LEAST + eg_random_system_seed () % PORTS);
+      struct sockaddr_in address = {.sin_family = AF_INET,
+                                    .sin_port = htons (port),
+                                    .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
+      int probe = socket (AF_INET, SOCK_STREAM, 0);
+      bool is_free =
+          bind (probe, (struct sockaddr *) &address, sizeof address) == 0;
+
+      close (probe);
+      if (is_free)
+        return port;
+    }
 }
 
 static void
@@ -316,8 +325,8 @@
            "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
            "[stop]\ngrace_ms = %d\n[keys]\nrevocation_ms = %d\n"
            "[retry]\nratio = 0.2\nwindow_ms = 10000\nextra = 200\n",
-           self->number, self->callers_port, free_port (self->soak),
-           free_port (self->soak), store, GRACE_MS, REVOCATION_MS);
+           self->number, self->callers_port, free_port (), free_port (), store,
+           GRACE_MS, REVOCATION_MS);
   fclose (file);
 }
 
@@ -331,7 +340,7 @@
       node->soak = self;
       node->number = i;
       soak_proxy_open (&node->to_store, self, self->store.server.endpoint);
-      node->callers_port = free_port (self);
+      node->callers_port = free_port ();
       uv_timer_init (&self->loop, &node->restart);
       node->restart.data = node;
       write_settings (node);
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -14,7 +14,7 @@
 #include "policy/resend.h"
 #include "policy/retry_window.h"
 
-#define SECOND_US 1000000
+#define SECOND_US INT64_C (1000000)
 
 static void
 feed (struct eg_event_relay *relay, const char *text, struct eg_buffer *out)
@@ -134,8 +134,9 @@
 static void
 set_route (struct eg_route *route, const char *host, const char *prefix)
 {
-  strcpy (route->host, host);
-  strcpy (route->path_prefix, prefix);
+  eg_str_copy (eg_str_from (host), route->host, sizeof route->host);
+  eg_str_copy (eg_str_from (prefix), route->path_prefix,
+               sizeof route->path_prefix);
 }
 
 static void
