entry: orders carry a fence where engines check it; the second reader stands in

Also bounds callers' connections by the descriptors, takes the sign of a dead server from the engines' stall, and leaves out a quarantine that nothing fed. A second reader whose first one failed asked its own mirror by turns with the store.

--- a/entry/call.c
+++ b/entry/call.c
@@ -36,8 +36,9 @@
 #define RETRY_AFTER_SERVER_MS 250
 /* The same while a configuration is awaited. */
 #define RETRY_AFTER_CONFIGURATION_MS 500
-/* A refusal that took longer comes from waiting for a dead server. */
-#define STALL_SIGN_US (1000 * EG_US_PER_MS)
+/* A refusal that took this share of the engines' stall comes from waiting for a
+ * dead server; one for want of room comes at once. */
+#define STALL_SIGN_SHARE 0.5
 /* A process that starts again does not know what it has sent before: half of
  * the extra retries are left for that. */
 #define RETRY_EXTRA_SHARE 0.5
@@ -508,6 +509,8 @@
   struct eg_backend *culprit = head_server (self);
   bool misdirected = send->status == 421;
   enum eg_blame blame = EG_BLAME_FULL;
+  int64_t stall_sign_us = (int64_t) ((double) self->entry->settings->stall_ms
+                                     * EG_US_PER_MS * STALL_SIGN_SHARE);
   int64_t now_us = eg_clock_now_us ();
 
   if (send->facts.names_culprit)
@@ -520,7 +523,7 @@
     }
   /* An engine waits for a dead server before it refuses, and refuses at once
    * where one has no room. */
-  if (misdirected || now_us - send->begun_us >= STALL_SIGN_US)
+  if (misdirected || now_us - send->begun_us >= stall_sign_us)
     blame = EG_BLAME_NAMED;
   eg_backend_blame (culprit, blame, self->facts.id, now_us);
   self->may_have_run = send->ran_before;
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -17,6 +17,9 @@
 #define EARLY_BYTES_MAX 65536
 /* Unsent bytes of an answer from which the server is held up. */
 #define SLOW_BYTES 262144
+/* Share of the descriptors that connections of callers may take: each request
+ * needs one more towards a server. */
+#define CONNECTIONS_SHARE 0.45
 /* Bodies of requests in memory, as a share of the process's limit. */
 #define BODY_SHARE 4
 #define BYTES_PER_MB (1U << 20)
@@ -393,6 +396,11 @@
   status = eg_socket_accept (&self->socket, listener);
   if (status == 0)
     status = eg_socket_read (&self->socket);
+  if (status == 0 && self->kind == EG_LISTEN_CALLERS
+      && (double) callers->connections
+             > CONNECTIONS_SHARE
+                   * (double) callers->entry->settings->descriptors)
+    status = UV_EMFILE;
   if (status != 0)
     {
       eg_log (EG_LOG_WARNING, "callers", "event=accept-failed cause=\"%s\"",
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -16,7 +16,6 @@
 #include "entry/settings.h"
 #include "entry/sources.h"
 #include "platform/store.h"
-#include "policy/quarantine.h"
 #include "policy/retry_window.h"
 
 /** Most services whose retries are counted apart. */
@@ -57,7 +56,6 @@
   struct eg_planner planner;
   struct eg_callers callers;
   struct eg_metrics metrics;
-  struct eg_quarantine *quarantine;
   struct eg_service_retries retries[EG_RETRY_SERVICES_MAX];
   size_t retry_services;
   struct eg_members members;
--- a/entry/main.c
+++ b/entry/main.c
@@ -35,10 +35,6 @@
 #define STOP_ROTATION_US (2600 * EG_US_PER_MS)
 /* What is left of the grace when the last requests are broken off. */
 #define STOP_MARGIN_US (250 * EG_US_PER_MS)
-/* What a quarantine takes for a request that crashes servers. */
-#define QUARANTINE_DEATHS 3
-#define QUARANTINE_US (60 * EG_US_PER_S)
-#define QUARANTINE_ENTRIES 4096
 
 static struct eg_entry entry;
 
@@ -310,8 +306,6 @@
 run (struct eg_entry *self)
 {
   const struct eg_fleet_events fleet_events = {on_reported, on_unsettled, self};
-  const struct eg_quarantine_config quarantine_config = {
-      QUARANTINE_DEATHS, QUARANTINE_US, QUARANTINE_US, QUARANTINE_ENTRIES};
   uv_signal_t signals[3];
   struct eg_error error;
   bool opened;
@@ -320,8 +314,7 @@
   eg_journal_init (&self->journal);
   eg_random_init (&self->random, eg_random_system_seed ());
   eg_metrics_init (&self->metrics);
-  self->quarantine = eg_quarantine_new (&quarantine_config);
-  EG_INVARIANT (self->quarantine && uv_loop_init (&self->loop) == 0);
+  EG_INVARIANT (uv_loop_init (&self->loop) == 0);
   uv_timer_init (&self->loop, &self->urgent);
   self->urgent.data = self;
   eg_exchange_pool_init (&self->pool, &self->loop, POOL_IDLE_US);
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -240,7 +240,10 @@
   struct eg_buffer head = {0};
   struct eg_buffer body = {0};
 
-  eg_order_layers (&body, range, backend->orders);
+  eg_order_layers (&body, range, backend->orders,
+                   self->entry->settings->orders_fenced
+                       ? eg_lease_fencing (&self->lease)
+                       : 0);
   eg_own_request (&head, "POST", eg_order_path, eg_str_from (backend->entry.id),
                   body.len);
   request.head = eg_buffer_view (&head);
--- a/entry/sources.c
+++ b/entry/sources.c
@@ -37,6 +37,11 @@
   if (eg_sources_is_reader (self))
     return &entry->store;
   reader = eg_members_reader (&entry->members, now_us);
+  /* The second reader stands in for the first: it reads the store itself. */
+  if (reader
+      && eg_endpoint_key (reader->endpoint)
+             == eg_endpoint_key (entry->members.own_endpoint))
+    return &entry->store;
   if (!reader && now_us >= self->direct_next_us)
     return &entry->store;
   if (!reader)
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -294,10 +294,15 @@
   assert_true (report.stalled[0].names_culprit);
   assert_false (report.stalled[1].names_culprit);
   assert_false (eg_engine_report_decode (&report, EG_STR ("no json"), &error));
-  eg_order_layers (&out, (struct eg_layer_range){20, 31}, 4);
+  eg_order_layers (&out, (struct eg_layer_range){20, 31}, 4, 0);
   assert_string_equal (eg_buffer_text (&out),
                        "{\"operation\":\"place\",\"from\":20,\"to\":31,"
                        "\"handoffMode\":\"queue\",\"expectedRevision\":4}");
+  eg_buffer_clear (&out);
+  eg_order_layers (&out, (struct eg_layer_range){0, 8}, -1, 17);
+  assert_string_equal (eg_buffer_text (&out),
+                       "{\"operation\":\"place\",\"from\":0,\"to\":8,"
+                       "\"handoffMode\":\"queue\",\"fencingToken\":17}");
   eg_buffer_finish (&out);
 }
 
