--- a/entry/call.c
+++ b/entry/call.c
@@ -1,14 +1,11 @@
-#include "entry/call.h"
+#include "entry/call_state.h"
 
 #include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
-#include <strings.h>
 
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/entry.h"
-#include "net/response_text.h"
 
 /* A connection within a region stands after a millisecond; one lost packet is
  * sent again after a second, so a second connection is the quicker way. */
@@ -18,20 +15,9 @@
 #define GATHER_BYTES_MAX (256U << 10)
 /* Tokens of an answer that says nothing of its length. */
 #define ANSWER_TOKENS_DEFAULT 150
-/* Silence of a stream from which its engine is asked for the cause: several
- * passes long, and well below the pause that callers bear. */
-#define STREAM_SILENCE_US (150 * EG_US_PER_MS)
-/* The same before the first event, when the prompt has to be read. */
-#define FIRST_SILENCE_US (250 * EG_US_PER_MS)
-/* Silence after which a stream moves on even if no engine names a cause:
- * callers leave after 2 s. */
-#define STREAM_GIVE_UP_US (1300 * EG_US_PER_MS)
 /* A repeatable request waits for its first server for this many times its
  * latency goal before another is asked. */
 #define PATIENCE_GOALS 4
-/* Refused requests come back after this: the time to load a lost server's
- * layers onto another, and to see it. */
-#define RETRY_AFTER_PATH_MS 1500
 /* The same for plain servers, which are back sooner or not at all. */
 #define RETRY_AFTER_SERVER_MS 250
 /* The same while a configuration is awaited. */
@@ -42,54 +28,12 @@
 /* A process that starts again does not know what it has sent before: half of
  * the extra retries are left for that. */
 #define RETRY_EXTRA_SHARE 0.5
-/* Moves of one request within one run. */
-#define MOVES_MAX 4
-/* An order to move is answered within milliseconds; a stream that waits for one
- * longer than this is late anyway. */
-#define MOVE_TIMEOUT_US (300 * EG_US_PER_MS)
-/* Tokens of one event of an engine's stream, as the users' sheets tell. */
-#define TOKENS_PER_EVENT 2
-/* A leaving server goes on for two seconds at least: streams that take longer
- * than this are moved before. */
-#define LEAVING_PATIENCE_US (1200 * EG_US_PER_MS)
 /* Priority classes of engines go from 0 to this. */
 #define PRIORITY_CLASS_MAX 9
 /* Time kept back from what a server is told, for the way back. */
 #define DEADLINE_MARGIN_MS 2
 
 static void begin_send (struct eg_call *self, int64_t now_us);
-static void send_failed (struct eg_call *self, const char *cause);
-
-static const char *
-route_name (const struct eg_call *self)
-{
-  return *self->route.name ? self->route.name : "-";
-}
-
-/* One line for each request, at its end. */
-static void
-log_end (const struct eg_call *self, const char *outcome, unsigned status)
-{
-  const struct eg_entry *entry = self->entry;
-  const struct eg_configuration *configuration = entry->configuration.now;
-  int64_t now_us = eg_clock_now_us ();
-
-  eg_log (EG_LOG_INFO, "call",
-          "event=request-ended request=%.*s route=%s service=%s "
-          "organisation=%s outcome=%s status=%u sends=%u moves=%u server=%s "
-          "events=%" PRIu64 " first_event_ms=%" PRId64 " total_ms=%" PRId64
-          " config=%" PRId64 " config_age_ms=%" PRId64,
-          EG_STR_ARGS (self->facts.id), route_name (self), self->service,
-          self->organisation, outcome, status, self->sends, self->moves,
-          self->head_count ? self->heads[self->head_count - 1]->entry.id : "-",
-          self->relay.events,
-          self->first_event_us
-              ? (self->first_event_us - self->arrived_us) / EG_US_PER_MS
-              : -1,
-          (now_us - self->arrived_us) / EG_US_PER_MS,
-          configuration ? configuration->version : -1,
-          (now_us - entry->configuration.as_of_us) / EG_US_PER_MS);
-}
 
 void
 eg_call_init (struct eg_call *self,
@@ -112,8 +56,9 @@
   eg_event_relay_finish (&self->relay);
 }
 
-static void
-hold_place (const struct eg_send *send, const struct eg_placement_choice *place)
+void
+eg_send_hold_place (const struct eg_send *send,
+                    const struct eg_placement_choice *place)
 {
   for (uint32_t i = 0; i < place->count; i++)
     {
@@ -124,8 +69,9 @@
     }
 }
 
-static void
-release_place (const struct eg_send *send, struct eg_placement_choice *place)
+void
+eg_send_release_place (const struct eg_send *send,
+                       struct eg_placement_choice *place)
 {
   for (uint32_t i = 0; i < place->count; i++)
     {
@@ -139,32 +85,23 @@
   place->count = 0;
 }
 
-static void
-end_move (struct eg_send *send)
-{
-  eg_exchange_cancel (&send->move);
-  if (send->moving)
-    release_place (send, &send->next);
-  send->moving = false;
-}
-
 /* Lets go of the servers of the present send. */
 static void
 end_send (struct eg_call *self)
 {
   struct eg_send *send = &self->send;
 
-  end_move (send);
+  eg_send_end_move (send);
   eg_exchange_cancel (&send->exchange);
   if (!send->active)
     return;
   send->active = false;
-  release_place (send, &send->place);
+  eg_send_release_place (send, &send->place);
 }
 
 /* Ends the call; the answer, or its lack, is settled by the caller of this. */
-static void
-close_call (struct eg_call *self)
+void
+eg_call_close (struct eg_call *self)
 {
   end_send (self);
   for (size_t i = 0; i < self->head_count; i++)
@@ -175,72 +112,12 @@
   eg_buffer_clear (&self->answer_body);
 }
 
-/* Answers in place of a server. */
-static void
-answer_own (struct eg_call *self,
-            unsigned status,
-            const char *outcome,
-            const char *cause,
-            int64_t retry_after_ms)
-{
-  struct eg_caller *caller = self->caller;
-  struct eg_buffer out = {0};
-  char body[256];
-  int len = snprintf (body, sizeof body,
-                      "{\"status\":%u,\"cause\":\"%s\",\"ran\":\"%s\"}\n",
-                      status, cause, self->may_have_run ? "unknown" : "no");
-
-  eg_response_begin (&out, status);
-  eg_answer_name_request (&out, self->facts.id);
-  eg_buffer_printf (&out,
-                    "Content-Type: application/problem+json\r\n"
-                    "Content-Length: %d\r\n",
-                    len);
-  if (retry_after_ms > 0)
-    eg_buffer_printf (&out, "Retry-After: %g\r\n",
-                      (double) retry_after_ms / 1000);
-  if (eg_caller_will_close (caller))
-    eg_buffer_append (&out, EG_STR ("Connection: close\r\n"));
-  eg_buffer_append (&out, EG_STR ("\r\n"));
-  eg_buffer_append (&out, (struct eg_str){body, (size_t) len});
-  log_end (self, outcome, status);
-  close_call (self);
-  eg_caller_send (caller, eg_buffer_view (&out));
-  eg_buffer_finish (&out);
-  eg_caller_answered (caller);
-}
-
-static void
-refuse (struct eg_call *self, const char *cause, int64_t retry_after_ms)
-{
-  eg_metrics_count (&self->entry->metrics, EG_COUNT_REFUSED);
-  answer_own (self, 503, cause, cause, retry_after_ms);
-}
-
-static void
-reject (struct eg_call *self, unsigned status, const char *cause)
-{
-  eg_metrics_count (&self->entry->metrics, EG_COUNT_FAILED);
-  answer_own (self, status, cause, cause, 0);
-}
-
-static void
-cut (struct eg_call *self, const char *cause)
-{
-  struct eg_caller *caller = self->caller;
-
-  eg_metrics_count (&self->entry->metrics, EG_COUNT_CUT);
-  log_end (self, cause, 0);
-  close_call (self);
-  eg_caller_abort (caller);
-}
-
 void
 eg_call_abandon (struct eg_call *self)
 {
   eg_metrics_count (&self->entry->metrics, EG_COUNT_ABANDONED);
-  log_end (self, "caller-left", 0);
-  close_call (self);
+  eg_call_log_end (self, "caller-left", 0);
+  eg_call_close (self);
 }
 
 static bool
@@ -249,44 +126,18 @@
   return service->has_engine && service->engine.layers > 0;
 }
 
-static int64_t
-retry_after_ms (const struct eg_call *self)
-{
-  return self->route.kind == EG_ROUTE_STREAM ? RETRY_AFTER_PATH_MS
-                                             : RETRY_AFTER_SERVER_MS;
-}
-
-static bool
-is_repeatable (const struct eg_call *self)
+bool
+eg_call_is_repeatable (const struct eg_call *self)
 {
   return self->route.kind == EG_ROUTE_IDEMPOTENT
          || (self->route.kind == EG_ROUTE_STREAM && self->route.resumable);
 }
 
-static void
-conclude (struct eg_call *self, enum eg_resend_answer answer, const char *cause)
-{
-  switch (answer)
-    {
-    case EG_RESEND_CUT:
-      cut (self, cause);
-      return;
-    case EG_RESEND_REFUSE:
-      refuse (self, cause, retry_after_ms (self));
-      return;
-    case EG_RESEND_TIMEOUT:
-      reject (self, 504, cause);
-      return;
-    default:
-      reject (self, 502, cause);
-    }
-}
-
 static struct eg_resend_question
 ask_resend (const struct eg_call *self, int64_t now_us)
 {
   return (struct eg_resend_question){
-      .repeatable = is_repeatable (self),
+      .repeatable = eg_call_is_repeatable (self),
       .may_have_run = self->may_have_run,
       .begun = self->head_sent,
       .resumable = self->route.kind == EG_ROUTE_STREAM && self->route.resumable,
@@ -302,81 +153,11 @@
 {
   struct eg_resend_question question = ask_resend (self, eg_clock_now_us ());
 
-  conclude (self, eg_resend_give_up (&question), cause);
-}
-
-/* Passes the answer that was gathered on as it is. */
-static void
-answer_gathered (struct eg_call *self)
-{
-  struct eg_caller *caller = self->caller;
-  struct eg_buffer out = {0};
-  bool no_body = strcmp (self->head->method, "HEAD") == 0
-                 || self->answer_status == 204 || self->answer_status == 304;
-
-  eg_response_begin (&out, self->answer_status);
-  eg_buffer_append (&out, eg_buffer_view (&self->answer_head));
-  if (!no_body)
-    eg_buffer_printf (&out, "Content-Length: %zu\r\n", self->answer_body.len);
-  if (eg_caller_will_close (caller))
-    eg_buffer_append (&out, EG_STR ("Connection: close\r\n"));
-  eg_buffer_append (&out, EG_STR ("\r\n"));
-  if (!no_body)
-    eg_buffer_append (&out, eg_buffer_view (&self->answer_body));
-  eg_metrics_count (&self->entry->metrics, EG_COUNT_ANSWERED);
-  eg_metrics_time (&self->entry->metrics, EG_TIME_ANSWER,
-                   eg_clock_now_us () - self->arrived_us);
-  log_end (self, "answered", self->answer_status);
-  close_call (self);
-  eg_caller_send (caller, eg_buffer_view (&out));
-  eg_buffer_finish (&out);
-  eg_caller_answered (caller);
-}
-
-/* Begins an answer whose length is not known. */
-static void
-begin_open_answer (struct eg_call *self, struct eg_buffer *out)
-{
-  if (self->head_sent)
-    return;
-  self->head_sent = true;
-  eg_response_begin (out, self->answer_status);
-  eg_buffer_append (out, eg_buffer_view (&self->answer_head));
-  if (self->head->minor_version > 0)
-    eg_buffer_append (out, EG_STR ("Transfer-Encoding: chunked\r\n"));
-  if (eg_caller_will_close (self->caller))
-    eg_buffer_append (out, EG_STR ("Connection: close\r\n"));
-  eg_buffer_append (out, EG_STR ("\r\n"));
-}
-
-static void
-append_part (struct eg_call *self, struct eg_buffer *out, struct eg_str bytes)
-{
-  if (self->head->minor_version > 0)
-    eg_response_chunk (out, bytes);
-  else
-    eg_buffer_append (out, bytes);
+  eg_call_conclude (self, eg_resend_give_up (&question), cause);
 }
 
-static void
-end_open_answer (struct eg_call *self)
-{
-  struct eg_caller *caller = self->caller;
-  struct eg_buffer out = {0};
-
-  begin_open_answer (self, &out);
-  if (self->head->minor_version > 0)
-    eg_response_last_chunk (&out);
-  eg_metrics_count (&self->entry->metrics, EG_COUNT_ANSWERED);
-  log_end (self, "answered", self->answer_status);
-  close_call (self);
-  eg_caller_send (caller, eg_buffer_view (&out));
-  eg_buffer_finish (&out);
-  eg_caller_answered (caller);
-}
-
-static struct eg_backend *
-head_server (const struct eg_call *self)
+struct eg_backend *
+eg_call_head_server (const struct eg_call *self)
 {
   return self->send.place.stages[0];
 }
@@ -393,14 +174,14 @@
     {
       eg_log (EG_LOG_WARNING, "call",
               "event=foreign-answer request=%.*s server=%s status=%u",
-              EG_STR_ARGS (self->facts.id), head_server (self)->entry.id,
-              head->status);
+              EG_STR_ARGS (self->facts.id),
+              eg_call_head_server (self)->entry.id, head->status);
       return EG_EXCHANGE_SKIP;
     }
   send->heard_us = now_us;
   send->status = head->status;
   if (send->facts.tells_load)
-    eg_backend_tells_load (head_server (self),
+    eg_backend_tells_load (eg_call_head_server (self),
                            send->facts.running + send->facts.waiting,
                            send->facts.slots, now_us);
   send->mode = EG_ANSWER_GATHER;
@@ -418,19 +199,6 @@
   return EG_EXCHANGE_TAKE;
 }
 
-static void
-pass_on (struct eg_call *self, struct eg_str bytes)
-{
-  struct eg_buffer out = {0};
-
-  begin_open_answer (self, &out);
-  append_part (self, &out, bytes);
-  eg_caller_send (self->caller, eg_buffer_view (&out));
-  eg_buffer_finish (&out);
-  if (eg_caller_is_slow (self->caller))
-    eg_exchange_hold (&self->send.exchange, true);
-}
-
 void
 eg_call_resume_reading (struct eg_call *self)
 {
@@ -457,15 +225,15 @@
         eg_metrics_time (&self->entry->metrics, EG_TIME_EVENT_GAP,
                          now_us - self->send.heard_us);
       self->send.heard_us = now_us;
-      pass_on (self, eg_buffer_view (&events));
+      eg_call_pass_on (self, eg_buffer_view (&events));
     }
   eg_buffer_finish (&events);
   if (result == EG_RELAY_FINE)
     return;
-  eg_backend_blame (head_server (self), EG_BLAME_BROKEN, self->facts.id,
+  eg_backend_blame (eg_call_head_server (self), EG_BLAME_BROKEN, self->facts.id,
                     now_us);
-  send_failed (self, result == EG_RELAY_MISPLACED ? "events-misplaced"
-                                                  : "event-too-long");
+  eg_call_send_failed (self, result == EG_RELAY_MISPLACED ? "events-misplaced"
+                                                          : "event-too-long");
 }
 
 static bool
@@ -493,10 +261,10 @@
       && is_proper_success (self))
     {
       self->send.mode = EG_ANSWER_PASS;
-      pass_on (self, eg_buffer_view (&self->answer_body));
+      eg_call_pass_on (self, eg_buffer_view (&self->answer_body));
     }
   if (self->send.mode == EG_ANSWER_PASS)
-    pass_on (self, bytes);
+    eg_call_pass_on (self, bytes);
   else if (self->answer_body.len + bytes.len <= GATHER_BYTES_MAX)
     eg_buffer_append (&self->answer_body, bytes);
 }
@@ -506,7 +274,7 @@
 take_not_run (struct eg_call *self)
 {
   struct eg_send *send = &self->send;
-  struct eg_backend *culprit = head_server (self);
+  struct eg_backend *culprit = eg_call_head_server (self);
   bool misdirected = send->status == 421;
   enum eg_blame blame = EG_BLAME_FULL;
   int64_t stall_sign_us = (int64_t) ((double) self->entry->settings->stall_ms
@@ -527,7 +295,7 @@
     blame = EG_BLAME_NAMED;
   eg_backend_blame (culprit, blame, self->facts.id, now_us);
   self->may_have_run = send->ran_before;
-  send_failed (self, misdirected ? "misdirected" : "server-refused");
+  eg_call_send_failed (self, misdirected ? "misdirected" : "server-refused");
 }
 
 static bool
@@ -546,34 +314,34 @@
   if (send->mode == EG_ANSWER_PASS
       || (send->mode == EG_ANSWER_EVENTS
           && !eg_event_relay_is_partial (&self->relay)))
-    end_open_answer (self);
+    eg_call_end_open_answer (self);
   else if (send->mode == EG_ANSWER_EVENTS)
     {
-      eg_backend_blame (head_server (self), EG_BLAME_BROKEN, self->facts.id,
-                        now_us);
-      send_failed (self, "event-unfinished");
+      eg_backend_blame (eg_call_head_server (self), EG_BLAME_BROKEN,
+                        self->facts.id, now_us);
+      eg_call_send_failed (self, "event-unfinished");
     }
   else if (send->facts.not_run)
     take_not_run (self);
   else if (is_proper_success (self) && !self->head_sent)
-    answer_gathered (self);
+    eg_call_answer_gathered (self);
   else if (send->status < 300 || self->head_sent)
     {
-      eg_backend_blame (head_server (self), EG_BLAME_BROKEN, self->facts.id,
-                        now_us);
-      send_failed (self, "answer-unsigned");
+      eg_backend_blame (eg_call_head_server (self), EG_BLAME_BROKEN,
+                        self->facts.id, now_us);
+      eg_call_send_failed (self, "answer-unsigned");
     }
   else
     {
       if (send->status >= 500)
-        eg_backend_blame (head_server (self), EG_BLAME_ERROR, self->facts.id,
-                          now_us);
-      if (send->status >= 500 && is_repeatable (self))
-        send_failed (self, "server-error");
-      else if (is_promise (send->status) && !is_repeatable (self))
-        reject (self, 502, "server-error");
+        eg_backend_blame (eg_call_head_server (self), EG_BLAME_ERROR,
+                          self->facts.id, now_us);
+      if (send->status >= 500 && eg_call_is_repeatable (self))
+        eg_call_send_failed (self, "server-error");
+      else if (is_promise (send->status) && !eg_call_is_repeatable (self))
+        eg_call_reject (self, 502, "server-error");
       else
-        answer_gathered (self);
+        eg_call_answer_gathered (self);
     }
 }
 
@@ -581,7 +349,7 @@
 on_failed (void *context, enum eg_exchange_fault fault)
 {
   struct eg_call *self = context;
-  struct eg_backend *head = head_server (self);
+  struct eg_backend *head = eg_call_head_server (self);
   int64_t now_us = eg_clock_now_us ();
 
   if (fault == EG_EXCHANGE_UNREACHABLE)
@@ -597,15 +365,15 @@
   if (self->entry->configuration.now && head->entry.has_engine
       && fault != EG_EXCHANGE_STALE)
     eg_backend_probe (head, now_us);
-  send_failed (self, eg_exchange_fault_name (fault));
+  eg_call_send_failed (self, eg_exchange_fault_name (fault));
 }
 
 static const struct eg_exchange_events exchange_events = {on_head, on_body,
                                                           on_done, on_failed};
 
 /* The present send has come to nothing: another one, or the end. */
-static void
-send_failed (struct eg_call *self, const char *cause)
+void
+eg_call_send_failed (struct eg_call *self, const char *cause)
 {
   const struct eg_entry_settings *settings = self->entry->settings;
   int64_t now_us = eg_clock_now_us ();
@@ -634,9 +402,9 @@
       /* A repeatable request whose servers answered gets what they said. */
       if (answer == EG_RESEND_FAIL && self->answer_head.len > 0
           && self->answer_status >= 500 && strcmp (cause, "server-error") == 0)
-        answer_gathered (self);
+        eg_call_answer_gathered (self);
       else
-        conclude (self, answer, cause);
+        eg_call_conclude (self, answer, cause);
       return;
     }
   eg_log (EG_LOG_INFO, "call",
@@ -664,8 +432,9 @@
   return true;
 }
 
-static void
-write_path (const struct eg_placement_choice *place, struct eg_buffer *path)
+void
+eg_call_write_path (const struct eg_placement_choice *place,
+                    struct eg_buffer *path)
 {
   for (uint32_t i = 0; i < place->count; i++)
     {
@@ -716,12 +485,12 @@
   };
 
   if (is_engine (service))
-    write_path (place, &path);
+    eg_call_write_path (place, &path);
   facts.path = eg_buffer_view (&path);
   eg_request_forward (&text, self->head, &facts);
   request.head = eg_buffer_view (&text);
   request.no_body = strcmp (self->head->method, "HEAD") == 0;
-  request.fresh = !is_repeatable (self) || self->tries > 1;
+  request.fresh = !eg_call_is_repeatable (self) || self->tries > 1;
   eg_exchange_init (&send->exchange, &exchange_events, self);
   eg_exchange_init (&send->move, NULL, NULL);
   send->moving = false;
@@ -731,7 +500,7 @@
   send->status = 0;
   send->place = *place;
   send->active = true;
-  hold_place (send, place);
+  eg_send_hold_place (send, place);
   self->sends++;
   send->ran_before = self->may_have_run;
   self->may_have_run = true;
@@ -749,9 +518,9 @@
   eg_buffer_finish (&text);
 }
 
-static struct eg_placement_need
-placement_need (const struct eg_call *self,
-                const struct eg_service_config *service)
+struct eg_placement_need
+eg_call_placement_need (const struct eg_call *self,
+                        const struct eg_service_config *service)
 {
   return (struct eg_placement_need){
       .service = service,
@@ -786,7 +555,7 @@
       give_up (self, "keys-too-old");
       return;
     }
-  need = placement_need (self, &configuration->services[service]);
+  need = eg_call_placement_need (self, &configuration->services[service]);
   self->send.kv_tokens = (double) need.prompt_tokens + need.answer_tokens;
   placed = eg_placement_choose (entry, &need, now_us, &place);
   if (placed != EG_PLACED || !remember_head (self, place.stages[0]))
@@ -833,7 +602,7 @@
     return true;
   if (!eg_entry_keys_are_fresh (self->entry, now_us))
     {
-      refuse (self, "keys-too-old", RETRY_AFTER_CONFIGURATION_MS);
+      eg_call_refuse (self, "keys-too-old", RETRY_AFTER_CONFIGURATION_MS);
       return false;
     }
   organisation =
@@ -842,7 +611,7 @@
           : NULL;
   if (!organisation)
     {
-      reject (self, 401, "key-unknown");
+      eg_call_reject (self, 401, "key-unknown");
       return false;
     }
   eg_str_copy (eg_str_from (organisation->name), self->organisation,
@@ -871,18 +640,18 @@
 
   if (!configuration)
     {
-      refuse (self, "no-configuration", RETRY_AFTER_CONFIGURATION_MS);
+      eg_call_refuse (self, "no-configuration", RETRY_AFTER_CONFIGURATION_MS);
       return;
     }
   if (self->facts.id.len == 0 || self->facts.host.len == 0)
     {
-      reject (self, 400, "no-id-or-host");
+      eg_call_reject (self, 400, "no-id-or-host");
       return;
     }
   route = find_route (self);
   if (!route)
     {
-      reject (self, 404, "no-route");
+      eg_call_reject (self, 404, "no-route");
       return;
     }
   self->route = *route;
@@ -930,220 +699,11 @@
 eg_call_cut (struct eg_call *self)
 {
   if (self->head_sent)
-    cut (self, "stopping");
+    eg_call_break_off (self, "stopping");
   else if (self->may_have_run)
-    reject (self, 502, "stopping");
-  else
-    refuse (self, "stopping", RETRY_AFTER_SERVER_MS);
-}
-
-/* What is wrong with the path of the present send. */
-enum path_state
-{
-  PATH_SOUND,
-  PATH_LEAVING, /**< A server behind the first is leaving. */
-  PATH_BROKEN,  /**< A server behind the first is suspected. */
-  HEAD_LEAVING,
-  HEAD_BROKEN,
-};
-
-static enum path_state
-look_at_path (const struct eg_call *self, int64_t now_us)
-{
-  enum path_state state = PATH_SOUND;
-
-  for (uint32_t i = 0; i < self->send.place.count; i++)
-    {
-      const struct eg_backend *backend = self->send.place.stages[i];
-      enum path_state found = PATH_SOUND;
-
-      if (eg_backend_is_suspect (backend, now_us))
-        found = i == 0 ? HEAD_BROKEN : PATH_BROKEN;
-      else if (backend->draining_us > 0)
-        found = i == 0 ? HEAD_LEAVING : PATH_LEAVING;
-      if (found > state)
-        state = found;
-    }
-  return state;
-}
-
-static void
-move_failed (struct eg_call *self, const char *cause)
-{
-  end_move (&self->send);
-  /* A path that is merely left still serves what it has begun. */
-  if (look_at_path (self, eg_clock_now_us ()) >= PATH_BROKEN)
-    send_failed (self, cause);
-}
-
-static enum eg_exchange_verdict
-on_move_head (void *context, const struct eg_http_head *head)
-{
-  struct eg_call *self = context;
-
-  self->send.move_status = head->status;
-  return EG_EXCHANGE_TAKE;
-}
-
-static void
-on_move_body (void *context, struct eg_str bytes)
-{
-  (void) context;
-  (void) bytes;
-}
-
-static void
-on_move_done (void *context)
-{
-  struct eg_call *self = context;
-  struct eg_send *send = &self->send;
-  bool moved = send->move_status == 200 || send->move_status == 202;
-
-  eg_log (EG_LOG_INFO, "call",
-          "event=request-moved request=%.*s status=%u stages=%u events=%" PRIu64
-          " took_ms=%" PRId64,
-          EG_STR_ARGS (self->facts.id), send->move_status, send->next.count,
-          self->relay.events,
-          (eg_clock_now_us () - send->move_us) / EG_US_PER_MS);
-  if (!moved)
-    {
-      move_failed (self, "move-refused");
-      return;
-    }
-  release_place (send, &send->place);
-  send->place = send->next;
-  send->next.count = 0;
-  send->moving = false;
-  self->moves++;
-  eg_metrics_count (&self->entry->metrics, EG_COUNT_REPATHS);
-}
-
-static void
-on_move_failed (void *context, enum eg_exchange_fault fault)
-{
-  struct eg_call *self = context;
-
-  (void) fault; /* Whether the order is carried out or not, another run is. */
-  move_failed (self, "move-lost");
-}
-
-static const struct eg_exchange_events move_events = {
-    on_move_head, on_move_body, on_move_done, on_move_failed};
-
-/* Orders the first server to go on by another path; false if there is none. */
-static bool
-begin_move (struct eg_call *self, int64_t now_us)
-{
-  const struct eg_configuration *configuration = self->entry->configuration.now;
-  size_t service = eg_configuration_find_service (configuration,
-                                                  eg_str_from (self->service));
-  struct eg_send *send = &self->send;
-  struct eg_backend *head = head_server (self);
-  struct eg_exchange_request request = {.endpoint = head->entry.endpoint,
-                                        .fresh = true};
-  struct eg_buffer path = {0};
-  struct eg_buffer body = {0};
-  struct eg_buffer text = {0};
-  struct eg_placement_need need;
-
-  if (service == SIZE_MAX || self->moves >= MOVES_MAX)
-    return false;
-  need = placement_need (self, &configuration->services[service]);
-  if (!eg_placement_move (self->entry, &need, &send->place, now_us,
-                          &send->next))
-    return false;
-  hold_place (send, &send->next);
-  send->moving = true;
-  send->move_us = now_us;
-  write_path (&send->next, &path);
-  eg_order_repath (&body, self->facts.id, eg_buffer_view (&path));
-  eg_own_request (&text, "POST", eg_order_path, eg_str_from (head->entry.id),
-                  body.len);
-  request.head = eg_buffer_view (&text);
-  request.body = eg_buffer_view (&body);
-  eg_exchange_init (&send->move, &move_events, self);
-  if (!eg_exchange_start (&send->move, &self->entry->pool, &request))
-    end_move (send);
-  eg_buffer_finish (&path);
-  eg_buffer_finish (&body);
-  eg_buffer_finish (&text);
-  return send->moving;
-}
-
-/* Tells whether a stream has so much left that its servers may end first. */
-static bool
-has_long_to_go (const struct eg_call *self, int64_t now_us)
-{
-  int64_t ran_us = now_us - self->first_event_us;
-  uint64_t expected = self->facts.answer_tokens_max / TOKENS_PER_EVENT;
-
-  if (self->first_event_us == 0 || self->relay.events == 0)
-    return true;
-  if (expected <= self->relay.events)
-    return false;
-  return (int64_t) (expected - self->relay.events) * ran_us
-         > LEAVING_PATIENCE_US * (int64_t) self->relay.events;
-}
-
-void
-eg_call_unsettled (struct eg_call *self, int64_t now_us)
-{
-  enum path_state state;
-
-  if (!self->send.active || self->send.moving
-      || self->route.kind != EG_ROUTE_STREAM)
-    return;
-  state = look_at_path (self, now_us);
-  if (state == PATH_SOUND
-      || (state != PATH_BROKEN && state != HEAD_BROKEN
-          && !has_long_to_go (self, now_us)))
-    return;
-  if ((state == PATH_BROKEN || state == PATH_LEAVING)
-      && begin_move (self, now_us))
-    return;
-  if (state == PATH_LEAVING)
-    return;
-  if (state == HEAD_LEAVING
-      && (!is_repeatable (self) || self->head_count >= self->route.servers_max))
-    return;
-  send_failed (self,
-               state == HEAD_LEAVING ? "server-leaving" : "stage-suspect");
-}
-
-/* Asks every server of the path whether it is there: a dead one refuses the
- * connection at once, long before an engine or the store would tell. */
-static void
-probe_path (struct eg_call *self, int64_t now_us)
-{
-  for (uint32_t i = 0; i < self->send.place.count; i++)
-    eg_backend_probe (self->send.place.stages[i], now_us);
-}
-
-static void
-check_stream (struct eg_call *self, int64_t now_us)
-{
-  struct eg_send *send = &self->send;
-  int64_t silence_us = now_us - send->heard_us;
-  int64_t limit_us =
-      self->relay.run_begun ? STREAM_SILENCE_US : FIRST_SILENCE_US;
-
-  if (silence_us < limit_us)
-    return;
-  if (silence_us >= STREAM_GIVE_UP_US)
-    {
-      send_failed (self, "stream-silent");
-      return;
-    }
-  if (send->moving)
-    {
-      if (now_us - send->move_us >= MOVE_TIMEOUT_US)
-        on_move_failed (self, EG_EXCHANGE_NO_ANSWER);
-      return;
-    }
-  if (look_at_path (self, now_us) >= PATH_BROKEN)
-    eg_call_unsettled (self, now_us);
+    eg_call_reject (self, 502, "stopping");
   else
-    probe_path (self, now_us);
+    eg_call_refuse (self, "stopping", RETRY_AFTER_SERVER_MS);
 }
 
 static void
@@ -1155,11 +715,12 @@
 
   if (patience_us > half_us)
     patience_us = half_us;
-  if (!is_repeatable (self) || self->sends > 1 || self->head_sent
+  if (!eg_call_is_repeatable (self) || self->sends > 1 || self->head_sent
       || waited_us < patience_us)
     return;
-  eg_backend_blame (head_server (self), EG_BLAME_ERROR, self->facts.id, now_us);
-  send_failed (self, "server-slow");
+  eg_backend_blame (eg_call_head_server (self), EG_BLAME_ERROR, self->facts.id,
+                    now_us);
+  eg_call_send_failed (self, "server-slow");
 }
 
 void
@@ -1184,27 +745,7 @@
       return;
     }
   if (self->route.kind == EG_ROUTE_STREAM)
-    check_stream (self, now_us);
+    eg_call_check_stream (self, now_us);
   else
     check_plain (self, now_us);
 }
-
-void
-eg_call_stalled (struct eg_call *self,
-                 const struct eg_stalled_stream *stalled,
-                 int64_t now_us)
-{
-  if (stalled->names_culprit)
-    {
-      struct eg_backend *culprit =
-          eg_fleet_at (&self->entry->fleet, stalled->culprit);
-
-      if (culprit)
-        eg_backend_blame (culprit, EG_BLAME_NAMED, self->facts.id, now_us);
-    }
-  /* The report is late by its lag: the stream may have moved on since. */
-  if (now_us - self->send.heard_us < STREAM_SILENCE_US || self->send.moving)
-    return;
-  if (!stalled->names_culprit || !begin_move (self, now_us))
-    send_failed (self, "stream-stalled");
-}
