--- a/entry/call.c
+++ b/entry/call.c
@@ -7,6 +7,9 @@
 #include "base/log.h"
 #include "entry/entry.h"
 
+/* A stream that has lost its server waits this long for another path; its
+ * caller leaves after a gap of 2 s. */
+#define RESUME_WAIT_US (1700 * EG_US_PER_MS)
 /* A connection within a region stands after a millisecond; one lost packet is
  * sent again after a second, so a second connection is the quicker way. */
 #define CONNECT_TIMEOUT_US (250 * EG_US_PER_MS)
@@ -225,6 +228,7 @@
         eg_metrics_time (&self->entry->metrics, EG_TIME_EVENT_GAP,
                          now_us - self->send.heard_us);
       self->send.heard_us = now_us;
+      self->last_event_us = now_us;
       eg_call_pass_on (self, eg_buffer_view (&events));
     }
   eg_buffer_finish (&events);
@@ -371,54 +375,6 @@
 static const struct eg_exchange_events exchange_events = {on_head, on_body,
                                                           on_done, on_failed};
 
-/* The present send has come to nothing: another one, or the end. */
-void
-eg_call_send_failed (struct eg_call *self, const char *cause)
-{
-  const struct eg_entry_settings *settings = self->entry->settings;
-  int64_t now_us = eg_clock_now_us ();
-  bool reached = self->sends > 0;
-  struct eg_resend_question question;
-  enum eg_resend_answer answer;
-
-  end_send (self);
-  eg_event_relay_restart (&self->relay);
-  question = ask_resend (self, now_us);
-  answer = eg_resend_decide (&question);
-  if (answer == EG_RESEND && reached
-      && !eg_retry_window_spend (
-          eg_entry_retries (self->entry, self->service), settings->retry_ratio,
-          (double) settings->retry_extra * RETRY_EXTRA_SHARE
-              / eg_members_count (&self->entry->members),
-          now_us))
-    {
-      eg_log (EG_LOG_NOTICE, "call",
-              "event=retry-budget-spent request=%.*s service=%s cause=%s",
-              EG_STR_ARGS (self->facts.id), self->service, cause);
-      answer = eg_resend_give_up (&question);
-    }
-  if (answer != EG_RESEND)
-    {
-      /* A repeatable request whose servers answered gets what they said. */
-      if (answer == EG_RESEND_FAIL && self->answer_head.len > 0
-          && self->answer_status >= 500 && strcmp (cause, "server-error") == 0)
-        eg_call_answer_gathered (self);
-      else
-        eg_call_conclude (self, answer, cause);
-      return;
-    }
-  eg_log (EG_LOG_INFO, "call",
-          "event=request-resent request=%.*s cause=%s sends=%u events=%" PRIu64
-          " left_ms=%" PRId64,
-          EG_STR_ARGS (self->facts.id), cause, self->sends, self->relay.events,
-          (self->deadline_us - now_us) / EG_US_PER_MS);
-  if (self->head_sent)
-    eg_metrics_count (&self->entry->metrics, EG_COUNT_RESUMES);
-  if (reached)
-    eg_metrics_count (&self->entry->metrics, EG_COUNT_RETRIES);
-  begin_send (self, now_us);
-}
-
 static bool
 remember_head (struct eg_call *self, struct eg_backend *head)
 {
@@ -498,6 +454,8 @@
   send->heard_us = now_us;
   send->mode = EG_ANSWER_NONE;
   send->status = 0;
+  send->kv_tokens = (double) self->facts.prompt_tokens
+                    + expected_answer_tokens (self, &service->engine);
   send->place = *place;
   send->active = true;
   eg_send_hold_place (send, place);
@@ -533,37 +491,132 @@
   };
 }
 
+static const struct eg_service_config *
+current_service (const struct eg_call *self)
+{
+  const struct eg_configuration *configuration = self->entry->configuration.now;
+  size_t index = eg_configuration_find_service (configuration,
+                                                eg_str_from (self->service));
+
+  return index == SIZE_MAX ? NULL : &configuration->services[index];
+}
+
+/* Chooses where the request goes next; false if there is nothing. */
+static bool
+choose_place (const struct eg_call *self,
+              int64_t now_us,
+              struct eg_placement_choice *place)
+{
+  const struct eg_service_config *service = current_service (self);
+  struct eg_placement_need need;
+
+  if (!service)
+    return false;
+  need = eg_call_placement_need (self, service);
+  return eg_placement_choose (self->entry, &need, now_us, place) == EG_PLACED;
+}
+
+static bool
+spend_retry (struct eg_call *self, const char *cause, int64_t now_us)
+{
+  const struct eg_entry_settings *settings = self->entry->settings;
+  double extra = (double) settings->retry_extra * RETRY_EXTRA_SHARE
+                 / eg_members_count (&self->entry->members);
+
+  if (eg_retry_window_spend (eg_entry_retries (self->entry, self->service),
+                             settings->retry_ratio, extra, now_us))
+    return true;
+  eg_log (EG_LOG_DEBUG, "call",
+          "event=retry-budget-spent request=%.*s service=%s cause=%s",
+          EG_STR_ARGS (self->facts.id), self->service, cause);
+  return false;
+}
+
+static void
+send_again (struct eg_call *self, const char *cause, int64_t now_us)
+{
+  eg_log (EG_LOG_INFO, "call",
+          "event=request-resent request=%.*s cause=%s sends=%u events=%" PRIu64
+          " left_ms=%" PRId64,
+          EG_STR_ARGS (self->facts.id), cause, self->sends, self->relay.events,
+          (self->deadline_us - now_us) / EG_US_PER_MS);
+  if (self->head_sent)
+    eg_metrics_count (&self->entry->metrics, EG_COUNT_RESUMES);
+  if (self->sends > 0)
+    eg_metrics_count (&self->entry->metrics, EG_COUNT_RETRIES);
+  begin_send (self, now_us);
+}
+
+/* The present send has come to nothing: another one, or the end. */
+void
+eg_call_send_failed (struct eg_call *self, const char *cause)
+{
+  int64_t now_us = eg_clock_now_us ();
+  struct eg_resend_question question;
+  enum eg_resend_answer answer;
+
+  end_send (self);
+  eg_event_relay_restart (&self->relay);
+  question = ask_resend (self, now_us);
+  answer = eg_resend_decide (&question);
+  if (answer == EG_RESEND && self->sends > 0
+      && !spend_retry (self, cause, now_us))
+    answer = eg_resend_give_up (&question);
+  if (answer == EG_RESEND)
+    send_again (self, cause, now_us);
+  /* A repeatable request whose servers answered gets what they said. */
+  else if (answer == EG_RESEND_FAIL && self->answer_head.len > 0
+           && self->answer_status >= 500 && strcmp (cause, "server-error") == 0)
+    eg_call_answer_gathered (self);
+  else
+    eg_call_conclude (self, answer, cause);
+}
+
+bool
+eg_call_leave_send (struct eg_call *self, const char *cause)
+{
+  int64_t now_us = eg_clock_now_us ();
+  struct eg_resend_question question = ask_resend (self, now_us);
+  struct eg_placement_choice place;
+
+  if (eg_resend_decide (&question) != EG_RESEND
+      || !choose_place (self, now_us, &place)
+      || !spend_retry (self, cause, now_us))
+    return false;
+  end_send (self);
+  eg_event_relay_restart (&self->relay);
+  send_again (self, cause, now_us);
+  return true;
+}
+
+/* A begun stream without a path waits for one as long as its caller does. */
+static bool
+may_wait (const struct eg_call *self, int64_t now_us)
+{
+  return self->head_sent && self->route.kind == EG_ROUTE_STREAM
+         && self->route.resumable
+         && now_us - self->last_event_us < RESUME_WAIT_US;
+}
+
 static void
 begin_send (struct eg_call *self, int64_t now_us)
 {
   struct eg_entry *entry = self->entry;
-  const struct eg_configuration *configuration = entry->configuration.now;
-  size_t service = eg_configuration_find_service (configuration,
-                                                  eg_str_from (self->service));
+  const struct eg_service_config *service = current_service (self);
   struct eg_placement_choice place;
-  struct eg_placement_need need;
-  enum eg_placement_result placed;
 
-  self->tries++;
-  if (service == SIZE_MAX)
+  if (!service)
+    give_up (self, "service-removed");
+  else if (self->keyed && !eg_entry_keys_are_fresh (entry, now_us))
+    give_up (self, "keys-too-old");
+  else if (choose_place (self, now_us, &place)
+           && remember_head (self, place.stages[0]))
     {
-      give_up (self, "service-removed");
-      return;
+      self->tries++;
+      send_to (self, service, &place, now_us);
     }
-  if (self->keyed && !eg_entry_keys_are_fresh (entry, now_us))
-    {
-      give_up (self, "keys-too-old");
-      return;
-    }
-  need = eg_call_placement_need (self, &configuration->services[service]);
-  self->send.kv_tokens = (double) need.prompt_tokens + need.answer_tokens;
-  placed = eg_placement_choose (entry, &need, now_us, &place);
-  if (placed != EG_PLACED || !remember_head (self, place.stages[0]))
-    {
-      give_up (self, "no-server");
-      return;
-    }
-  send_to (self, need.service, &place, now_us);
+  else if (!may_wait (self, now_us))
+    give_up (self, "no-server");
 }
 
 static void
@@ -718,9 +771,8 @@
   if (!eg_call_is_repeatable (self) || self->sends > 1 || self->head_sent
       || waited_us < patience_us)
     return;
-  eg_backend_blame (eg_call_head_server (self), EG_BLAME_ERROR, self->facts.id,
-                    now_us);
-  eg_call_send_failed (self, "server-slow");
+  if (eg_call_leave_send (self, "server-slow"))
+    eg_backend_blame (self->heads[0], EG_BLAME_ERROR, self->facts.id, now_us);
 }
 
 void
@@ -734,7 +786,10 @@
       return;
     }
   if (!self->send.active)
-    return;
+    {
+      begin_send (self, now_us);
+      return;
+    }
   if (!eg_exchange_is_sent (&self->send.exchange))
     {
       if (now_us - self->send.begun_us >= CONNECT_TIMEOUT_US)
--- a/entry/call.h
+++ b/entry/call.h
@@ -64,6 +64,7 @@
   int64_t arrived_us;
   int64_t deadline_us;
   int64_t first_event_us; /**< 0: none yet. */
+  int64_t last_event_us;
   unsigned sends;
   unsigned tries;
   unsigned moves; /**< To other paths, within one run. */
--- a/entry/call_move.c
+++ b/entry/call_move.c
@@ -71,7 +71,7 @@
   eg_send_end_move (&self->send);
   /* A path that is merely left still serves what it has begun. */
   if (look_at_path (self, eg_clock_now_us ()) >= PATH_BROKEN)
-    eg_call_send_failed (self, cause);
+    eg_call_leave_send (self, cause);
 }
 
 static enum eg_exchange_verdict
@@ -192,21 +192,15 @@
       || self->route.kind != EG_ROUTE_STREAM)
     return;
   state = look_at_path (self, now_us);
-  if (state == PATH_SOUND
-      || (state != PATH_BROKEN && state != HEAD_BROKEN
-          && !has_long_to_go (self, now_us)))
+  if (state == PATH_SOUND || state == HEAD_LEAVING
+      || (state == PATH_LEAVING && !has_long_to_go (self, now_us)))
     return;
   if ((state == PATH_BROKEN || state == PATH_LEAVING)
       && begin_move (self, now_us))
     return;
-  if (state == PATH_LEAVING)
-    return;
-  if (state == HEAD_LEAVING
-      && (!eg_call_is_repeatable (self)
-          || self->head_count >= self->route.servers_max))
-    return;
-  eg_call_send_failed (self, state == HEAD_LEAVING ? "server-leaving"
-                                                   : "stage-suspect");
+  /* A leaving server serves what it has begun; only a broken path is left. */
+  if (state == PATH_BROKEN || state == HEAD_BROKEN)
+    eg_call_leave_send (self, "stage-suspect");
 }
 
 /* Asks every server of the path whether it is there: a dead one refuses the
@@ -230,7 +224,7 @@
     return;
   if (silence_us >= STREAM_GIVE_UP_US)
     {
-      eg_call_send_failed (self, "stream-silent");
+      eg_call_leave_send (self, "stream-silent");
       return;
     }
   if (send->moving)
@@ -262,5 +256,5 @@
   if (now_us - self->send.heard_us < STREAM_SILENCE_US || self->send.moving)
     return;
   if (!stalled->names_culprit || !begin_move (self, now_us))
-    eg_call_send_failed (self, "stream-stalled");
+    eg_call_leave_send (self, "stream-stalled");
 }
--- a/entry/call_state.h
+++ b/entry/call_state.h
@@ -20,6 +20,12 @@
 /** The present send has come to nothing: another one, or the end. */
 void eg_call_send_failed (struct eg_call *self, const char *cause);
 
+/**
+ * Leaves a send that may still come to something for another one.
+ * @return false if there is no better way: the send goes on.
+ */
+bool eg_call_leave_send (struct eg_call *self, const char *cause);
+
 /** Counts the request on the servers of a place. */
 void eg_send_hold_place (const struct eg_send *send,
                          const struct eg_placement_choice *place);
--- a/policy/resend.c
+++ b/policy/resend.c
@@ -1,10 +1,10 @@
 #include "policy/resend.h"
 
-/* Most sends of one request that reach a server: one run, and three moves
- * around stages that die one after another. */
-#define SENDS_MAX 4
+/* Most sends of one request that reach a server: two runs, and refusals by full
+ * servers between them. */
+#define SENDS_MAX 6
 /* Most tries, those counted that found no connection. */
-#define TRIES_MAX 8
+#define TRIES_MAX 10
 /* Less time than this is not worth a send: a server's shortest answer. */
 #define LEAST_TIME_US 10000
 
