policy: a send that may still come to something is left only for a better one

Change: a leaving first server is not left; silence and suspicion end a send only where another path and the budget are there; a begun stream without a path waits for one.

--- a/entry/call.c
+++ b/entry/call.c
@@ -579,6 +579,7 @@
   struct eg_resend_question question = ask_resend (self, now_us);
   struct eg_placement_choice place;
 
+  question.under_way = true;
   if (eg_resend_decide (&question) != EG_RESEND
       || !choose_place (self, now_us, &place)
       || !spend_retry (self, cause, now_us))
--- a/policy/resend.c
+++ b/policy/resend.c
@@ -11,6 +11,9 @@
 enum eg_resend_answer
 eg_resend_give_up (const struct eg_resend_question *question)
 {
+  /* Silence is no reason to end an answer: a server may still give it. */
+  if (question->under_way)
+    return EG_RESEND_STAY;
   if (question->begun)
     return EG_RESEND_CUT;
   if (!question->may_have_run)
--- a/policy/resend.h
+++ b/policy/resend.h
@@ -13,11 +13,12 @@
 
 EG_BEGIN_DECLS
 
-/** What is known of a request whose last send has failed. */
+/** What is known of a request whose last send has failed, or might. */
 struct eg_resend_question
 {
   bool repeatable;   /**< Running it again does no harm. */
   bool may_have_run; /**< Some send may have run, or may run later. */
+  bool under_way;    /**< The last send may still come to something. */
   bool begun;        /**< A part of the answer has gone to the caller. */
   bool resumable;    /**< A begun answer may go on at another server. */
   unsigned sends;    /**< That reached a server so far. */
@@ -30,6 +31,7 @@
 enum eg_resend_answer
 {
   EG_RESEND,         /**< Send again, if the budget allows. */
+  EG_RESEND_STAY,    /**< Let the send under way go on. */
   EG_RESEND_REFUSE,  /**< Say that it has not run. */
   EG_RESEND_FAIL,    /**< Say that it has failed. */
   EG_RESEND_TIMEOUT, /**< Say that its time is over. */
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -131,6 +131,26 @@
   assert_int_equal (eg_resend_decide (&asked), EG_RESEND_CUT);
 }
 
+/* A running stream was ended for a server that then refused it, and cut. */
+static void
+test_running_answer_is_left_for_a_better_way_only (void **state)
+{
+  struct eg_resend_question asked = question ();
+
+  (void) state;
+  asked.repeatable = true;
+  asked.resumable = true;
+  asked.may_have_run = true;
+  asked.begun = true;
+  asked.under_way = true;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND);
+  asked.sends = 6;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND_STAY);
+  asked.resumable = false;
+  asked.sends = 1;
+  assert_int_equal (eg_resend_decide (&asked), EG_RESEND_STAY);
+}
+
 static void
 set_route (struct eg_route *route, const char *host, const char *prefix)
 {
@@ -176,6 +196,7 @@
       cmocka_unit_test (test_window_bounds_any_span),
       cmocka_unit_test (test_resend_once_at_most),
       cmocka_unit_test (test_resend_repeatable),
+      cmocka_unit_test (test_running_answer_is_left_for_a_better_way_only),
       cmocka_unit_test (test_longest_prefix_wins),
   };
 
