entry: one copy of a lookup, a pause and a message; dead state out

Found on reading the whole change, behaviour as before. The lookup of a request's service stood in call.c and call_move.c, the pause before a refused caller comes back in call.c and call_answer.c, the engines of the tests of layers in three files. A reader wrote the same datagram anew for each of its peers. Three fields that nothing read and two empty callbacks are gone.

--- a/entry/call.c
+++ b/entry/call.c
@@ -21,9 +21,7 @@
 /* A repeatable request waits for its first server for this many times its
  * latency goal before another is asked. */
 #define PATIENCE_GOALS 4
-/* The same for plain servers, which are back sooner or not at all. */
-#define RETRY_AFTER_SERVER_MS 250
-/* The same while a configuration is awaited. */
+/* Refused requests come back after this while a configuration is awaited. */
 #define RETRY_AFTER_CONFIGURATION_MS 500
 /* A refusal that took this share of the engines' stall comes from waiting for a
  * dead server; one for want of room comes at once. */
@@ -491,8 +489,8 @@
   };
 }
 
-static const struct eg_service_config *
-current_service (const struct eg_call *self)
+const struct eg_service_config *
+eg_call_service (const struct eg_call *self)
 {
   const struct eg_configuration *configuration = self->entry->configuration.now;
   size_t index = eg_configuration_find_service (configuration,
@@ -507,7 +505,7 @@
               int64_t now_us,
               struct eg_placement_choice *place)
 {
-  const struct eg_service_config *service = current_service (self);
+  const struct eg_service_config *service = eg_call_service (self);
   struct eg_placement_need need;
 
   if (!service)
@@ -603,7 +601,7 @@
 begin_send (struct eg_call *self, int64_t now_us)
 {
   struct eg_entry *entry = self->entry;
-  const struct eg_service_config *service = current_service (self);
+  const struct eg_service_config *service = eg_call_service (self);
   struct eg_placement_choice place;
 
   if (!service)
@@ -757,7 +755,7 @@
   else if (self->may_have_run)
     eg_call_reject (self, 502, "stopping");
   else
-    eg_call_refuse (self, "stopping", RETRY_AFTER_SERVER_MS);
+    eg_call_refuse (self, "stopping", EG_RETRY_AFTER_SERVER_MS);
 }
 
 static void
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -12,8 +12,6 @@
 /* Refused requests come back after this: the time to load a lost server's
  * layers onto another, and to see it. */
 #define RETRY_AFTER_PATH_MS 1500
-/* The same for plain servers, which are back sooner or not at all. */
-#define RETRY_AFTER_SERVER_MS 250
 
 static const char *
 route_name (const struct eg_call *self)
@@ -112,7 +110,7 @@
 retry_after_ms (const struct eg_call *self)
 {
   return self->route.kind == EG_ROUTE_STREAM ? RETRY_AFTER_PATH_MS
-                                             : RETRY_AFTER_SERVER_MS;
+                                             : EG_RETRY_AFTER_SERVER_MS;
 }
 
 void
--- a/entry/call_move.c
+++ b/entry/call_move.c
@@ -83,13 +83,6 @@
   return EG_EXCHANGE_TAKE;
 }
 
-static void
-on_move_body (void *context, struct eg_str bytes)
-{
-  (void) context;
-  (void) bytes;
-}
-
 static void
 on_move_done (void *context)
 {
@@ -126,15 +119,13 @@
 }
 
 static const struct eg_exchange_events move_events = {
-    on_move_head, on_move_body, on_move_done, on_move_failed};
+    on_move_head, NULL, on_move_done, on_move_failed};
 
 /* Orders the first server to go on by another path; false if there is none. */
 static bool
 begin_move (struct eg_call *self, int64_t now_us)
 {
-  const struct eg_configuration *configuration = self->entry->configuration.now;
-  size_t service = eg_configuration_find_service (configuration,
-                                                  eg_str_from (self->service));
+  const struct eg_service_config *service = eg_call_service (self);
   struct eg_send *send = &self->send;
   struct eg_backend *head = eg_call_head_server (self);
   struct eg_exchange_request request = {.endpoint = head->entry.endpoint,
@@ -144,9 +135,9 @@
   struct eg_buffer text = {0};
   struct eg_placement_need need;
 
-  if (service == SIZE_MAX || self->moves >= MOVES_MAX)
+  if (!service || self->moves >= MOVES_MAX)
     return false;
-  need = eg_call_placement_need (self, &configuration->services[service]);
+  need = eg_call_placement_need (self, service);
   if (!eg_placement_move (self->entry, &need, &send->place, now_us,
                           &send->next))
     return false;
--- a/entry/call_state.h
+++ b/entry/call_state.h
@@ -8,6 +8,13 @@
 
 #include "entry/call.h"
 
+/** Refused requests to plain servers come back after this: such servers are
+   back soon, or not at all. */
+#define EG_RETRY_AFTER_SERVER_MS 250
+
+/** Returns the service of the request as it is configured now, or NULL. */
+const struct eg_service_config *eg_call_service (const struct eg_call *self);
+
 /** Ends a call; the caller of this settles its answer, or the lack of one. */
 void eg_call_close (struct eg_call *self);
 
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -157,7 +157,6 @@
 {
   struct eg_backend *self = context;
 
-  self->probe.ended_us = eg_clock_now_us ();
   if (self->probe.status == 200 && self->entry.has_engine)
     take_report (self);
   else if (self->probe.status == 200)
@@ -173,13 +172,12 @@
 {
   struct eg_backend *self = context;
 
-  self->probe.ended_us = eg_clock_now_us ();
   eg_buffer_clear (&self->probe.body);
   if (fault != EG_EXCHANGE_STALE)
     eg_backend_blame (self,
                       fault == EG_EXCHANGE_UNREACHABLE ? EG_BLAME_UNREACHABLE
                                                        : EG_BLAME_SILENT,
-                      EG_STR ("probe"), self->probe.ended_us);
+                      EG_STR ("probe"), eg_clock_now_us ());
 }
 
 static const struct eg_exchange_events probe_events = {
@@ -317,7 +315,6 @@
 {
   for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
     EG_CONTAINER_OF (at, struct eg_backend, all)->marked = false;
-  self->reading = true;
 }
 
 static void
@@ -416,7 +413,6 @@
   if (!listed)
     return;
   self->known = true;
-  self->reading = false;
   for (struct eg_list *at = self->all.next; at != &self->all;)
     {
       struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
@@ -459,7 +455,6 @@
       || now_us - self->probe.begun_us < PROBE_TIMEOUT_US)
     return;
   eg_exchange_cancel (&self->probe.exchange);
-  self->probe.ended_us = now_us;
   eg_buffer_clear (&self->probe.body);
   eg_backend_blame (self, EG_BLAME_SILENT, EG_STR ("probe"), now_us);
 }
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -36,7 +36,6 @@
   struct eg_buffer body;
   unsigned status;
   int64_t begun_us;
-  int64_t ended_us;
 };
 
 /** One backend server. */
@@ -105,7 +104,6 @@
   struct eg_exchange_pool *pool;
   struct eg_fleet_events events;
   bool known;         /**< A whole list was read. */
-  bool reading;       /**< A list is being read. */
   int64_t lost_us;    /**< Since when the store does not answer; 0: it does. */
   int64_t found_us;   /**< When it last answered again. */
   bool lapsing;       /**< Entries may have lapsed while it was away. */
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -75,33 +75,37 @@
   return list;
 }
 
-/** A datagram that the kernel did not take at once is dropped. */
-static void
-send_message (struct eg_loads *self,
-              struct eg_endpoint endpoint,
-              const char *kind,
-              json_t *loads)
+/* Writes a message, which may go to many; the caller frees it. */
+static char *
+compose (const struct eg_loads *self, const char *kind, json_t *loads)
 {
   const struct eg_entry *entry = self->entry;
-  struct sockaddr_in address = {.sin_family = AF_INET,
-                                .sin_port = endpoint.port,
-                                .sin_addr.s_addr = endpoint.ip};
   json_t *message = json_pack (
       "{s:s, s:s, s:b, s:o, s:o, s:O}", "kind", kind, "domain",
       entry->settings->domain, "reads", entry->servers_feed.mirror->is_direct,
       "down", list_suspects (&entry->fleet), "heard",
       list_heard (self, eg_clock_now_us ()), "loads", loads);
   char *text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
-  uv_buf_t part;
 
-  if (text && strlen (text) <= MESSAGE_BYTES_MAX)
-    {
-      part = uv_buf_init (text, (unsigned) strlen (text));
-      uv_udp_try_send (&self->socket, &part, 1,
-                       (const struct sockaddr *) &address);
-    }
-  free (text);
   json_decref (message);
+  return text;
+}
+
+/* A datagram that the kernel does not take at once is dropped. */
+static void
+send_message (struct eg_loads *self,
+              struct eg_endpoint endpoint,
+              const char *text)
+{
+  struct sockaddr_in address = {.sin_family = AF_INET,
+                                .sin_port = endpoint.port,
+                                .sin_addr.s_addr = endpoint.ip};
+  uv_buf_t part;
+
+  if (!text || strlen (text) > MESSAGE_BYTES_MAX)
+    return;
+  part = uv_buf_init ((char *) text, (unsigned) strlen (text));
+  uv_udp_try_send (&self->socket, &part, 1, (const struct sockaddr *) &address);
 }
 
 static void
@@ -300,6 +304,8 @@
 {
   const struct eg_members *members = &self->entry->members;
   json_t *group = json_object ();
+  char *group_text;
+  char *sum_text;
   json_t *sum;
 
   add_own (self, group);
@@ -307,13 +313,17 @@
   sum = json_deep_copy (group);
   add_senders (self, sum, true);
   take_sum (self, sum, now_us);
+  group_text = compose (self, KIND_GROUP, group);
+  sum_text = compose (self, KIND_SUM, sum);
   for (size_t i = 0; i < members->all_reader_count; i++)
     if (eg_endpoint_key (members->all_readers[i])
         != eg_endpoint_key (members->own_endpoint))
-      send_message (self, members->all_readers[i], KIND_GROUP, group);
+      send_message (self, members->all_readers[i], group_text);
   for (size_t i = 0; i < self->sender_count; i++)
     if (!self->senders[i].is_reader)
-      send_message (self, self->senders[i].endpoint, KIND_SUM, sum);
+      send_message (self, self->senders[i].endpoint, sum_text);
+  free (group_text);
+  free (sum_text);
   json_decref (group);
   json_decref (sum);
 }
@@ -340,6 +350,7 @@
   struct eg_members *members = &self->entry->members;
   const struct eg_member *reader;
   json_t *own;
+  char *text;
 
   if (!self->open || members->lists == 0
       || now_us - self->told_us < TELL_GAP_US)
@@ -355,7 +366,9 @@
     return;
   own = json_object ();
   add_own (self, own);
-  send_message (self, reader->endpoint, KIND_OWN, own);
+  text = compose (self, KIND_OWN, own);
+  send_message (self, reader->endpoint, text);
+  free (text);
   json_decref (own);
 }
 
--- a/entry/members.c
+++ b/entry/members.c
@@ -305,7 +305,6 @@
 
   snprintf (path, sizeof path, MEMBER_KIND "%s%s", create ? "" : "/",
             create ? "" : settings->name);
-  self->written_us = now_us;
   self->write_due_us = now_us + RETRY_US;
   if (!eg_store_call_start (&self->own_call, create ? "POST" : "PUT", path,
                             object, CALL_TIMEOUT_US))
--- a/entry/members.h
+++ b/entry/members.h
@@ -41,7 +41,6 @@
   struct eg_store_call own_call;
   char after[64];
   int64_t revision; /**< Of the own object; 0: not written. */
-  int64_t written_us;
   int64_t list_due_us;
   int64_t write_due_us;
   unsigned lists;               /**< Read so far. */
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -186,13 +186,6 @@
   return EG_EXCHANGE_TAKE;
 }
 
-static void
-on_order_body (void *context, struct eg_str bytes)
-{
-  (void) context;
-  (void) bytes;
-}
-
 static void
 on_order_done (void *context)
 {
@@ -227,7 +220,7 @@
 }
 
 static const struct eg_exchange_events order_events = {
-    on_order_head, on_order_body, on_order_done, on_order_failed};
+    on_order_head, NULL, on_order_done, on_order_failed};
 
 static void
 send_order (struct eg_planner *self,
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -132,7 +132,7 @@
 {
   struct eg_link *self = context;
 
-  if (!self->skipping && self->exchange)
+  if (!self->skipping && self->exchange && self->exchange->events->body)
     self->exchange->events->body (self->exchange->context, bytes);
 }
 
--- a/net/exchange.h
+++ b/net/exchange.h
@@ -36,7 +36,7 @@
 {
   enum eg_exchange_verdict (*head) (void *context,
                                     const struct eg_http_head *head);
-  void (*body) (void *context, struct eg_str bytes);
+  void (*body) (void *context, struct eg_str bytes); /**< May be NULL. */
   /** The answer is whole. */
   void (*done) (void *context);
   void (*failed) (void *context, enum eg_exchange_fault fault);
--- a/test/bench_layer_plan.c
+++ b/test/bench_layer_plan.c
@@ -5,17 +5,7 @@
 
 #include "base/clock.h"
 #include "policy/layer_plan.h"
-
-static const struct eg_engine_model engine = {
-    .layers = 80,
-    .layer_mb = 1750,
-    .kv_bytes = 426000,
-    .kv_tokens = 100000,
-    .accelerators = {{"a100s", 36000, 3.1, 3.2},
-                     {"l4", 21600, 16, 8.2},
-                     {"t4", 14400, 15, 15}},
-    .accelerator_count = 3,
-};
+#include "test/layer_fixture.h"
 
 static void
 print_domains (const char *name,
@@ -38,8 +28,9 @@
             for (uint32_t l = r.from; l < r.to; l++)
               {
                 replicas[l]++;
-                tokens[l] += eg_engine_kv_capacity (
-                                 &engine, servers[i].accelerator, r.to - r.from)
+                tokens[l] += eg_engine_kv_capacity (&eg_sheet_engine,
+                                                    servers[i].accelerator,
+                                                    r.to - r.from)
                              / (r.to - r.from);
               }
           }
@@ -72,17 +63,17 @@
       for (unsigned i = 0; i < counts[d][kind]; i++)
         {
           servers[at].domain = (uint32_t) d;
-          servers[at++].accelerator = &engine.accelerators[kind];
+          servers[at++].accelerator = &eg_sheet_engine.accelerators[kind];
         }
   begun_us = eg_clock_now_us ();
-  eg_layer_plan_make (servers, count, &engine, &goal);
+  eg_layer_plan_make (servers, count, &eg_sheet_engine, &goal);
   first_us = eg_clock_now_us () - begun_us;
   print_domains (name, servers, count, domains);
   for (size_t i = 0; i < count; i++)
     servers[i].held = servers[i].planned;
   servers[0].held = (struct eg_layer_range){0, 0};
   begun_us = eg_clock_now_us ();
-  eg_layer_plan_make (servers, count, &engine, &goal);
+  eg_layer_plan_make (servers, count, &eg_sheet_engine, &goal);
   printf ("%s: %zu servers, first plan %.2f ms, plan after a loss %.2f ms\n",
           name, count, (double) first_us / 1e3,
           (double) (eg_clock_now_us () - begun_us) / 1e3);
--- a/test/test_layers.c
+++ b/test/test_layers.c
@@ -11,20 +11,10 @@
 #include "base/random.h"
 #include "policy/layer_path.h"
 #include "policy/layer_plan.h"
+#include "test/layer_fixture.h"
 
 #define SERVERS_MAX 64
 
-static const struct eg_engine_model engine = {
-    .layers = 80,
-    .layer_mb = 1750,
-    .kv_bytes = 426000,
-    .kv_tokens = 100000,
-    .accelerators = {{"a100s", 36000, 3.1, 3.2},
-                     {"l4", 21600, 16, 8.2},
-                     {"t4", 14400, 15, 15}},
-    .accelerator_count = 3,
-};
-
 /* Tokens that a failure domain has to hold at the registry's rate: 22
  * streams a second of 2.5 s and 900 tokens. */
 #define TOKENS_NEEDED 50000.0
@@ -43,21 +33,21 @@
 {
   for (unsigned i = 0; i < count; i++)
     fleet->servers[fleet->count++] = (struct eg_plan_server){
-        .domain = domain, .accelerator = &engine.accelerators[kind]};
+        .domain = domain, .accelerator = &eg_sheet_engine.accelerators[kind]};
 }
 
 static void
 plan (struct fleet *fleet)
 {
-  eg_layer_plan_make (fleet->servers, fleet->count, &engine, &goal);
+  eg_layer_plan_make (fleet->servers, fleet->count, &eg_sheet_engine, &goal);
   for (size_t i = 0; i < fleet->count; i++)
     {
       struct eg_plan_server *server = &fleet->servers[i];
       uint32_t layers = server->planned.to - server->planned.from;
 
-      assert_true (server->planned.to <= engine.layers);
-      assert_true (layers
-                   <= eg_engine_layers_max (&engine, server->accelerator));
+      assert_true (server->planned.to <= eg_sheet_engine.layers);
+      assert_true (layers <= eg_engine_layers_max (&eg_sheet_engine,
+                                                   server->accelerator));
       server->held = server->planned;
     }
 }
@@ -68,7 +58,7 @@
 {
   double least = 1e18;
 
-  for (uint32_t layer = 0; layer < engine.layers; layer++)
+  for (uint32_t layer = 0; layer < eg_sheet_engine.layers; layer++)
     {
       double tokens = 0;
 
@@ -79,9 +69,9 @@
 
           if (server->domain == domain && server->held.from <= layer
               && layer < server->held.to)
-            tokens +=
-                eg_engine_kv_capacity (&engine, server->accelerator, layers)
-                / layers;
+            tokens += eg_engine_kv_capacity (&eg_sheet_engine,
+                                             server->accelerator, layers)
+                      / layers;
         }
       least = tokens < least ? tokens : least;
     }
@@ -125,9 +115,9 @@
       domain = fleet.servers[lost].domain;
       fleet.servers[lost] = fleet.servers[--fleet.count];
       plan (&fleet);
-      assert_int_equal (
-          eg_layer_plan_missing (fleet.servers, fleet.count, &engine, domain),
-          0);
+      assert_int_equal (eg_layer_plan_missing (fleet.servers, fleet.count,
+                                               &eg_sheet_engine, domain),
+                        0);
       assert_true (least_memory (&fleet, domain) >= TOKENS_NEEDED / 2);
     }
 }
@@ -140,7 +130,8 @@
   (void) state;
   plan (&fleet);
   assert_int_equal (
-      eg_layer_plan_make (fleet.servers, fleet.count, &engine, &goal), 0);
+      eg_layer_plan_make (fleet.servers, fleet.count, &eg_sheet_engine, &goal),
+      0);
 }
 
 static void
@@ -151,7 +142,7 @@
   (void) state;
   fleet.servers[0].fixed = true;
   fleet.servers[0].held = (struct eg_layer_range){3, 9};
-  eg_layer_plan_make (fleet.servers, fleet.count, &engine, &goal);
+  eg_layer_plan_make (fleet.servers, fleet.count, &eg_sheet_engine, &goal);
   assert_int_equal (fleet.servers[0].planned.from, 3);
   assert_int_equal (fleet.servers[0].planned.to, 9);
 }
@@ -164,8 +155,9 @@
   (void) state;
   plan (&fleet);
   fleet.servers[5].held = (struct eg_layer_range){0, 0};
-  assert_true (eg_layer_plan_make (fleet.servers, fleet.count, &engine, &goal)
-               <= 3);
+  assert_true (
+      eg_layer_plan_make (fleet.servers, fleet.count, &eg_sheet_engine, &goal)
+      <= 3);
   assert_true (fleet.servers[5].planned.to > fleet.servers[5].planned.from);
 }
 
--- a/test/test_moves.c
+++ b/test/test_moves.c
@@ -10,21 +10,11 @@
 
 #include "base/random.h"
 #include "policy/layer_moves.h"
+#include "test/layer_fixture.h"
 
 #define SERVERS 14
 #define AT_ONCE 3
 #define ROUNDS_MAX 60
-
-static const struct eg_engine_model engine = {
-    .layers = 80,
-    .layer_mb = 1750,
-    .kv_bytes = 426000,
-    .kv_tokens = 100000,
-    .accelerators = {{"a100s", 36000, 3.1, 3.2},
-                     {"l4", 21600, 16, 8.2},
-                     {"t4", 14400, 15, 15}},
-    .accelerator_count = 3,
-};
 static const struct eg_plan_goal goal = {70000, 6, 1.5, 3, 4};
 
 static void
@@ -32,8 +22,10 @@
 {
   memset (servers, 0, SERVERS * sizeof *servers);
   for (size_t i = 0; i < SERVERS; i++)
-    servers[i].accelerator = &engine.accelerators[i < 1 ? 0 : i < 9 ? 1 : 2];
-  eg_layer_plan_make (servers, SERVERS, &engine, &goal);
+    servers[i].accelerator = &eg_sheet_engine.accelerators[i < 1   ? 0
+                                                           : i < 9 ? 1
+                                                                   : 2];
+  eg_layer_plan_make (servers, SERVERS, &eg_sheet_engine, &goal);
   for (size_t i = 0; i < SERVERS; i++)
     servers[i].held = servers[i].serving = servers[i].planned;
 }
@@ -41,7 +33,7 @@
 static bool
 is_served (const struct eg_plan_server *servers, size_t count)
 {
-  for (uint32_t layer = 0; layer < engine.layers; layer++)
+  for (uint32_t layer = 0; layer < eg_sheet_engine.layers; layer++)
     {
       bool served = false;
 
@@ -63,8 +55,8 @@
       bool whole = is_served (servers, count);
       bool moved = false;
 
-      eg_layer_plan_make (servers, count, &engine, &goal);
-      eg_layer_moves_choose (servers, count, &engine, AT_ONCE);
+      eg_layer_plan_make (servers, count, &eg_sheet_engine, &goal);
+      eg_layer_moves_choose (servers, count, &eg_sheet_engine, AT_ONCE);
       if (whole)
         assert_true (is_served (servers, count));
       for (size_t i = 0; i < count; i++)
@@ -73,8 +65,9 @@
 
           if (server->order.to == server->order.from)
             continue;
-          assert_true (server->order.to - server->order.from
-                       <= eg_engine_layers_max (&engine, server->accelerator));
+          assert_true (
+              server->order.to - server->order.from
+              <= eg_engine_layers_max (&eg_sheet_engine, server->accelerator));
           server->held = server->serving = server->order;
           moved = true;
         }
@@ -111,9 +104,10 @@
 static void
 test_last_server_waits (void **state)
 {
-  struct eg_plan_server servers[2] = {{.accelerator = &engine.accelerators[0]},
-                                      {.accelerator = &engine.accelerators[0]}};
-  struct eg_engine_model small = engine;
+  struct eg_plan_server servers[2] = {
+      {.accelerator = &eg_sheet_engine.accelerators[0]},
+      {.accelerator = &eg_sheet_engine.accelerators[0]}};
+  struct eg_engine_model small = eg_sheet_engine;
 
   (void) state;
   small.layers = 20;
