policy: a failure domain keeps two servers for its first layer; full ones are passed over

Change: VMs tell on how many requests each server is the first; a path costs the wait for a slot; plans value a second server of the first layer.

--- a/entry/call.c
+++ b/entry/call.c
@@ -65,6 +65,7 @@
     {
       eg_backend_hold (place->stages[i]);
       place->stages[i]->running++;
+      place->stages[i]->first_running += i == 0;
       place->stages[i]->kv_running +=
           send->kv_tokens * (place->layers[i].to - place->layers[i].from);
     }
@@ -79,6 +80,7 @@
       struct eg_backend *backend = place->stages[i];
 
       backend->running--;
+      backend->first_running -= i == 0;
       backend->kv_running -=
           send->kv_tokens * (place->layers[i].to - place->layers[i].from);
       eg_backend_release (backend);
@@ -223,8 +225,13 @@
                            now_us - self->arrived_us);
         }
       else
-        eg_metrics_time (&self->entry->metrics, EG_TIME_EVENT_GAP,
-                         now_us - self->send.heard_us);
+        {
+          int64_t gap_us = now_us - self->last_event_us;
+
+          eg_metrics_time (&self->entry->metrics, EG_TIME_EVENT_GAP, gap_us);
+          if (gap_us > self->longest_gap_us)
+            self->longest_gap_us = gap_us;
+        }
       self->send.heard_us = now_us;
       self->last_event_us = now_us;
       eg_call_pass_on (self, eg_buffer_view (&events));
@@ -732,6 +739,7 @@
   self->body = body;
   self->arrived_us = now_us;
   self->first_event_us = 0;
+  self->longest_gap_us = 0;
   self->sends = 0;
   self->tries = 0;
   self->moves = 0;
--- a/entry/call.h
+++ b/entry/call.h
@@ -65,6 +65,7 @@
   int64_t deadline_us;
   int64_t first_event_us; /**< 0: none yet. */
   int64_t last_event_us;
+  int64_t longest_gap_us; /**< Between two events. */
   unsigned sends;
   unsigned tries;
   unsigned moves; /**< To other paths, within one run. */
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -32,8 +32,8 @@
   eg_log (EG_LOG_INFO, "call",
           "event=request-ended request=%.*s route=%s service=%s "
           "organisation=%s outcome=%s status=%u sends=%u moves=%u server=%s "
-          "events=%" PRIu64 " first_event_ms=%" PRId64 " total_ms=%" PRId64
-          " config=%" PRId64 " config_age_ms=%" PRId64,
+          "events=%" PRIu64 " first_event_ms=%" PRId64 " gap_ms=%" PRId64
+          " total_ms=%" PRId64 " config=%" PRId64 " config_age_ms=%" PRId64,
           EG_STR_ARGS (self->facts.id), route_name (self), self->service,
           self->organisation, outcome, status, self->sends, self->moves,
           self->head_count ? self->heads[self->head_count - 1]->entry.id : "-",
@@ -41,6 +41,7 @@
           self->first_event_us
               ? (self->first_event_us - self->arrived_us) / EG_US_PER_MS
               : -1,
+          self->longest_gap_us / EG_US_PER_MS,
           (now_us - self->arrived_us) / EG_US_PER_MS,
           configuration ? configuration->version : -1,
           (now_us - entry->configuration.as_of_us) / EG_US_PER_MS);
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -143,6 +143,13 @@
   self->kv_total = report.kv_total;
   self->slowness = report.slowness > 0 ? report.slowness : 1;
   self->report_us = self->probe.begun_us;
+  eg_log (EG_LOG_INFO, "fleet",
+          "event=server-report server=%s layers=%u-%u had=%u-%u orders=%" PRId64
+          " kv_used=%.0f kv_total=%.0f slowness=%.2f age_ms=%" PRId64,
+          self->entry.id, report.layers.from, report.layers.to,
+          self->entry.layers.from, self->entry.layers.to, report.orders,
+          report.kv_used, report.kv_total, self->slowness,
+          (eg_clock_now_us () - self->report_us) / EG_US_PER_MS);
   if (report.has_layers)
     {
       self->entry.layers = report.layers;
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -55,10 +55,12 @@
   int64_t full_until_us; /**< It had no room; see EG_BLAME_FULL. */
   double penalty;        /**< Recent faults, as of @c penalty_us. */
   int64_t penalty_us;
-  unsigned running;  /**< Requests of this entry VM. */
-  double kv_running; /**< Their tokens x layers. */
-  double kv_others;  /**< Of other entry VMs, as they told. */
-  int64_t kv_others_us;
+  unsigned running;       /**< Requests of this entry VM. */
+  double kv_running;      /**< Their tokens x layers. */
+  unsigned first_running; /**< Those of which it is the first server. */
+  double kv_others;       /**< Of other entry VMs, as they told. */
+  double first_others;
+  int64_t others_us; /**< When they told it. */
   bool tells_load;
   unsigned load; /**< Running and waiting, when it last said so. */
   unsigned slots;
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -108,13 +108,29 @@
   uv_udp_try_send (&self->socket, &part, 1, (const struct sockaddr *) &address);
 }
 
+/** What entry VMs have under way on one server. */
+struct server_load
+{
+  double tokens; /**< Tokens x layers. */
+  double first;  /**< Requests of which it is the first server. */
+};
+
+static struct server_load
+read_load (const json_t *pair)
+{
+  return (struct server_load){json_number_value (json_array_get (pair, 0)),
+                              json_number_value (json_array_get (pair, 1))};
+}
+
 static void
-add_load (json_t *loads, const char *id, double tokens)
+add_load (json_t *loads, const char *id, struct server_load load)
 {
-  double before = json_number_value (json_object_get (loads, id));
+  struct server_load before = read_load (json_object_get (loads, id));
 
   json_object_set_new (loads, id,
-                       json_integer ((json_int_t) (before + tokens)));
+                       json_pack ("[I, I]",
+                                  (json_int_t) (before.tokens + load.tokens),
+                                  (json_int_t) (before.first + load.first)));
 }
 
 static void
@@ -128,7 +144,9 @@
           EG_CONTAINER_OF (at, struct eg_backend, all);
 
       if (backend->kv_running >= 1)
-        add_load (loads, backend->entry.id, backend->kv_running);
+        add_load (
+            loads, backend->entry.id,
+            (struct server_load){backend->kv_running, backend->first_running});
     }
 }
 
@@ -138,12 +156,12 @@
   for (size_t i = 0; i < self->sender_count; i++)
     {
       const char *id;
-      json_t *tokens;
+      json_t *load;
 
       if (self->senders[i].is_reader != readers)
         continue;
-      json_object_foreach (self->senders[i].loads, id, tokens)
-          add_load (loads, id, json_number_value (tokens));
+      json_object_foreach (self->senders[i].loads, id, load)
+          add_load (loads, id, read_load (load));
     }
 }
 
@@ -156,11 +174,12 @@
   for (struct eg_list *at = fleet->all.next; at != &fleet->all; at = at->next)
     {
       struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
-      double tokens =
-          json_number_value (json_object_get (loads, backend->entry.id));
+      struct server_load load =
+          read_load (json_object_get (loads, backend->entry.id));
 
-      backend->kv_others = fmax (0, tokens - backend->kv_running);
-      backend->kv_others_us = now_us;
+      backend->kv_others = fmax (0, load.tokens - backend->kv_running);
+      backend->first_others = fmax (0, load.first - backend->first_running);
+      backend->others_us = now_us;
     }
 }
 
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -18,6 +18,14 @@
 #define OTHERS_AGE_US (1000 * EG_US_PER_MS)
 /* A part that a moved request has already costs no reading. */
 #define KEEP_FACTOR 0.05
+/* Share of a server's slots that this VM counts on: others' requests are known
+ * some 200 ms late, in which a twentieth of the streams begin anew. */
+#define SLOTS_SHARE 0.95
+/* Time of one token of a stream with the users' accelerators. */
+#define TOKEN_US 17000.0
+/* A wait is dearer than the same time of work: it comes before the first
+ * event, whose goal is a fifth of a stream's time. */
+#define WAIT_WEIGHT 5.0
 /* What an answer's load is worth after this time. */
 #define LOAD_AGE_US (500 * EG_US_PER_MS)
 
@@ -40,9 +48,21 @@
   return false;
 }
 
-/* Expected share of a server's memory that is in use with this request. Where
- * the other entry VMs have not told, those of the failure domain are taken to
- * send as much as this one. */
+/* What this VM has under way on a server, and the others with it. Where they
+ * have not told, those of the failure domain are taken to send as much as this
+ * one. */
+static double
+with_others (const struct eg_entry *entry,
+             const struct eg_backend *backend,
+             double own,
+             double others)
+{
+  if (eg_clock_now_us () - backend->others_us < OTHERS_AGE_US)
+    return own + others;
+  return own * eg_members_in_domain (&entry->members);
+}
+
+/* Expected share of a server's memory that is in use with this request. */
 static double
 kv_share (const struct eg_entry *entry,
           const struct eg_backend *backend,
@@ -56,17 +76,31 @@
                         ? eg_engine_kv_capacity (engine, accelerator, layers)
                         : engine->kv_tokens * layers;
 
-  double running = backend->kv_running;
+  double running =
+      with_others (entry, backend, backend->kv_running, backend->kv_others);
 
   if (capacity <= 0)
     return 1;
-  if (eg_clock_now_us () - backend->kv_others_us < OTHERS_AGE_US)
-    running += backend->kv_others;
-  else
-    running *= eg_members_in_domain (&entry->members);
   return (running + tokens * layers) / capacity;
 }
 
+/* Expected wait of a request for one of the slots of its first server: each of
+ * them is free once in the time that a stream takes. */
+static double
+slot_wait_us (const struct eg_entry *entry,
+              const struct eg_backend *backend,
+              const struct eg_placement_need *need)
+{
+  double slots = backend->entry.slots * SLOTS_SHARE;
+  double first = with_others (entry, backend, backend->first_running,
+                              backend->first_others)
+                 + 1;
+
+  if (slots <= 0 || first <= slots)
+    return 0;
+  return (first - slots) / slots * need->answer_tokens * TOKEN_US;
+}
+
 /* The fuller a server, the longer its passes and the likelier a preemption. */
 static double
 load_factor (double share)
@@ -148,8 +182,12 @@
         continue;
       search->backends[search->count] = backend;
       search->candidates[search->count] = (struct eg_path_candidate){
-          (uint32_t) search->count, domain, layers.from, layers.to,
-          layer_cost_us (entry, backend, need, now_us)};
+          (uint32_t) search->count,
+          domain,
+          layers.from,
+          layers.to,
+          layer_cost_us (entry, backend, need, now_us),
+          WAIT_WEIGHT * slot_wait_us (entry, backend, need)};
       search->count++;
     }
 }
@@ -318,9 +356,12 @@
         cost_us *= KEEP_FACTOR;
       search->backends[search->count] = backend;
       search->candidates[search->count] = (struct eg_path_candidate){
-          (uint32_t) search->count, 0,
-          layers.from > first ? layers.from - first : 0, layers.to - first,
-          cost_us};
+          (uint32_t) search->count,
+          0,
+          layers.from > first ? layers.from - first : 0,
+          layers.to - first,
+          cost_us,
+          0};
       search->count++;
     }
 }
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -36,16 +36,6 @@
  * for lost. */
 #define LOAD_PATIENCE 3
 #define LOAD_PATIENCE_MIN_US (1500 * EG_US_PER_MS)
-/* Share of an engine's stated memory for requests that every layer of a failure
- * domain should have. */
-#define GOAL_TOKENS_SHARE 0.7
-/* What a move has to gain, in units of the plan's value: about that of two
- * layers' replicas, and half of one for each layer that has to be loaded. */
-#define MOVE_COST 6.0
-#define LOAD_COST 1.5
-#define GIVE_UP_COST 0.5
-/* Orders of servers tried where all are empty. */
-#define RESTARTS 8
 /* Servers with layers in one failure domain that are given others at the same
  * time. */
 #define MOVES_AT_ONCE 3
@@ -454,25 +444,16 @@
   struct plan_input input = {.servers = calloc (room, sizeof *input.servers),
                              .backends =
                                  calloc (room, sizeof (struct eg_backend *))};
-  struct eg_plan_goal goal = {.tokens =
-                                  service->engine.kv_tokens * GOAL_TOKENS_SHARE,
-                              .move_cost = MOVE_COST,
-                              .load_cost = LOAD_COST,
-                              .give_up_cost = GIVE_UP_COST,
-                              .restarts = RESTARTS};
   uint64_t input_hash;
 
   EG_INVARIANT (input.servers && input.backends);
-  if (goal.tokens <= 0)
-    goal.tokens = 1;
   gather (self, service, &input, now_us);
   fix_unsettled (self, &input, now_us);
   input_hash = hash_input (&input);
   if (input.count == 0 || is_gathering (self, &input, now_us)
       || input_hash == self->settled)
     goto out;
-  if (eg_layer_plan_make (input.servers, input.count, &service->engine, &goal)
-      == 0)
+  if (eg_layer_plan_make (input.servers, input.count, &service->engine) == 0)
     {
       self->settled = input_hash;
       goto out;
--- a/policy/layer_path.c
+++ b/policy/layer_path.c
@@ -75,7 +75,8 @@
       if (position == 0)
         {
           improve (candidate, (uint16_t) i, 0, 0,
-                   hop_cost (costs, 0, 0, candidate->domain));
+                   hop_cost (costs, 0, 0, candidate->domain)
+                       + candidate->first_us);
           continue;
         }
       for (uint32_t d = 0; d < EG_PATH_DOMAINS_MAX; d++)
--- a/policy/layer_path.h
+++ b/policy/layer_path.h
@@ -32,6 +32,7 @@
   uint32_t from;   /**< First layer held, from 0. */
   uint32_t to;     /**< One behind the last layer held. */
   double us_per_layer;
+  double first_us; /**< Added where it is the first of a path. */
 };
 
 /** One part of a path. */
--- a/policy/layer_plan.c
+++ b/policy/layer_plan.c
@@ -14,6 +14,10 @@
 /* A layer with memory for the goal's tokens loses this much value, one with
  * half of that twice as much: the layer with least memory bounds the path. */
 #define LOSS_MEMORY 4.0
+/* The first layer's servers take the requests, each no more than it has slots:
+ * with one of them alone a failure domain loses this much, with two a quarter,
+ * as memory bounds it then. */
+#define LOSS_FIRST 40.0
 /* Beyond this many times the goal a lack of memory counts no further. */
 #define LOSS_TIMES_MAX 16.0
 /* Sizes tried for a server, down from what its memory holds. */
@@ -24,13 +28,24 @@
  * first that changes what is held, are for layers that it leaves without a
  * server. Elsewhere they moved more servers than they were worth. */
 #define RENEWALS 6
+/* Orders of servers tried where all are empty. */
+#define RESTARTS 8
+/* Share of an engine's stated memory for requests that every layer of a failure
+ * domain should have. */
+#define GOAL_TOKENS_SHARE 0.7
+/* What a move has to gain, in units of the plan's value: about that of two
+ * layers' replicas, half of one for each layer that has to be loaded, and less
+ * for each that is given up, whose running requests have to end first. */
+#define MOVE_COST 6.0
+#define LOAD_COST 1.5
+#define GIVE_UP_COST 0.5
 #define SEED UINT64_C (0x5eed1a7e)
 
 /** One failure domain while it is planned. */
 struct domain_plan
 {
   const struct eg_engine_model *engine;
-  const struct eg_plan_goal *goal;
+  double goal_tokens; /**< Memory that each layer should have. */
   struct eg_plan_server **servers;
   size_t count;
   unsigned replicas[EG_MODEL_LAYERS_MAX];
@@ -38,15 +53,23 @@
 };
 
 static double
-layer_value (const struct domain_plan *self, unsigned replicas, double tokens)
+layer_value (const struct domain_plan *self,
+             uint32_t layer,
+             unsigned replicas,
+             double tokens)
 {
-  double times = tokens > 0 ? self->goal->tokens / tokens : LOSS_TIMES_MAX;
+  double times = tokens > 0 ? self->goal_tokens / tokens : LOSS_TIMES_MAX;
+  double value = VALUE_HELD;
 
   if (replicas == 0)
     return 0;
   if (times > LOSS_TIMES_MAX)
     times = LOSS_TIMES_MAX;
-  return VALUE_HELD + (replicas > 1 ? VALUE_REPLICA : 0) - LOSS_MEMORY * times;
+  if (replicas > 1)
+    value += VALUE_REPLICA;
+  if (layer == 0)
+    value -= LOSS_FIRST / ((double) replicas * replicas);
+  return value - LOSS_MEMORY * times;
 }
 
 static bool
@@ -93,16 +116,15 @@
   double sum = 0;
 
   for (uint32_t i = range.from; i < range.to; i++)
-    sum += layer_value (self, self->replicas[i] + 1, self->tokens[i] + tokens)
-           - layer_value (self, self->replicas[i], self->tokens[i]);
+    sum +=
+        layer_value (self, i, self->replicas[i] + 1, self->tokens[i] + tokens)
+        - layer_value (self, i, self->replicas[i], self->tokens[i]);
   return sum;
 }
 
 /* Layers that a server holds already need no loading. */
 static double
-move_cost (const struct domain_plan *self,
-           const struct eg_plan_server *server,
-           struct eg_layer_range range)
+move_cost (const struct eg_plan_server *server, struct eg_layer_range range)
 {
   const struct eg_layer_range held = server->held;
   uint32_t from = range.from > held.from ? range.from : held.from;
@@ -111,9 +133,8 @@
 
   if (held.to == held.from || range_equal (range, held))
     return 0;
-  return self->goal->move_cost
-         + self->goal->load_cost * (range.to - range.from - kept)
-         + self->goal->give_up_cost * (held.to - held.from - kept);
+  return MOVE_COST + LOAD_COST * (range.to - range.from - kept)
+         + GIVE_UP_COST * (held.to - held.from - kept);
 }
 
 static struct eg_layer_range
@@ -129,8 +150,7 @@
     for (uint32_t from = 0; from + size <= layers; from++)
       {
         struct eg_layer_range range = {from, from + size};
-        double value =
-            gain (self, server, range) - move_cost (self, server, range);
+        double value = gain (self, server, range) - move_cost (server, range);
 
         if (value > best_gain)
           {
@@ -147,9 +167,9 @@
   double sum = 0;
 
   for (uint32_t i = 0; i < self->engine->layers; i++)
-    sum += layer_value (self, self->replicas[i], self->tokens[i]);
+    sum += layer_value (self, i, self->replicas[i], self->tokens[i]);
   for (size_t i = 0; i < self->count; i++)
-    sum -= move_cost (self, self->servers[i], self->servers[i]->planned);
+    sum -= move_cost (self->servers[i], self->servers[i]->planned);
   return sum;
 }
 
@@ -286,15 +306,14 @@
 size_t
 eg_layer_plan_make (struct eg_plan_server *servers,
                     size_t count,
-                    const struct eg_engine_model *engine,
-                    const struct eg_plan_goal *goal)
+                    const struct eg_engine_model *engine)
 {
   struct domain_plan *plan = calloc (1, sizeof *plan);
   size_t moved = 0;
 
   EG_INVARIANT (plan && engine->layers <= EG_MODEL_LAYERS_MAX);
   plan->engine = engine;
-  plan->goal = goal;
+  plan->goal_tokens = fmax (1, engine->kv_tokens * GOAL_TOKENS_SHARE);
   plan->servers = calloc (count ? count : 1, sizeof (struct eg_plan_server *));
   EG_INVARIANT (plan->servers);
   for (uint32_t domain = 0; domain < EG_PLAN_DOMAINS_MAX; domain++)
@@ -309,7 +328,7 @@
             empty &= servers[i].held.to == servers[i].held.from;
           }
       if (plan->count > 0)
-        plan_domain (plan, empty ? goal->restarts : RENEWALS, !empty);
+        plan_domain (plan, empty ? RESTARTS : RENEWALS, !empty);
     }
   for (size_t i = 0; i < count; i++)
     moved += !range_equal (servers[i].planned, servers[i].held);
--- a/policy/layer_plan.h
+++ b/policy/layer_plan.h
@@ -36,27 +36,13 @@
 /** Most failure domains of one plan. */
 #define EG_PLAN_DOMAINS_MAX 16
 
-/** What a plan aims at. */
-struct eg_plan_goal
-{
-  /** Tokens that each layer of a failure domain should have memory for. */
-  double tokens;
-  double move_cost; /**< Of any change of a server that holds layers. */
-  double load_cost; /**< Of each layer that it has to load for that. */
-  /** Of each layer that it gives up, for which running requests have to end
-      before others are loaded. */
-  double give_up_cost;
-  unsigned restarts; /**< Tries from other starts, where all are empty. */
-};
-
 /**
  * Plans all servers of one engine service.
  * @return how many servers get other layers than they hold.
  */
 size_t eg_layer_plan_make (struct eg_plan_server *servers,
                            size_t count,
-                           const struct eg_engine_model *engine,
-                           const struct eg_plan_goal *goal);
+                           const struct eg_engine_model *engine);
 
 /**
  * Returns how many layers of a failure domain no server holds.
--- a/test/bench_layer_plan.c
+++ b/test/bench_layer_plan.c
@@ -48,7 +48,6 @@
 static void
 run (const char *name, const unsigned counts[][3], size_t domains)
 {
-  const struct eg_plan_goal goal = {70000, 6, 1.5, 3, 8};
   struct eg_plan_server *servers;
   size_t count = 0;
   size_t at = 0;
@@ -66,14 +65,14 @@
           servers[at++].accelerator = &eg_sheet_engine.accelerators[kind];
         }
   begun_us = eg_clock_now_us ();
-  eg_layer_plan_make (servers, count, &eg_sheet_engine, &goal);
+  eg_layer_plan_make (servers, count, &eg_sheet_engine);
   first_us = eg_clock_now_us () - begun_us;
   print_domains (name, servers, count, domains);
   for (size_t i = 0; i < count; i++)
     servers[i].held = servers[i].planned;
   servers[0].held = (struct eg_layer_range){0, 0};
   begun_us = eg_clock_now_us ();
-  eg_layer_plan_make (servers, count, &eg_sheet_engine, &goal);
+  eg_layer_plan_make (servers, count, &eg_sheet_engine);
   printf ("%s: %zu servers, first plan %.2f ms, plan after a loss %.2f ms\n",
           name, count, (double) first_us / 1e3,
           (double) (eg_clock_now_us () - begun_us) / 1e3);
--- a/test/test_layers.c
+++ b/test/test_layers.c
@@ -19,8 +19,6 @@
  * streams a second of 2.5 s and 900 tokens. */
 #define TOKENS_NEEDED 50000.0
 
-static const struct eg_plan_goal goal = {70000, 6, 1.5, 3, 4};
-
 /** A fleet under plan. */
 struct fleet
 {
@@ -39,7 +37,7 @@
 static void
 plan (struct fleet *fleet)
 {
-  eg_layer_plan_make (fleet->servers, fleet->count, &eg_sheet_engine, &goal);
+  eg_layer_plan_make (fleet->servers, fleet->count, &eg_sheet_engine);
   for (size_t i = 0; i < fleet->count; i++)
     {
       struct eg_plan_server *server = &fleet->servers[i];
@@ -130,8 +128,7 @@
   (void) state;
   plan (&fleet);
   assert_int_equal (
-      eg_layer_plan_make (fleet.servers, fleet.count, &eg_sheet_engine, &goal),
-      0);
+      eg_layer_plan_make (fleet.servers, fleet.count, &eg_sheet_engine), 0);
 }
 
 static void
@@ -142,7 +139,7 @@
   (void) state;
   fleet.servers[0].fixed = true;
   fleet.servers[0].held = (struct eg_layer_range){3, 9};
-  eg_layer_plan_make (fleet.servers, fleet.count, &eg_sheet_engine, &goal);
+  eg_layer_plan_make (fleet.servers, fleet.count, &eg_sheet_engine);
   assert_int_equal (fleet.servers[0].planned.from, 3);
   assert_int_equal (fleet.servers[0].planned.to, 9);
 }
@@ -155,17 +152,49 @@
   (void) state;
   plan (&fleet);
   fleet.servers[5].held = (struct eg_layer_range){0, 0};
-  assert_true (
-      eg_layer_plan_make (fleet.servers, fleet.count, &eg_sheet_engine, &goal)
-      <= 3);
+  assert_true (eg_layer_plan_make (fleet.servers, fleet.count, &eg_sheet_engine)
+               <= 3);
   assert_true (fleet.servers[5].planned.to > fleet.servers[5].planned.from);
 }
 
+static unsigned
+count_first (const struct fleet *fleet)
+{
+  unsigned first = 0;
+
+  for (size_t i = 0; i < fleet->count; i++)
+    first += fleet->servers[i].held.from == 0;
+  return first;
+}
+
+/* Each first server takes no more requests than it has slots: a failure domain
+ * of the grown registry that keeps one alone gets another, though other servers
+ * have to give up layers for that. */
+static void
+test_first_layer_is_held_twice_again (void **state)
+{
+  static const unsigned counts[] = {1, 20, 10};
+  struct fleet fleet = {.count = 0};
+
+  (void) state;
+  for (unsigned kind = 0; kind < 3; kind++)
+    add (&fleet, 0, kind, counts[kind]);
+  plan (&fleet);
+  assert_true (count_first (&fleet) > 1);
+  for (size_t i = 0; i < fleet.count;)
+    if (fleet.servers[i].held.from == 0 && count_first (&fleet) > 1)
+      fleet.servers[i] = fleet.servers[--fleet.count];
+    else
+      i++;
+  plan (&fleet);
+  assert_true (count_first (&fleet) > 1);
+}
+
 static void
 test_path_prefers_cheap_servers (void **state)
 {
   const struct eg_path_candidate candidates[] = {
-      {0, 0, 0, 40, 10}, {1, 0, 20, 80, 5}, {2, 0, 40, 80, 10}};
+      {0, 0, 0, 40, 10, 0}, {1, 0, 20, 80, 5, 0}, {2, 0, 40, 80, 10, 0}};
   const struct eg_path_costs costs = {.hop_us = 1};
   struct eg_layer_path path;
 
@@ -177,11 +206,28 @@
   assert_int_equal (path.stages[1].server, 1);
 }
 
+/* A first server without a free slot is passed over as such; it may still run
+ * later layers. */
+static void
+test_path_avoids_a_wait (void **state)
+{
+  const struct eg_path_candidate candidates[] = {
+      {0, 0, 0, 80, 5, 2000}, {1, 0, 0, 20, 10, 0}, {2, 0, 20, 80, 9, 0}};
+  const struct eg_path_costs costs = {.hop_us = 1};
+  struct eg_layer_path path;
+
+  (void) state;
+  assert_true (eg_layer_path_find (candidates, 3, 80, &costs, &path));
+  assert_int_equal (path.count, 2);
+  assert_int_equal (path.stages[0].server, 1);
+  assert_int_equal (path.stages[1].server, 0);
+}
+
 static void
 test_gap_gives_no_path (void **state)
 {
-  const struct eg_path_candidate candidates[] = {{0, 0, 0, 39, 10},
-                                                 {1, 0, 40, 80, 5}};
+  const struct eg_path_candidate candidates[] = {{0, 0, 0, 39, 10, 0},
+                                                 {1, 0, 40, 80, 5, 0}};
   const struct eg_path_costs costs = {.hop_us = 1};
   struct eg_layer_path path = {.count = 7};
 
@@ -215,8 +261,8 @@
 
           to = to > 80 ? 80 : to;
           candidates[i] = (struct eg_path_candidate){
-              i, (uint32_t) eg_random_below (&random, 3), from, to,
-              1 + eg_random_unit (&random) * 50};
+              i,  (uint32_t) eg_random_below (&random, 3), from,
+              to, 1 + eg_random_unit (&random) * 50,       0};
           for (uint32_t l = from; l < to; l++)
             held[l] = true;
         }
@@ -238,7 +284,9 @@
       cmocka_unit_test (test_calm_fleet_is_left_alone),
       cmocka_unit_test (test_fixed_server_keeps_its_layers),
       cmocka_unit_test (test_restarted_server_moves_few),
+      cmocka_unit_test (test_first_layer_is_held_twice_again),
       cmocka_unit_test (test_path_prefers_cheap_servers),
+      cmocka_unit_test (test_path_avoids_a_wait),
       cmocka_unit_test (test_gap_gives_no_path),
       cmocka_unit_test (test_paths_are_whole_on_random_fleets),
   };
--- a/test/test_moves.c
+++ b/test/test_moves.c
@@ -15,7 +15,6 @@
 #define SERVERS 14
 #define AT_ONCE 3
 #define ROUNDS_MAX 60
-static const struct eg_plan_goal goal = {70000, 6, 1.5, 3, 4};
 
 static void
 init_fleet (struct eg_plan_server *servers)
@@ -25,7 +24,7 @@
     servers[i].accelerator = &eg_sheet_engine.accelerators[i < 1   ? 0
                                                            : i < 9 ? 1
                                                                    : 2];
-  eg_layer_plan_make (servers, SERVERS, &eg_sheet_engine, &goal);
+  eg_layer_plan_make (servers, SERVERS, &eg_sheet_engine);
   for (size_t i = 0; i < SERVERS; i++)
     servers[i].held = servers[i].serving = servers[i].planned;
 }
@@ -55,7 +54,7 @@
       bool whole = is_served (servers, count);
       bool moved = false;
 
-      eg_layer_plan_make (servers, count, &eg_sheet_engine, &goal);
+      eg_layer_plan_make (servers, count, &eg_sheet_engine);
       eg_layer_moves_choose (servers, count, &eg_sheet_engine, AT_ONCE);
       if (whole)
         assert_true (is_served (servers, count));
