entry: engines are watched over kept connections, and suspects told at once

Change: each engine is watched by two VMs of its failure domain, whose kept connection ends with the process; a new suspect is told without delay and checked outside the bucket; a server named in a refusal is asked at once; a refused move is tried again without the server that the refusal names; a moved stream keeps parts whose servers take nothing new; probes made in doubt wait 120 ms. Reports of slow servers are told with the loads. Pauses that are left: engines that go dark, and reading of the prompt anew by many streams at once.

--- a/entry/call.c
+++ b/entry/call.c
@@ -46,6 +46,7 @@
   self->caller = caller;
   eg_buffer_init (&self->answer_head);
   eg_buffer_init (&self->answer_body);
+  eg_buffer_init (&self->send.move_body);
   eg_event_relay_init (&self->relay, EG_STR (""));
 }
 
@@ -54,6 +55,7 @@
 {
   eg_buffer_finish (&self->answer_head);
   eg_buffer_finish (&self->answer_body);
+  eg_buffer_finish (&self->send.move_body);
   eg_event_relay_finish (&self->relay);
 }
 
@@ -303,6 +305,9 @@
   if (misdirected || now_us - send->begun_us >= stall_sign_us)
     blame = EG_BLAME_NAMED;
   eg_backend_blame (culprit, blame, self->facts.id, now_us);
+  /* A server that another one could not use may be dead rather than full. */
+  if (culprit != eg_call_head_server (self))
+    eg_backend_probe (culprit, now_us);
   self->may_have_run = send->ran_before;
   eg_call_send_failed (self, misdirected ? "misdirected" : "server-refused");
 }
@@ -455,6 +460,7 @@
   eg_exchange_init (&send->exchange, &exchange_events, self);
   eg_exchange_init (&send->move, NULL, NULL);
   send->moving = false;
+  send->move_refusals = 0;
   send->begun_us = now_us;
   send->heard_us = now_us;
   send->mode = EG_ANSWER_NONE;
--- a/entry/call.h
+++ b/entry/call.h
@@ -45,6 +45,8 @@
   struct eg_placement_choice next; /**< That path; held while @c moving. */
   bool moving;
   unsigned move_status;
+  unsigned move_refusals; /**< Of orders of this send. */
+  struct eg_buffer move_body;
   int64_t move_us;
 };
 
--- a/entry/call_move.c
+++ b/entry/call_move.c
@@ -11,12 +11,17 @@
  * passes long, and well below the pause that callers bear. */
 #define STREAM_SILENCE_US (150 * EG_US_PER_MS)
 /* The same before the first event, when the prompt has to be read. */
-#define FIRST_SILENCE_US (250 * EG_US_PER_MS)
+#define FIRST_SILENCE_US (180 * EG_US_PER_MS)
 /* Silence after which a stream moves on even if no engine names a cause:
  * callers leave after 2 s. */
 #define STREAM_GIVE_UP_US (1300 * EG_US_PER_MS)
 /* Moves of one request within one run. */
 #define MOVES_MAX 4
+/* Orders of one run that may be refused: several servers die at once, and each
+ * refusal names one of them. */
+#define MOVE_REFUSALS_MAX 4
+/* A refusal is a few fields. */
+#define MOVE_BODY_MAX 4096
 /* An order to move is answered within milliseconds; a stream that waits for one
  * longer than this is late anyway. */
 #define MOVE_TIMEOUT_US (300 * EG_US_PER_MS)
@@ -83,6 +88,39 @@
   return EG_EXCHANGE_TAKE;
 }
 
+static void
+on_move_body (void *context, struct eg_str bytes)
+{
+  struct eg_call *self = context;
+
+  if (self->send.move_body.len + bytes.len <= MOVE_BODY_MAX)
+    eg_buffer_append (&self->send.move_body, bytes);
+}
+
+static bool begin_move (struct eg_call *self, int64_t now_us);
+
+/* A path that could not be taken names the server at fault: another one may be
+ * found without it. */
+static void
+move_refused (struct eg_call *self, int64_t now_us)
+{
+  struct eg_send *send = &self->send;
+  struct eg_endpoint endpoint;
+  struct eg_backend *culprit = NULL;
+
+  if (eg_order_refusal_decode (eg_buffer_view (&send->move_body), &endpoint))
+    culprit = eg_fleet_at (&self->entry->fleet, endpoint);
+  if (culprit)
+    {
+      eg_backend_blame (culprit, EG_BLAME_FULL, self->facts.id, now_us);
+      eg_backend_probe (culprit, now_us);
+    }
+  eg_send_end_move (send);
+  if (!culprit || ++send->move_refusals > MOVE_REFUSALS_MAX
+      || !begin_move (self, now_us))
+    move_failed (self, "move-refused");
+}
+
 static void
 on_move_done (void *context)
 {
@@ -98,7 +136,7 @@
           (eg_clock_now_us () - send->move_us) / EG_US_PER_MS);
   if (!moved)
     {
-      move_failed (self, "move-refused");
+      move_refused (self, eg_clock_now_us ());
       return;
     }
   eg_send_release_place (send, &send->place);
@@ -119,7 +157,7 @@
 }
 
 static const struct eg_exchange_events move_events = {
-    on_move_head, NULL, on_move_done, on_move_failed};
+    on_move_head, on_move_body, on_move_done, on_move_failed};
 
 /* Orders the first server to go on by another path; false if there is none. */
 static bool
@@ -150,6 +188,7 @@
                   body.len);
   request.head = eg_buffer_view (&text);
   request.body = eg_buffer_view (&body);
+  eg_buffer_clear (&send->move_body);
   eg_exchange_init (&send->move, &move_events, self);
   if (!eg_exchange_start (&send->move, &self->entry->pool, &request))
     eg_send_end_move (send);
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -20,10 +20,16 @@
 #define PROBE_GAP_US (250 * EG_US_PER_MS)
 /* A probe takes a round trip and some ms; lossy links add one resend. */
 #define PROBE_TIMEOUT_US (350 * EG_US_PER_MS)
-/* Probes of one entry VM: a burst asks all servers of two paths, and a lasting
- * rate follows three suspects. */
-#define PROBES_PER_S 8.0
-#define PROBES_BURST 24.0
+/* The same where a stream is silent or a request was refused already, and where
+ * another VM has waited in vain: a round trip and several passes. */
+#define DOUBT_TIMEOUT_US (120 * EG_US_PER_MS)
+#define TOLD_TIMEOUT_US (80 * EG_US_PER_MS)
+/* Reports tell of slowness for this long: two rounds of questions. */
+#define SLOWNESS_AGE_US (4000 * EG_US_PER_MS)
+/* Probes of one entry VM: a burst asks all servers of four long paths, and a
+ * lasting rate follows three suspects. */
+#define PROBES_PER_S 12.0
+#define PROBES_BURST 72.0
 /* What another VM tells of a server is checked this often. */
 #define TOLD_GAP_US (500 * EG_US_PER_MS)
 /* Half of a failure domain's servers that vanish at once are rather cut off
@@ -53,6 +59,8 @@
 };
 
 static void free_backend (struct eg_backend *self);
+static void
+ask (struct eg_backend *self, bool fresh, int64_t patience_us, int64_t now_us);
 
 void
 eg_fleet_init (struct eg_fleet *self,
@@ -180,7 +188,10 @@
   struct eg_backend *self = context;
 
   eg_buffer_clear (&self->probe.body);
-  if (fault != EG_EXCHANGE_STALE)
+  /* A kept connection that ended may mean that the server has. */
+  if (fault == EG_EXCHANGE_STALE)
+    ask (self, true, PROBE_TIMEOUT_US, eg_clock_now_us ());
+  else
     eg_backend_blame (self,
                       fault == EG_EXCHANGE_UNREACHABLE ? EG_BLAME_UNREACHABLE
                                                        : EG_BLAME_SILENT,
@@ -282,14 +293,44 @@
   return true;
 }
 
+/* Probes are counted by the platform, and a fleet that is slow as a whole gives
+ * cause for many: a bucket bounds them. */
+static bool
+may_probe (struct eg_fleet *self, int64_t now_us)
+{
+  self->probe_tokens +=
+      (double) (now_us - self->probe_tokens_us) / EG_US_PER_S * PROBES_PER_S;
+  if (self->probe_tokens > PROBES_BURST)
+    self->probe_tokens = PROBES_BURST;
+  self->probe_tokens_us = now_us;
+  if (self->probe_tokens < 1)
+    return false;
+  self->probe_tokens -= 1;
+  return true;
+}
+
 void
 eg_fleet_told_down (struct eg_fleet *self, struct eg_str id, int64_t now_us)
 {
   struct eg_backend *backend = find_id (self, id);
 
-  if (backend && backend->listed && !eg_backend_is_suspect (backend, now_us)
-      && now_us - backend->probe.begun_us >= TOLD_GAP_US)
-    eg_backend_probe (backend, now_us);
+  if (!backend || !backend->listed || eg_backend_is_suspect (backend, now_us)
+      || now_us - backend->told_down_us < TOLD_GAP_US)
+    return;
+  backend->told_down_us = now_us;
+  ask (backend, true, TOLD_TIMEOUT_US, now_us);
+}
+
+void
+eg_fleet_connection_ended (struct eg_fleet *self,
+                           struct eg_endpoint endpoint,
+                           int64_t now_us)
+{
+  struct eg_backend *backend = eg_fleet_at (self, endpoint);
+
+  if (backend && backend->listed && backend->entry.has_engine
+      && !eg_backend_is_suspect (backend, now_us))
+    ask (backend, true, PROBE_TIMEOUT_US, now_us);
 }
 
 /* The entry no longer stands in the store. */
@@ -459,7 +500,7 @@
 check_probe (struct eg_backend *self, int64_t now_us)
 {
   if (!eg_exchange_is_active (&self->probe.exchange)
-      || now_us - self->probe.begun_us < PROBE_TIMEOUT_US)
+      || now_us - self->probe.begun_us < self->probe.patience_us)
     return;
   eg_exchange_cancel (&self->probe.exchange);
   eg_buffer_clear (&self->probe.body);
@@ -556,44 +597,21 @@
   self->load_us = now_us;
 }
 
-/* Probes are counted by the platform, and a fleet that is slow as a whole gives
- * cause for many: a bucket bounds them. */
-static bool
-may_probe (struct eg_fleet *self, int64_t now_us)
-{
-  self->probe_tokens +=
-      (double) (now_us - self->probe_tokens_us) / EG_US_PER_S * PROBES_PER_S;
-  if (self->probe_tokens > PROBES_BURST)
-    self->probe_tokens = PROBES_BURST;
-  self->probe_tokens_us = now_us;
-  if (self->probe_tokens < 1)
-    return false;
-  self->probe_tokens -= 1;
-  return true;
-}
-
-void
-eg_backend_probe (struct eg_backend *self, int64_t now_us)
+/* Sends the question for a report, unless one is under way. */
+static void
+ask (struct eg_backend *self, bool fresh, int64_t patience_us, int64_t now_us)
 {
   struct eg_exchange_request request = {.endpoint = self->entry.endpoint,
-                                        .fresh = true};
+                                        .fresh = fresh};
   struct eg_buffer head = {0};
-  struct eg_str path = eg_report_path;
 
-  if (eg_exchange_is_active (&self->probe.exchange)
-      || now_us - self->probe.begun_us < PROBE_GAP_US
-      || !may_probe (self->fleet, now_us))
+  if (eg_exchange_is_active (&self->probe.exchange) || !self->entry.has_engine)
     return;
-  if (!self->entry.has_engine)
-    {
-      /* A plain server has no report: its suspicion ends by time. */
-      if (now_us >= self->suspect_until_us)
-        clear_suspicion (self);
-      return;
-    }
-  eg_own_request (&head, "GET", path, eg_str_from (self->entry.id), 0);
+  eg_own_request (&head, "GET", eg_report_path, eg_str_from (self->entry.id),
+                  0);
   request.head = eg_buffer_view (&head);
   self->probe.begun_us = now_us;
+  self->probe.patience_us = patience_us;
   self->fleet->probes++;
   eg_buffer_clear (&self->probe.body);
   if (!eg_exchange_start (&self->probe.exchange, self->fleet->pool, &request))
@@ -601,3 +619,31 @@
             self->entry.id);
   eg_buffer_finish (&head);
 }
+
+void
+eg_backend_probe (struct eg_backend *self, int64_t now_us)
+{
+  if (now_us - self->probe.begun_us < PROBE_GAP_US
+      || !may_probe (self->fleet, now_us))
+    return;
+  /* A plain server has no report: its suspicion ends by time. */
+  if (!self->entry.has_engine && now_us >= self->suspect_until_us)
+    clear_suspicion (self);
+  ask (self, true, DOUBT_TIMEOUT_US, now_us);
+}
+
+void
+eg_backend_watch (struct eg_backend *self, int64_t now_us)
+{
+  ask (self, false, PROBE_TIMEOUT_US, now_us);
+}
+
+double
+eg_backend_slowness (const struct eg_backend *self, int64_t now_us)
+{
+  if (self->report_us > 0 && now_us - self->report_us < SLOWNESS_AGE_US
+      && self->report_us >= self->slowness_told_us)
+    return self->slowness;
+  return now_us - self->slowness_told_us < SLOWNESS_AGE_US ? self->slowness_told
+                                                           : 1;
+}
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -36,6 +36,7 @@
   struct eg_buffer body;
   unsigned status;
   int64_t begun_us;
+  int64_t patience_us; /**< Without an answer for this long, it is silent. */
 };
 
 /** One backend server. */
@@ -69,6 +70,9 @@
   double kv_total;
   double slowness; /**< Of its last report; 1 until then. */
   int64_t report_us;
+  double slowness_told; /**< By other entry VMs that asked it. */
+  int64_t slowness_told_us;
+  int64_t told_down_us; /**< When one of them last said that it is down. */
   struct eg_probe probe;
   struct eg_exchange order;      /**< Of the planner. */
   int64_t orders;                /**< That it has begun; negative: not known. */
@@ -161,6 +165,11 @@
 void
 eg_fleet_told_down (struct eg_fleet *self, struct eg_str id, int64_t now_us);
 
+/** An idle connection to a server has ended: asks it. */
+void eg_fleet_connection_ended (struct eg_fleet *self,
+                                struct eg_endpoint endpoint,
+                                int64_t now_us);
+
 /** Tells whether a server may be sent new requests. */
 bool eg_backend_is_usable (const struct eg_backend *self, int64_t now_us);
 
@@ -182,9 +191,15 @@
                             unsigned slots,
                             int64_t now_us);
 
+/** How many times slower than its kind it is, 1 where nothing is known. */
+double eg_backend_slowness (const struct eg_backend *self, int64_t now_us);
+
 /** Asks a server for its report or health, unless it was just asked. */
 void eg_backend_probe (struct eg_backend *self, int64_t now_us);
 
+/** Asks an engine for its report in the course of watching it. */
+void eg_backend_watch (struct eg_backend *self, int64_t now_us);
+
 /** Holds a server for a request. */
 void eg_backend_hold (struct eg_backend *self);
 
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -21,6 +21,12 @@
 #define KIND_OWN "own"
 #define KIND_GROUP "group"
 #define KIND_SUM "sum"
+/* Reports of this age or less are told to others. */
+#define REPORT_AGE_US (2000 * EG_US_PER_MS)
+/* What is told of as slow; less is within what passes vary by. */
+#define SLOWNESS_LEAST 1.2
+/* Least time between two messages that a new suspect gives cause for. */
+#define URGENT_GAP_US (20 * EG_US_PER_MS)
 /* Suspects named in one message; more are rather a fault of this VM's link. */
 #define SUSPECTS_TOLD_MAX 8
 
@@ -111,15 +117,17 @@
 /** What entry VMs have under way on one server. */
 struct server_load
 {
-  double tokens; /**< Tokens x layers. */
-  double first;  /**< Requests of which it is the first server. */
+  double tokens;   /**< Tokens x layers. */
+  double first;    /**< Requests of which it is the first server. */
+  double slowness; /**< By its report; 0: not known. */
 };
 
 static struct server_load
-read_load (const json_t *pair)
+read_load (const json_t *figures)
 {
-  return (struct server_load){json_number_value (json_array_get (pair, 0)),
-                              json_number_value (json_array_get (pair, 1))};
+  return (struct server_load){json_number_value (json_array_get (figures, 0)),
+                              json_number_value (json_array_get (figures, 1)),
+                              json_number_value (json_array_get (figures, 2))};
 }
 
 static void
@@ -128,25 +136,31 @@
   struct server_load before = read_load (json_object_get (loads, id));
 
   json_object_set_new (loads, id,
-                       json_pack ("[I, I]",
+                       json_pack ("[I, I, f]",
                                   (json_int_t) (before.tokens + load.tokens),
-                                  (json_int_t) (before.first + load.first)));
+                                  (json_int_t) (before.first + load.first),
+                                  fmax (before.slowness, load.slowness)));
 }
 
 static void
 add_own (const struct eg_loads *self, json_t *loads)
 {
   const struct eg_list *all = &self->entry->fleet.all;
+  int64_t now_us = eg_clock_now_us ();
 
   for (const struct eg_list *at = all->next; at != all; at = at->next)
     {
       const struct eg_backend *backend =
           EG_CONTAINER_OF (at, struct eg_backend, all);
 
-      if (backend->kv_running >= 1)
-        add_load (
-            loads, backend->entry.id,
-            (struct server_load){backend->kv_running, backend->first_running});
+      struct server_load load = {backend->kv_running, backend->first_running,
+                                 0};
+
+      if (now_us - backend->report_us < REPORT_AGE_US
+          && backend->slowness > SLOWNESS_LEAST)
+        load.slowness = backend->slowness;
+      if (load.tokens >= 1 || load.slowness > 0)
+        add_load (loads, backend->entry.id, load);
     }
 }
 
@@ -180,6 +194,11 @@
       backend->kv_others = fmax (0, load.tokens - backend->kv_running);
       backend->first_others = fmax (0, load.first - backend->first_running);
       backend->others_us = now_us;
+      if (load.slowness > 0)
+        {
+          backend->slowness_told = load.slowness;
+          backend->slowness_told_us = now_us;
+        }
     }
 }
 
@@ -363,6 +382,15 @@
                           % 2];
 }
 
+void
+eg_loads_hurry (struct eg_loads *self, int64_t now_us)
+{
+  if (now_us - self->told_us < URGENT_GAP_US)
+    return;
+  self->told_us = 0;
+  eg_loads_check (self, now_us);
+}
+
 void
 eg_loads_check (struct eg_loads *self, int64_t now_us)
 {
--- a/entry/loads.h
+++ b/entry/loads.h
@@ -78,6 +78,9 @@
                             const char *domain,
                             int64_t now_us);
 
+/** A server came under suspicion: tells others now. */
+void eg_loads_hurry (struct eg_loads *self, int64_t now_us);
+
 /** Does what is due. */
 void eg_loads_check (struct eg_loads *self, int64_t now_us);
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "entry/monitor.h"
 #include "platform/configuration.h"
 
 #define EXIT_USAGE 2
@@ -190,6 +191,15 @@
   struct eg_entry *self = timer->data;
 
   eg_callers_unsettled (&self->callers, eg_clock_now_us ());
+  eg_loads_hurry (&self->loads, eg_clock_now_us ());
+}
+
+static void
+on_connection_ended (void *context, struct eg_endpoint endpoint)
+{
+  struct eg_entry *self = context;
+
+  eg_fleet_connection_ended (&self->fleet, endpoint, eg_clock_now_us ());
 }
 
 /* Calls are moved once the event that told of it has run its course. */
@@ -243,6 +253,7 @@
   if (may_read (self, now_us))
     eg_store_feed_check (&self->servers_feed, now_us);
   eg_fleet_check (&self->fleet, now_us);
+  eg_monitor_check (self, now_us);
   eg_callers_check (&self->callers, now_us);
   eg_planner_check (&self->planner, now_us);
   eg_members_check (&self->members, now_us);
@@ -318,6 +329,8 @@
   uv_timer_init (&self->loop, &self->urgent);
   self->urgent.data = self;
   eg_exchange_pool_init (&self->pool, &self->loop, POOL_IDLE_US);
+  self->pool.events =
+      (struct eg_exchange_pool_events){on_connection_ended, self};
   self->store.pool = &self->pool;
   EG_INVARIANT (eg_endpoint_parse (eg_str_from (self->settings->store_address),
                                    &self->store.endpoint));
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -126,7 +126,7 @@
 
   if (engine->read_tokens_per_us > 0)
     work_us += need->prompt_tokens / engine->read_tokens_per_us * read;
-  return work_us / engine->layers * backend->slowness
+  return work_us / engine->layers * eg_backend_slowness (backend, now_us)
          * (1 + eg_backend_penalty (backend, now_us))
          * load_factor (kv_share (entry, backend, engine, tokens));
 }
@@ -327,6 +327,18 @@
   return false;
 }
 
+/* A part that the request has already stays, also where the server takes
+ * nothing new. */
+static bool
+may_keep (const struct eg_placement_choice *present,
+          const struct eg_backend *backend,
+          int64_t now_us)
+{
+  return is_stage (present, backend) && backend->listed
+         && !backend->entry.draining
+         && !eg_backend_is_suspect (backend, now_us);
+}
+
 /* Gathers the servers that may run the layers behind the first part. */
 static void
 gather_rest (struct eg_entry *entry,
@@ -345,8 +357,10 @@
       struct eg_layer_range layers = backend->entry.layers;
       double cost_us;
 
-      if (!serves (backend, need, now_us) || backend == present->stages[0]
-          || layers.to <= first || layers.to > need->service->engine.layers
+      if ((!serves (backend, need, now_us)
+           && !may_keep (present, backend, now_us))
+          || backend == present->stages[0] || layers.to <= first
+          || layers.to > need->service->engine.layers
           || strcmp (backend->entry.domain, present->stages[0]->entry.domain)
                  != 0
           || search->count == EG_PATH_CANDIDATES_MAX)
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -213,6 +213,18 @@
     }
 }
 
+static void
+end_idle (struct eg_link *self)
+{
+  const struct eg_exchange_pool_events *events = &self->pool->events;
+  struct eg_endpoint endpoint = self->endpoint;
+  bool was_idle = self->is_idle;
+
+  close_link (self);
+  if (was_idle && events->idle_ended)
+    events->idle_ended (events->context, endpoint);
+}
+
 static void
 on_ended (void *context, int uv_error)
 {
@@ -221,7 +233,7 @@
                && eg_http_reader_end (&self->reader) && !self->skipping;
 
   if (!self->exchange)
-    close_link (self);
+    end_idle (self);
   else if (whole)
     complete (self, false);
   else if (!self->connected)
--- a/net/exchange.h
+++ b/net/exchange.h
@@ -44,6 +44,13 @@
 
 struct eg_link;
 
+/** Told when the other side ends a connection on which nothing was awaited. */
+struct eg_exchange_pool_events
+{
+  void (*idle_ended) (void *context, struct eg_endpoint endpoint);
+  void *context;
+};
+
 /** Connections that are kept, by endpoint. */
 struct eg_exchange_pool
 {
@@ -51,8 +58,9 @@
   struct eg_map hosts;
   struct eg_list links; /**< All connections. */
   int64_t idle_us;      /**< Longest time that a connection is kept idle. */
-  uint64_t opened;      /**< Connections opened so far. */
-  uint64_t reused;      /**< Requests sent on a kept connection so far. */
+  struct eg_exchange_pool_events events; /**< All NULL: nobody is told. */
+  uint64_t opened;                       /**< Connections opened so far. */
+  uint64_t reused; /**< Requests sent on a kept connection so far. */
 };
 
 /** One request; memory of its owner. */
