planner: an engine that carries out or refuses an order is given none for 0.7 s

Change: the count is taken from every report; a report that tells of an order under way, and a refusal, pause orders to that engine.

--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -38,6 +38,9 @@
 #define CUT_MEMORY_US (4000 * EG_US_PER_MS)
 /* Servers that were cut off come back within a heartbeat of each other. */
 #define RETURN_QUIET_US (1300 * EG_US_PER_MS)
+/* An engine that carries out an order, or has refused one, is given no other
+ * for this long: shorter loads are rare. */
+#define ORDER_PAUSE_US (700 * EG_US_PER_MS)
 /* Penalties fall to a third in this time. */
 #define PENALTY_TIME_US (4.0 * EG_US_PER_S)
 /* Entries that lapsed with the store are back two seconds after it, as the
@@ -159,11 +162,12 @@
           report.kv_used, report.kv_total, self->slowness,
           (eg_clock_now_us () - self->report_us) / EG_US_PER_MS);
   if (report.has_layers)
-    {
-      self->entry.layers = report.layers;
-      self->orders = report.orders;
-      self->entry.start_ms = report.start_ms;
-    }
+    self->entry.layers = report.layers;
+  self->orders = report.orders;
+  self->entry.start_ms = report.start_ms;
+  /* The order of an earlier planner is still under way. */
+  if (report.ordered)
+    eg_backend_pause_orders (self, self->report_us);
   self->fleet->events.reported (self->fleet->events.context, self, &report);
 }
 
@@ -389,6 +393,7 @@
       self->report_us = 0;
       self->orders = 0;
       self->ordered = (struct eg_layer_range){0, 0};
+      self->order_next_us = 0;
     }
   if (changed)
     {
@@ -638,6 +643,12 @@
   ask (self, false, PROBE_TIMEOUT_US, now_us);
 }
 
+void
+eg_backend_pause_orders (struct eg_backend *self, int64_t now_us)
+{
+  self->order_next_us = now_us + ORDER_PAUSE_US;
+}
+
 double
 eg_backend_slowness (const struct eg_backend *self, int64_t now_us)
 {
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -79,6 +79,7 @@
   struct eg_layer_range ordered; /**< Under way; from == to: none. */
   int64_t ordered_us;
   unsigned order_status;
+  int64_t order_next_us; /**< It takes no order before. */
 };
 
 /** Servers of a failure domain that came and went lately. */
@@ -200,6 +201,9 @@
 /** Asks an engine for its report in the course of watching it. */
 void eg_backend_watch (struct eg_backend *self, int64_t now_us);
 
+/** It carries out an order, or has refused one: gives it no other for now. */
+void eg_backend_pause_orders (struct eg_backend *self, int64_t now_us);
+
 /** Holds a server for a request. */
 void eg_backend_hold (struct eg_backend *self);
 
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -191,6 +191,7 @@
     backend->orders++;
   if (begun)
     return;
+  eg_backend_pause_orders (backend, eg_clock_now_us ());
   backend->ordered = (struct eg_layer_range){0, 0};
   eg_backend_probe (backend, eg_clock_now_us ());
 }
@@ -348,7 +349,7 @@
         continue;
       server->domain = plan_domain (input, backend->entry.domain);
       server->accelerator = accelerator;
-      server->fixed = is_ordered (backend);
+      server->fixed = is_ordered (backend) || now_us < backend->order_next_us;
       server->held =
           is_ordered (backend) ? backend->ordered : backend->entry.layers;
       server->serving = backend->entry.layers;
