policy: layer plans change the server first that gains most

Change: the change worth most is made first; first servers count by the slots they have against the memory of the layers. Engines are asked every 3 s.

--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -24,8 +24,8 @@
  * another VM has waited in vain: a round trip and several passes. */
 #define DOUBT_TIMEOUT_US (120 * EG_US_PER_MS)
 #define TOLD_TIMEOUT_US (80 * EG_US_PER_MS)
-/* Reports tell of slowness for this long: two rounds of questions. */
-#define SLOWNESS_AGE_US (4000 * EG_US_PER_MS)
+/* Reports tell of slowness for this long: more than one round of questions. */
+#define SLOWNESS_AGE_US (5000 * EG_US_PER_MS)
 /* Probes of one entry VM: a burst asks all servers of four long paths, and a
  * lasting rate follows three suspects. */
 #define PROBES_PER_S 12.0
@@ -302,15 +302,8 @@
 static bool
 may_probe (struct eg_fleet *self, int64_t now_us)
 {
-  self->probe_tokens +=
-      (double) (now_us - self->probe_tokens_us) / EG_US_PER_S * PROBES_PER_S;
-  if (self->probe_tokens > PROBES_BURST)
-    self->probe_tokens = PROBES_BURST;
-  self->probe_tokens_us = now_us;
-  if (self->probe_tokens < 1)
-    return false;
-  self->probe_tokens -= 1;
-  return true;
+  return eg_token_bucket_take (&self->probes_allowed, 1, PROBES_PER_S,
+                               PROBES_BURST, now_us);
 }
 
 void
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -10,6 +10,7 @@
 #include "base/list.h"
 #include "net/exchange.h"
 #include "platform/servers.h"
+#include "policy/token_bucket.h"
 
 struct eg_fleet;
 
@@ -118,8 +119,7 @@
   struct eg_domain_watch domains[EG_FLEET_DOMAINS_MAX];
   size_t domain_count;
   uint64_t probes;
-  double probe_tokens; /**< Probes that may be sent now; see PROBES_PER_S. */
-  int64_t probe_tokens_us;
+  struct eg_token_bucket probes_allowed;
 };
 
 /** Makes an empty fleet. */
--- a/entry/loads.c
+++ b/entry/loads.c
@@ -22,7 +22,7 @@
 #define KIND_GROUP "group"
 #define KIND_SUM "sum"
 /* Reports of this age or less are told to others. */
-#define REPORT_AGE_US (2000 * EG_US_PER_MS)
+#define REPORT_AGE_US (4000 * EG_US_PER_MS)
 /* What is told of as slow; less is within what passes vary by. */
 #define SLOWNESS_LEAST 1.2
 /* Least time between two messages that a new suspect gives cause for. */
--- a/entry/monitor.c
+++ b/entry/monitor.c
@@ -9,7 +9,7 @@
 
 /* Time between two questions to one engine: below the shortest time that the
  * users' servers keep an idle connection, which is some seconds. */
-#define ASK_GAP_US (1500 * EG_US_PER_MS)
+#define ASK_GAP_US (3000 * EG_US_PER_MS)
 
 void
 eg_monitor_check (struct eg_entry *entry, int64_t now_us)
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -349,6 +349,7 @@
         continue;
       server->domain = plan_domain (input, backend->entry.domain);
       server->accelerator = accelerator;
+      server->slots = backend->entry.slots;
       server->fixed = is_ordered (backend) || now_us < backend->order_next_us;
       server->held =
           is_ordered (backend) ? backend->ordered : backend->entry.layers;
--- a/policy/layer_plan.c
+++ b/policy/layer_plan.c
@@ -14,16 +14,21 @@
 /* A layer with memory for the goal's tokens loses this much value, one with
  * half of that twice as much: the layer with least memory bounds the path. */
 #define LOSS_MEMORY 4.0
-/* The first layer's servers take the requests, each no more than it has slots:
- * with one of them alone a failure domain loses this much, with two a quarter,
- * as memory bounds it then. */
-#define LOSS_FIRST 40.0
+/* The first layer's servers take the requests, each no more than it has slots.
+ * Where the other layers have memory for twice as many, this much is lost, and
+ * as much again for each further time: about what two replicas of a server's
+ * layers are worth, so that a server is moved for it. */
+#define LOSS_FIRST 14.0
+/* Tokens of a request of which nothing is known: a page and its answer. */
+#define REQUEST_TOKENS_DEFAULT 1000
 /* Beyond this many times the goal a lack of memory counts no further. */
 #define LOSS_TIMES_MAX 16.0
 /* Sizes tried for a server, down from what its memory holds. */
 #define SIZES_TRIED 5
 /* Passes over all servers, in case the value goes on rising by little. */
 #define SWEEPS_MAX 12
+/* Changes worth less are taken for rounding. */
+#define WORTH_LEAST 1e-6
 /* Tries for a failure domain that holds layers: plans made anew, after the
  * first that changes what is held, are for layers that it leaves without a
  * server. Elsewhere they moved more servers than they were worth. */
@@ -50,13 +55,12 @@
   size_t count;
   unsigned replicas[EG_MODEL_LAYERS_MAX];
   double tokens[EG_MODEL_LAYERS_MAX];
+  double token_sum;   /**< Of all layers. */
+  double slot_tokens; /**< Tokens of the requests that the slots take. */
 };
 
 static double
-layer_value (const struct domain_plan *self,
-             uint32_t layer,
-             unsigned replicas,
-             double tokens)
+layer_value (const struct domain_plan *self, unsigned replicas, double tokens)
 {
   double times = tokens > 0 ? self->goal_tokens / tokens : LOSS_TIMES_MAX;
   double value = VALUE_HELD;
@@ -67,8 +71,6 @@
     times = LOSS_TIMES_MAX;
   if (replicas > 1)
     value += VALUE_REPLICA;
-  if (layer == 0)
-    value -= LOSS_FIRST / ((double) replicas * replicas);
   return value - LOSS_MEMORY * times;
 }
 
@@ -91,6 +93,31 @@
              : 0;
 }
 
+/* Tokens of the requests that a server takes as the first one. */
+static double
+slot_tokens_of (const struct domain_plan *self,
+                const struct eg_plan_server *server,
+                struct eg_layer_range range)
+{
+  uint32_t usual = self->engine->usual_prompt + self->engine->usual_answer;
+
+  if (range.from > 0 || range.to == 0)
+    return 0;
+  return (double) server->slots * (usual > 0 ? usual : REQUEST_TOKENS_DEFAULT);
+}
+
+/* What is lost where the first layer's servers take fewer requests than the
+ * layers have memory for. */
+static double
+first_loss (const struct domain_plan *self, double slot_tokens)
+{
+  double mean = self->token_sum / self->engine->layers;
+
+  if (slot_tokens <= 0 || mean <= slot_tokens)
+    return 0;
+  return LOSS_FIRST * (mean / slot_tokens - 1);
+}
+
 static void
 apply (struct domain_plan *self,
        const struct eg_plan_server *server,
@@ -103,7 +130,10 @@
     {
       self->replicas[i] += add ? 1U : -1U;
       self->tokens[i] += add ? tokens : -tokens;
+      self->token_sum += add ? tokens : -tokens;
     }
+  self->slot_tokens += add ? slot_tokens_of (self, server, range)
+                           : -slot_tokens_of (self, server, range);
 }
 
 /* What a server adds to the value of its failure domain with these layers. */
@@ -113,12 +143,15 @@
       struct eg_layer_range range)
 {
   double tokens = tokens_of (self, server, range);
+  double slot_tokens = slot_tokens_of (self, server, range);
   double sum = 0;
 
+  if (slot_tokens > 0)
+    sum += first_loss (self, self->slot_tokens)
+           - first_loss (self, self->slot_tokens + slot_tokens);
   for (uint32_t i = range.from; i < range.to; i++)
-    sum +=
-        layer_value (self, i, self->replicas[i] + 1, self->tokens[i] + tokens)
-        - layer_value (self, i, self->replicas[i], self->tokens[i]);
+    sum += layer_value (self, self->replicas[i] + 1, self->tokens[i] + tokens)
+           - layer_value (self, self->replicas[i], self->tokens[i]);
   return sum;
 }
 
@@ -164,10 +197,10 @@
 static double
 total_value (const struct domain_plan *self)
 {
-  double sum = 0;
+  double sum = -first_loss (self, self->slot_tokens);
 
   for (uint32_t i = 0; i < self->engine->layers; i++)
-    sum += layer_value (self, i, self->replicas[i], self->tokens[i]);
+    sum += layer_value (self, self->replicas[i], self->tokens[i]);
   for (size_t i = 0; i < self->count; i++)
     sum -= move_cost (self->servers[i], self->servers[i]->planned);
   return sum;
@@ -206,11 +239,65 @@
     }
 }
 
+/* What it is worth to give a server its best range in place of the planned one,
+ * which is taken out meanwhile. */
+static double
+best_change (struct domain_plan *self,
+             struct eg_plan_server *server,
+             struct eg_layer_range *range)
+{
+  struct eg_layer_range planned = server->planned;
+  double worth;
+
+  apply (self, server, planned, false);
+  *range = best_range (self, server);
+  worth = gain (self, server, *range) - move_cost (server, *range)
+          - gain (self, server, planned) + move_cost (server, planned);
+  apply (self, server, planned, true);
+  return worth;
+}
+
+/* Changes the server that gains most by it, again and again: a gap is closed by
+ * a server whose layers others hold too, not by one that leaves another gap. */
+static void
+improve_best_first (struct domain_plan *self)
+{
+  for (size_t step = 0; step < self->count * SWEEPS_MAX; step++)
+    {
+      struct eg_plan_server *best = NULL;
+      struct eg_layer_range best_range = {0, 0};
+      double best_worth = WORTH_LEAST;
+
+      for (size_t i = 0; i < self->count; i++)
+        {
+          struct eg_layer_range range;
+          double worth;
+
+          if (self->servers[i]->fixed)
+            continue;
+          worth = best_change (self, self->servers[i], &range);
+          if (worth > best_worth)
+            {
+              best = self->servers[i];
+              best_range = range;
+              best_worth = worth;
+            }
+        }
+      if (!best)
+        return;
+      apply (self, best, best->planned, false);
+      apply (self, best, best_range, true);
+      best->planned = best_range;
+    }
+}
+
 static void
 reset (struct domain_plan *self, bool keep)
 {
   memset (self->replicas, 0, sizeof self->replicas);
   memset (self->tokens, 0, sizeof self->tokens);
+  self->token_sum = 0;
+  self->slot_tokens = 0;
   for (size_t i = 0; i < self->count; i++)
     {
       self->servers[i]->planned = keep || self->servers[i]->fixed
@@ -285,7 +372,10 @@
       reset (self, attempt == 0);
       if (attempt % 2 == 1)
         tile (self);
-      improve (self);
+      if (attempt == 0 && keep_first)
+        improve_best_first (self);
+      else
+        improve (self);
       value = total_value (self);
       if (value > best_value)
         {
--- a/policy/layer_plan.h
+++ b/policy/layer_plan.h
@@ -29,6 +29,7 @@
   struct eg_layer_range serving; /**< What it serves now and goes on to. */
   struct eg_layer_range planned; /**< Out: what it should hold. */
   struct eg_layer_range order;   /**< Out of eg_layer_moves_choose(). */
+  uint32_t slots;  /**< Requests that it takes as the first of a path. */
   uint32_t domain; /**< Failure domain, below EG_PLAN_DOMAINS_MAX. */
   bool fixed;      /**< May not be given other layers now. */
 };
--- a/test/layer_fixture.c
+++ b/test/layer_fixture.c
@@ -5,6 +5,8 @@
     .layer_mb = 1750,
     .kv_bytes = 426000,
     .kv_tokens = 100000,
+    .usual_prompt = 800,
+    .usual_answer = 150,
     .accelerators = {{"a100s", 36000, 3.1, 3.2},
                      {"l4", 21600, 16, 8.2},
                      {"t4", 14400, 15, 15}},
--- a/test/test_layers.c
+++ b/test/test_layers.c
@@ -31,7 +31,9 @@
 {
   for (unsigned i = 0; i < count; i++)
     fleet->servers[fleet->count++] = (struct eg_plan_server){
-        .domain = domain, .accelerator = &eg_sheet_engine.accelerators[kind]};
+        .domain = domain,
+        .slots = 192,
+        .accelerator = &eg_sheet_engine.accelerators[kind]};
 }
 
 static void
