entry: alerts of suspects go without the loads

Cause: each new suspect sent the whole table of loads to every VM, up to fifty times a second; on a VM with 20 Mbit/s that fills the link. Change: an alert names the suspects alone. A message that is too long is logged.

--- a/entry/loads.c
+++ b/entry/loads.c
@@ -21,12 +21,13 @@
 #define KIND_OWN "own"
 #define KIND_GROUP "group"
 #define KIND_SUM "sum"
+#define KIND_ALERT "alert" /* Suspects alone. */
 /* Reports of this age or less are told to others. */
 #define REPORT_AGE_US (4000 * EG_US_PER_MS)
 /* What is told of as slow; less is within what passes vary by. */
 #define SLOWNESS_LEAST 1.2
 /* Least time between two messages that a new suspect gives cause for. */
-#define URGENT_GAP_US (20 * EG_US_PER_MS)
+#define ALERT_GAP_US (20 * EG_US_PER_MS)
 /* Suspects named in one message; more are rather a fault of this VM's link. */
 #define SUSPECTS_TOLD_MAX 8
 
@@ -109,7 +110,11 @@
   uv_buf_t part;
 
   if (!text || strlen (text) > MESSAGE_BYTES_MAX)
-    return;
+    {
+      eg_log (EG_LOG_WARNING, "loads", "event=message-not-sent bytes=%zu",
+              text ? strlen (text) : 0);
+      return;
+    }
   part = uv_buf_init ((char *) text, (unsigned) strlen (text));
   uv_udp_try_send (&self->socket, &part, 1, (const struct sockaddr *) &address);
 }
@@ -233,6 +238,8 @@
 
   json_array_foreach (down, index, id) eg_fleet_told_down (
       &self->entry->fleet, eg_str_from (json_string_value (id)), now_us);
+  if (kind && strcmp (kind, KIND_ALERT) == 0)
+    return;
   if (!kind || !json_is_object (loads))
     {
       eg_log (EG_LOG_WARNING, "loads", "event=message-unreadable");
@@ -336,11 +343,26 @@
     }
 }
 
+/* Sends one text to the other readers and another to the VMs that tell this
+ * one their loads. */
+static void
+tell_all (struct eg_loads *self, const char *to_readers, const char *to_others)
+{
+  const struct eg_members *members = &self->entry->members;
+
+  for (size_t i = 0; i < members->all_reader_count; i++)
+    if (eg_endpoint_key (members->all_readers[i])
+        != eg_endpoint_key (members->own_endpoint))
+      send_message (self, members->all_readers[i], to_readers);
+  for (size_t i = 0; i < self->sender_count; i++)
+    if (!self->senders[i].is_reader)
+      send_message (self, self->senders[i].endpoint, to_others);
+}
+
 /* Sums what others told, for them and for the other readers. */
 static void
 tell_as_reader (struct eg_loads *self, int64_t now_us)
 {
-  const struct eg_members *members = &self->entry->members;
   json_t *group = json_object ();
   char *group_text;
   char *sum_text;
@@ -353,13 +375,7 @@
   take_sum (self, sum, now_us);
   group_text = compose (self, KIND_GROUP, group);
   sum_text = compose (self, KIND_SUM, sum);
-  for (size_t i = 0; i < members->all_reader_count; i++)
-    if (eg_endpoint_key (members->all_readers[i])
-        != eg_endpoint_key (members->own_endpoint))
-      send_message (self, members->all_readers[i], group_text);
-  for (size_t i = 0; i < self->sender_count; i++)
-    if (!self->senders[i].is_reader)
-      send_message (self, self->senders[i].endpoint, sum_text);
+  tell_all (self, group_text, sum_text);
   free (group_text);
   free (sum_text);
   json_decref (group);
@@ -382,15 +398,6 @@
                           % 2];
 }
 
-void
-eg_loads_hurry (struct eg_loads *self, int64_t now_us)
-{
-  if (now_us - self->told_us < URGENT_GAP_US)
-    return;
-  self->told_us = 0;
-  eg_loads_check (self, now_us);
-}
-
 void
 eg_loads_check (struct eg_loads *self, int64_t now_us)
 {
@@ -419,6 +426,31 @@
   json_decref (own);
 }
 
+/* Suspects go to the reader, and from readers to all, without the loads: these
+ * would fill a small VM's link where alerts follow each other. */
+void
+eg_loads_alert (struct eg_loads *self, int64_t now_us)
+{
+  const struct eg_members *members = &self->entry->members;
+  const struct eg_member *reader;
+  json_t *message;
+  char *text;
+
+  if (!self->open || members->lists == 0
+      || now_us - self->alerted_us < ALERT_GAP_US)
+    return;
+  self->alerted_us = now_us;
+  message = json_pack ("{s:s, s:o}", "kind", KIND_ALERT, "down",
+                       list_suspects (&self->entry->fleet));
+  text = json_dumps (message, JSON_COMPACT);
+  if (eg_sources_is_reader (&self->entry->sources) || self->sender_count > 0)
+    tell_all (self, text, text);
+  else if ((reader = choose_reader (self, now_us)))
+    send_message (self, reader->endpoint, text);
+  free (text);
+  json_decref (message);
+}
+
 bool
 eg_loads_store_is_away (const struct eg_loads *self, int64_t now_us)
 {
--- a/entry/loads.h
+++ b/entry/loads.h
@@ -53,6 +53,7 @@
   struct eg_heard_domain heard[EG_LOADS_DOMAINS_MAX];
   size_t heard_count;
   int64_t told_us;
+  int64_t alerted_us;
   int64_t summed_us; /**< When a reader's sums came last. */
   bool other_reader; /**< The second of the failure domain is told. */
 };
@@ -79,7 +80,7 @@
                             int64_t now_us);
 
 /** A server came under suspicion: tells others now. */
-void eg_loads_hurry (struct eg_loads *self, int64_t now_us);
+void eg_loads_alert (struct eg_loads *self, int64_t now_us);
 
 /** Does what is due. */
 void eg_loads_check (struct eg_loads *self, int64_t now_us);
--- a/entry/main.c
+++ b/entry/main.c
@@ -191,7 +191,7 @@
   struct eg_entry *self = timer->data;
 
   eg_callers_unsettled (&self->callers, eg_clock_now_us ());
-  eg_loads_hurry (&self->loads, eg_clock_now_us ());
+  eg_loads_alert (&self->loads, eg_clock_now_us ());
 }
 
 static void
