entry: the settings file is read anew on a signal or a change

Keys that other parts hold on to (addresses, names) are kept and logged; a file with a mistake changes nothing. A stream that is left for another place uses the place that was found, and its key is asked before: the search was made twice, and the second one could come to nothing after the send was ended.

--- a/entry/call.c
+++ b/entry/call.c
@@ -544,7 +544,7 @@
 }
 
 static void
-send_again (struct eg_call *self, const char *cause, int64_t now_us)
+log_again (struct eg_call *self, const char *cause, int64_t now_us)
 {
   eg_log (EG_LOG_INFO, "call",
           "event=request-resent request=%.*s cause=%s sends=%u events=%" PRIu64
@@ -555,7 +555,6 @@
     eg_metrics_count (&self->entry->metrics, EG_COUNT_RESUMES);
   if (self->sends > 0)
     eg_metrics_count (&self->entry->metrics, EG_COUNT_RETRIES);
-  begin_send (self, now_us);
 }
 
 /* The present send has come to nothing: another one, or the end. */
@@ -574,7 +573,10 @@
       && !spend_retry (self, cause, now_us))
     answer = eg_resend_give_up (&question);
   if (answer == EG_RESEND)
-    send_again (self, cause, now_us);
+    {
+      log_again (self, cause, now_us);
+      begin_send (self, now_us);
+    }
   /* A repeatable request whose servers answered gets what they said. */
   else if (answer == EG_RESEND_FAIL && self->answer_head.len > 0
            && self->answer_status >= 500 && strcmp (cause, "server-error") == 0)
@@ -583,6 +585,13 @@
     eg_call_conclude (self, answer, cause);
 }
 
+/* Keys are asked again at each send: they may have become too old since. */
+static bool
+may_use_key (const struct eg_call *self, int64_t now_us)
+{
+  return !self->keyed || eg_entry_keys_are_fresh (self->entry, now_us);
+}
+
 bool
 eg_call_leave_send (struct eg_call *self, const char *cause)
 {
@@ -591,13 +600,16 @@
   struct eg_placement_choice place;
 
   question.under_way = true;
-  if (eg_resend_decide (&question) != EG_RESEND
+  if (eg_resend_decide (&question) != EG_RESEND || !may_use_key (self, now_us)
       || !choose_place (self, now_us, &place)
+      || !remember_head (self, place.stages[0])
       || !spend_retry (self, cause, now_us))
     return false;
   end_send (self);
   eg_event_relay_restart (&self->relay);
-  send_again (self, cause, now_us);
+  log_again (self, cause, now_us);
+  self->tries++;
+  send_to (self, eg_call_service (self), &place, now_us);
   return true;
 }
 
@@ -613,13 +625,12 @@
 static void
 begin_send (struct eg_call *self, int64_t now_us)
 {
-  struct eg_entry *entry = self->entry;
   const struct eg_service_config *service = eg_call_service (self);
   struct eg_placement_choice place;
 
   if (!service)
     give_up (self, "service-removed");
-  else if (self->keyed && !eg_entry_keys_are_fresh (entry, now_us))
+  else if (!may_use_key (self, now_us))
     give_up (self, "keys-too-old");
   else if (choose_place (self, now_us, &place)
            && remember_head (self, place.stages[0]))
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -13,6 +13,7 @@
 #include "entry/members.h"
 #include "entry/metrics.h"
 #include "entry/planner.h"
+#include "entry/reload.h"
 #include "entry/settings.h"
 #include "entry/sources.h"
 #include "platform/store.h"
@@ -39,7 +40,8 @@
 /** The process. */
 struct eg_entry
 {
-  const struct eg_entry_settings *settings;
+  const struct eg_entry_settings *settings; /**< Changed by @c reload alone. */
+  struct eg_reload reload;
   uv_loop_t loop;
   uv_timer_t tick;
   uv_timer_t urgent; /**< Runs once, after what runs now. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -259,6 +259,7 @@
   eg_members_check (&self->members, now_us);
   eg_loads_check (&self->loads, now_us);
   eg_exchange_pool_trim (&self->pool, now_us);
+  eg_reload_check (&self->reload, now_us);
   check_stop (self, now_us);
   eg_journal_flush (&self->journal);
 }
@@ -271,6 +272,7 @@
   if (number == SIGHUP)
     {
       eg_log (EG_LOG_NOTICE, "main", "event=reload signal=%d", number);
+      eg_reload_now (&self->reload);
       return;
     }
   if (self->stop_us > 0)
@@ -466,6 +468,7 @@
   if (arguments.check || arguments.print)
     return EXIT_SUCCESS;
   eg_log_configure ("eelgrass-entry", (enum eg_log_level) level);
+  eg_reload_init (&entry.reload, &settings, arguments.settings_path);
   entry.settings = &settings;
   return run (&entry);
 }
--- /dev/null
+++ b/entry/reload.c
@@ -0,0 +1,139 @@
+#include "entry/reload.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/* Time between two looks at the file; a change without a signal is rare. */
+#define LOOK_GAP_US (2 * EG_US_PER_S)
+
+/* Keys of which other parts keep what they have made of them. */
+static const char *const fixed_prefixes[] = {"node.", "listen.", "store."};
+
+/* Tells how the start came about; a change of it is of no use later. */
+static const char start_key[] = "node.first_start";
+
+static bool
+is_fixed (const char *key)
+{
+  for (size_t i = 0; i < sizeof fixed_prefixes / sizeof fixed_prefixes[0]; i++)
+    if (strncmp (key, fixed_prefixes[i], strlen (fixed_prefixes[i])) == 0)
+      return true;
+  return false;
+}
+
+static size_t
+field_bytes (const struct eg_setting *row)
+{
+  switch (row->type)
+    {
+    case EG_SETTING_INTEGER:
+      return sizeof (int64_t);
+    case EG_SETTING_BOOLEAN:
+      return sizeof (bool);
+    case EG_SETTING_NUMBER:
+      return sizeof (double);
+    default:
+      return (size_t) row->max;
+    }
+}
+
+static bool
+is_equal (const struct eg_setting *row, const char *a, const char *b)
+{
+  bool is_text = row->type == EG_SETTING_TEXT || row->type == EG_SETTING_SECRET
+                 || row->type == EG_SETTING_ADDRESS;
+
+  return is_text ? strcmp (a, b) == 0 : memcmp (a, b, field_bytes (row)) == 0;
+}
+
+struct eg_reload_outcome
+eg_reload_apply (struct eg_entry_settings *settings,
+                 const struct eg_entry_settings *read)
+{
+  struct eg_reload_outcome outcome = {0, 0};
+
+  for (size_t i = 0; i < eg_entry_setting_table.count; i++)
+    {
+      const struct eg_setting *row = &eg_entry_setting_table.settings[i];
+      char *now = (char *) settings + row->offset;
+      const char *wanted = (const char *) read + row->offset;
+
+      if (is_equal (row, now, wanted) || strcmp (row->key, start_key) == 0)
+        continue;
+      if (is_fixed (row->key))
+        {
+          outcome.kept++;
+          eg_log (EG_LOG_WARNING, "reload",
+                  "event=setting-kept key=%s cause=needs-restart", row->key);
+          continue;
+        }
+      memcpy (now, wanted, field_bytes (row));
+      outcome.changed++;
+      eg_log (EG_LOG_NOTICE, "reload", "event=setting-changed key=%s",
+              row->key);
+    }
+  return outcome;
+}
+
+void
+eg_reload_init (struct eg_reload *self,
+                struct eg_entry_settings *settings,
+                const char *path)
+{
+  memset (self, 0, sizeof *self);
+  self->settings = settings;
+  self->path = path;
+  if (stat (path, &self->seen) != 0)
+    eg_log (EG_LOG_WARNING, "reload", "event=file-not-seen file=%s", path);
+}
+
+void
+eg_reload_now (struct eg_reload *self)
+{
+  struct eg_entry_settings read;
+  struct eg_reload_outcome outcome;
+  struct eg_error error;
+  int level;
+
+  if (stat (self->path, &self->seen) != 0)
+    eg_log (EG_LOG_WARNING, "reload", "event=file-not-seen file=%s",
+            self->path);
+  if (eg_settings_load (&eg_entry_setting_table, self->path, &read, &error)
+      != EG_OK)
+    {
+      eg_log (EG_LOG_ERROR, "reload", "event=reload-refused cause=\"%s\"",
+              error.message);
+      return;
+    }
+  level = eg_log_level_from_name (read.log_level);
+  if (level < 0)
+    {
+      eg_log (EG_LOG_ERROR, "reload",
+              "event=reload-refused cause=\"%s: log.level: found %s\"",
+              self->path, read.log_level);
+      return;
+    }
+  outcome = eg_reload_apply (self->settings, &read);
+  eg_log_configure ("eelgrass-entry", (enum eg_log_level) level);
+  eg_log (EG_LOG_NOTICE, "reload", "event=reloaded changed=%u kept=%u",
+          outcome.changed, outcome.kept);
+}
+
+void
+eg_reload_check (struct eg_reload *self, int64_t now_us)
+{
+  struct stat found;
+
+  if (now_us < self->look_us)
+    return;
+  self->look_us = now_us + LOOK_GAP_US;
+  if (stat (self->path, &found) != 0
+      || (found.st_mtim.tv_sec == self->seen.st_mtim.tv_sec
+          && found.st_mtim.tv_nsec == self->seen.st_mtim.tv_nsec
+          && found.st_size == self->seen.st_size
+          && found.st_ino == self->seen.st_ino))
+    return;
+  eg_reload_now (self);
+}
--- /dev/null
+++ b/test/test_reload.c
@@ -0,0 +1,145 @@
+/* Tests of settings that change while the daemon runs. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "entry/reload.h"
+
+static const char base_text[] = "[node]\nname = \"a\"\nfailure_domain = \"d\"\n"
+                                "[listen]\ncallers = \"10.0.0.1:1\"\n"
+                                "readiness = \"10.0.0.1:2\"\n"
+                                "peers = \"10.0.0.1:3\"\n"
+                                "[store]\naddress = \"10.0.0.2:1\"\n"
+                                "[limits]\nmemory_mb = 260\n"
+                                "descriptors = 4100\n"
+                                "[stop]\ngrace_ms = 8000\n"
+                                "[keys]\nrevocation_ms = 5000\n"
+                                "[retry]\nratio = 0.2\nwindow_ms = 10000\n";
+
+/** A settings file, and what was read of it. */
+struct file
+{
+  char path[64];
+  struct eg_entry_settings settings;
+  struct eg_reload reload;
+};
+
+static void
+write_file (struct file *file, const char *extra)
+{
+  FILE *stream = fopen (file->path, "w");
+
+  assert_non_null (stream);
+  fprintf (stream, "%s%s", base_text, extra);
+  assert_int_equal (fclose (stream), 0);
+}
+
+static int
+set_up (void **state)
+{
+  struct file *file = calloc (1, sizeof *file);
+  struct eg_error error;
+  int descriptor;
+
+  strcpy (file->path, "/tmp/eg_reload_XXXXXX");
+  descriptor = mkstemp (file->path);
+  assert_true (descriptor >= 0);
+  close (descriptor);
+  write_file (file, "extra = 200\n");
+  assert_int_equal (eg_settings_load (&eg_entry_setting_table, file->path,
+                                      &file->settings, &error),
+                    EG_OK);
+  eg_reload_init (&file->reload, &file->settings, file->path);
+  *state = file;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  struct file *file = *state;
+
+  unlink (file->path);
+  free (file);
+  return 0;
+}
+
+static void
+test_changed_key_is_in_force (void **state)
+{
+  struct file *file = *state;
+
+  write_file (file, "extra = 50\n[engines]\nstall_ms = 900\n");
+  eg_reload_now (&file->reload);
+  assert_int_equal (file->settings.retry_extra, 50);
+  assert_int_equal (file->settings.stall_ms, 900);
+  assert_int_equal (file->settings.stop_grace_ms, 8000);
+}
+
+static void
+test_file_with_a_mistake_changes_nothing (void **state)
+{
+  struct file *file = *state;
+
+  write_file (file, "extra = \"many\"\n");
+  eg_reload_now (&file->reload);
+  assert_int_equal (file->settings.retry_extra, 200);
+  write_file (file, "extra = 7\n[log]\nlevel = \"loud\"\n");
+  eg_reload_now (&file->reload);
+  assert_int_equal (file->settings.retry_extra, 200);
+}
+
+static void
+test_addresses_need_a_restart (void **state)
+{
+  struct file *file = *state;
+  struct eg_entry_settings read = file->settings;
+  struct eg_reload_outcome outcome;
+
+  strcpy (read.listen_callers, "10.0.0.9:1");
+  read.retry_extra = 3;
+  outcome = eg_reload_apply (&file->settings, &read);
+  assert_int_equal (outcome.changed, 1);
+  assert_int_equal (outcome.kept, 1);
+  assert_string_equal (file->settings.listen_callers, "10.0.0.1:1");
+  assert_int_equal (file->settings.retry_extra, 3);
+}
+
+static void
+test_change_without_a_signal_is_seen (void **state)
+{
+  struct file *file = *state;
+
+  eg_reload_check (&file->reload, 1);
+  assert_int_equal (file->settings.retry_extra, 200);
+  write_file (file, "extra = 12345\n");
+  eg_reload_check (&file->reload, 2);
+  assert_int_equal (file->settings.retry_extra, 200);
+  eg_reload_check (&file->reload, 10 * EG_US_PER_S);
+  assert_int_equal (file->settings.retry_extra, 12345);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test_setup_teardown (test_changed_key_is_in_force, set_up,
+                                       tear_down),
+      cmocka_unit_test_setup_teardown (test_file_with_a_mistake_changes_nothing,
+                                       set_up, tear_down),
+      cmocka_unit_test_setup_teardown (test_addresses_need_a_restart, set_up,
+                                       tear_down),
+      cmocka_unit_test_setup_teardown (test_change_without_a_signal_is_seen,
+                                       set_up, tear_down),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
