entry: a reader whose store is away is asked again after a second

Peers had counted the refusals of their readers, which had no fresh mirror, as failures of the readers, and kept away from them for up to 32 s, in which each watched the store itself. Change: only silence and broken answers double the pause; a VM without a reader tries the store itself every 2.5 s on average rather than 1.5 s.

--- a/entry/members.c
+++ b/entry/members.c
@@ -373,7 +373,7 @@
 void
 eg_members_peer_outcome (struct eg_members *self,
                          struct eg_endpoint endpoint,
-                         bool answered,
+                         enum eg_store_outcome outcome,
                          int64_t now_us)
 {
   for (size_t i = 0; i < 2; i++)
@@ -383,8 +383,11 @@
       if (!reader
           || eg_endpoint_key (reader->endpoint) != eg_endpoint_key (endpoint))
         continue;
-      if (answered)
+      if (outcome == EG_STORE_OK || outcome == EG_STORE_EXPIRED)
         reader->failures = 0;
+      else if (outcome == EG_STORE_REFUSED)
+        /* It is there, and reads again once the store answers it. */
+        reader->failed_until_us = now_us + PEER_PAUSE_US;
       else
         {
           unsigned doublings = reader->failures < PEER_DOUBLINGS_MAX
--- a/entry/members.h
+++ b/entry/members.h
@@ -81,7 +81,7 @@
 /** Tells how a call of a reader went. */
 void eg_members_peer_outcome (struct eg_members *self,
                               struct eg_endpoint endpoint,
-                              bool answered,
+                              enum eg_store_outcome outcome,
                               int64_t now_us);
 
 #endif
--- a/entry/sources.c
+++ b/entry/sources.c
@@ -7,7 +7,7 @@
 
 /* Time between two calls of the store by a VM that is no reader, while the
  * store does not answer it. */
-#define DIRECT_PAUSE_US (1500 * EG_US_PER_MS)
+#define DIRECT_PAUSE_US (2500 * EG_US_PER_MS)
 
 void
 eg_sources_init (struct eg_sources *self, struct eg_entry *entry)
@@ -53,18 +53,17 @@
 }
 
 static void
-on_outcome (void *context, struct eg_store *store, bool answered)
+on_outcome (void *context,
+            struct eg_store *store,
+            enum eg_store_outcome outcome)
 {
   struct eg_sources *self = context;
   int64_t now_us = eg_clock_now_us ();
 
   if (store->is_peer)
-    {
-      eg_members_peer_outcome (&self->entry->members, store->endpoint, answered,
-                               now_us);
-      return;
-    }
-  if (answered)
+    eg_members_peer_outcome (&self->entry->members, store->endpoint, outcome,
+                             now_us);
+  else if (outcome == EG_STORE_OK || outcome == EG_STORE_EXPIRED)
     self->direct_next_us = now_us;
   else
     self->direct_next_us =
--- /dev/null
+++ b/test/test_members.c
@@ -0,0 +1,71 @@
+/* Tests of which reader of the store a VM asks after failures. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "entry/members.h"
+
+#define FAILURES 6
+
+/** A VM that knows one reader. */
+struct fixture
+{
+  struct eg_members members;
+  struct eg_member reader;
+};
+
+static void
+fail (struct fixture *fixture, enum eg_store_outcome outcome)
+{
+  memset (fixture, 0, sizeof *fixture);
+  fixture->reader.endpoint = (struct eg_endpoint){1, 2};
+  fixture->members.readers[0] = &fixture->reader;
+  fixture->members.in_domain = 3;
+  for (int i = 0; i < FAILURES; i++)
+    eg_members_peer_outcome (&fixture->members, fixture->reader.endpoint,
+                             outcome, EG_US_PER_S);
+}
+
+/* After an outage of the store all VMs go back to their reader at once; asked
+ * one by one, they took a quarter of the store's calls of a day. */
+static void
+test_reader_without_store_is_asked_soon (void **state)
+{
+  struct fixture fixture;
+
+  (void) state;
+  fail (&fixture, EG_STORE_REFUSED);
+  assert_null (eg_members_reader (&fixture.members, EG_US_PER_S + 1));
+  assert_ptr_equal (eg_members_reader (&fixture.members, 3 * EG_US_PER_S),
+                    &fixture.reader);
+}
+
+static void
+test_silent_reader_is_asked_ever_more_seldom (void **state)
+{
+  struct fixture fixture;
+
+  (void) state;
+  fail (&fixture, EG_STORE_LOST);
+  assert_null (eg_members_reader (&fixture.members, 10 * EG_US_PER_S));
+  eg_members_peer_outcome (&fixture.members, fixture.reader.endpoint,
+                           EG_STORE_OK, 60 * EG_US_PER_S);
+  assert_ptr_equal (eg_members_reader (&fixture.members, 60 * EG_US_PER_S),
+                    &fixture.reader);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_reader_without_store_is_asked_soon),
+      cmocka_unit_test (test_silent_reader_is_asked_ever_more_seldom),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
