--- a/test/test_members.c
+++ b/test/test_members.c
@@ -20,7 +20,7 @@
 };
 
 static void
-fail (struct fixture *fixture, enum eg_store_outcome outcome)
+fail_often (struct fixture *fixture, enum eg_store_outcome outcome)
 {
   memset (fixture, 0, sizeof *fixture);
   fixture->reader.endpoint = (struct eg_endpoint){1, 2};
@@ -39,7 +39,7 @@
   struct fixture fixture;
 
   (void) state;
-  fail (&fixture, EG_STORE_REFUSED);
+  fail_often (&fixture, EG_STORE_REFUSED);
   assert_null (eg_members_reader (&fixture.members, EG_US_PER_S + 1));
   assert_ptr_equal (eg_members_reader (&fixture.members, 3 * EG_US_PER_S),
                     &fixture.reader);
@@ -51,7 +51,7 @@
   struct fixture fixture;
 
   (void) state;
-  fail (&fixture, EG_STORE_LOST);
+  fail_often (&fixture, EG_STORE_LOST);
   assert_null (eg_members_reader (&fixture.members, 10 * EG_US_PER_S));
   eg_members_peer_outcome (&fixture.members, fixture.reader.endpoint,
                            EG_STORE_OK, 60 * EG_US_PER_S);
