--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -12,6 +12,7 @@
 #include "net/http_reader.h"
 #include "platform/configuration.h"
 #include "platform/headers.h"
+#include "platform/mirror.h"
 #include "platform/servers.h"
 
 static void
@@ -306,6 +307,55 @@
   eg_buffer_finish (&out);
 }
 
+static void
+test_refused_move_names_a_server (void **state)
+{
+  struct eg_endpoint expected;
+  struct eg_endpoint culprit;
+
+  (void) state;
+  assert_true (eg_endpoint_parse (EG_STR ("10.1.2.3:80"), &expected));
+  assert_true (eg_order_refusal_decode (
+      EG_STR ("{\"address\":\"10.1.2.3:80\"}"), &culprit));
+  assert_true (eg_endpoint_key (culprit) == eg_endpoint_key (expected));
+  assert_false (eg_order_refusal_decode (EG_STR ("{\"address\":7}"), &culprit));
+  assert_false (
+      eg_order_refusal_decode (EG_STR ("{\"address\":\"x\"}"), &culprit));
+  assert_false (eg_order_refusal_decode (EG_STR (""), &culprit));
+}
+
+/* An answer is written for the first peer that asks, and again as it was. */
+static void
+test_mirror_tells_what_it_was_told (void **state)
+{
+  struct eg_mirror mirror;
+  struct eg_mirror_kind *kind;
+  struct eg_mirror_question question;
+  struct eg_buffer body = {0};
+  json_t *object =
+      json_pack ("{s:{s:s}, s:i}", "metadata", "name", "a", "spec", 1);
+
+  (void) state;
+  eg_mirror_init (&mirror);
+  kind = eg_mirror_add (&mirror, "things");
+  eg_mirror_put (kind, object, false, 5);
+  kind->at = 5;
+  kind->is_direct = true;
+  assert_true (eg_mirror_parse (
+      &mirror, EG_STR ("/eelgrasswood/objects/things"), 0, &question));
+  for (int i = 0; i < 2; i++)
+    {
+      assert_int_equal (eg_mirror_ask (&question, 0, &body),
+                        EG_MIRROR_ANSWERED);
+      assert_non_null (strstr (
+          eg_buffer_text (&body),
+          "[{\"metadata\":{\"name\":\"a\"},\"spec\":1}],\"hasMore\":false"));
+    }
+  json_decref (object);
+  eg_buffer_finish (&body);
+  eg_mirror_finish (&mirror);
+}
+
 int
 main (void)
 {
@@ -319,6 +369,8 @@
       cmocka_unit_test (test_bad_configuration_is_named),
       cmocka_unit_test (test_server_entries),
       cmocka_unit_test (test_reports_and_orders),
+      cmocka_unit_test (test_refused_move_names_a_server),
+      cmocka_unit_test (test_mirror_tells_what_it_was_told),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -1,5 +1,5 @@
 /* Tests of the relay of events, the budget of retries, the decision to send
- * again and the table of routes. */
+ * again, the table of routes, token buckets and who watches which server. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -13,6 +13,8 @@
 #include "policy/event_relay.h"
 #include "policy/resend.h"
 #include "policy/retry_window.h"
+#include "policy/token_bucket.h"
+#include "policy/watch_share.h"
 
 #define SECOND_US INT64_C (1000000)
 
@@ -187,6 +189,42 @@
   eg_configuration_finish (&self);
 }
 
+static void
+test_bucket_gives_burst_and_rate (void **state)
+{
+  struct eg_token_bucket bucket = {0};
+  int given = 0;
+
+  (void) state;
+  for (int i = 0; i < 10; i++)
+    given += eg_token_bucket_take (&bucket, 1, 2, 4, SECOND_US);
+  assert_int_equal (given, 4);
+  given = 0;
+  for (int i = 1; i <= 30; i++)
+    given +=
+        eg_token_bucket_take (&bucket, 1, 2, 4, SECOND_US + i * SECOND_US / 10);
+  assert_int_equal (given, 6);
+  assert_false (eg_token_bucket_take (&bucket, 5, 2, 4, 100 * SECOND_US));
+}
+
+/* The loss of any one member leaves no server without a watcher. */
+static void
+test_each_server_has_two_watchers (void **state)
+{
+  (void) state;
+  for (unsigned members = 2; members < 50; members++)
+    for (uint64_t server = 0; server < 200; server++)
+      {
+        unsigned watchers = 0;
+
+        for (unsigned rank = 0; rank < members; rank++)
+          watchers += eg_watch_share_is_mine (server * 7919, rank, members);
+        assert_int_equal (watchers, EG_WATCHERS);
+      }
+  assert_true (eg_watch_share_is_mine (3, 0, 1));
+  assert_true (eg_watch_share_is_mine (3, 0, 0));
+}
+
 int
 main (void)
 {
@@ -198,6 +236,8 @@
       cmocka_unit_test (test_resend_repeatable),
       cmocka_unit_test (test_running_answer_is_left_for_a_better_way_only),
       cmocka_unit_test (test_longest_prefix_wins),
+      cmocka_unit_test (test_bucket_gives_burst_and_rate),
+      cmocka_unit_test (test_each_server_has_two_watchers),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
