entry: a VM without a reader tries the store within 2.25 s again

Its readers were gone in a cut and the history of the store went at the same time; the pause between its own calls had been raised to 1.25 to 3.75 s, to save calls, when readers without a store came to be asked again after a second.

--- a/entry/sources.c
+++ b/entry/sources.c
@@ -6,8 +6,9 @@
 #include "entry/entry.h"
 
 /* Time between two calls of the store by a VM that is no reader, while the
- * store does not answer it. */
-#define DIRECT_PAUSE_US (2500 * EG_US_PER_MS)
+ * store does not answer it; half as much again at most. A configuration has to
+ * be in force within 3 s of a calm, by the users' shortest window. */
+#define DIRECT_PAUSE_US (1500 * EG_US_PER_MS)
 
 void
 eg_sources_init (struct eg_sources *self, struct eg_entry *entry)
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -8,7 +8,7 @@
 #include <cmocka.h>
 
 #include "base/clock.h"
-#include "entry/members.h"
+#include "entry/entry.h"
 
 #define FAILURES 6
 
@@ -59,12 +59,36 @@
                     &fixture.reader);
 }
 
+/* A VM that neither its readers nor the store answer tries the store again in
+ * time: with pauses of up to 3.75 s one kept an old configuration for 5.6 s. */
+static void
+test_store_is_tried_again_in_time (void **state)
+{
+  static struct eg_entry entry;
+  const int64_t longest_us = 2500 * EG_US_PER_MS;
+  struct eg_feed_source source;
+
+  (void) state;
+  eg_random_init (&entry.random, 1);
+  eg_sources_init (&entry.sources, &entry);
+  source = eg_sources_feed_source (&entry.sources);
+  for (int i = 0; i < 1000; i++)
+    {
+      int64_t now_us = eg_clock_now_us ();
+
+      source.outcome (source.context, &entry.store, EG_STORE_LOST);
+      assert_true (entry.sources.direct_next_us > now_us);
+      assert_true (entry.sources.direct_next_us - now_us < longest_us);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (test_reader_without_store_is_asked_soon),
       cmocka_unit_test (test_silent_reader_is_asked_ever_more_seldom),
+      cmocka_unit_test (test_store_is_tried_again_in_time),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
