--- a/entry/sources.c
+++ b/entry/sources.c
@@ -35,7 +35,9 @@
   struct eg_member *reader;
 
   (void) feed;
-  if (eg_sources_is_reader (self))
+  /* One silent reader is followed by the store itself, not by the second one,
+     which may be cut off with it: each takes a time-out to show. */
+  if (eg_sources_is_reader (self) || self->peer_silent)
     return &entry->store;
   reader = eg_members_reader (&entry->members, now_us);
   /* The second reader stands in for the first: it reads the store itself. */
@@ -61,6 +63,7 @@
   struct eg_sources *self = context;
   int64_t now_us = eg_clock_now_us ();
 
+  self->peer_silent = store->is_peer && outcome == EG_STORE_LOST;
   if (store->is_peer)
     eg_members_peer_outcome (&self->entry->members, store->endpoint, outcome,
                              now_us);
--- a/entry/sources.h
+++ b/entry/sources.h
@@ -19,6 +19,7 @@
 {
   struct eg_entry *entry;
   struct eg_store peer;   /**< Stands for the peer chosen last. */
+  bool peer_silent;       /**< The last peer asked did not answer. */
   int64_t direct_next_us; /**< Earliest next call of the store itself. */
 };
 
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -82,6 +82,33 @@
     }
 }
 
+/* Where both readers of a failure domain are cut off, asking one after the
+ * other keeps a VM from the store for two time-outs and more. */
+static void
+test_silent_reader_is_followed_by_the_store (void **state)
+{
+  static struct eg_entry entry;
+  static struct eg_member readers[2];
+  struct eg_feed_source source;
+
+  (void) state;
+  eg_random_init (&entry.random, 1);
+  eg_sources_init (&entry.sources, &entry);
+  source = eg_sources_feed_source (&entry.sources);
+  entry.members.in_domain = 18;
+  entry.members.own_rank = 7;
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      readers[i].endpoint = (struct eg_endpoint){i + 1, 1};
+      entry.members.readers[i] = &readers[i];
+    }
+  assert_ptr_equal (source.choose (source.context, NULL), &entry.sources.peer);
+  source.outcome (source.context, &entry.sources.peer, EG_STORE_LOST);
+  assert_ptr_equal (source.choose (source.context, NULL), &entry.store);
+  source.outcome (source.context, &entry.store, EG_STORE_OK);
+  assert_ptr_equal (source.choose (source.context, NULL), &entry.sources.peer);
+}
+
 int
 main (void)
 {
@@ -89,6 +116,7 @@
       cmocka_unit_test (test_reader_without_store_is_asked_soon),
       cmocka_unit_test (test_silent_reader_is_asked_ever_more_seldom),
       cmocka_unit_test (test_store_is_tried_again_in_time),
+      cmocka_unit_test (test_silent_reader_is_followed_by_the_store),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
