entry: a first server counts for a request only once its retry is granted

A stream that was to be left remembered the new first server before the retry budget was asked. Where the budget refused, nothing was sent there, but the server took one of the few that the route allows, and later sends had to do with it.

--- a/entry/call.c
+++ b/entry/call.c
@@ -602,8 +602,8 @@
   question.under_way = true;
   if (eg_resend_decide (&question) != EG_RESEND || !may_use_key (self, now_us)
       || !choose_place (self, now_us, &place)
-      || !remember_head (self, place.stages[0])
-      || !spend_retry (self, cause, now_us))
+      || !spend_retry (self, cause, now_us)
+      || !remember_head (self, place.stages[0]))
     return false;
   end_send (self);
   eg_event_relay_restart (&self->relay);
