--- a/entry/call.c
+++ b/entry/call.c
@@ -450,6 +450,7 @@
       .has_body = self->head->has_body || self->body.len > 0,
   };
 
+  self->tries++;
   if (is_engine (service))
     eg_call_write_path (place, &path);
   facts.path = eg_buffer_view (&path);
@@ -608,7 +609,6 @@
   end_send (self);
   eg_event_relay_restart (&self->relay);
   log_again (self, cause, now_us);
-  self->tries++;
   send_to (self, eg_call_service (self), &place, now_us);
   return true;
 }
@@ -634,10 +634,7 @@
     give_up (self, "keys-too-old");
   else if (choose_place (self, now_us, &place)
            && remember_head (self, place.stages[0]))
-    {
-      self->tries++;
-      send_to (self, service, &place, now_us);
-    }
+    send_to (self, service, &place, now_us);
   else if (!may_wait (self, now_us))
     give_up (self, "no-server");
 }
--- a/entry/members.c
+++ b/entry/members.c
@@ -383,7 +383,7 @@
       if (!reader
           || eg_endpoint_key (reader->endpoint) != eg_endpoint_key (endpoint))
         continue;
-      if (outcome == EG_STORE_OK || outcome == EG_STORE_EXPIRED)
+      if (eg_store_outcome_is_answer (outcome))
         reader->failures = 0;
       else if (outcome == EG_STORE_REFUSED)
         /* It is there, and reads again once the store answers it. */
--- a/entry/sources.c
+++ b/entry/sources.c
@@ -67,7 +67,7 @@
   if (store->is_peer)
     eg_members_peer_outcome (&self->entry->members, store->endpoint, outcome,
                              now_us);
-  else if (outcome == EG_STORE_OK || outcome == EG_STORE_EXPIRED)
+  else if (eg_store_outcome_is_answer (outcome))
     self->direct_next_us = now_us;
   else
     self->direct_next_us =
