entry: log which runs a server's end takes along

Callers saw one request end server after server; the logs could not say which arrivals were the same request, that a server had ended, or what was in flight on it. request-ended carries a fingerprint of the request, run-lost names each lost run with its age, and server-ended tells the end of a process from a single broken connection.

--- a/entry/call.c
+++ b/entry/call.c
@@ -4,8 +4,10 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "policy/quarantine.h"
 
 /* Interval at which a waiting request looks for a server: each search for a
  * path takes some of the VM's processor time. */
@@ -284,6 +286,8 @@
         }
       self->attempt.received_us = now_us;
       self->refusals_in_row = 0;
+      if (!self->attempt.progress.begun)
+        self->attempt.first_event_us = now_us;
       eg_run_progress_received (&self->attempt.progress, now_us);
       self->last_event_us = now_us;
       eg_call_forward_body (self, eg_buffer_view (&events));
@@ -466,6 +470,27 @@
   attempt->first_is_new = false;
 }
 
+/* The server may have ended under the request, or while it ran it. */
+static void
+log_lost_run (const struct eg_call *self,
+              enum eg_exchange_fault fault,
+              int64_t now_us)
+{
+  const struct eg_attempt *attempt = &self->attempt;
+  const struct eg_backend *first = attempt->placement.stages[0];
+
+  eg_log (EG_LOG_NOTICE, "call",
+          "event=run-lost request=%.*s fingerprint=%016" PRIx64
+          " server=%s start_ms=%" PRId64 " cause=%s sent_ms=%" PRId64
+          " delivering_ms=%" PRId64,
+          EG_STR_ARGS (self->headers.id), self->fingerprint, first->record.id,
+          first->record.start_ms, eg_exchange_fault_name (fault),
+          (now_us - attempt->started_us) / EG_US_PER_MS,
+          attempt->progress.begun
+              ? (now_us - attempt->first_event_us) / EG_US_PER_MS
+              : -1);
+}
+
 static void
 on_failed (void *context, enum eg_exchange_fault fault)
 {
@@ -475,6 +500,8 @@
 
   if (fault == EG_EXCHANGE_UNREACHABLE)
     undo_send (self);
+  else
+    log_lost_run (self, fault, now_us);
   if (fault != EG_EXCHANGE_STALE)
     eg_backend_record_fault (first,
                              fault == EG_EXCHANGE_UNREACHABLE
@@ -821,6 +848,18 @@
   return true;
 }
 
+/* The id is left out: it differs for each copy of a request. */
+static uint64_t
+get_fingerprint (const struct eg_call *self)
+{
+  uint64_t hash =
+      eg_quarantine_fingerprint (eg_str_from (self->organisation),
+                                 eg_http_head_target (self->head), self->body);
+
+  hash = eg_hash_add (hash, self->headers.host);
+  return eg_hash_mix (eg_hash_add (hash, eg_str_from (self->head->method)));
+}
+
 static void
 set_deadline (struct eg_call *self)
 {
@@ -858,6 +897,7 @@
   self->route = *route;
   if (!identify (self, now_us))
     return;
+  self->fingerprint = get_fingerprint (self);
   set_deadline (self);
   if (self->priority > PRIORITY_CLASS_MAX)
     self->priority = PRIORITY_CLASS_MAX;
@@ -893,6 +933,7 @@
   self->may_have_run = false;
   self->head_sent = false;
   self->response_status = 0;
+  self->fingerprint = 0;
   memset (&self->route, 0, sizeof self->route);
   *self->service = '\0';
   *self->organisation = '\0';
--- a/entry/call.h
+++ b/entry/call.h
@@ -44,6 +44,8 @@
   bool earlier_may_have_run;
   int64_t started_us;
   int64_t received_us; /**< Time of the last byte received, or of the start. */
+  int64_t
+      first_event_us; /**< Of this attempt; set once @c progress has begun. */
   struct eg_run_progress progress;
   enum eg_response_mode mode;
   struct eg_response_headers headers;
@@ -72,6 +74,7 @@
   char organisation[EG_CONFIG_NAME_BYTES];
   bool needs_key;
   unsigned priority;
+  uint64_t fingerprint; /**< The same for each copy of a request. */
   int64_t arrived_us;
   int64_t deadline_us;
   int64_t first_event_us; /**< 0: no event sent yet. */
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -30,14 +30,15 @@
   int64_t now_us = eg_clock_now_us ();
 
   eg_log (EG_LOG_INFO, "call",
-          "event=request-ended request=%.*s route=%s service=%s "
-          "organisation=%s outcome=%s limit=%s status=%u sends=%u moves=%u "
+          "event=request-ended request=%.*s fingerprint=%016" PRIx64
+          " route=%s service=%s organisation=%s outcome=%s limit=%s status=%u "
+          "sends=%u moves=%u "
           "server=%s events=%" PRIu64 " first_event_ms=%" PRId64
           " gap_ms=%" PRId64 " silent_ms=%" PRId64 " total_ms=%" PRId64
           " left_ms=%" PRId64 " config=%" PRId64 " config_age_ms=%" PRId64,
-          EG_STR_ARGS (self->headers.id), route_name (self), self->service,
-          self->organisation, outcome, eg_resend_limit_name (self->limit),
-          status, self->sends, self->moves,
+          EG_STR_ARGS (self->headers.id), self->fingerprint, route_name (self),
+          self->service, self->organisation, outcome,
+          eg_resend_limit_name (self->limit), status, self->sends, self->moves,
           self->first_server_count
               ? self->first_servers[self->first_server_count - 1]->record.id
               : "-",
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -155,6 +155,7 @@
       return;
     }
   clear_suspicion (self);
+  self->ended_us = 0;
   self->kv_used = report.kv_used;
   self->kv_total = report.kv_total;
   self->slowness = report.slowness > 0 ? report.slowness : 1;
@@ -342,6 +343,19 @@
     request_report (backend, true, PROBE_TIMEOUT_US, now_us);
 }
 
+/* Takes note that a start of a server has ended without announcing it. */
+static void
+set_ended (struct eg_backend *self, const char *source, int64_t now_us)
+{
+  if (self->ended_us > 0 || eg_backend_is_leaving (self))
+    return;
+  self->ended_us = now_us;
+  eg_log (EG_LOG_NOTICE, "fleet",
+          "event=server-ended server=%s source=%s start_ms=%" PRId64
+          " running=%u",
+          self->record.id, source, self->record.start_ms, self->running);
+}
+
 /* Handles the removal of a record from the store. */
 static void
 remove_record (struct eg_backend *self, int64_t now_us)
@@ -367,7 +381,10 @@
           "event=server-gone server=%s service=%s may_return=%d",
           self->record.id, self->record.service, may_reappear);
   if (!may_reappear)
-    eg_exchange_pool_close_idle (fleet->pool, self->record.endpoint);
+    {
+      set_ended (self, "record", now_us);
+      eg_exchange_pool_close_idle (fleet->pool, self->record.endpoint);
+    }
   remove_if_unused (self);
 }
 
@@ -396,6 +413,7 @@
     domain_history (self->fleet, record->domain)->reappeared_us = now_us;
   if (restarted)
     {
+      self->ended_us = 0;
       self->suspect_until_us = 0;
       self->kv_used = 0;
       self->slowness = 1;
@@ -695,6 +713,8 @@
         }
       self->suspect_until_us = now_us + SUSPECT_US;
       self->refused_connection = fault == EG_SERVER_FAULT_UNREACHABLE;
+      if (self->refused_connection && self->listed)
+        set_ended (self, "connection", now_us);
       eg_exchange_pool_close_idle (self->fleet->pool, self->record.endpoint);
     }
   eg_log (was_suspect ? EG_LOG_DEBUG : EG_LOG_NOTICE, "fleet",
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -62,6 +62,9 @@
   int64_t suspected_us;
   /** The last suspicion is due to a connection that was not established. */
   bool refused_connection;
+  /** When this start of the server was found to have ended without leaving; 0:
+   *  it was not. */
+  int64_t ended_us;
   int64_t draining_us; /**< When it was first seen leaving; 0: it is not. */
   bool said_leaving;   /**< It has said so itself since its start. */
   struct eg_server_room room; /**< See EG_SERVER_FAULT_NO_CAPACITY. */
