test: requests that crash their servers, known to fail

The streams' fixture plays two VMs, plain servers, and servers that end under a request and are back after a pause. All six tests fail on the code as it is: the request is sent at each arrival, by each VM, and its caller gets 200 and a broken stream, or 502, instead of a refusal.

The test of the frozen VM names its process by the VM now; it checks what it checked before.

--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -16,9 +16,11 @@
 #define STOP_TIMEOUT_MS 5000
 #define DEADLINE_MS 12000
 #define MODEL_LAYERS 4
-/* In the working directory. */
-#define SETTINGS_PATH "streams.toml"
-#define LOG_PATH "streams.log"
+/* A server ends so long after it has begun to run a deadly request, and is back
+ * after the pause. */
+#define CRASH_DELAY_US (30 * EG_US_PER_MS)
+#define RESTART_PAUSE_US (300 * EG_US_PER_MS)
+#define PLAIN_MS 20
 
 /** A stream in progress; state of its connection. */
 struct engine_stream
@@ -28,6 +30,16 @@
   int64_t next_event;
 };
 
+static json_t *
+pack_plain_route (void)
+{
+  return json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}",
+                    "name", "plain", "host", "streams.example", "pathPrefix",
+                    "/plain/", "kind", "idempotent", "timeoutMs", DEADLINE_MS,
+                    "goalLatencyMs", 2000, "priority", 2, "service", "app",
+                    "maxAttempts", 2, "public", 1);
+}
+
 static void
 publish_configuration (struct streams_fixture *self)
 {
@@ -40,10 +52,12 @@
       "{s:i, s:i, s:i, s:i, s:f, s:i, s:[{s:s, s:i}]}", "layers", MODEL_LAYERS,
       "layerMb", 100, "kvBytes", 1000, "kvCapacityTokens", 100000, "step_ms",
       0.1, "read_per_s", 100000, "kinds", "name", "card", "sizeMb", 1000);
-  json_t *spec = json_pack ("{s:i, s:[o], s:[{s:s, s:s, s:i, s:o}], s:[]}",
-                            "version", 1, "routes", route, "services", "name",
-                            "model", "healthPath", "/healthz", "maxConnections",
-                            1000, "engine", engine, "tenants");
+  json_t *spec = json_pack (
+      "{s:i, s:[o, o], s:[{s:s, s:s, s:i, s:o}, {s:s, s:s, s:i}], s:[]}",
+      "version", 1, "routes", route, pack_plain_route (), "services", "name",
+      "model", "healthPath", "/healthz", "maxConnections", 1000, "engine",
+      engine, "name", "app", "healthPath", "/healthz", "maxConnections", 1000,
+      "tenants");
 
   EG_INVARIANT (spec);
   soak_store_put (&self->store, "config", "main", spec);
@@ -116,6 +130,44 @@
   send_event (connection);
 }
 
+static void
+respond_plain (struct soak_http_connection *connection)
+{
+  struct engine_stream *stream = connection->state;
+  char fields[96];
+
+  snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\nX-Server-Seal: s\r\n",
+            stream->id);
+  soak_http_respond (connection, 200, eg_str_from (fields), EG_STR ("done"));
+}
+
+/* Returns whether a comma-separated field lists the part of a prompt. */
+static bool
+has_part (struct eg_str parts, const char *part)
+{
+  while (part && parts.len > 0)
+    {
+      struct eg_str entry = eg_str_cut (&parts, ',');
+
+      if (eg_str_equal (eg_str_trim (eg_str_cut (&entry, ':')),
+                        eg_str_from (part)))
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_deadly (const struct streams_fixture *self,
+           const struct soak_http_connection *connection)
+{
+  struct eg_str parts =
+      eg_http_head_find (&connection->reader.head, "x-prefix-hash");
+
+  return has_part (parts, self->deadly_part)
+         || eg_str_starts_with (eg_buffer_view (&connection->body),
+                                EG_STR ("deadly"));
+}
+
 static void
 on_engine_request (void *context, struct soak_http_connection *connection)
 {
@@ -132,7 +184,8 @@
         respond_report (self, connection);
       return;
     }
-  if (!eg_str_starts_with (target, EG_STR ("/stream/")))
+  if (!eg_str_starts_with (target, EG_STR ("/stream/"))
+      && !eg_str_starts_with (target, EG_STR ("/plain/")))
     {
       soak_http_respond (connection, 409, EG_STR (""), EG_STR ("{}"));
       return;
@@ -154,7 +207,29 @@
       return;
     }
   self->runs++;
-  begin_stream (connection);
+  if (is_deadly (self->fixture, connection))
+    {
+      self->fixture->deadly_arrivals++;
+      if (self->crash_us == 0)
+        self->crash_us = eg_clock_now_us () + CRASH_DELAY_US;
+    }
+  if (self->plain)
+    soak_http_schedule (connection, 2 * PLAIN_MS, respond_plain);
+  else
+    begin_stream (connection);
+}
+
+static void
+publish_plain (struct streams_engine *self)
+{
+  char address[32];
+
+  soak_format_address (self->server.endpoint, address, sizeof address);
+  soak_store_put (&self->fixture->store, "servers", self->id,
+                  json_pack ("{s:s, s:s, s:s, s:i, s:s, s:i, s:I}", "service",
+                             "app", "address", address, "zone", "room", "slots",
+                             8, "state", "ready", "sequence", 1, "born",
+                             self->start_ms));
 }
 
 void
@@ -162,6 +237,11 @@
 {
   char address[32];
 
+  if (self->plain)
+    {
+      publish_plain (self);
+      return;
+    }
   soak_format_address (self->server.endpoint, address, sizeof address);
   soak_store_put (&self->fixture->store, "servers", self->id,
                   json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:[], "
@@ -191,10 +271,41 @@
   soak_http_server_stop (&self->server);
 }
 
+static void
+name_engine (struct streams_engine *self)
+{
+  snprintf (self->id, sizeof self->id, "%s-%u-%" PRId64,
+            self->plain ? "plain" : "engine", self->number, self->start_ms);
+}
+
+static void
+check_engine (struct streams_engine *self, int64_t now_us)
+{
+  if (self->crash_us > 0 && now_us >= self->crash_us)
+    {
+      self->crash_us = 0;
+      self->restart_us = now_us + RESTART_PAUSE_US;
+      self->fixture->crashes++;
+      streams_engine_crash (self);
+    }
+  if (self->restart_us > 0 && now_us >= self->restart_us)
+    {
+      self->restart_us = 0;
+      streams_engine_withdraw (self);
+      self->start_ms++;
+      name_engine (self);
+      soak_http_server_start (&self->server);
+      streams_engine_publish (self, false);
+    }
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
-  (void) timer; /* Only wakes the loop. */
+  struct streams_fixture *self = timer->data;
+
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+    check_engine (&self->engines[i], eg_clock_now_us ());
 }
 
 bool
@@ -220,24 +331,25 @@
 }
 
 static void
-write_settings (struct streams_fixture *self,
-                const struct streams_options *options)
+write_settings (struct streams_vm *self, const struct streams_options *options)
 {
   char store[32];
   FILE *file;
 
   self->callers_port = soak_find_free_port ();
-  soak_format_address (self->store.server.endpoint, store, sizeof store);
-  file = fopen (SETTINGS_PATH, "w");
+  soak_format_address (self->fixture->store.server.endpoint, store,
+                       sizeof store);
+  file = fopen (self->settings_path, "w");
   EG_INVARIANT (file);
   fprintf (file,
-           "[node]\nname = \"node\"\nfailure_domain = \"room\"\n"
+           "[node]\nname = \"node-%u\"\nfailure_domain = \"%s\"\n"
            "[listen]\ncallers = \"127.0.0.1:%u\"\n"
            "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
            "[store]\naddress = \"%s\"\n"
            "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
            "[stop]\ngrace_ms = 500\n[keys]\nrevocation_ms = 5000\n"
            "[retry]\nratio = %g\nwindow_ms = %d\nextra = %d\n",
+           self->number, self->number == 0 ? "room" : "hall",
            self->callers_port, soak_find_free_port (), soak_find_free_port (),
            store, options->retry_ratio, options->retry_window_ms,
            options->retry_extra);
@@ -245,37 +357,38 @@
 }
 
 static void
-on_daemon_exit (uv_process_t *process, int64_t status, int number)
+on_process_exit (uv_process_t *process, int64_t status, int number)
 {
-  struct streams_fixture *self = process->data;
+  struct streams_vm *self = process->data;
 
   (void) status;
   (void) number;
-  self->daemon_running = false;
+  self->running = false;
   uv_close ((uv_handle_t *) process, NULL);
 }
 
 static void
-start_daemon (struct streams_fixture *self)
+start_vm (struct streams_vm *self)
 {
-  char *arguments[] = {(char *) EG_DAEMON, "--settings", (char *) SETTINGS_PATH,
+  char *arguments[] = {(char *) EG_DAEMON, "--settings", self->settings_path,
                        NULL};
   uv_stdio_container_t outputs[3] = {{.flags = UV_IGNORE}};
-  uv_process_options_t options = {.exit_cb = on_daemon_exit,
+  uv_process_options_t options = {.exit_cb = on_process_exit,
                                   .file = EG_DAEMON,
                                   .args = arguments,
                                   .stdio = outputs,
                                   .stdio_count = 3};
   FILE *log;
 
-  log = fopen (LOG_PATH, "w");
+  log = fopen (self->log_path, "a");
   EG_INVARIANT (log);
   for (int i = 1; i < 3; i++)
     outputs[i] =
         (uv_stdio_container_t){.flags = UV_INHERIT_FD, .data.fd = fileno (log)};
-  self->daemon.data = self;
-  self->daemon_running = uv_spawn (&self->loop, &self->daemon, &options) == 0;
-  EG_INVARIANT (self->daemon_running);
+  self->process.data = self;
+  self->running =
+      uv_spawn (&self->fixture->loop, &self->process, &options) == 0;
+  EG_INVARIANT (self->running);
   fclose (log);
 }
 
@@ -297,7 +410,7 @@
   struct streams_client *self = context;
   struct eg_buffer events = {0};
 
-  if (self->status != 200)
+  if (self->status != 200 || self->plain)
     return;
   EG_INVARIANT (eg_event_relay_feed (&self->relay, bytes, &events)
                 == EG_RELAY_OK);
@@ -321,32 +434,46 @@
     on_client_head, on_client_body, on_client_done, on_client_failed};
 
 void
-streams_client_start (struct streams_fixture *self, unsigned number)
+streams_client_send (struct streams_fixture *self,
+                     unsigned number,
+                     const struct streams_request *sent)
 {
   struct streams_client *client = &self->clients[number];
   struct eg_exchange_request request = {
-      .endpoint = {htonl (INADDR_LOOPBACK), htons (self->callers_port)},
-      .body = EG_STR ("body"),
+      .endpoint = {htonl (INADDR_LOOPBACK),
+                   htons (self->vms[sent->vm].callers_port)},
+      .body = eg_str_from (sent->body),
       .fresh = true};
-  char head[256];
+  char head[384];
 
   eg_exchange_cancel (&client->exchange);
   eg_event_relay_finish (&client->relay);
   eg_event_relay_init (&client->relay, EG_STR (""));
+  client->plain = sent->plain;
   client->status = 0;
+  client->retry_after_s = -1;
   client->done = false;
   client->failed = false;
   snprintf (head, sizeof head,
-            "POST /stream/x HTTP/1.1\r\nHost: streams.example\r\n"
+            "POST /%s/x HTTP/1.1\r\nHost: streams.example\r\n"
             "X-Attempt-Id: a%u\r\nX-Deadline-Ms: %d\r\n"
-            "X-Token-Usage: 100,%d\r\nContent-Length: 4\r\n\r\n",
-            ++self->next_id, DEADLINE_MS, 2 * STREAMS_EVENTS);
+            "X-Token-Usage: 100,%d\r\n%s%s%sContent-Length: %zu\r\n\r\n",
+            sent->plain ? "plain" : "stream", ++self->next_id, DEADLINE_MS,
+            2 * STREAMS_EVENTS, sent->parts ? "X-Prefix-Hash: " : "",
+            sent->parts ? sent->parts : "", sent->parts ? "\r\n" : "",
+            request.body.len);
   request.head = eg_str_from (head);
   eg_exchange_init (&client->exchange, &client_events, client);
   if (!eg_exchange_start (&client->exchange, &self->pool, &request))
     client->failed = true;
 }
 
+void
+streams_client_start (struct streams_fixture *self, unsigned number)
+{
+  streams_client_send (self, number, &(struct streams_request){.body = "body"});
+}
+
 void
 streams_client_leave (struct streams_fixture *self, unsigned number)
 {
@@ -362,36 +489,75 @@
 static bool
 any_engine_was_asked (const struct streams_fixture *self)
 {
-  for (unsigned i = 0; i < STREAMS_ENGINES; i++)
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
     if (self->engines[i].arrivals > 0)
       return true;
   return false;
 }
 
-/* The daemon is ready once it has passed a request on to a server. */
 static void
-wait_until_ready (struct streams_fixture *self)
+set_all_full (struct streams_fixture *self, bool full)
+{
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+    {
+      self->engines[i].full = full;
+      self->engines[i].arrivals = 0;
+    }
+}
+
+/* A VM is ready once it has passed a request on to a server. */
+static void
+wait_until_ready (struct streams_fixture *self, unsigned vm)
 {
   int64_t end_us = eg_clock_now_us () + START_TIMEOUT_MS * EG_US_PER_MS;
 
-  for (unsigned i = 0; i < STREAMS_ENGINES; i++)
-    self->engines[i].full = true;
+  set_all_full (self, true);
   while (!any_engine_was_asked (self))
     {
       EG_INVARIANT (eg_clock_now_us () < end_us);
-      streams_client_start (self, 0);
+      streams_client_send (self, 0,
+                           &(struct streams_request){.vm = vm, .body = "body"});
       streams_wait (self, client_has_ended, START_TIMEOUT_MS);
       streams_run (self, 20);
     }
-  for (unsigned i = 0; i < STREAMS_ENGINES; i++)
-    {
-      self->engines[i].full = false;
-      self->engines[i].arrivals = 0;
-    }
+  set_all_full (self, false);
   /* A refusal counts for a while. */
   streams_run (self, 400);
 }
 
+void
+streams_vm_restart (struct streams_fixture *self, unsigned vm)
+{
+  uv_process_kill (&self->vms[vm].process, SIGKILL);
+  while (self->vms[vm].running)
+    streams_run (self, TICK_MS);
+  streams_run (self, TICK_MS);
+  start_vm (&self->vms[vm]);
+  wait_until_ready (self, vm);
+}
+
+static void
+start_vms (struct streams_fixture *self, const struct streams_options *options)
+{
+  self->vm_count = options->vms > 0 ? options->vms : 1;
+  for (unsigned i = 0; i < self->vm_count; i++)
+    {
+      struct streams_vm *vm = &self->vms[i];
+
+      vm->fixture = self;
+      vm->number = i;
+      /* In the working directory. */
+      snprintf (vm->settings_path, sizeof vm->settings_path, "streams-%u.toml",
+                i);
+      snprintf (vm->log_path, sizeof vm->log_path, "streams-%u.log", i);
+      remove (vm->log_path);
+      write_settings (vm, options);
+      start_vm (vm);
+    }
+  for (unsigned i = 0; i < self->vm_count; i++)
+    wait_until_ready (self, i);
+}
+
 void
 streams_fixture_init (struct streams_fixture *self,
                       const struct streams_options *options)
@@ -401,21 +567,24 @@
   eg_random_init (&self->random, 1);
   EG_INVARIANT (uv_loop_init (&self->loop) == 0);
   uv_timer_init (&self->loop, &self->tick);
+  self->tick.data = self;
   uv_timer_start (&self->tick, on_tick, TICK_MS, TICK_MS);
   eg_exchange_pool_init (&self->pool, &self->loop, EG_US_PER_S);
   soak_store_open (&self->store, &self->loop, &self->random);
   publish_configuration (self);
-  for (unsigned i = 0; i < STREAMS_ENGINES; i++)
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
     {
       struct streams_engine *engine = &self->engines[i];
 
       engine->fixture = self;
       engine->start_ms = 1;
-      snprintf (engine->id, sizeof engine->id, "engine-%u", i);
+      engine->plain = i >= STREAMS_ENGINES;
+      engine->number = engine->plain ? i - STREAMS_ENGINES : i;
+      name_engine (engine);
       soak_http_server_init (&engine->server, &self->loop, 0, on_engine_request,
                              engine);
       soak_http_server_start (&engine->server);
-      if (i < options->engines)
+      if (engine->number < (engine->plain ? options->plain : options->engines))
         streams_engine_publish (engine, false);
     }
   for (unsigned i = 0; i < STREAMS_CLIENTS; i++)
@@ -424,15 +593,24 @@
                         &self->clients[i]);
       eg_event_relay_init (&self->clients[i].relay, EG_STR (""));
     }
-  write_settings (self, options);
-  start_daemon (self);
-  wait_until_ready (self);
+  start_vms (self, options);
 }
 
 static bool
-daemon_has_stopped (const struct streams_fixture *self)
+vms_have_stopped (const struct streams_fixture *self)
+{
+  for (unsigned i = 0; i < self->vm_count; i++)
+    if (self->vms[i].running)
+      return false;
+  return true;
+}
+
+static void
+signal_vms (struct streams_fixture *self, int number)
 {
-  return !self->daemon_running;
+  for (unsigned i = 0; i < self->vm_count; i++)
+    if (self->vms[i].running)
+      uv_process_kill (&self->vms[i].process, number);
 }
 
 void
@@ -443,12 +621,12 @@
       eg_exchange_cancel (&self->clients[i].exchange);
       eg_event_relay_finish (&self->clients[i].relay);
     }
-  uv_process_kill (&self->daemon, SIGTERM);
-  if (!streams_wait (self, daemon_has_stopped, STOP_TIMEOUT_MS))
-    uv_process_kill (&self->daemon, SIGKILL);
-  streams_wait (self, daemon_has_stopped, STOP_TIMEOUT_MS);
+  signal_vms (self, SIGTERM);
+  if (!streams_wait (self, vms_have_stopped, STOP_TIMEOUT_MS))
+    signal_vms (self, SIGKILL);
+  streams_wait (self, vms_have_stopped, STOP_TIMEOUT_MS);
   soak_release_ports ();
-  for (unsigned i = 0; i < STREAMS_ENGINES; i++)
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
     soak_http_server_stop (&self->engines[i].server);
   uv_close ((uv_handle_t *) &self->tick, NULL);
   eg_exchange_pool_finish (&self->pool);
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * One eelgrass-entry process between a stand-in for the store, engines that
- * each hold the whole model, and clients that read a stream.
+ * One or two eelgrass-entry processes between a stand-in for the store, engines
+ * that each hold the whole model, plain servers, and clients.
  */
 #ifndef EG_TEST_STREAMS_FIXTURE_H
 #define EG_TEST_STREAMS_FIXTURE_H
@@ -13,6 +13,9 @@
 #include "test/soak/store.h"
 
 #define STREAMS_ENGINES 3
+/** Engines, and plain servers after them. */
+#define STREAMS_SERVERS 6
+#define STREAMS_VMS 2
 #define STREAMS_CLIENTS 4
 /** Events of a stream, one each STREAMS_EVENT_MS; one in STREAMS_PAUSE_PERIOD
  *  comes after STREAMS_PAUSE_MS. */
@@ -23,20 +26,25 @@
 
 struct streams_fixture;
 
-/** An engine; refuses or accepts new streams as the test says. */
+/** An engine or a plain server; refuses or accepts requests as the test says.
+ */
 struct streams_engine
 {
   struct streams_fixture *fixture;
   struct soak_http_server server;
   char id[32];
-  bool full;         /**< Refuses each new stream with 503. */
-  bool silent;       /**< Neither delivers events nor answers reports. */
-  bool leaving;      /**< Says so in its responses. */
-  int64_t start_ms;  /**< Of its record and reports. */
-  const char *pause; /**< Retry-After of its refusals; NULL: none. */
-  unsigned requests; /**< All requests received, also for reports. */
-  unsigned arrivals; /**< Stream requests received. */
-  unsigned runs;     /**< Stream requests not refused. */
+  unsigned number;
+  bool plain;
+  int64_t crash_us;   /**< When it ends under a deadly request; 0: never. */
+  int64_t restart_us; /**< When it starts again after that; 0: it runs. */
+  bool full;          /**< Refuses each new stream with 503. */
+  bool silent;        /**< Neither delivers events nor answers reports. */
+  bool leaving;       /**< Says so in its responses. */
+  int64_t start_ms;   /**< Of its record and reports. */
+  const char *pause;  /**< Retry-After of its refusals; NULL: none. */
+  unsigned requests;  /**< All requests received, also for reports. */
+  unsigned arrivals;  /**< Stream requests received. */
+  unsigned runs;      /**< Stream requests not refused. */
 };
 
 /** A client with one stream. */
@@ -44,6 +52,7 @@
 {
   struct eg_exchange exchange;
   struct eg_event_relay relay;
+  bool plain; /**< Its response is not a stream. */
   unsigned status;
   double retry_after_s; /**< From the response; negative: none. */
   bool done;            /**< The response ended completely. */
@@ -57,6 +66,29 @@
   int retry_extra; /**< The daemon uses half of it. */
   int retry_window_ms;
   unsigned engines; /**< Listed in the store at the start. */
+  unsigned plain;   /**< Plain servers listed in the store at the start. */
+  unsigned vms;     /**< Entry VMs, each in its own failure domain; 0: one. */
+};
+
+/** A request of a client. */
+struct streams_request
+{
+  unsigned vm;       /**< That it is sent to. */
+  bool plain;        /**< Idempotent, to a plain server; else a stream. */
+  const char *body;  /**< If it starts with "deadly", its server ends. */
+  const char *parts; /**< Parts of the prompt; NULL: none. */
+};
+
+/** An entry VM. */
+struct streams_vm
+{
+  struct streams_fixture *fixture;
+  uv_process_t process;
+  bool running;
+  unsigned number;
+  uint16_t callers_port;
+  char settings_path[32];
+  char log_path[32];
 };
 
 /** The processes and stand-ins of a test; memory of the caller. */
@@ -67,12 +99,15 @@
   struct eg_random random;
   struct eg_exchange_pool pool;
   struct soak_store store;
-  struct streams_engine engines[STREAMS_ENGINES];
+  struct streams_engine engines[STREAMS_SERVERS];
   struct streams_client clients[STREAMS_CLIENTS];
-  uv_process_t daemon;
-  bool daemon_running;
-  uint16_t callers_port;
+  struct streams_vm vms[STREAMS_VMS];
+  unsigned vm_count;
   unsigned next_id;
+  /** Part of a prompt that ends servers; NULL: none. */
+  const char *deadly_part;
+  unsigned deadly_arrivals; /**< Requests that may end a server, received. */
+  unsigned crashes;         /**< Servers that ended under them. */
 };
 
 /** Starts everything and waits until the daemon is ready. */
@@ -105,7 +140,15 @@
 /** Ends the engine: closes the listener and all connections. */
 void streams_engine_crash (struct streams_engine *self);
 
-/** Sends the request of client @p number. */
+/** Kills an entry VM's process and starts it again. */
+void streams_vm_restart (struct streams_fixture *self, unsigned vm);
+
+/** Sends @p request as client @p number. */
+void streams_client_send (struct streams_fixture *self,
+                          unsigned number,
+                          const struct streams_request *request);
+
+/** Sends a stream request as client @p number to the first VM. */
 void streams_client_start (struct streams_fixture *self, unsigned number);
 
 /** Closes the connection of client @p number. */
--- /dev/null
+++ b/test/test_crashes.c
@@ -0,0 +1,247 @@
+/* Tests of requests that crash backend servers, with real daemons. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "test/streams_fixture.h"
+
+#define REQUEST_TIMEOUT_MS 10000
+/* Time after the last crash that counts within which all VMs know of it. */
+#define SPREAD_MS 2000
+/* Requests sent after that, which no server may receive. */
+#define REPEATS 5
+#define SENDS_MAX 12
+
+static struct streams_fixture fixture;
+
+static int
+start_one_vm (void **state)
+{
+  const struct streams_options options = {.retry_ratio = 0.2,
+                                          .retry_extra = 200,
+                                          .retry_window_ms = 10000,
+                                          .engines = STREAMS_ENGINES,
+                                          .plain = 3};
+
+  streams_fixture_init (&fixture, &options);
+  *state = &fixture;
+  return 0;
+}
+
+static int
+start_two_vms (void **state)
+{
+  const struct streams_options options = {.retry_ratio = 0.2,
+                                          .retry_extra = 200,
+                                          .retry_window_ms = 10000,
+                                          .engines = STREAMS_ENGINES,
+                                          .plain = 3,
+                                          .vms = 2};
+
+  streams_fixture_init (&fixture, &options);
+  *state = &fixture;
+  return 0;
+}
+
+static int
+stop (void **state)
+{
+  streams_fixture_finish (*state);
+  return 0;
+}
+
+static bool
+first_has_ended (const struct streams_fixture *self)
+{
+  return self->clients[0].done || self->clients[0].failed;
+}
+
+static bool
+second_has_ended (const struct streams_fixture *self)
+{
+  return self->clients[1].done || self->clients[1].failed;
+}
+
+/* Sends a request and waits for its end; returns the status. */
+static unsigned
+send_request (struct streams_fixture *self,
+              const struct streams_request *request)
+{
+  streams_client_send (self, 0, request);
+  assert_true (streams_wait (self, first_has_ended, REQUEST_TIMEOUT_MS));
+  return self->clients[0].status;
+}
+
+static void
+assert_served (struct streams_fixture *self,
+               const struct streams_request *request)
+{
+  streams_client_send (self, 1, request);
+  assert_true (streams_wait (self, second_has_ended, REQUEST_TIMEOUT_MS));
+  assert_true (self->clients[1].done);
+  assert_int_equal (self->clients[1].status, 200);
+  if (!request->plain)
+    assert_int_equal (self->clients[1].relay.events, STREAMS_EVENTS);
+}
+
+/* Sends a request until servers have crashed under it @p crashes times. */
+static void
+send_until_crashed (struct streams_fixture *self,
+                    const struct streams_request *request,
+                    unsigned crashes)
+{
+  for (int i = 0; i < SENDS_MAX && self->crashes < crashes; i++)
+    {
+      send_request (self, request);
+      /* Until the servers are back. */
+      streams_run (self, 600);
+    }
+  assert_true (self->crashes >= crashes);
+}
+
+/* Requires that a request is refused at once and reaches no server. */
+static void
+assert_refused (struct streams_fixture *self,
+                const struct streams_request *request)
+{
+  unsigned arrivals = self->deadly_arrivals;
+
+  for (int i = 0; i < REPEATS; i++)
+    {
+      int64_t sent_us = eg_clock_now_us ();
+
+      assert_int_equal (send_request (self, request), 503);
+      assert_true (self->clients[0].retry_after_s > 0);
+      assert_in_range (eg_clock_now_us () - sent_us, 0, 200 * EG_US_PER_MS);
+    }
+  assert_int_equal (self->deadly_arrivals, arrivals);
+}
+
+static void
+test_stream_that_crashed_three_servers_is_not_sent_again (void **state)
+{
+  const struct streams_request deadly = {.body = "deadly"};
+  const struct streams_request sound = {.body = "sound"};
+
+  send_until_crashed (*state, &deadly, 3);
+  streams_run (*state, SPREAD_MS);
+  assert_refused (*state, &deadly);
+  assert_served (*state, &sound);
+}
+
+static void
+test_plain_request_that_crashed_three_servers_is_not_sent_again (void **state)
+{
+  const struct streams_request deadly = {.plain = true, .body = "deadly"};
+  const struct streams_request sound = {.plain = true, .body = "sound"};
+
+  send_until_crashed (*state, &deadly, 3);
+  streams_run (*state, SPREAD_MS);
+  assert_refused (*state, &deadly);
+  assert_served (*state, &sound);
+}
+
+static void
+test_other_vm_refuses_what_crashed_three_servers_while_store_is_away (
+    void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request deadly = {.body = "deadly"};
+  const struct streams_request deadly_at_other = {.vm = 1, .body = "deadly"};
+  const struct streams_request sound_at_other = {.vm = 1, .body = "sound"};
+
+  streams_run (self, 1500);
+  self->store.mode = SOAK_STORE_UNAVAILABLE;
+  send_until_crashed (self, &deadly, 3);
+  streams_run (self, SPREAD_MS);
+  assert_refused (self, &deadly_at_other);
+  self->store.mode = SOAK_STORE_HEALTHY;
+  streams_run (self, SPREAD_MS);
+  assert_served (self, &sound_at_other);
+}
+
+static void
+test_crashes_seen_by_two_vms_are_counted_together (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request deadly[] = {{.body = "deadly"},
+                                           {.vm = 1, .body = "deadly"}};
+
+  streams_run (self, 1500);
+  for (unsigned i = 0; i < SENDS_MAX && self->crashes < 3; i++)
+    {
+      streams_client_send (self, 0, &deadly[i % 2]);
+      streams_run (self, 100);
+      streams_client_leave (self, 0);
+      streams_run (self, 600);
+    }
+  assert_true (self->crashes >= 3);
+  streams_run (self, SPREAD_MS);
+  assert_refused (self, &deadly[0]);
+  assert_refused (self, &deadly[1]);
+}
+
+static void
+test_restarted_vm_refuses_what_crashed_three_servers (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request deadly = {.body = "deadly"};
+
+  streams_run (self, 1500);
+  send_until_crashed (self, &deadly, 3);
+  streams_run (self, SPREAD_MS);
+  streams_vm_restart (self, 0);
+  streams_run (self, SPREAD_MS);
+  assert_refused (self, &deadly);
+}
+
+static void
+test_sound_streams_on_crashed_servers_are_served_again (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request deadly = {.body = "deadly"};
+  const struct streams_request sound = {.body = "sound"};
+
+  for (int i = 0; i < SENDS_MAX && self->crashes < 4; i++)
+    {
+      for (unsigned n = 1; n < STREAMS_CLIENTS; n++)
+        streams_client_send (self, n, &sound);
+      streams_client_send (self, 0, &deadly);
+      streams_run (self, 800);
+    }
+  assert_true (self->crashes >= 3);
+  streams_run (self, SPREAD_MS);
+  assert_refused (self, &deadly);
+  assert_served (self, &sound);
+}
+
+#define CRASH_TEST(name, start)                                                \
+  cmocka_unit_test_setup_teardown (test_##name, start, stop)
+
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+      CRASH_TEST (stream_that_crashed_three_servers_is_not_sent_again,
+                  start_one_vm),
+      CRASH_TEST (plain_request_that_crashed_three_servers_is_not_sent_again,
+                  start_one_vm),
+      CRASH_TEST (
+          other_vm_refuses_what_crashed_three_servers_while_store_is_away,
+          start_two_vms),
+      CRASH_TEST (crashes_seen_by_two_vms_are_counted_together, start_two_vms),
+      CRASH_TEST (restarted_vm_refuses_what_crashed_three_servers,
+                  start_two_vms),
+      CRASH_TEST (sound_streams_on_crashed_servers_are_served_again,
+                  start_one_vm),
+  };
+
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_streams.c
+++ b/test/test_streams.c
@@ -262,9 +262,9 @@
   unsigned running = begin_stream (self);
   unsigned arrivals = self->engines[1 - running].arrivals;
 
-  uv_process_kill (&self->daemon, SIGSTOP);
+  uv_process_kill (&self->vms[0].process, SIGSTOP);
   streams_run (self, 1600);
-  uv_process_kill (&self->daemon, SIGCONT);
+  uv_process_kill (&self->vms[0].process, SIGCONT);
   streams_wait (self, first_has_ended, STREAM_TIMEOUT_MS);
   assert_complete (&self->clients[0]);
   assert_int_equal (self->engines[1 - running].arrivals, arrivals);
