entry: log the parts of the prompt of a lost run

Requests that end servers one after the other may differ in everything but one part of their prompts. run-lost names the parts but the last, which is the request's own.

--- a/entry/call.c
+++ b/entry/call.c
@@ -513,18 +513,24 @@
 {
   const struct eg_attempt *attempt = &self->attempt;
   struct eg_backend *first = eg_call_first_server (self);
+  struct eg_buffer parts = {0};
 
+  for (uint32_t i = 0; i < self->headers.part_count; i++)
+    eg_buffer_printf (&parts, "%s%" PRIx64, i > 0 ? "," : "",
+                      self->headers.parts[i]);
   eg_metrics_count (&self->entry->metrics, EG_COUNT_RUNS_LOST);
   eg_log (EG_LOG_NOTICE, "call",
           "event=run-lost request=%.*s fingerprint=%016" PRIx64
           " server=%s start_ms=%" PRId64 " cause=%s sent_ms=%" PRId64
-          " delivering_ms=%" PRId64,
+          " delivering_ms=%" PRId64 " parts=%.*s",
           EG_STR_ARGS (self->headers.id), self->fingerprint, first->record.id,
           first->record.start_ms, eg_exchange_fault_name (fault),
           (now_us - attempt->started_us) / EG_US_PER_MS,
           attempt->progress.begun
               ? (now_us - attempt->first_event_us) / EG_US_PER_MS
-              : -1);
+              : -1,
+          EG_STR_ARGS (eg_buffer_view (&parts)));
+  eg_buffer_finish (&parts);
   if (fault == EG_EXCHANGE_MALFORMED || !is_young (attempt, now_us))
     return;
   eg_crash_watch_run_lost (&self->entry->crash_watch, first, self->fingerprint,
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -10,6 +10,8 @@
 
 #include <cmocka.h>
 
+#include "base/hash.h"
+
 #include "net/http_reader.h"
 #include "platform/configuration.h"
 #include "platform/headers.h"
@@ -91,8 +93,13 @@
   read_head (&reader, EG_HTTP_REQUEST,
              "GET / HTTP/1.1\r\nHost: h.example:8080\r\nX-Attempt-Id: 17\r\n"
              "X-Deadline-Ms: 20000\r\nX-Token-Usage: 1460,80\r\n"
+             "X-Prefix-Hash: 5c1e07a2:800, 91BD3f06:410 ,x:1,e4402b7d:250\r\n"
              "Api-Key: a\r\nApi-Key: b\r\n\r\n");
   eg_request_headers_decode (&headers, &reader.head);
+  assert_int_equal (headers.part_count, 3);
+  assert_int_equal (headers.parts[0], 0x5c1e07a2);
+  assert_int_equal (headers.parts[1], 0x91bd3f06);
+  assert_int_equal (headers.parts[2], eg_hash_str (EG_STR ("x")));
   assert_true (eg_str_equal (headers.host, EG_STR ("h.example")));
   assert_int_equal (headers.timeout_us, 20000000);
   assert_int_equal (headers.prompt_tokens, 1460);
