test: the streams' servers refuse requests for another start

An engine of the fixture answered for the id of its former start, which a server of the platform refuses with 421. A server that ends while the store is away keeps its id, as VMs could not learn another one.

With that, sound_streams_on_crashed_servers sent one and the same sound request three times to servers that all crashed before it had delivered for half a second: seven crashes against the deadly request's four, which no evidence tells from a deadly one. The sound requests have bodies of their own now, as those of different callers do, and each of them must be served afterwards, not just one.

--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -178,6 +178,12 @@
   char fields[160];
 
   self->requests++;
+  if (!eg_str_equal (eg_http_head_find (head, "x-expect-instance"),
+                     eg_str_from (self->id)))
+    {
+      soak_http_respond (connection, 421, EG_STR (""), EG_STR (""));
+      return;
+    }
   if (eg_str_starts_with (target, EG_STR ("/eelgrasswood/report")))
     {
       if (!self->silent)
@@ -291,9 +297,13 @@
   if (self->restart_us > 0 && now_us >= self->restart_us)
     {
       self->restart_us = 0;
-      streams_engine_withdraw (self);
       self->start_ms++;
-      name_engine (self);
+      /* Without the store, the VMs could not learn of another id. */
+      if (self->fixture->store.mode == SOAK_STORE_HEALTHY)
+        {
+          streams_engine_withdraw (self);
+          name_engine (self);
+        }
       soak_http_server_start (&self->server);
       streams_engine_publish (self, false);
     }
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -11,7 +11,6 @@
 #include <cmocka.h>
 
 #include "base/hash.h"
-
 #include "net/http_reader.h"
 #include "platform/configuration.h"
 #include "platform/headers.h"
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <cmocka.h>
@@ -221,11 +222,16 @@
   struct streams_fixture *self = *state;
   const struct streams_request deadly = {.body = "deadly"};
   const struct streams_request sound = {.body = "sound"};
+  char bodies[STREAMS_CLIENTS][32];
 
   for (int i = 0; i < SENDS_MAX && self->crashes < 4; i++)
     {
       for (unsigned n = 1; n < STREAMS_CLIENTS; n++)
-        streams_client_send (self, n, &sound);
+        {
+          snprintf (bodies[n], sizeof bodies[n], "sound %d %u", i, n);
+          streams_client_send (self, n,
+                               &(struct streams_request){.body = bodies[n]});
+        }
       streams_client_send (self, 0, &deadly);
       streams_run (self, 800);
     }
@@ -233,6 +239,8 @@
   streams_run (self, SPREAD_MS);
   assert_refused (self, &deadly);
   assert_served (self, &sound);
+  for (unsigned n = 1; n < STREAMS_CLIENTS; n++)
+    assert_served (self, &(struct streams_request){.body = bodies[n]});
 }
 
 #define CRASH_TEST(name, start)                                                \
