test: a part of a prompt that crashes servers, known to fail

No two requests are alike but for parts of their prompts, one of which ends each server that begins to answer. Both tests fail on the code as it is: the next request with the part is sent and ends its server.

--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -243,6 +243,94 @@
     assert_served (self, &(struct streams_request){.body = bodies[n]});
 }
 
+/* Stream requests of which no two are alike but for parts of their prompts. */
+struct varied_request
+{
+  char body[32];
+  char parts[96];
+  struct streams_request request;
+};
+
+/* Makes a request with @p part between a part that all have and its own. */
+static const struct streams_request *
+vary (struct varied_request *self, unsigned vm, const char *part)
+{
+  static unsigned number;
+
+  number++;
+  snprintf (self->body, sizeof self->body, "body %u", number);
+  snprintf (self->parts, sizeof self->parts, "aa:40,%s:100,%x:200", part,
+            0x1000 + number);
+  self->request = (struct streams_request){
+      .vm = vm, .body = self->body, .parts = self->parts};
+  return &self->request;
+}
+
+static void
+assert_part_refused (struct streams_fixture *self, unsigned vm)
+{
+  unsigned arrivals = self->deadly_arrivals;
+  struct varied_request varied;
+
+  for (int i = 0; i < REPEATS; i++)
+    assert_int_equal (send_request (self, vary (&varied, vm, "dead")), 503);
+  assert_true (self->clients[0].retry_after_s > 0);
+  assert_int_equal (self->deadly_arrivals, arrivals);
+}
+
+/* Sends requests with the deadly part to each VM in turn until servers have
+ * crashed under them @p crashes times. */
+static void
+send_part_until_crashed (struct streams_fixture *self, unsigned crashes)
+{
+  struct varied_request varied;
+
+  self->deadly_part = "dead";
+  for (unsigned i = 0; i < SENDS_MAX && self->crashes < crashes; i++)
+    {
+      streams_client_send (self, 0, vary (&varied, i % self->vm_count, "dead"));
+      streams_run (self, 200);
+      streams_client_leave (self, 0);
+      streams_run (self, 400);
+    }
+  assert_true (self->crashes >= crashes);
+}
+
+static void
+test_requests_with_a_part_that_crashed_five_servers_are_not_sent (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct varied_request varied;
+
+  streams_run (self, 1500);
+  assert_served (self, vary (&varied, 0, "50"));
+  self->store.mode = SOAK_STORE_UNAVAILABLE;
+  send_part_until_crashed (self, 5);
+  streams_run (self, SPREAD_MS);
+  assert_part_refused (self, 0);
+  assert_part_refused (self, 1);
+}
+
+static void
+test_requests_that_share_the_sound_parts_of_crashing_ones_are_served (
+    void **state)
+{
+  struct streams_fixture *self = *state;
+  struct varied_request varied;
+
+  streams_run (self, 1500);
+  assert_served (self, vary (&varied, 0, "50"));
+  assert_served (self, vary (&varied, 1, "51"));
+  send_part_until_crashed (self, 5);
+  streams_run (self, SPREAD_MS);
+  assert_part_refused (self, 0);
+  for (unsigned vm = 0; vm < 2; vm++)
+    {
+      assert_served (self, vary (&varied, vm, "50"));
+      assert_served (self, vary (&varied, vm, "52"));
+    }
+}
+
 #define CRASH_TEST(name, start)                                                \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -263,6 +351,11 @@
                   start_two_vms),
       CRASH_TEST (sound_streams_on_crashed_servers_are_served_again,
                   start_one_vm),
+      CRASH_TEST (requests_with_a_part_that_crashed_five_servers_are_not_sent,
+                  start_two_vms),
+      CRASH_TEST (
+          requests_that_share_the_sound_parts_of_crashing_ones_are_served,
+          start_two_vms),
   };
 
   if (argc > 1)
