entry: requests with a part of a prompt that crashes servers are not sent

Cause: only whole requests were compared, and each of these ends too few servers by itself before its caller is gone.

crash_blame counts crashes for the shared parts of prompts, too: all but the last. A part is blamed for four crashes, unless one request explains them all; requests do not explain what a part did to others. What was served once is less likely the cause than what never was, so that parts which the crashing requests share with sound ones stay in use: it is found among equal suspects first, and crashes within two seconds of a run that was served do not count. Parts that were served are remembered before they are suspected.

--- a/entry/call.c
+++ b/entry/call.c
@@ -264,8 +264,7 @@
 static void
 record_served (const struct eg_call *self, int64_t now_us)
 {
-  eg_crash_blame_record_served (&self->entry->crash_watch.blame,
-                                self->fingerprint, now_us);
+  eg_crash_watch_served (&self->entry->crash_watch, &self->subjects, now_us);
 }
 
 /* A run that has delivered for some time shows that its request is sound. */
@@ -411,11 +410,14 @@
   struct eg_attempt *attempt = &self->attempt;
   int64_t now_us = eg_clock_now_us ();
 
-  if (!attempt->headers.not_executed)
+  bool ended = attempt->mode == EG_RESPONSE_FORWARDED
+               || (attempt->mode == EG_RESPONSE_EVENTS
+                   && !eg_event_relay_is_partial (&self->relay));
+
+  if (ended
+      || (attempt->mode == EG_RESPONSE_BUFFERED && is_valid_success (self)))
     record_served (self, now_us);
-  if (attempt->mode == EG_RESPONSE_FORWARDED
-      || (attempt->mode == EG_RESPONSE_EVENTS
-          && !eg_event_relay_is_partial (&self->relay)))
+  if (ended)
     eg_call_end_response (self);
   else if (attempt->mode == EG_RESPONSE_EVENTS)
     {
@@ -523,8 +525,9 @@
           "event=run-lost request=%.*s fingerprint=%016" PRIx64
           " server=%s start_ms=%" PRId64 " cause=%s sent_ms=%" PRId64
           " delivering_ms=%" PRId64 " parts=%.*s",
-          EG_STR_ARGS (self->headers.id), self->fingerprint, first->record.id,
-          first->record.start_ms, eg_exchange_fault_name (fault),
+          EG_STR_ARGS (self->headers.id), self->subjects.request,
+          first->record.id, first->record.start_ms,
+          eg_exchange_fault_name (fault),
           (now_us - attempt->started_us) / EG_US_PER_MS,
           attempt->progress.begun
               ? (now_us - attempt->first_event_us) / EG_US_PER_MS
@@ -533,7 +536,7 @@
   eg_buffer_finish (&parts);
   if (fault == EG_EXCHANGE_MALFORMED || !is_young (attempt, now_us))
     return;
-  eg_crash_watch_run_lost (&self->entry->crash_watch, first, self->fingerprint,
+  eg_crash_watch_run_lost (&self->entry->crash_watch, first, &self->subjects,
                            now_us);
 }
 
@@ -781,8 +784,8 @@
 static bool
 is_quarantined (const struct eg_call *self, int64_t now_us)
 {
-  return eg_crash_blame_is_blamed (&self->entry->crash_watch.blame,
-                                   self->fingerprint, now_us, NULL);
+  return eg_crash_watch_is_blamed (&self->entry->crash_watch, &self->subjects,
+                                   now_us, NULL);
 }
 
 /* API keys are checked again for each attempt, because the configuration may
@@ -908,15 +911,19 @@
 }
 
 /* The id is left out: it differs for each copy of a request. */
-static uint64_t
-get_fingerprint (const struct eg_call *self)
+static void
+set_subjects (struct eg_call *self)
 {
   uint64_t hash =
       eg_quarantine_fingerprint (eg_str_from (self->organisation),
                                  eg_http_head_target (self->head), self->body);
 
   hash = eg_hash_add (hash, self->headers.host);
-  return eg_hash_mix (eg_hash_add (hash, eg_str_from (self->head->method)));
+  hash = eg_hash_add (hash, eg_str_from (self->head->method));
+  self->subjects.request = eg_hash_mix (hash);
+  self->subjects.part_count = self->headers.part_count;
+  memcpy (self->subjects.parts, self->headers.parts,
+          sizeof self->subjects.parts);
 }
 
 static void
@@ -956,7 +963,7 @@
   self->route = *route;
   if (!identify (self, now_us))
     return;
-  self->fingerprint = get_fingerprint (self);
+  set_subjects (self);
   set_deadline (self);
   if (self->priority > PRIORITY_CLASS_MAX)
     self->priority = PRIORITY_CLASS_MAX;
@@ -992,7 +999,7 @@
   self->may_have_run = false;
   self->head_sent = false;
   self->response_status = 0;
-  self->fingerprint = 0;
+  self->subjects = (struct eg_crash_subjects){0};
   memset (&self->route, 0, sizeof self->route);
   *self->service = '\0';
   *self->organisation = '\0';
--- a/entry/call.h
+++ b/entry/call.h
@@ -6,6 +6,7 @@
 #ifndef EG_ENTRY_CALL_H
 #define EG_ENTRY_CALL_H
 
+#include "entry/crash_watch.h"
 #include "entry/fleet.h"
 #include "entry/placement.h"
 #include "platform/headers.h"
@@ -75,7 +76,7 @@
   char organisation[EG_CONFIG_NAME_BYTES];
   bool needs_key;
   unsigned priority;
-  uint64_t fingerprint; /**< The same for each copy of a request. */
+  struct eg_crash_subjects subjects;
   int64_t arrived_us;
   int64_t deadline_us;
   int64_t first_event_us; /**< 0: no event sent yet. */
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -36,8 +36,8 @@
           "server=%s events=%" PRIu64 " first_event_ms=%" PRId64
           " gap_ms=%" PRId64 " silent_ms=%" PRId64 " total_ms=%" PRId64
           " left_ms=%" PRId64 " config=%" PRId64 " config_age_ms=%" PRId64,
-          EG_STR_ARGS (self->headers.id), self->fingerprint, route_name (self),
-          self->service, self->organisation, outcome,
+          EG_STR_ARGS (self->headers.id), self->subjects.request,
+          route_name (self), self->service, self->organisation, outcome,
           eg_resend_limit_name (self->limit), status, self->sends, self->moves,
           self->first_server_count
               ? self->first_servers[self->first_server_count - 1]->record.id
@@ -125,8 +125,8 @@
       eg_fleet_pause_end_us (&self->entry->fleet, self->service, now_us);
   int64_t quarantine_us;
 
-  if (eg_crash_blame_is_blamed (&self->entry->crash_watch.blame,
-                                self->fingerprint, now_us, &quarantine_us))
+  if (eg_crash_watch_is_blamed (&self->entry->crash_watch, &self->subjects,
+                                now_us, &quarantine_us))
     return quarantine_us / EG_US_PER_MS + 1;
   if (pause_end_us > 0)
     return (pause_end_us - now_us) / EG_US_PER_MS + 1;
--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -9,8 +9,13 @@
 #include "base/log.h"
 #include "entry/entry.h"
 
-/* A request that was in flight at so many crashes is refused. */
-#define CRASHES_MIN 3
+/* What was in flight at so many crashes is refused. Parts are shared by more
+ * requests, so that more of them are in flight by chance. */
+#define REQUEST_CRASHES_MIN 3
+#define PART_CRASHES_MIN 4
+/* Crashes this soon after it was served do not count against a subject: while
+ * servers crash, one that few requests have is not served all the time. */
+#define TRUST_US (2 * EG_US_PER_S)
 /* Long enough for a sound run elsewhere to show that it is, and for the news of
  * that to arrive. */
 #define SETTLE_US EG_SOUND_RUN_US
@@ -38,17 +43,21 @@
   struct eg_backend *backend; /* Referenced. */
   int64_t start_ms;           /* Of the server. */
   int64_t lost_us;
-  uint64_t request;
+  struct eg_crash_subjects subjects;
 };
 
+static const char *const kind_names[EG_SUBJECT_KINDS] =
+    {[EG_SUBJECT_REQUEST] = "request", [EG_SUBJECT_PART] = "part"};
+
 static void
 on_blamed (void *context, const struct eg_suspect *suspect)
 {
   (void) context;
   eg_log (EG_LOG_WARNING, "crashes",
-          "event=request-quarantined fingerprint=%016" PRIx64
+          "event=quarantined kind=%s subject=%" PRIx64
           " crashes=%u for_s=%" PRId64,
-          suspect->request, suspect->crash_count, QUARANTINE_US / EG_US_PER_S);
+          kind_names[suspect->subject.kind], suspect->subject.id,
+          suspect->crash_count, QUARANTINE_US / EG_US_PER_S);
 }
 
 static void
@@ -56,19 +65,22 @@
 {
   (void) context;
   eg_log (EG_LOG_WARNING, "crashes",
-          "event=request-cleared fingerprint=%016" PRIx64
+          "event=quarantine-ended kind=%s subject=%" PRIx64
           " cause=\"it was served\"",
-          suspect->request);
+          kind_names[suspect->subject.kind], suspect->subject.id);
 }
 
 void
 eg_crash_watch_init (struct eg_crash_watch *self, struct eg_entry *entry)
 {
-  const struct eg_crash_blame_config config = {.crashes_min = CRASHES_MIN,
-                                               .settle_us = SETTLE_US,
-                                               .window_us = QUARANTINE_US,
-                                               .duration_us = QUARANTINE_US,
-                                               .suspects_max = SUSPECTS_MAX};
+  const struct eg_crash_blame_config config = {
+      .crashes_min = {[EG_SUBJECT_REQUEST] = REQUEST_CRASHES_MIN,
+                      [EG_SUBJECT_PART] = PART_CRASHES_MIN},
+      .settle_us = SETTLE_US,
+      .trust_us = TRUST_US,
+      .window_us = QUARANTINE_US,
+      .duration_us = QUARANTINE_US,
+      .suspects_max = SUSPECTS_MAX};
   const struct eg_crash_blame_events events = {on_blamed, on_cleared, self};
 
   memset (self, 0, sizeof *self);
@@ -110,6 +122,20 @@
                       ^ (uint64_t) start_ms);
 }
 
+static size_t
+count_subjects (const struct eg_crash_subjects *subjects)
+{
+  return 1 + (size_t) subjects->part_count;
+}
+
+static struct eg_subject
+get_subject (const struct eg_crash_subjects *subjects, size_t index)
+{
+  if (index == 0)
+    return (struct eg_subject){EG_SUBJECT_REQUEST, subjects->request};
+  return (struct eg_subject){EG_SUBJECT_PART, subjects->parts[index - 1]};
+}
+
 static void
 count_crash (struct eg_crash_watch *self,
              const struct lost_run *run,
@@ -118,18 +144,46 @@
   const struct eg_crash crash = {hash_start (run->backend, run->start_ms),
                                  run->lost_us};
 
-  if (eg_crash_blame_record_crash (&self->blame, run->request, &crash, now_us))
-    eg_log (EG_LOG_NOTICE, "crashes",
-            "event=request-suspected fingerprint=%016" PRIx64
-            " server=%s start_ms=%" PRId64 " confirmed_ms=%" PRId64,
-            run->request, run->backend->record.id, run->start_ms,
-            (now_us - run->lost_us) / EG_US_PER_MS);
+  for (size_t i = 0; i < count_subjects (&run->subjects); i++)
+    {
+      struct eg_subject subject = get_subject (&run->subjects, i);
+
+      if (eg_crash_blame_record_crash (&self->blame, subject, &crash, now_us))
+        eg_log (EG_LOG_NOTICE, "crashes",
+                "event=suspected kind=%s subject=%" PRIx64
+                " server=%s start_ms=%" PRId64 " confirmed_ms=%" PRId64,
+                kind_names[subject.kind], subject.id, run->backend->record.id,
+                run->start_ms, (now_us - run->lost_us) / EG_US_PER_MS);
+    }
+}
+
+void
+eg_crash_watch_served (struct eg_crash_watch *self,
+                       const struct eg_crash_subjects *subjects,
+                       int64_t now_us)
+{
+  for (size_t i = 0; i < count_subjects (subjects); i++)
+    eg_crash_blame_record_served (&self->blame, get_subject (subjects, i),
+                                  now_us);
+}
+
+bool
+eg_crash_watch_is_blamed (const struct eg_crash_watch *self,
+                          const struct eg_crash_subjects *subjects,
+                          int64_t now_us,
+                          int64_t *retry_after_us)
+{
+  for (size_t i = 0; i < count_subjects (subjects); i++)
+    if (eg_crash_blame_is_blamed (&self->blame, get_subject (subjects, i),
+                                  now_us, retry_after_us))
+      return true;
+  return false;
 }
 
 void
 eg_crash_watch_run_lost (struct eg_crash_watch *self,
                          struct eg_backend *backend,
-                         uint64_t request,
+                         const struct eg_crash_subjects *subjects,
                          int64_t now_us)
 {
   struct lost_run *run;
@@ -143,7 +197,7 @@
   run->backend = backend;
   run->start_ms = backend->record.start_ms;
   run->lost_us = now_us;
-  run->request = request;
+  run->subjects = *subjects;
   eg_backend_ref (backend);
   eg_list_append (&self->lost_runs, &run->link);
   self->lost_run_count++;
@@ -193,7 +247,8 @@
     json_array_append_new (
         crashes, json_pack ("[I, o]", (json_int_t) suspect->crashes[i].server,
                             encode_age (suspect->crashes[i].at_us, now_us)));
-  return json_pack ("[I, o, o, o]", (json_int_t) suspect->request,
+  return json_pack ("[i, I, o, o, o]", (int) suspect->subject.kind,
+                    (json_int_t) suspect->subject.id,
                     encode_age (suspect->served_us, now_us),
                     encode_age (suspect->blamed_us, now_us), crashes);
 }
@@ -203,16 +258,19 @@
                 int64_t now_us,
                 struct eg_suspect *suspect)
 {
-  const json_t *request = json_array_get (document, 0);
-  const json_t *crashes = json_array_get (document, 3);
+  json_int_t kind = json_integer_value (json_array_get (document, 0));
+  const json_t *id = json_array_get (document, 1);
+  const json_t *crashes = json_array_get (document, 4);
   const json_t *crash;
   size_t index;
 
   *suspect = (struct eg_suspect){
-      .request = (uint64_t) json_integer_value (request),
-      .served_us = decode_age (json_array_get (document, 1), now_us),
-      .blamed_us = decode_age (json_array_get (document, 2), now_us)};
-  if (!json_is_integer (request) || !json_is_array (crashes)
+      .subject = {(enum eg_subject_kind) kind,
+                  (uint64_t) json_integer_value (id)},
+      .served_us = decode_age (json_array_get (document, 2), now_us),
+      .blamed_us = decode_age (json_array_get (document, 3), now_us)};
+  if (kind < 0 || kind >= EG_SUBJECT_KINDS || !json_is_integer (id)
+      || !json_is_array (crashes)
       || json_array_size (crashes) > EG_SUSPECT_CRASHES_MAX)
     return false;
   json_array_foreach (crashes, index, crash)
--- a/entry/crash_watch.h
+++ b/entry/crash_watch.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Tells which requests were in flight when backend servers crashed: confirms
+ * Tells what was in flight when backend servers crashed: confirms
  * that a server has ended before its lost runs count as a crash, and exchanges
  * what is known of suspects with the other entry VMs.
  *
@@ -14,6 +14,7 @@
 #include <jansson.h>
 
 #include "base/list.h"
+#include "platform/headers.h"
 #include "policy/crash_blame.h"
 
 struct eg_backend;
@@ -26,6 +27,14 @@
 /** Kind of the messages between VMs. */
 #define EG_CRASH_MESSAGE_KIND "crashes"
 
+/** What of a request may crash servers. */
+struct eg_crash_subjects
+{
+  uint64_t request; /**< Fingerprint. */
+  uint64_t parts[EG_PROMPT_PARTS_MAX];
+  uint32_t part_count;
+};
+
 /** State of one VM; allocated by the caller. */
 struct eg_crash_watch
 {
@@ -50,9 +59,23 @@
  */
 void eg_crash_watch_run_lost (struct eg_crash_watch *self,
                               struct eg_backend *backend,
-                              uint64_t request,
+                              const struct eg_crash_subjects *subjects,
                               int64_t now_us);
 
+/** Takes note that a request was served well. */
+void eg_crash_watch_served (struct eg_crash_watch *self,
+                            const struct eg_crash_subjects *subjects,
+                            int64_t now_us);
+
+/**
+ * Returns whether a request, or a part of its prompt, is in quarantine.
+ * @param[out] retry_after_us time until its end; may be NULL.
+ */
+bool eg_crash_watch_is_blamed (const struct eg_crash_watch *self,
+                               const struct eg_crash_subjects *subjects,
+                               int64_t now_us,
+                               int64_t *retry_after_us);
+
 /** Handles a message of another VM. */
 void eg_crash_watch_receive (struct eg_crash_watch *self,
                              const json_t *message,
--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/hash.h"
+#include "base/status.h"
+
 /* How often a piece of news is taken. */
 #define NEWS_ROUNDS 4
 /* Servers that end within this time of each other ended at the same moment: a
@@ -27,17 +30,15 @@
                      const struct eg_crash_blame_events *events)
 {
   const struct eg_quarantine_config quarantine = {
-      config->crashes_min, config->window_us, config->duration_us,
-      config->suspects_max};
+      1, config->window_us, config->duration_us, config->suspects_max};
 
   memset (self, 0, sizeof *self);
   self->config = *config;
   if (self->config.suspects_max < 1)
     self->config.suspects_max = 1;
-  if (self->config.crashes_min < 1)
-    self->config.crashes_min = 1;
-  if (self->config.crashes_min > EG_SUSPECT_CRASHES_MAX)
-    self->config.crashes_min = EG_SUSPECT_CRASHES_MAX;
+  for (int kind = 0; kind < EG_SUBJECT_KINDS; kind++)
+    EG_INVARIANT (config->crashes_min[kind] >= 1
+                  && config->crashes_min[kind] <= EG_SUSPECT_CRASHES_MAX);
   if (events)
     self->events = *events;
   eg_map_init (&self->suspects);
@@ -48,6 +49,13 @@
   return self->quarantine != NULL;
 }
 
+/* Returns the key of a subject in the maps. */
+static uint64_t
+get_key (struct eg_subject subject)
+{
+  return eg_hash_mix (subject.id + (uint64_t) subject.kind);
+}
+
 static struct entry *
 oldest (const struct eg_crash_blame *self)
 {
@@ -57,7 +65,7 @@
 static void
 remove_entry (struct eg_crash_blame *self, struct entry *entry)
 {
-  eg_map_remove (&self->suspects, entry->suspect.request);
+  eg_map_remove (&self->suspects, get_key (entry->suspect.subject));
   eg_list_remove (&entry->by_change);
   if (entry->rounds_left > 0)
     eg_list_remove (&entry->news);
@@ -75,30 +83,37 @@
 }
 
 static struct entry *
-find_entry (const struct eg_crash_blame *self, uint64_t request)
+find_entry (const struct eg_crash_blame *self, struct eg_subject subject)
 {
-  return eg_map_get (&self->suspects, request);
+  return eg_map_get (&self->suspects, get_key (subject));
 }
 
+/* Removes the oldest entry that is not suspected, else the oldest that is not
+ * blamed, else the oldest. */
 static void
 evict_one (struct eg_crash_blame *self)
 {
+  struct entry *chosen = NULL;
+
   for (struct eg_list *at = self->by_change.next; at != &self->by_change;
        at = at->next)
     {
       struct entry *entry = EG_CONTAINER_OF (at, struct entry, by_change);
 
-      if (entry->suspect.blamed_us == 0)
-        {
-          remove_entry (self, entry);
-          return;
-        }
+      if (entry->suspect.blamed_us > 0)
+        continue;
+      if (!chosen)
+        chosen = entry;
+      if (entry->suspect.crash_count > 0)
+        continue;
+      chosen = entry;
+      break;
     }
-  remove_entry (self, oldest (self));
+  remove_entry (self, chosen ? chosen : oldest (self));
 }
 
 static struct entry *
-add_entry (struct eg_crash_blame *self, uint64_t request)
+add_entry (struct eg_crash_blame *self, struct eg_subject subject)
 {
   struct entry *entry;
 
@@ -107,19 +122,25 @@
   entry = calloc (1, sizeof *entry);
   if (!entry)
     return NULL;
-  entry->suspect.request = request;
+  entry->suspect.subject = subject;
   eg_list_append (&self->by_change, &entry->by_change);
-  eg_map_put (&self->suspects, request, entry);
+  eg_map_put (&self->suspects, get_key (subject), entry);
   return entry;
 }
 
-/* Suspects of several crashes come first: the others are mostly victims. */
 static void
-set_changed (struct eg_crash_blame *self, struct entry *entry, int64_t now_us)
+set_used (struct eg_crash_blame *self, struct entry *entry, int64_t now_us)
 {
   entry->changed_us = now_us;
   eg_list_remove (&entry->by_change);
   eg_list_append (&self->by_change, &entry->by_change);
+}
+
+/* Suspects of several crashes come first: the others are mostly victims. */
+static void
+set_changed (struct eg_crash_blame *self, struct entry *entry, int64_t now_us)
+{
+  set_used (self, entry, now_us);
   if (entry->rounds_left > 0)
     eg_list_remove (&entry->news);
   entry->rounds_left = NEWS_ROUNDS;
@@ -129,13 +150,24 @@
     eg_list_append (&self->news, &entry->news);
 }
 
+/* Returns the time until which crashes do not count against a subject. */
+static int64_t
+trusted_until (const struct eg_crash_blame *self,
+               const struct eg_suspect *suspect)
+{
+  return suspect->served_us > 0 ? suspect->served_us + self->config.trust_us
+                                : 0;
+}
+
 /* Adds a crash in the order of time, the earliest first. */
 static bool
-add_crash (struct eg_suspect *suspect, const struct eg_crash *crash)
+add_crash (const struct eg_crash_blame *self,
+           struct eg_suspect *suspect,
+           const struct eg_crash *crash)
 {
   unsigned at;
 
-  if (crash->at_us <= suspect->served_us)
+  if (crash->at_us <= trusted_until (self, suspect))
     return false;
   for (unsigned i = 0; i < suspect->crash_count; i++)
     if (suspect->crashes[i].server == crash->server)
@@ -173,7 +205,7 @@
   bool was_blamed = entry->suspect.blamed_us > 0;
 
   entry->suspect.blamed_us = at_us;
-  eg_quarantine_add (self->quarantine, entry->suspect.request,
+  eg_quarantine_add (self->quarantine, get_key (entry->suspect.subject),
                      at_us + self->config.duration_us);
   if (!was_blamed && self->events.blamed)
     self->events.blamed (self->events.context, &entry->suspect);
@@ -188,10 +220,10 @@
   if (at_us <= suspect->served_us)
     return false;
   suspect->served_us = at_us;
-  drop_crashes_until (suspect, at_us);
+  drop_crashes_until (suspect, trusted_until (self, suspect));
   if (suspect->blamed_us > 0 && suspect->blamed_us <= at_us)
     {
-      eg_quarantine_remove (self->quarantine, suspect->request);
+      eg_quarantine_remove (self->quarantine, get_key (suspect->subject));
       if (self->events.cleared)
         self->events.cleared (self->events.context, suspect);
       suspect->blamed_us = 0;
@@ -202,41 +234,54 @@
   return counts;
 }
 
+static unsigned
+get_crashes_min (const struct eg_crash_blame *self,
+                 const struct eg_suspect *suspect)
+{
+  return self->config.crashes_min[suspect->subject.kind];
+}
+
 static void
 schedule_check (struct eg_crash_blame *self, const struct entry *entry)
 {
   const struct eg_suspect *suspect = &entry->suspect;
+  unsigned crashes_min = get_crashes_min (self, suspect);
   int64_t due_us;
 
-  if (suspect->blamed_us > 0 || suspect->crash_count < self->config.crashes_min)
+  if (suspect->blamed_us > 0 || suspect->crash_count < crashes_min)
     return;
-  due_us = suspect->crashes[self->config.crashes_min - 1].at_us
-           + self->config.settle_us;
+  due_us = suspect->crashes[crashes_min - 1].at_us + self->config.settle_us;
   if (due_us < self->check_due_us)
     self->check_due_us = due_us;
 }
 
 bool
 eg_crash_blame_record_crash (struct eg_crash_blame *self,
-                             uint64_t request,
+                             struct eg_subject subject,
                              const struct eg_crash *crash,
                              int64_t now_us)
 {
   const struct eg_suspect suspect = {
-      .request = request, .crash_count = 1, .crashes = {*crash}};
+      .subject = subject, .crash_count = 1, .crashes = {*crash}};
 
   return eg_crash_blame_merge (self, &suspect, now_us);
 }
 
 void
 eg_crash_blame_record_served (struct eg_crash_blame *self,
-                              uint64_t request,
+                              struct eg_subject subject,
                               int64_t now_us)
 {
-  struct entry *entry = find_entry (self, request);
+  struct entry *entry = find_entry (self, subject);
 
-  if (entry && set_served (self, entry, now_us))
+  if (!entry && subject.kind == EG_SUBJECT_PART)
+    entry = add_entry (self, subject);
+  if (!entry)
+    return;
+  if (set_served (self, entry, now_us))
     set_changed (self, entry, now_us);
+  else
+    set_used (self, entry, now_us);
 }
 
 bool
@@ -244,18 +289,18 @@
                       const struct eg_suspect *theirs,
                       int64_t now_us)
 {
-  struct entry *entry = find_entry (self, theirs->request);
+  struct entry *entry = find_entry (self, theirs->subject);
   bool is_new = false;
 
   if (!entry && theirs->crash_count == 0 && theirs->blamed_us == 0)
     return false;
   if (!entry)
-    entry = add_entry (self, theirs->request);
+    entry = add_entry (self, theirs->subject);
   if (!entry)
     return false;
   is_new |= set_served (self, entry, theirs->served_us);
   for (unsigned i = 0; i < theirs->crash_count; i++)
-    is_new |= add_crash (&entry->suspect, &theirs->crashes[i]);
+    is_new |= add_crash (self, &entry->suspect, &theirs->crashes[i]);
   if (entry->suspect.blamed_us == 0
       && theirs->blamed_us > entry->suspect.served_us)
     {
@@ -277,7 +322,17 @@
   return false;
 }
 
-/* Returns whether a request that is already blamed was in flight at a crash. */
+/* A part is common to several requests, so that a blamed request does not
+ * explain what happened to the others. */
+static bool
+may_explain (const struct eg_suspect *other, const struct eg_suspect *suspect)
+{
+  return other != suspect && other->blamed_us > 0
+         && (other->subject.kind == EG_SUBJECT_PART
+             || suspect->subject.kind == EG_SUBJECT_REQUEST);
+}
+
+/* Returns whether something that is already blamed was in flight at a crash. */
 static bool
 is_explained (const struct eg_crash_blame *self,
               const struct eg_suspect *suspect,
@@ -287,7 +342,7 @@
   size_t cursor = 0;
 
   while ((other = eg_map_next (&self->suspects, &cursor)))
-    if (&other->suspect != suspect && other->suspect.blamed_us > 0
+    if (may_explain (&other->suspect, suspect)
         && was_at_crash (&other->suspect, crash->server))
       return true;
   return false;
@@ -315,8 +370,25 @@
   return count;
 }
 
-/* Returns whether another suspect explains the same crashes better, or, unless
- * there are more than needed, as well. */
+/* Returns whether @p other, which was at all crashes of @p suspect, is at least
+ * as likely to have caused them. */
+static bool
+is_rival (const struct eg_crash_blame *self,
+          const struct eg_suspect *other,
+          const struct eg_suspect *suspect,
+          unsigned count)
+{
+  if (other->subject.kind != suspect->subject.kind)
+    return other->subject.kind == EG_SUBJECT_REQUEST;
+  if (other->blamed_us > 0)
+    return false;
+  if (other->served_us != suspect->served_us)
+    return other->served_us < suspect->served_us;
+  if (other->crash_count != suspect->crash_count)
+    return other->crash_count > suspect->crash_count;
+  return count < get_crashes_min (self, suspect) + TIE_CRASHES;
+}
+
 static bool
 has_rival (const struct eg_crash_blame *self,
            const struct eg_suspect *suspect,
@@ -328,37 +400,65 @@
 
   while ((other = eg_map_next (&self->suspects, &cursor)))
     {
-      bool covers = &other->suspect != suspect && other->suspect.blamed_us == 0;
+      bool covers = &other->suspect != suspect;
 
       for (unsigned i = 0; covers && i < count; i++)
         covers = was_at_crash (&other->suspect, crashes[i].server);
-      if (covers
-          && (other->suspect.crash_count > suspect->crash_count
-              || (other->suspect.crash_count == suspect->crash_count
-                  && count < self->config.crashes_min + TIE_CRASHES)))
+      if (covers && is_rival (self, &other->suspect, suspect, count))
         return true;
     }
   return false;
 }
 
-/* Returns whether a suspect is to be blamed; if not yet, when to look again. */
+/* Returns whether a suspect may be blamed now; if not yet, schedules another
+ * look at it. */
 static bool
-is_to_blame (struct eg_crash_blame *self, struct entry *entry, int64_t now_us)
+may_be_blamed (struct eg_crash_blame *self,
+               const struct eg_suspect *suspect,
+               int64_t now_us)
 {
   struct eg_crash crashes[EG_SUSPECT_CRASHES_MAX] = {{0}};
-  unsigned count = collect_crashes (self, &entry->suspect, crashes);
+  unsigned crashes_min = get_crashes_min (self, suspect);
+  unsigned count;
   int64_t due_us;
 
-  if (count < self->config.crashes_min)
+  if (suspect->blamed_us > 0 || suspect->crash_count < crashes_min)
+    return false;
+  count = collect_crashes (self, suspect, crashes);
+  if (count < crashes_min)
     return false;
-  due_us = crashes[self->config.crashes_min - 1].at_us + self->config.settle_us;
+  due_us = crashes[crashes_min - 1].at_us + self->config.settle_us;
   if (now_us >= due_us)
-    return !has_rival (self, &entry->suspect, crashes, count);
+    return !has_rival (self, suspect, crashes, count);
   if (due_us < self->check_due_us)
     self->check_due_us = due_us;
   return false;
 }
 
+/* Orders suspects by how likely they are the cause: what was never served comes
+ * before what was served once. */
+static bool
+is_more_likely (const struct eg_suspect *a, const struct eg_suspect *b)
+{
+  if (a->served_us != b->served_us)
+    return a->served_us < b->served_us;
+  return a->crash_count > b->crash_count;
+}
+
+static struct entry *
+find_most_likely (struct eg_crash_blame *self, int64_t now_us)
+{
+  struct entry *found = NULL;
+  struct entry *entry;
+  size_t cursor = 0;
+
+  while ((entry = eg_map_next (&self->suspects, &cursor)))
+    if (may_be_blamed (self, &entry->suspect, now_us)
+        && (!found || is_more_likely (&entry->suspect, &found->suspect)))
+      found = entry;
+  return found;
+}
+
 static void
 forget_old (struct eg_crash_blame *self, int64_t now_us)
 {
@@ -370,24 +470,15 @@
 void
 eg_crash_blame_check (struct eg_crash_blame *self, int64_t now_us)
 {
-  bool found = true;
+  struct entry *entry;
 
   forget_old (self, now_us);
   if (now_us < self->check_due_us)
     return;
   self->check_due_us = INT64_MAX;
   /* Each verdict may explain the crashes of others. */
-  while (found)
+  while ((entry = find_most_likely (self, now_us)))
     {
-      struct entry *entry;
-      size_t cursor = 0;
-
-      found = false;
-      while (!found && (entry = eg_map_next (&self->suspects, &cursor)))
-        found =
-            entry->suspect.blamed_us == 0 && is_to_blame (self, entry, now_us);
-      if (!found)
-        return;
       blame (self, entry, now_us);
       set_changed (self, entry, now_us);
     }
@@ -395,11 +486,11 @@
 
 bool
 eg_crash_blame_is_blamed (const struct eg_crash_blame *self,
-                          uint64_t request,
+                          struct eg_subject subject,
                           int64_t now_us,
                           int64_t *retry_after_us)
 {
-  return eg_quarantine_is_active (self->quarantine, request, now_us,
+  return eg_quarantine_is_active (self->quarantine, get_key (subject), now_us,
                                   retry_after_us);
 }
 
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -1,13 +1,15 @@
 /**
  * @file
- * Finds the requests that crash backend servers, from what entry VMs see of the
- * crashes, and quarantines them.
+ * Finds what crashes backend servers, from what entry VMs see of the crashes,
+ * and quarantines it: a request that comes again, or a part that the prompts of
+ * different requests have in common.
  *
  * A crash takes along every request that the server was running, so that one
- * crash says little about each of them. A request is blamed for crashes that no
- * other one explains as well, and only if it was not served since: a request
- * that crashes servers is in flight at each of these crashes and is never
- * served. Several servers that end at the same moment, as in a loss of power,
+ * crash says little about each of them and of their parts. A subject is blamed
+ * for crashes that no other one explains as well, and only if it was not served
+ * since: what crashes servers is in flight at each of these crashes and is
+ * never served. A part is not blamed for crashes that a single request
+ * explains. Several servers that end at the same moment, as in a loss of power,
  * count as one crash.
  *
  * VMs exchange what they know of each suspect. Merging is idempotent and does
@@ -32,22 +34,40 @@
   int64_t at_us;
 };
 
-/** What is known of a request that was in flight at a crash. */
+/** Kinds of subjects that may crash servers. */
+enum eg_subject_kind
+{
+  EG_SUBJECT_REQUEST, /**< A request, by its fingerprint. */
+  EG_SUBJECT_PART,    /**< A part of a prompt, by its id. */
+  EG_SUBJECT_KINDS,
+};
+
+/** What may crash servers. */
+struct eg_subject
+{
+  enum eg_subject_kind kind;
+  uint64_t id;
+};
+
+/** What is known of a subject that was in flight at a crash. */
 struct eg_suspect
 {
-  uint64_t request;  /**< Fingerprint of the request. */
-  int64_t served_us; /**< When it was last served well; 0: not since then. */
+  struct eg_subject subject;
+  int64_t served_us; /**< When it was last served well; 0: not known. */
   int64_t blamed_us; /**< When it was blamed; 0: it is not. */
   unsigned crash_count;
-  struct eg_crash crashes[EG_SUSPECT_CRASHES_MAX]; /**< Since @c served_us. */
+  struct eg_crash crashes[EG_SUSPECT_CRASHES_MAX]; /**< That count. */
 };
 
 /** Settings; times in microseconds. */
 struct eg_crash_blame_config
 {
-  unsigned crashes_min; /**< Crashes for which a request is blamed. */
-  /** Time after the last of these for signs that the request is sound. */
+  /** Crashes for which a subject is blamed, by its kind. */
+  unsigned crashes_min[EG_SUBJECT_KINDS];
+  /** Time after the last of these for signs that the subject is sound. */
   int64_t settle_us;
+  /** Crashes so soon after a subject was served do not count against it. */
+  int64_t trust_us;
   int64_t window_us;   /**< A suspect is forgotten after no news for so long. */
   int64_t duration_us; /**< Of the quarantine. */
   size_t suspects_max; /**< At least 1. */
@@ -56,9 +76,9 @@
 /** Callbacks; may be NULL. */
 struct eg_crash_blame_events
 {
-  /** A request was blamed, by this VM or another one. */
+  /** A subject was blamed, by this VM or another one. */
   void (*blamed) (void *context, const struct eg_suspect *suspect);
-  /** A request that was blamed is not any more. */
+  /** A subject that was blamed is not any more. */
   void (*cleared) (void *context, const struct eg_suspect *suspect);
   void *context;
 };
@@ -68,7 +88,7 @@
 {
   struct eg_crash_blame_config config;
   struct eg_crash_blame_events events;
-  struct eg_map suspects;   /**< By request. */
+  struct eg_map suspects;   /**< By subject; also parts that were served. */
   struct eg_list by_change; /**< Suspects, the latest news last. */
   struct eg_list news;      /**< Suspects with news for other VMs. */
   struct eg_quarantine *quarantine;
@@ -85,18 +105,21 @@
 void eg_crash_blame_finish (struct eg_crash_blame *self);
 
 /**
- * Records that a request was in flight on a server that crashed, and had not
+ * Records that a subject was in flight on a server that crashed, and had not
  * shown by then that it is sound.
  * @return whether that was not known yet.
  */
 bool eg_crash_blame_record_crash (struct eg_crash_blame *self,
-                                  uint64_t request,
+                                  struct eg_subject subject,
                                   const struct eg_crash *crash,
                                   int64_t now_us);
 
-/** Records that a request was served well, if it is suspected. */
+/**
+ * Records that a subject was served well. A request, which rarely comes again,
+ * is remembered only if it is suspected.
+ */
 void eg_crash_blame_record_served (struct eg_crash_blame *self,
-                                   uint64_t request,
+                                   struct eg_subject subject,
                                    int64_t now_us);
 
 /**
@@ -107,15 +130,15 @@
                            const struct eg_suspect *theirs,
                            int64_t now_us);
 
-/** Blames requests whose time has come, and forgets old suspects. */
+/** Blames subjects whose time has come, and forgets old suspects. */
 void eg_crash_blame_check (struct eg_crash_blame *self, int64_t now_us);
 
 /**
- * Returns whether a request is in quarantine.
+ * Returns whether a subject is in quarantine.
  * @param[out] retry_after_us time until its end; may be NULL.
  */
 bool eg_crash_blame_is_blamed (const struct eg_crash_blame *self,
-                               uint64_t request,
+                               struct eg_subject subject,
                                int64_t now_us,
                                int64_t *retry_after_us);
 
--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -15,34 +15,35 @@
 #define SECOND (1000 * MS)
 #define SETTLE_US (500 * MS)
 
-static const struct eg_crash_blame_config config = {.crashes_min = 3,
+static const struct eg_crash_blame_config config = {.crashes_min = {3, 4},
+                                                    .trust_us = 2 * SECOND,
                                                     .settle_us = SETTLE_US,
                                                     .window_us = 600 * SECOND,
                                                     .duration_us = 600 * SECOND,
                                                     .suspects_max = 2048};
 
-enum request
-{
-  DEADLY = 1,
-  SOUND,
-  OTHER,
-};
+#define REQUEST(id) ((struct eg_subject){EG_SUBJECT_REQUEST, (id)})
+#define PART(id) ((struct eg_subject){EG_SUBJECT_PART, (id)})
+#define DEADLY REQUEST (1)
+#define SOUND REQUEST (2)
 
 static void
 crash (struct eg_crash_blame *self,
-       uint64_t request,
+       struct eg_subject subject,
        uint64_t server,
        int64_t at_us)
 {
-  eg_crash_blame_record_crash (self, request, &(struct eg_crash){server, at_us},
+  eg_crash_blame_record_crash (self, subject, &(struct eg_crash){server, at_us},
                                at_us);
   eg_crash_blame_check (self, at_us);
 }
 
 static bool
-is_blamed (const struct eg_crash_blame *self, uint64_t request, int64_t now_us)
+is_blamed (const struct eg_crash_blame *self,
+           struct eg_subject subject,
+           int64_t now_us)
 {
-  return eg_crash_blame_is_blamed (self, request, now_us, NULL);
+  return eg_crash_blame_is_blamed (self, subject, now_us, NULL);
 }
 
 static void
@@ -90,8 +91,8 @@
 test_blamed_request_that_is_served_elsewhere_is_cleared (void **state)
 {
   struct eg_crash_blame self;
-  const struct eg_suspect served = {.request = SOUND, .served_us = 5 * SECOND};
-  const struct eg_suspect stale = {.request = SOUND,
+  const struct eg_suspect served = {.subject = SOUND, .served_us = 5 * SECOND};
+  const struct eg_suspect stale = {.subject = SOUND,
                                    .blamed_us = 3 * SECOND + SETTLE_US,
                                    .crash_count = 1,
                                    .crashes = {{1, SECOND}}};
@@ -177,12 +178,87 @@
     crash (&self, DEADLY, i, i * SECOND);
   eg_crash_blame_check (&self, 4 * SECOND);
   for (unsigned i = 0; i < 20; i++)
-    crash (&self, 100 + i, 100 + i, 5 * SECOND + 100 * MS * i);
+    crash (&self, REQUEST (100 + i), 100 + i, 5 * SECOND + 100 * MS * i);
   assert_int_equal (self.suspects.count, 4);
   assert_true (is_blamed (&self, DEADLY, 8 * SECOND));
   eg_crash_blame_finish (&self);
 }
 
+/* Records a crash under a request with two parts. */
+static void
+crash_parts (struct eg_crash_blame *self,
+             uint64_t request,
+             uint64_t shared,
+             uint64_t part,
+             uint64_t server,
+             int64_t at_us)
+{
+  crash (self, REQUEST (request), server, at_us);
+  crash (self, PART (shared), server, at_us);
+  crash (self, PART (part), server, at_us);
+}
+
+#define SHARED_PART 50
+#define DEADLY_PART 51
+
+static void
+test_part_of_different_requests_is_blamed_but_not_their_shared_one (
+    void **state)
+{
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  eg_crash_blame_record_served (&self, PART (SHARED_PART), SECOND);
+  for (unsigned i = 0; i < 6; i++)
+    crash_parts (&self, 10 + i / 2, SHARED_PART, DEADLY_PART, i,
+                 10 * SECOND + 200 * MS * i);
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 12 * SECOND));
+  assert_false (is_blamed (&self, PART (SHARED_PART), 12 * SECOND));
+  for (unsigned i = 10; i < 13; i++)
+    assert_false (is_blamed (&self, REQUEST (i), 12 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
+static void
+test_part_is_not_blamed_for_what_one_request_does (void **state)
+{
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 8; i++)
+    {
+      crash_parts (&self, 10, SHARED_PART, DEADLY_PART, i,
+                   SECOND + 200 * MS * i);
+      /* Victims with the same parts. */
+      crash_parts (&self, 20 + i, SHARED_PART, DEADLY_PART, i,
+                   SECOND + 200 * MS * i);
+    }
+  eg_crash_blame_check (&self, 5 * SECOND);
+  assert_true (is_blamed (&self, REQUEST (10), 5 * SECOND));
+  assert_false (is_blamed (&self, PART (SHARED_PART), 5 * SECOND));
+  assert_false (is_blamed (&self, PART (DEADLY_PART), 5 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
+static void
+test_part_in_steady_use_is_not_blamed_for_a_pause (void **state)
+{
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  eg_crash_blame_record_served (&self, PART (SHARED_PART), 10 * SECOND);
+  for (unsigned i = 0; i < 6; i++)
+    crash_parts (&self, 10 + i, SHARED_PART, 100 + i, i,
+                 10 * SECOND + 300 * MS * (i + 1));
+  eg_crash_blame_check (&self, 13 * SECOND);
+  assert_false (is_blamed (&self, PART (SHARED_PART), 13 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
 /* A fleet of VMs that exchange datagrams, some of which are lost. */
 #define VMS 8
 #define SERVERS 9
@@ -245,12 +321,14 @@
 }
 
 static unsigned
-count_blaming (const struct fleet *self, uint64_t request, int64_t now_us)
+count_blaming (const struct fleet *self,
+               struct eg_subject subject,
+               int64_t now_us)
 {
   unsigned count = 0;
 
   for (unsigned i = 0; i < VMS; i++)
-    count += is_blamed (&self->vms[i], request, now_us);
+    count += is_blamed (&self->vms[i], subject, now_us);
   return count;
 }
 
@@ -272,7 +350,8 @@
       for (unsigned i = 0; i < 5; i++)
         eg_crash_blame_record_crash (
             &self->vms[eg_random_below (&self->random, VMS)],
-            eg_random_below (&self->random, 3) == 0 ? SOUND : ++*sound,
+            eg_random_below (&self->random, 3) == 0 ? SOUND
+                                                    : REQUEST (++*sound),
             &(struct eg_crash){self->starts[server], at_us}, at_us);
       self->starts[server] = ++self->next_start;
     }
@@ -322,7 +401,7 @@
   assert_int_equal (late, 0);
   assert_int_equal (count_blaming (&self, DEADLY, 30 * SECOND), VMS);
   for (uint64_t i = 101; i <= sound; i++)
-    assert_int_equal (count_blaming (&self, i, 30 * SECOND), 0);
+    assert_int_equal (count_blaming (&self, REQUEST (i), 30 * SECOND), 0);
   for (unsigned i = 0; i < VMS; i++)
     eg_crash_blame_finish (&self.vms[i]);
 }
@@ -348,6 +427,10 @@
       cmocka_unit_test (
           test_two_requests_at_the_same_crashes_wait_for_the_next),
       cmocka_unit_test (test_full_table_keeps_what_is_blamed),
+      cmocka_unit_test (
+          test_part_of_different_requests_is_blamed_but_not_their_shared_one),
+      cmocka_unit_test (test_part_is_not_blamed_for_what_one_request_does),
+      cmocka_unit_test (test_part_in_steady_use_is_not_blamed_for_a_pause),
       cmocka_unit_test (test_all_vms_blame_the_same_request_in_time),
   };
 
