net: bytes without end before a response fail the exchange

A server in trouble may send bytes that are no answer until its caller closes. A head was bounded; interim responses, and responses to other requests or their bodies, were read and ignored for as long as they came, so that a request was held until its deadline. They are now bounded in sum, and the request is sent to another server.

Its test failed before with the interim responses: no result within 5 s.

--- a/net/exchange.c
+++ b/net/exchange.c
@@ -8,6 +8,9 @@
 
 /* Twice the limit for request heads, as entry VMs accept them from clients. */
 #define RESPONSE_HEAD_MAX_BYTES 32768
+/* Most bytes of interim responses and of responses to other requests before the
+   response to a request. */
+#define SKIPPED_MAX_BYTES 262144
 /* Connections are closed this long before the server's keep-alive timeout, so
    that no request is sent on a connection that the server is closing. */
 #define KEEP_ALIVE_MARGIN_US EG_US_PER_S
@@ -37,6 +40,7 @@
   bool connect_only;
   bool answered; /**< Any response byte was received for this exchange. */
   bool skipping; /**< The message being read is ignored. */
+  size_t skipped_bytes; /**< For this exchange. */
   bool is_idle;
   bool paused; /**< Its socket is not read. */
 };
@@ -200,7 +204,10 @@
       /* A callback may have cancelled the exchange. */
       if (!self->exchange)
         return;
-      if (self->reader.fault != EG_HTTP_NO_FAULT)
+      if (self->skipping)
+        self->skipped_bytes += consumed;
+      if (self->reader.fault != EG_HTTP_NO_FAULT
+          || self->skipped_bytes > SKIPPED_MAX_BYTES)
         {
           fail_connection (self, EG_EXCHANGE_MALFORMED);
           return;
@@ -424,6 +431,7 @@
   connection->exchange = self;
   connection->answered = false;
   connection->skipping = false;
+  connection->skipped_bytes = 0;
   connection->reader.no_body = request->no_body;
   connection->connect_only = request->connect_only;
   self->connection = connection;
--- a/test/test_exchange.c
+++ b/test/test_exchange.c
@@ -37,6 +37,7 @@
   int listener;
   struct eg_endpoint endpoint;
   const char *response;
+  const char *repeated; /**< Sent after it until the client closes; or NULL. */
   enum close_mode close_mode;
   pthread_t thread;
   int open_connections[8];
@@ -55,6 +56,11 @@
       return;
     }
   send (connection, self->response, strlen (self->response), MSG_NOSIGNAL);
+  while (self->repeated
+         && send (connection, self->repeated, strlen (self->repeated),
+                  MSG_NOSIGNAL)
+                > 0)
+    ;
   if (self->close_mode == KEEP_OPEN)
     {
       self->open_connections[self->open_count++] = connection;
@@ -352,6 +358,44 @@
   server_finish (&server);
 }
 
+static void
+test_bytes_without_end_that_are_no_response_fail_the_exchange (void **state)
+{
+  static const struct
+  {
+    const char *response;
+    const char *repeated;
+  } cases[] = {
+      {"HTTP/1.1 200 ", "aaaaaaaa"},
+      {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+      {"HTTP/1.1 200 OK\r\nX-A: ", "aaaaaaaa"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "aaaaaaaa"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X-A: b\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", "aaaaaaaa"},
+      {"", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nbody"},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct client client;
+      struct test_server server;
+      struct result result;
+
+      client_init (&client);
+      server_init (&server, cases[i].response, CLOSE_NORMALLY);
+      server.repeated = cases[i].repeated;
+      run_exchange (&client, server.endpoint, &result);
+      assert_true (result.failed);
+      assert_int_equal (result.fault, EG_EXCHANGE_MALFORMED);
+      eg_buffer_finish (&result.body);
+      client_finish (&client);
+      server_finish (&server);
+    }
+}
+
 static void
 test_refused_connection (void **state)
 {
@@ -380,6 +424,8 @@
       cmocka_unit_test (test_response_to_other_request_is_skipped),
       cmocka_unit_test (test_extra_bytes_close_connection),
       cmocka_unit_test (test_paused_connection_is_not_reused),
+      cmocka_unit_test (
+          test_bytes_without_end_that_are_no_response_fail_the_exchange),
       cmocka_unit_test (test_refused_connection),
   };
 
