test: answers that end with their connection, inside an event, or never

Three of the five tests pass on the code as it is: answers without length or chunks are whole when their connection ends, not when it is reset, and a stream that ends inside an event goes on elsewhere. Two fail: an empty answer without length is passed on as a whole stream, and a body without end and without signature is read until the request is slow.

--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "base/clock.h"
 #include "base/status.h"
@@ -21,11 +22,15 @@
 #define CRASH_DELAY_US (60 * EG_US_PER_MS)
 #define RESTART_PAUSE_US (300 * EG_US_PER_MS)
 #define PLAIN_MS 80
+/* Events before a stream ends inside the next one. */
+#define EVENTS_BEFORE_BREAK 40
+#define ENDLESS_INTERVAL_MS 2
 
 /** A stream in progress; state of its connection. */
 struct engine_stream
 {
   struct streams_engine *engine;
+  enum streams_answer answer;
   char id[32];
   int64_t next_event;
 };
@@ -83,25 +88,70 @@
   soak_http_respond (connection, 200, leaving_field (self), eg_str_from (body));
 }
 
+static bool
+has_chunks (const struct engine_stream *stream)
+{
+  return stream->answer == STREAMS_ANSWER_WELL
+         || stream->answer == STREAMS_ANSWER_CHUNKS_END_INSIDE_EVENT;
+}
+
+static bool
+breaks_off (const struct engine_stream *stream)
+{
+  return (stream->answer == STREAMS_ANSWER_ENDS_INSIDE_EVENT
+          || stream->answer == STREAMS_ANSWER_CHUNKS_END_INSIDE_EVENT)
+         && stream->next_event > EVENTS_BEFORE_BREAK;
+}
+
+static void
+write_part (struct soak_http_connection *connection, const char *bytes)
+{
+  char chunk[128];
+
+  if (has_chunks (connection->state))
+    snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen (bytes), bytes);
+  else
+    snprintf (chunk, sizeof chunk, "%s", bytes);
+  eg_socket_write (&connection->socket, eg_str_from (chunk));
+}
+
+static void
+end_stream (struct soak_http_connection *connection)
+{
+  const struct engine_stream *stream = connection->state;
+
+  if (has_chunks (stream))
+    eg_socket_write (&connection->socket, EG_STR ("0\r\n\r\n"));
+  else
+    connection->last = true;
+  soak_http_finish_request (connection);
+}
+
 static void
 send_event (struct soak_http_connection *connection)
 {
   struct engine_stream *stream = connection->state;
   char event[96];
-  char chunk[128];
 
-  if (!stream->engine->silent && stream->next_event > STREAMS_EVENTS)
+  snprintf (event, sizeof event, "id: %" PRId64 "\ndata: %s\n\n",
+            stream->next_event, stream->id);
+  if (breaks_off (stream))
+    {
+      event[strlen (event) / 2] = '\0';
+      write_part (connection, event);
+      end_stream (connection);
+      return;
+    }
+  if (stream->answer == STREAMS_ANSWER_EMPTY
+      || (!stream->engine->silent && stream->next_event > STREAMS_EVENTS))
     {
-      eg_socket_write (&connection->socket, EG_STR ("0\r\n\r\n"));
-      soak_http_finish_request (connection);
+      end_stream (connection);
       return;
     }
   if (!stream->engine->silent)
     {
-      snprintf (event, sizeof event, "id: %" PRId64 "\ndata: %s\n\n",
-                stream->next_event++, stream->id);
-      snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen (event), event);
-      eg_socket_write (&connection->socket, eg_str_from (chunk));
+      write_part (connection, event);
+      stream->next_event++;
     }
   soak_http_schedule (connection,
                       stream->next_event % STREAMS_PAUSE_PERIOD == 0
@@ -123,19 +173,80 @@
     stream->next_event++;
   snprintf (head, sizeof head,
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\nX-Attempt-Id: %s\r\n"
-            "X-Server-Seal: s\r\n%.*s\r\n",
+            "%sX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n%.*s\r\n",
+            has_chunks (stream) ? "Transfer-Encoding: chunked\r\n" : "",
             stream->id, EG_STR_ARGS (leaving_field (stream->engine)));
   eg_socket_write (&connection->socket, eg_str_from (head));
   send_event (connection);
 }
 
+static void
+send_endless (struct soak_http_connection *connection)
+{
+  static const char chunk[] = "10\r\n0123456789abcdef\r\n";
+
+  for (int i = 0; i < 256; i++)
+    eg_socket_write (&connection->socket, eg_str_from (chunk));
+  soak_http_schedule (connection, ENDLESS_INTERVAL_MS, send_endless);
+}
+
+static void
+respond_endless (struct soak_http_connection *connection)
+{
+  const struct engine_stream *stream = connection->state;
+  char head[160];
+
+  snprintf (head, sizeof head,
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n",
+            stream->id);
+  eg_socket_write (&connection->socket, eg_str_from (head));
+  send_endless (connection);
+}
+
+static void
+abort_response (struct soak_http_connection *connection)
+{
+  struct linger reset_on_close = {1, 0};
+  uv_os_fd_t descriptor;
+
+  if (uv_fileno ((uv_handle_t *) &connection->socket.tcp, &descriptor) == 0)
+    setsockopt (descriptor, SOL_SOCKET, SO_LINGER, &reset_on_close,
+                sizeof reset_on_close);
+  soak_http_abort (connection);
+}
+
+static void
+respond_unframed (struct soak_http_connection *connection)
+{
+  const struct engine_stream *stream = connection->state;
+  bool reset = stream->answer == STREAMS_ANSWER_UNFRAMED_RESET;
+  char text[160];
+
+  snprintf (text, sizeof text,
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n\r\n%s",
+            stream->id, reset ? "do" : "done");
+  eg_socket_write (&connection->socket, eg_str_from (text));
+  if (reset)
+    {
+      soak_http_schedule (connection, PLAIN_MS, abort_response);
+      return;
+    }
+  connection->last = true;
+  soak_http_finish_request (connection);
+}
+
 static void
 respond_plain (struct soak_http_connection *connection)
 {
   struct engine_stream *stream = connection->state;
   char fields[96];
 
+  if (stream->answer != STREAMS_ANSWER_WELL)
+    {
+      respond_unframed (connection);
+      return;
+    }
   snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\nX-Server-Seal: s\r\n",
             stream->id);
   soak_http_respond (connection, 200, eg_str_from (fields), EG_STR ("done"));
@@ -219,7 +330,11 @@
       if (self->crash_us == 0)
         self->crash_us = eg_clock_now_us () + CRASH_DELAY_US;
     }
-  if (self->plain)
+  stream->answer = self->answer;
+  self->answer = STREAMS_ANSWER_WELL;
+  if (stream->answer == STREAMS_ANSWER_ENDLESS)
+    respond_endless (connection);
+  else if (self->plain)
     soak_http_schedule (connection, PLAIN_MS, respond_plain);
   else
     begin_stream (connection);
@@ -420,6 +535,7 @@
   struct streams_client *self = context;
   struct eg_buffer events = {0};
 
+  self->body_len += bytes.len;
   if (self->status != 200 || self->plain)
     return;
   EG_INVARIANT (eg_event_relay_feed (&self->relay, bytes, &events)
@@ -460,6 +576,7 @@
   eg_event_relay_finish (&client->relay);
   eg_event_relay_init (&client->relay, EG_STR (""));
   client->plain = sent->plain;
+  client->body_len = 0;
   client->status = 0;
   client->retry_after_s = -1;
   client->done = false;
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -26,6 +26,24 @@
 
 struct streams_fixture;
 
+/** How a server answers the next request that it runs; then it answers well. */
+enum streams_answer
+{
+  STREAMS_ANSWER_WELL,
+  /** Without length and chunks; the answer ends with its connection. */
+  STREAMS_ANSWER_UNFRAMED,
+  /** The same, but the connection is reset in the middle of the body. */
+  STREAMS_ANSWER_UNFRAMED_RESET,
+  /** As unframed, but the stream ends inside an event. */
+  STREAMS_ANSWER_ENDS_INSIDE_EVENT,
+  /** The same with chunks, and their proper end. */
+  STREAMS_ANSWER_CHUNKS_END_INSIDE_EVENT,
+  /** Unframed and empty. */
+  STREAMS_ANSWER_EMPTY,
+  /** A body without end and without a signature. */
+  STREAMS_ANSWER_ENDLESS,
+};
+
 /** An engine or a plain server; refuses or accepts requests as the test says.
  */
 struct streams_engine
@@ -35,6 +53,7 @@
   char id[32];
   unsigned number;
   bool plain;
+  enum streams_answer answer;
   int64_t crash_us;   /**< When it ends under a deadly request; 0: never. */
   int64_t restart_us; /**< When it starts again after that; 0: it runs. */
   bool full;          /**< Refuses each new stream with 503. */
@@ -53,6 +72,7 @@
   struct eg_exchange exchange;
   struct eg_event_relay relay;
   bool plain; /**< Its response is not a stream. */
+  size_t body_len;
   unsigned status;
   double retry_after_s; /**< From the response; negative: none. */
   bool done;            /**< The response ended completely. */
--- /dev/null
+++ b/test/test_bad_answers.c
@@ -0,0 +1,170 @@
+/* Tests of what a client gets if a server breaks off its answer, sends one
+ * without length and chunks, or one without end. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "test/streams_fixture.h"
+
+#define REQUEST_TIMEOUT_MS 15000
+/* An answer that will not do is replaced in this time, far below the deadline
+ * of the requests. */
+#define REPLACED_MS 2000
+#define PLAIN_BODY_LEN 4
+
+static struct streams_fixture fixture;
+
+static int
+start (void **state)
+{
+  const struct streams_options options = {.retry_ratio = 0.2,
+                                          .retry_extra = 200,
+                                          .retry_window_ms = 10000,
+                                          .engines = STREAMS_ENGINES,
+                                          .plain = 3};
+
+  streams_fixture_init (&fixture, &options);
+  *state = &fixture;
+  return 0;
+}
+
+static int
+stop (void **state)
+{
+  streams_fixture_finish (*state);
+  return 0;
+}
+
+static bool
+has_ended (const struct streams_fixture *self)
+{
+  return self->clients[0].done || self->clients[0].failed;
+}
+
+/* Sends a request to which the first server answers as given; returns the time
+ * until the answer is complete. */
+static int64_t
+request_with_first_answer (struct streams_fixture *self,
+                           bool plain,
+                           enum streams_answer answer)
+{
+  const struct streams_request request = {.plain = plain, .body = "body"};
+  int64_t sent_us = eg_clock_now_us ();
+
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+    {
+      self->engines[i].answer = answer;
+      self->engines[i].runs = 0;
+    }
+  streams_client_send (self, 0, &request);
+  /* The other servers answer well. */
+  for (unsigned runs = 0; runs == 0;)
+    {
+      streams_run (self, 1);
+      for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+        runs += self->engines[i].runs;
+    }
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+    self->engines[i].answer = STREAMS_ANSWER_WELL;
+  assert_true (streams_wait (self, has_ended, REQUEST_TIMEOUT_MS));
+  return eg_clock_now_us () - sent_us;
+}
+
+static unsigned
+count_runs (const struct streams_fixture *self)
+{
+  unsigned runs = 0;
+
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+    runs += self->engines[i].runs;
+  return runs;
+}
+
+static void
+assert_whole (const struct streams_fixture *self)
+{
+  const struct streams_client *client = &self->clients[0];
+
+  assert_true (client->done);
+  assert_int_equal (client->status, 200);
+  if (client->plain)
+    assert_int_equal (client->body_len, PLAIN_BODY_LEN);
+  else
+    assert_int_equal (client->relay.events, STREAMS_EVENTS);
+}
+
+static void
+test_answer_that_ends_with_its_connection_is_whole (void **state)
+{
+  for (int plain = 0; plain < 2; plain++)
+    {
+      request_with_first_answer (*state, plain, STREAMS_ANSWER_UNFRAMED);
+      assert_whole (*state);
+      assert_int_equal (count_runs (*state), 1);
+    }
+}
+
+static void
+test_answer_without_length_that_is_reset_is_not_whole (void **state)
+{
+  request_with_first_answer (*state, true, STREAMS_ANSWER_UNFRAMED_RESET);
+  assert_whole (*state);
+  assert_int_equal (count_runs (*state), 2);
+}
+
+static void
+test_stream_that_ends_inside_an_event_goes_on_elsewhere (void **state)
+{
+  request_with_first_answer (*state, false, STREAMS_ANSWER_ENDS_INSIDE_EVENT);
+  assert_whole (*state);
+  assert_int_equal (count_runs (*state), 2);
+  request_with_first_answer (*state, false,
+                             STREAMS_ANSWER_CHUNKS_END_INSIDE_EVENT);
+  assert_whole (*state);
+  assert_int_equal (count_runs (*state), 2);
+}
+
+static void
+test_stream_that_ends_without_an_event_is_not_whole (void **state)
+{
+  request_with_first_answer (*state, false, STREAMS_ANSWER_EMPTY);
+  assert_whole (*state);
+  assert_int_equal (count_runs (*state), 2);
+}
+
+static void
+test_body_without_end_that_is_no_answer_is_replaced (void **state)
+{
+  int64_t took_us =
+      request_with_first_answer (*state, true, STREAMS_ANSWER_ENDLESS);
+
+  assert_whole (*state);
+  assert_in_range (took_us, 0, REPLACED_MS * EG_US_PER_MS);
+  request_with_first_answer (*state, false, STREAMS_ANSWER_ENDLESS);
+  assert_whole (*state);
+  assert_int_equal (count_runs (*state), 2);
+}
+
+#define ANSWER_TEST(name)                                                      \
+  cmocka_unit_test_setup_teardown (test_##name, start, stop)
+
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+      ANSWER_TEST (answer_that_ends_with_its_connection_is_whole),
+      ANSWER_TEST (answer_without_length_that_is_reset_is_not_whole),
+      ANSWER_TEST (stream_that_ends_inside_an_event_goes_on_elsewhere),
+      ANSWER_TEST (stream_that_ends_without_an_event_is_not_whole),
+      ANSWER_TEST (body_without_end_that_is_no_answer_is_replaced),
+  };
+
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
