entry: a stream that ends with its connection before any event is not whole

An answer without length and chunks ends with its connection, and so does one whose server ends before its first event: the caller was given an empty stream as a whole one. It is sent to another server now. Where the run may have ended with its server, the crash counts against what was in flight once the server is known to have ended, and such an end is no sign that the request is sound.

--- a/entry/call.c
+++ b/entry/call.c
@@ -427,6 +427,58 @@
   eg_call_attempt_failed (self, misdirected ? "misdirected" : "server-refused");
 }
 
+/* Returns whether the run has delivered too little to show that the request
+ * does not crash its servers. */
+static bool
+is_young (const struct eg_attempt *attempt, int64_t now_us)
+{
+  return !attempt->progress.begun
+         || now_us - attempt->first_event_us < EG_SOUND_RUN_US;
+}
+
+/* The server may have ended under a run. */
+static void
+suspect_young_run (struct eg_call *self, int64_t now_us)
+{
+  if (is_young (&self->attempt, now_us))
+    eg_crash_watch_run_lost (&self->entry->crash_watch,
+                             eg_call_first_server (self), &self->subjects,
+                             now_us);
+}
+
+/* Returns why a stream whose response has ended is not whole, or NULL. */
+static const char *
+find_stream_fault (const struct eg_call *self)
+{
+  if (eg_event_relay_is_partial (&self->relay))
+    return "event-unfinished";
+  /* A server that ends before its first event closes the connection, too. */
+  if (!self->attempt.headers.framed && self->relay.events == 0
+      && self->headers.last_event_id.len == 0)
+    return "stream-empty";
+  return NULL;
+}
+
+static void
+handle_stream_end (struct eg_call *self, int64_t now_us)
+{
+  const char *fault = find_stream_fault (self);
+
+  if (self->attempt.headers.framed)
+    record_served (self, now_us);
+  else
+    suspect_young_run (self, now_us);
+  if (!fault)
+    {
+      eg_call_end_response (self);
+      return;
+    }
+  eg_backend_record_fault (eg_call_first_server (self),
+                           EG_SERVER_FAULT_BAD_RESPONSE, self->headers.id,
+                           now_us);
+  eg_call_attempt_failed (self, fault);
+}
+
 static void
 on_done (void *context)
 {
@@ -434,22 +486,15 @@
   struct eg_attempt *attempt = &self->attempt;
   int64_t now_us = eg_clock_now_us ();
 
-  bool ended = attempt->mode == EG_RESPONSE_FORWARDED
-               || (attempt->mode == EG_RESPONSE_EVENTS
-                   && !eg_event_relay_is_partial (&self->relay));
-
-  if (ended
-      || (attempt->mode == EG_RESPONSE_BUFFERED && is_valid_success (self)))
-    record_served (self, now_us);
-  if (ended)
-    eg_call_end_response (self);
-  else if (attempt->mode == EG_RESPONSE_EVENTS)
+  if (attempt->mode == EG_RESPONSE_EVENTS)
     {
-      eg_backend_record_fault (eg_call_first_server (self),
-                               EG_SERVER_FAULT_BAD_RESPONSE, self->headers.id,
-                               now_us);
-      eg_call_attempt_failed (self, "event-unfinished");
+      handle_stream_end (self, now_us);
+      return;
     }
+  if (attempt->headers.framed && is_valid_success (self))
+    record_served (self, now_us);
+  if (attempt->mode == EG_RESPONSE_FORWARDED)
+    eg_call_end_response (self);
   else if (attempt->headers.not_executed)
     handle_not_executed (self);
   else if (is_valid_success (self) && !self->head_sent)
@@ -522,15 +567,6 @@
   attempt->first_is_new = false;
 }
 
-/* Returns whether the run has delivered too little to show that the request
- * does not crash its servers. */
-static bool
-is_young (const struct eg_attempt *attempt, int64_t now_us)
-{
-  return !attempt->progress.begun
-         || now_us - attempt->first_event_us < EG_SOUND_RUN_US;
-}
-
 /* The server may have ended under the request, or while it ran it. */
 static void
 handle_lost_run (struct eg_call *self,
@@ -558,10 +594,8 @@
               : -1,
           EG_STR_ARGS (eg_buffer_view (&parts)));
   eg_buffer_finish (&parts);
-  if (fault == EG_EXCHANGE_MALFORMED || !is_young (attempt, now_us))
-    return;
-  eg_crash_watch_run_lost (&self->entry->crash_watch, first, &self->subjects,
-                           now_us);
+  if (fault != EG_EXCHANGE_MALFORMED)
+    suspect_young_run (self, now_us);
 }
 
 static void
