soak: requests that crash backend servers

A client of its own sends one request again and again, or requests with one part of their prompts in common; the server that runs it ends within 120 ms and is back after up to 1.6 s. Once three servers, or five for a part, have crashed and 3 s are over, more than three such requests at servers are a violation, while all daemons are calm. Seeds divisible by 5 stay without.

--- a/test/soak/backends.c
+++ b/test/soak/backends.c
@@ -190,6 +190,13 @@
                    &request->next_event);
   if (eg_http_head_find (head, "last-event-id").data)
     request->next_event++;
+  if (soak_is_deadly (head))
+    {
+      soak_deadly_arrived (self);
+      /* Nothing else is answered before the server ends. */
+      if (!stream)
+        return;
+    }
   soak_http_schedule (connection,
                       eg_random_below (&self->soak->random, PROCESSING_MS_MAX),
                       stream ? begin_stream : respond_plain);
@@ -206,6 +213,7 @@
   self->running = true;
   self->started_us = eg_clock_now_us ();
   self->full_until_us = 0;
+  self->deadly_end_us = 0;
   self->phase = SOAK_BACKEND_SERVING;
 }
 
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -4,7 +4,9 @@
  * SECONDS is the time from the start of a run until only planned events still
  * happen: backend servers leave or are full, and the configuration changes.
  * With odd seeds, the backend servers are engines; with those divisible by 5,
- * there are planned events only, also stops of daemons. */
+ * there are planned events only, also stops of daemons. With the others, a
+ * request crashes backend servers, or, if the seed is divisible by 3, a part of
+ * the prompts of different requests. */
 #include <inttypes.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -28,6 +30,8 @@
 #define FAULT_FREE_US (11 * EG_US_PER_S)
 /* One seed in this many has planned events only. */
 #define PLANNED_PERIOD 5
+/* With one seed in this many, a part of prompts crashes servers. */
+#define DEADLY_PART_PERIOD 3
 /* If this process pauses for longer, its backend servers do not respond. */
 #define PAUSE_US EG_US_PER_S
 /* Of requests sent after the recovery time, except those sent while all servers
@@ -94,6 +98,8 @@
 {
   self->stopping = true;
   soak_clients_finish (self);
+  if (!self->planned_only)
+    soak_deadly_finish (self);
   soak_clear_faults (self, true);
   for (int i = 0; i < SOAK_NODES; i++)
     {
@@ -126,6 +132,9 @@
   eg_exchange_pool_trim (&self->pool, now_us);
   soak_backends_check_leaving (self, now_us);
   soak_clear_faults (self, now_us >= self->faults_end_us);
+  /* Last: a server starts again only after its listener has been closed. */
+  for (int i = 0; i < SOAK_BACKENDS; i++)
+    soak_deadly_check (&self->backends[i], now_us);
   if (now_us >= self->faults_end_us + FAULT_FREE_US)
     stop_soak (self);
 }
@@ -205,6 +214,8 @@
   soak_backends_publish (self);
   soak_nodes_init (self);
   soak_clients_init (self);
+  if (!self->planned_only)
+    soak_deadly_init (self, seed % DEADLY_PART_PERIOD == 0);
   start_timer (self, &self->heartbeat_timer, on_heartbeat_timer,
                HEARTBEAT_INTERVAL_MS, HEARTBEAT_INTERVAL_MS);
   start_timer (self, &self->check_timer, on_check_timer, CHECK_INTERVAL_MS,
@@ -215,10 +226,11 @@
   check_results (self);
   passed = self->violation_count == 0;
   printf ("seed %" PRIu64 ": %s; %u requests, %u succeeded, %u faults, "
-          "%u planned events; after recovery %u of %u\n",
+          "%u planned events, %u deadly crashes; after recovery %u of %u\n",
           seed, passed ? "passed" : "FAILED", self->sent_count,
           self->success_count, self->fault_count, self->planned_count,
-          self->recovered_success_count, self->recovered_sent_count);
+          self->deadly.crashes, self->recovered_success_count,
+          self->recovered_sent_count);
   fflush (stdout);
   soak_release_ports ();
   soak_store_close (&self->store);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -75,6 +75,7 @@
   int64_t leaving_us;    /**< Start of SOAK_BACKEND_LEAVING. */
   bool unannounced;      /**< It leaves without a draining record. */
   int64_t full_until_us; /**< Until then it refuses requests. */
+  int64_t deadly_end_us; /**< When it ends under a request; 0: never. */
 };
 
 /** A TCP proxy between a daemon and the store. */
@@ -128,6 +129,18 @@
   uv_timer_t timer;
 };
 
+/** The client whose requests crash backend servers. */
+struct soak_deadly
+{
+  struct soak *soak;
+  struct eg_exchange exchange;
+  uv_timer_t timer;
+  bool by_part; /**< A part of the prompt does it, not the whole request. */
+  unsigned crashes;
+  int64_t known_us;       /**< When enough servers had crashed; 0: not yet. */
+  unsigned late_arrivals; /**< At servers, although it must be known. */
+};
+
 /** State of the run of one seed. */
 struct soak
 {
@@ -138,6 +151,7 @@
   struct soak_backend backends[SOAK_BACKENDS];
   struct soak_node nodes[SOAK_NODES];
   struct soak_client clients[SOAK_CLIENTS];
+  struct soak_deadly deadly;
   json_t *run_counts; /**< Executions of each request, by request id. */
   uv_timer_t fault_timer;
   uv_timer_t heartbeat_timer;
@@ -233,6 +247,21 @@
 /** Cancels the requests in flight and frees the clients' resources. */
 void soak_clients_finish (struct soak *self);
 
+/** Starts the client whose requests crash backend servers. */
+void soak_deadly_init (struct soak *self, bool by_part);
+
+/** Cancels its request in flight. */
+void soak_deadly_finish (struct soak *self);
+
+/** Returns whether a request crashes the backend server that runs it. */
+bool soak_is_deadly (const struct eg_http_head *head);
+
+/** Records that a backend server begins to run such a request. */
+void soak_deadly_arrived (struct soak_backend *backend);
+
+/** Ends a backend server whose time has come. */
+void soak_deadly_check (struct soak_backend *backend, int64_t now_us);
+
 /** Writes the next version of the configuration to the store. */
 void soak_publish_configuration (struct soak *self);
 
