entry: quarantines outlast all VMs and cuts between failure domains

What crashes servers was known to the VMs' memories alone. After a kill of all of them, or in a failure domain that the others do not reach, the next request of the kind was sent again and ended three servers anew.

Readers write each verdict to the store; VMs read them when they start, and readers while they do not hear all failure domains. An age that is longer than a VM's clock has run was read as none, so that a freshly booted VM would have dropped a verdict; it is read as the longest possible.

vms_that_restart_together_... and vms_that_do_not_hear_each_other_... failed without it (200 instead of 503) and pass.

--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -19,7 +19,6 @@
 /* Long enough for a sound run elsewhere to show that it is, and for the news of
  * that to arrive. */
 #define SETTLE_US EG_SOUND_RUN_US
-#define QUARANTINE_US (600 * EG_US_PER_S)
 #define SUSPECTS_MAX 2048
 /* A server that is not found to have ended within this time of a lost
  * connection has not crashed. The store tells after three missed heartbeats. */
@@ -50,20 +49,25 @@
     {[EG_SUBJECT_REQUEST] = "request", [EG_SUBJECT_PART] = "part"};
 
 static void
-on_blamed (void *context, const struct eg_suspect *suspect)
+on_blamed (void *context, const struct eg_suspect *suspect, bool decided)
 {
-  (void) context;
+  struct eg_crash_watch *self = context;
+
+  if (decided)
+    eg_quarantine_store_add (&self->entry->quarantine_store, suspect);
   eg_log (EG_LOG_WARNING, "crashes",
           "event=quarantined kind=%s subject=%" PRIx64
           " crashes=%u for_s=%" PRId64,
           kind_names[suspect->subject.kind], suspect->subject.id,
-          suspect->crash_count, QUARANTINE_US / EG_US_PER_S);
+          suspect->crash_count, EG_QUARANTINE_US / EG_US_PER_S);
 }
 
 static void
 on_cleared (void *context, const struct eg_suspect *suspect)
 {
-  (void) context;
+  struct eg_crash_watch *self = context;
+
+  eg_quarantine_store_remove (&self->entry->quarantine_store, suspect);
   eg_log (EG_LOG_WARNING, "crashes",
           "event=quarantine-ended kind=%s subject=%" PRIx64
           " cause=\"it was served\"",
@@ -78,8 +82,8 @@
                       [EG_SUBJECT_PART] = PART_CRASHES_MIN},
       .settle_us = SETTLE_US,
       .trust_us = TRUST_US,
-      .window_us = QUARANTINE_US,
-      .duration_us = QUARANTINE_US,
+      .window_us = EG_QUARANTINE_US,
+      .duration_us = EG_QUARANTINE_US,
       .suspects_max = SUSPECTS_MAX};
   const struct eg_crash_blame_events events = {on_blamed, on_cleared, self};
 
@@ -233,8 +237,11 @@
 {
   json_int_t ms = json_integer_value (age);
 
-  if (!json_is_integer (age) || ms < 0 || ms >= now_us / EG_US_PER_MS)
+  if (!json_is_integer (age) || ms < 0)
     return 0;
+  /* The clock of a VM that has just booted does not reach back so far. */
+  if (ms >= now_us / EG_US_PER_MS)
+    return 1;
   return now_us - ms * EG_US_PER_MS;
 }
 
--- a/entry/crash_watch.h
+++ b/entry/crash_watch.h
@@ -24,6 +24,9 @@
  *  will not. */
 #define EG_SOUND_RUN_US INT64_C (500000)
 
+/** Duration of a quarantine. */
+#define EG_QUARANTINE_US INT64_C (600000000)
+
 /** Kind of the messages between VMs. */
 #define EG_CRASH_MESSAGE_KIND "crashes"
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -14,6 +14,7 @@
 #include "entry/members.h"
 #include "entry/metrics.h"
 #include "entry/planner.h"
+#include "entry/quarantine_store.h"
 #include "entry/reload.h"
 #include "entry/settings.h"
 #include "entry/source_selector.h"
@@ -67,6 +68,7 @@
   struct eg_members members;
   struct eg_load_gossip load_gossip;
   struct eg_crash_watch crash_watch;
+  struct eg_quarantine_store quarantine_store;
   int64_t started_us;
   int64_t ticked_us; /**< Time of the last tick. */
   bool was_paused;   /**< The last tick came late and was skipped. */
--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -551,3 +551,31 @@
     }
   return found || !any;
 }
+
+static bool
+hears_domain (const struct eg_load_gossip *self,
+              const char *domain,
+              int64_t now_us)
+{
+  for (size_t i = 0; i < self->contact_count; i++)
+    if (strcmp (self->contacts[i].domain, domain) == 0)
+      return now_us - self->contacts[i].received_us < DOMAIN_TIMEOUT_US;
+  return false;
+}
+
+bool
+eg_load_gossip_hears_all_domains (const struct eg_load_gossip *self,
+                                  int64_t now_us)
+{
+  const struct eg_list *all = &self->entry->members.all;
+
+  for (const struct eg_list *at = all->next; at != all; at = at->next)
+    {
+      const char *domain = EG_CONTAINER_OF (at, struct eg_member, all)->domain;
+
+      if (strcmp (domain, self->entry->settings->domain) != 0
+          && !hears_domain (self, domain, now_us))
+        return false;
+    }
+  return true;
+}
--- a/entry/load_gossip.h
+++ b/entry/load_gossip.h
@@ -88,6 +88,13 @@
                                          const char *domain,
                                          int64_t now_us);
 
+/**
+ * Returns whether the readers of all failure domains with entry VMs were heard
+ * from lately.
+ */
+bool eg_load_gossip_hears_all_domains (const struct eg_load_gossip *self,
+                                       int64_t now_us);
+
 /** Sends a message to another VM; drops it if that would block. */
 void eg_load_gossip_send (struct eg_load_gossip *self,
                           struct eg_endpoint endpoint,
--- a/entry/main.c
+++ b/entry/main.c
@@ -286,6 +286,7 @@
   eg_members_check (&self->members, now_us);
   eg_load_gossip_check (&self->load_gossip, now_us);
   eg_crash_watch_check (&self->crash_watch, now_us);
+  eg_quarantine_store_check (&self->quarantine_store, now_us);
   eg_exchange_pool_trim (&self->pool, now_us);
   eg_reload_check (&self->reload, now_us);
   check_stop (self, now_us);
@@ -374,6 +375,7 @@
   eg_members_init (&self->members, self);
   eg_planner_init (&self->planner, self);
   eg_crash_watch_init (&self->crash_watch, self);
+  eg_quarantine_store_init (&self->quarantine_store, self);
   opened = eg_connections_open (&self->connections, self, &error);
   if (!eg_load_gossip_open (&self->load_gossip, self))
     eg_log (EG_LOG_WARNING, "main", "event=loads-not-open address=%s",
--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -200,7 +200,10 @@
 }
 
 static void
-blame (struct eg_crash_blame *self, struct entry *entry, int64_t at_us)
+blame (struct eg_crash_blame *self,
+       struct entry *entry,
+       int64_t at_us,
+       bool decided)
 {
   bool was_blamed = entry->suspect.blamed_us > 0;
 
@@ -208,7 +211,7 @@
   eg_quarantine_add (self->quarantine, get_key (entry->suspect.subject),
                      at_us + self->config.duration_us);
   if (!was_blamed && self->events.blamed)
-    self->events.blamed (self->events.context, &entry->suspect);
+    self->events.blamed (self->events.context, &entry->suspect, decided);
 }
 
 static bool
@@ -304,7 +307,7 @@
   if (entry->suspect.blamed_us == 0
       && theirs->blamed_us > entry->suspect.served_us)
     {
-      blame (self, entry, theirs->blamed_us);
+      blame (self, entry, theirs->blamed_us, false);
       is_new = true;
     }
   if (is_new)
@@ -479,7 +482,7 @@
   /* Each verdict may explain the crashes of others. */
   while ((entry = find_most_likely (self, now_us)))
     {
-      blame (self, entry, now_us);
+      blame (self, entry, now_us, true);
       set_changed (self, entry, now_us);
     }
 }
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -76,8 +76,10 @@
 /** Callbacks; may be NULL. */
 struct eg_crash_blame_events
 {
-  /** A subject was blamed, by this VM or another one. */
-  void (*blamed) (void *context, const struct eg_suspect *suspect);
+  /** A subject was blamed, by this VM itself (@p decided) or another one. */
+  void (*blamed) (void *context,
+                  const struct eg_suspect *suspect,
+                  bool decided);
   /** A subject that was blamed is not any more. */
   void (*cleared) (void *context, const struct eg_suspect *suspect);
   void *context;
@@ -93,6 +95,7 @@
   struct eg_list news;      /**< Suspects with news for other VMs. */
   struct eg_quarantine *quarantine;
   int64_t check_due_us;    /**< INT64_MAX: nothing is due. */
+  int64_t last_crash_us;   /**< Of any subject, here or elsewhere; 0: never. */
   size_t summary_position; /**< Where the next summary starts. */
 };
 
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -220,12 +220,23 @@
     respond_json (connection, 404, json_object ());
 }
 
+static void
+handle_delete (struct soak_http_connection *connection)
+{
+  struct store_request *request = connection->state;
+
+  soak_store_delete (request->store, request->kind, request->name);
+  respond_json (connection, 200, json_object ());
+}
+
 static void
 handle_request (struct soak_http_connection *connection)
 {
   struct store_request *request = connection->state;
 
-  if (strcmp (connection->reader.head.method, "GET") != 0)
+  if (strcmp (connection->reader.head.method, "DELETE") == 0)
+    handle_delete (connection);
+  else if (strcmp (connection->reader.head.method, "GET") != 0)
     handle_write (connection);
   else if (request->watch_revision > 0)
     handle_watch (connection);
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -663,6 +663,50 @@
   wait_until_ready (self, vm);
 }
 
+static bool
+vms_have_stopped (const struct streams_fixture *self)
+{
+  for (unsigned i = 0; i < self->vm_count; i++)
+    if (self->vms[i].running)
+      return false;
+  return true;
+}
+
+static void
+signal_vms (struct streams_fixture *self, int number)
+{
+  for (unsigned i = 0; i < self->vm_count; i++)
+    if (self->vms[i].running)
+      uv_process_kill (&self->vms[i].process, number);
+}
+
+void
+streams_vms_restart (struct streams_fixture *self)
+{
+  signal_vms (self, SIGKILL);
+  streams_wait (self, vms_have_stopped, STOP_TIMEOUT_MS);
+  streams_run (self, TICK_MS);
+  for (unsigned i = 0; i < self->vm_count; i++)
+    start_vm (&self->vms[i]);
+  for (unsigned i = 0; i < self->vm_count; i++)
+    wait_until_ready (self, i);
+}
+
+void
+streams_vms_separate (struct streams_fixture *self)
+{
+  for (unsigned i = 0; i < self->vm_count; i++)
+    {
+      char name[32];
+
+      snprintf (name, sizeof name, "node-%u", i);
+      soak_store_put (&self->store, "eelgrasswood-vms", name,
+                      json_pack ("{s:s, s:s, s:i}", "failure_domain",
+                                 i == 0 ? "room" : "hall", "address",
+                                 "127.0.0.1:9", "capacity", 1));
+    }
+}
+
 static void
 start_vms (struct streams_fixture *self, const struct streams_options *options)
 {
@@ -723,23 +767,6 @@
   start_vms (self, options);
 }
 
-static bool
-vms_have_stopped (const struct streams_fixture *self)
-{
-  for (unsigned i = 0; i < self->vm_count; i++)
-    if (self->vms[i].running)
-      return false;
-  return true;
-}
-
-static void
-signal_vms (struct streams_fixture *self, int number)
-{
-  for (unsigned i = 0; i < self->vm_count; i++)
-    if (self->vms[i].running)
-      uv_process_kill (&self->vms[i].process, number);
-}
-
 void
 streams_fixture_finish (struct streams_fixture *self)
 {
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -164,6 +164,15 @@
 /** Kills an entry VM's process and starts it again. */
 void streams_vm_restart (struct streams_fixture *self, unsigned vm);
 
+/** Kills all entry VMs' processes at once and starts them again. */
+void streams_vms_restart (struct streams_fixture *self);
+
+/**
+ * Lets each entry VM send its datagrams to addresses where none is, once they
+ * read their list again.
+ */
+void streams_vms_separate (struct streams_fixture *self);
+
 /** Sends a request as client @p number. */
 void streams_client_send (struct streams_fixture *self,
                           unsigned number,
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -19,6 +19,8 @@
 #define SENDS_MAX 12
 /* Time until the VMs know each other. */
 #define MEMBERS_READ_MS 1500
+/* Time until they read again who the others are. */
+#define MEMBERS_INTERVAL_MS 11500
 
 static struct streams_fixture fixture;
 
@@ -218,6 +220,40 @@
   assert_refused (self, &deadly);
 }
 
+static void
+test_vms_that_restart_together_refuse_what_crashed_three_servers (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request deadly[] = {{.body = "deadly"},
+                                           {.vm = 1, .body = "deadly"}};
+  const struct streams_request sound = {.body = "sound"};
+
+  streams_run (self, MEMBERS_READ_MS);
+  send_until_crashed (self, &deadly[0], 3);
+  streams_run (self, SPREAD_MS);
+  streams_vms_restart (self);
+  streams_run (self, SPREAD_MS);
+  assert_refused (self, &deadly[0]);
+  assert_refused (self, &deadly[1]);
+  assert_served (self, &sound);
+}
+
+static void
+test_vms_that_do_not_hear_each_other_share_quarantines_by_the_store (
+    void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request deadly = {.body = "deadly"};
+  const struct streams_request deadly_at_other = {.vm = 1, .body = "deadly"};
+
+  streams_vms_separate (self);
+  streams_run (self, MEMBERS_INTERVAL_MS);
+  send_until_crashed (self, &deadly, 3);
+  streams_run (self, SPREAD_MS);
+  assert_refused (self, &deadly);
+  assert_refused (self, &deadly_at_other);
+}
+
 static void
 test_sound_streams_on_crashed_servers_are_served_again (void **state)
 {
@@ -351,6 +387,11 @@
                   start_two_vms_with_one_engine),
       CRASH_TEST (restarted_vm_refuses_what_crashed_three_servers,
                   start_two_vms),
+      CRASH_TEST (vms_that_restart_together_refuse_what_crashed_three_servers,
+                  start_two_vms),
+      CRASH_TEST (
+          vms_that_do_not_hear_each_other_share_quarantines_by_the_store,
+          start_two_vms),
       CRASH_TEST (sound_streams_on_crashed_servers_are_served_again,
                   start_one_vm),
       CRASH_TEST (requests_with_a_part_that_crashed_five_servers_are_not_sent,
