platform: answers of a store that has come back from an older copy are told apart

After such a step back the store gives revisions out again. A watch that went on from a revision of the lost time missed the changes that took its place (a new route was answered 404 for as long as nothing else broke the watch), a reader's mirror kept peers waiting for revisions above its own, and a former holder of the planner's lease that found its old record again took it for its own and could give orders beside the present one.

The era that the store names is kept with each list, and told to peers with mirrored lists. VMs write their objects and quarantines anew, records that the copy lacks have the time of an outage to come back, and the lease's record counts only if it is the holder's, or written since.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -53,6 +53,7 @@
   struct eg_random random;
   struct eg_log_queue log_queue;
   struct eg_exchange_pool pool;
+  struct eg_store_era store_era;
   struct eg_store store;
   struct eg_source_selector source_selector;
   struct eg_mirror mirror;
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -543,6 +543,13 @@
   self->records_expiring = true;
 }
 
+void
+eg_fleet_store_restored (struct eg_fleet *self, int64_t now_us)
+{
+  self->records_expiring = true;
+  self->store_back_us = now_us;
+}
+
 struct eg_backend *
 eg_fleet_find_by_endpoint (struct eg_fleet *self, struct eg_endpoint endpoint)
 {
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -169,6 +169,12 @@
 /** Records that the store is unreachable. */
 void eg_fleet_store_lost (struct eg_fleet *self, int64_t now_us);
 
+/**
+ * Records that the store has come back from an older copy: records that it
+ * lacks may be written again.
+ */
+void eg_fleet_store_restored (struct eg_fleet *self, int64_t now_us);
+
 /** Returns the server with the given address, or NULL. */
 struct eg_backend *eg_fleet_find_by_endpoint (struct eg_fleet *self,
                                               struct eg_endpoint endpoint);
--- a/entry/main.c
+++ b/entry/main.c
@@ -182,6 +182,22 @@
   eg_fleet_store_lost (&self->fleet, eg_clock_now_us ());
 }
 
+/* What this VM has written may be lost, and what others have written may be
+ * missing until they write it again. */
+static void
+on_store_restored (void *context, int64_t from, int64_t to)
+{
+  struct eg_entry *self = context;
+  int64_t now_us = eg_clock_now_us ();
+
+  (void) from;
+  (void) to;
+  eg_fleet_store_restored (&self->fleet, now_us);
+  eg_members_store_restored (&self->members, now_us);
+  eg_lease_store_restored (&self->planner.lease, now_us);
+  eg_quarantine_store_restored (&self->quarantine_store);
+}
+
 static void
 on_reported (void *context,
              struct eg_backend *backend,
@@ -364,7 +380,9 @@
   eg_exchange_pool_init (&self->pool, &self->loop, POOL_IDLE_US);
   self->pool.events =
       (struct eg_exchange_pool_events){on_connection_ended, self};
+  self->store_era = (struct eg_store_era){0, on_store_restored, self};
   self->store.pool = &self->pool;
+  self->store.era = &self->store_era;
   EG_INVARIANT (eg_endpoint_parse (eg_str_from (self->settings->store_address),
                                    &self->store.endpoint));
   eg_fleet_init (&self->fleet, &self->pool, &fleet_events);
--- a/entry/members.c
+++ b/entry/members.c
@@ -333,6 +333,14 @@
     eg_log (EG_LOG_WARNING, "members", "event=members-not-read");
 }
 
+void
+eg_members_store_restored (struct eg_members *self, int64_t now_us)
+{
+  self->revision = 0;
+  self->write_due_us = now_us;
+  self->list_due_us = now_us + FIRST_LIST_DELAY_US;
+}
+
 unsigned
 eg_members_count (const struct eg_members *self)
 {
--- a/entry/members.h
+++ b/entry/members.h
@@ -65,6 +65,9 @@
 /** Cancels pending calls and frees the members. */
 void eg_members_finish (struct eg_members *self);
 
+/** Writes this VM's object anew, and reads the list soon after. */
+void eg_members_store_restored (struct eg_members *self, int64_t now_us);
+
 /** Starts due reads and writes; call it on every tick. */
 void eg_members_check (struct eg_members *self, int64_t now_us);
 
--- a/entry/quarantine_store.c
+++ b/entry/quarantine_store.c
@@ -175,6 +175,19 @@
     add_change (self, suspect->subject, 0);
 }
 
+static void
+visit_blamed (void *context, const struct eg_suspect *suspect)
+{
+  eg_quarantine_store_add (context, suspect);
+}
+
+void
+eg_quarantine_store_restored (struct eg_quarantine_store *self)
+{
+  eg_crash_blame_visit_blamed (&self->entry->crash_watch.blame, visit_blamed,
+                               self);
+}
+
 static bool
 start_change (struct eg_quarantine_store *self, int64_t now_us)
 {
--- a/entry/quarantine_store.h
+++ b/entry/quarantine_store.h
@@ -54,6 +54,9 @@
 void eg_quarantine_store_remove (struct eg_quarantine_store *self,
                                  const struct eg_suspect *suspect);
 
+/** Writes all quarantines anew: the store may have lost them. */
+void eg_quarantine_store_restored (struct eg_quarantine_store *self);
+
 /** Starts calls that are due; call it on every tick. */
 void eg_quarantine_store_check (struct eg_quarantine_store *self,
                                 int64_t now_us);
--- a/entry/source_selector.c
+++ b/entry/source_selector.c
@@ -19,6 +19,7 @@
   self->entry = entry;
   self->peer.pool = &entry->pool;
   self->peer.is_peer = true;
+  self->peer.era = &entry->store_era;
 }
 
 bool
--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -497,6 +497,20 @@
                                   retry_after_us);
 }
 
+void
+eg_crash_blame_visit_blamed (const struct eg_crash_blame *self,
+                             void (*visit) (void *context,
+                                            const struct eg_suspect *suspect),
+                             void *context)
+{
+  const struct entry *entry;
+  size_t cursor = 0;
+
+  while ((entry = eg_map_next (&self->suspects, &cursor)))
+    if (entry->suspect.blamed_us > 0)
+      visit (context, &entry->suspect);
+}
+
 bool
 eg_crash_blame_has_news (const struct eg_crash_blame *self)
 {
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -145,6 +145,12 @@
                                int64_t now_us,
                                int64_t *retry_after_us);
 
+/** Calls @p visit for each subject that is blamed. */
+void eg_crash_blame_visit_blamed (
+    const struct eg_crash_blame *self,
+    void (*visit) (void *context, const struct eg_suspect *suspect),
+    void *context);
+
 /**
  * Takes up to @p max suspects with news for the other VMs. Each piece of news
  * is taken several times, since messages may be lost.
--- a/policy/lease.c
+++ b/policy/lease.c
@@ -52,7 +52,8 @@
               const struct eg_lease_record *found,
               int64_t now_us)
 {
-  bool ours = found->incarnation == self->next.incarnation;
+  bool ours = found->incarnation == self->next.incarnation
+              && found->sequence > self->lost_sequence;
 
   observe (self, version, ours, now_us);
   /* A delayed earlier write of this process does not extend the lease, as its
@@ -176,6 +177,23 @@
   return EG_LEASE_WAIT;
 }
 
+void
+eg_lease_store_restored (struct eg_lease *self, int64_t now_us)
+{
+  bool held = eg_lease_is_held (self, now_us);
+
+  self->seen = false;
+  self->must_read = true;
+  self->confirmed_us = 0;
+  if (!held)
+    {
+      self->ours = false;
+      self->lost_sequence = self->next.sequence;
+    }
+  if (self->outstanding == EG_LEASE_WAIT)
+    self->wake_us = now_us;
+}
+
 void
 eg_lease_confirm (struct eg_lease *self)
 {
--- a/policy/lease.h
+++ b/policy/lease.h
@@ -88,6 +88,8 @@
   bool must_read;  /**< Whether a read must precede the next write. */
   bool ours;       /**< Whether that version names this process. */
   bool confirming; /**< Whether a confirming read was requested. */
+  /** Writes up to this one may be of a state that the store has lost. */
+  uint64_t lost_sequence;
 };
 
 /**
@@ -114,6 +116,13 @@
                                       int64_t now_us,
                                       struct eg_random *random);
 
+/**
+ * Takes note that the store has come back from an older copy. A holder goes on
+ * until its time ends or it reads that it is not; any other process waits as
+ * long as for a lease that was just written, whatever the object says.
+ */
+void eg_lease_store_restored (struct eg_lease *self, int64_t now_us);
+
 /** Makes the holder confirm its lease with a read at the next EG_LEASE_TIME. */
 void eg_lease_confirm (struct eg_lease *self);
 
--- a/test/test_store_era.c
+++ b/test/test_store_era.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "base/clock.h"
+#include "policy/lease.h"
 #include "test/streams_fixture.h"
 
 #define REQUEST_TIMEOUT_MS 10000
@@ -146,6 +147,84 @@
   assert_int_equal (self->engines[0].arrivals, 0);
 }
 
+static const struct eg_lease_config lease_config = {.duration_us = 2200000,
+                                                    .drift_us = 100000,
+                                                    .pause_us = 200000,
+                                                    .renew_us = 700000,
+                                                    .watch_us = 2000000,
+                                                    .retry_us = 500000};
+#define LEASE_START_US (10 * EG_US_PER_S)
+
+/* Lets a process write the lease as revision 10. */
+static void
+take_lease (struct eg_lease *lease, struct eg_random *random)
+{
+  eg_random_init (random, 1);
+  eg_lease_init (lease, &lease_config, 7, EG_STR ("node"));
+  eg_lease_update (lease, EG_LEASE_TIME, 0, NULL, LEASE_START_US, random);
+  eg_lease_update (lease, EG_LEASE_MISSING, 0, NULL, LEASE_START_US, random);
+  assert_int_equal (eg_lease_update (lease, EG_LEASE_TIME, 0, NULL,
+                                     LEASE_START_US + 3 * EG_US_PER_S, random),
+                    EG_LEASE_READ);
+  assert_int_equal (eg_lease_update (lease, EG_LEASE_MISSING, 0, NULL,
+                                     LEASE_START_US + 3 * EG_US_PER_S, random),
+                    EG_LEASE_CREATE);
+  eg_lease_update (lease, EG_LEASE_WRITTEN, 10, NULL,
+                   LEASE_START_US + 3 * EG_US_PER_S, random);
+}
+
+static void
+test_former_holder_does_not_act_on_a_lease_that_came_back (void **state)
+{
+  int64_t now_us = LEASE_START_US + 20 * EG_US_PER_S;
+  struct eg_lease_record record;
+  struct eg_random random;
+  struct eg_lease lease;
+
+  (void) state;
+  take_lease (&lease, &random);
+  record = lease.next;
+  eg_lease_update (&lease, EG_LEASE_TIME, 0, NULL, now_us, &random);
+  eg_lease_update (&lease, EG_LEASE_CONFLICT, 0, NULL, now_us, &random);
+  eg_lease_update (&lease, EG_LEASE_FOUND, 30,
+                   &(struct eg_lease_record){.incarnation = 8}, now_us,
+                   &random);
+  eg_lease_store_restored (&lease, now_us);
+  assert_int_equal (
+      eg_lease_update (&lease, EG_LEASE_TIME, 0, NULL, now_us, &random),
+      EG_LEASE_READ);
+  assert_int_equal (
+      eg_lease_update (&lease, EG_LEASE_FOUND, 10, &record, now_us, &random),
+      EG_LEASE_WAIT);
+  assert_false (eg_lease_is_held (&lease, now_us));
+  assert_true (eg_lease_wake_us (&lease) >= now_us + lease_config.watch_us);
+}
+
+static void
+test_holder_goes_on_after_a_step_back_and_renews_at_once (void **state)
+{
+  int64_t now_us = LEASE_START_US + 3800 * EG_US_PER_MS;
+  struct eg_lease_record record;
+  struct eg_random random;
+  struct eg_lease lease;
+
+  (void) state;
+  take_lease (&lease, &random);
+  record = lease.next;
+  assert_int_equal (
+      eg_lease_update (&lease, EG_LEASE_TIME, 0, NULL, now_us, &random),
+      EG_LEASE_UPDATE);
+  eg_lease_update (&lease, EG_LEASE_WRITTEN, 11, NULL, now_us, &random);
+  eg_lease_store_restored (&lease, now_us);
+  assert_true (eg_lease_is_held (&lease, now_us));
+  assert_int_equal (
+      eg_lease_update (&lease, EG_LEASE_TIME, 0, NULL, now_us, &random),
+      EG_LEASE_READ);
+  eg_lease_update (&lease, EG_LEASE_FOUND, 10, &record, now_us, &random);
+  assert_true (eg_lease_is_held (&lease, now_us));
+  assert_true (eg_lease_wake_us (&lease) <= now_us + lease_config.renew_us);
+}
+
 #define ERA_TEST(name)                                                         \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -157,6 +236,10 @@
       ERA_TEST (changes_after_a_step_back_are_seen_whatever_their_revision),
       ERA_TEST (servers_that_the_copy_lacks_are_used_until_they_are_written),
       ERA_TEST (server_that_leaves_gets_no_work_though_the_copy_calls_it_ready),
+      cmocka_unit_test (
+          test_former_holder_does_not_act_on_a_lease_that_came_back),
+      cmocka_unit_test (
+          test_holder_goes_on_after_a_step_back_and_renews_at_once),
   };
 
   if (argc > 1)
