entry: a server that leaves stays out whatever a restored store says

A store that comes back from an older copy calls a leaving server ready, or lists again one that has left. It got new work until its record was written anew: five of five requests in the test.

That a start of a server leaves is kept until its record shows another start, and the last 64 starts that have left are remembered. Records without a time of start are taken at their word, as before.

--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -240,6 +240,35 @@
 static const struct eg_exchange_events port_events = {NULL, NULL, on_port_open,
                                                       on_port_closed};
 
+static struct eg_left_server
+identify_start (const struct eg_server_record *record)
+{
+  return (struct eg_left_server){eg_hash_str (eg_str_from (record->id)),
+                                 record->start_ms};
+}
+
+static void
+remember_left (struct eg_fleet *self, const struct eg_server_record *record)
+{
+  self->left[self->left_count++ % EG_FLEET_LEFT_MAX] = identify_start (record);
+}
+
+/* Returns whether a start of a server has left, whatever its record says: a
+ * store that comes back from an older copy may call it ready again. */
+static bool
+has_left (const struct eg_fleet *self, const struct eg_server_record *record)
+{
+  struct eg_left_server start = identify_start (record);
+  size_t count = self->left_count < EG_FLEET_LEFT_MAX ? self->left_count
+                                                      : EG_FLEET_LEFT_MAX;
+
+  for (size_t i = 0; i < count; i++)
+    if (self->left[i].id_hash == start.id_hash
+        && self->left[i].start_ms == start.start_ms)
+      return true;
+  return false;
+}
+
 static struct eg_backend *
 add_backend (struct eg_fleet *self, const struct eg_server_record *record)
 {
@@ -396,7 +425,9 @@
 
   if (!self->listed)
     return;
-  if (!eg_backend_is_leaving (self))
+  if (eg_backend_is_leaving (self))
+    remember_left (fleet, &self->record);
+  else
     history->removed_us[history->removed_count++ % EG_DOMAIN_REMOVALS_MAX] =
         now_us;
   self->listed = false;
@@ -425,13 +456,19 @@
 
 static void
 update_record (struct eg_backend *self,
-               const struct eg_server_record *record,
+               struct eg_server_record *record,
                int64_t now_us)
 {
   const struct eg_server_record *old = &self->record;
   bool restarted = record->start_ms != old->start_ms;
+  /* A start that leaves does not become ready again; without a time of start,
+   * it may be another one. */
+  bool left =
+      record->start_ms > 0
+      && ((!restarted && old->draining) || has_left (self->fleet, record));
+  bool draining = record->draining || left;
   bool changed =
-      restarted || !self->listed || record->draining != old->draining
+      restarted || !self->listed || draining != old->draining
       || record->layers.from != old->layers.from
       || record->layers.to != old->layers.to
       || eg_endpoint_key (record->endpoint) != eg_endpoint_key (old->endpoint);
@@ -460,9 +497,8 @@
               "failure_domain=%s accelerator=%s draining=%d layers=%u-%u "
               "start_ms=%" PRId64,
               record->id, record->service, record->address, record->domain,
-              *record->accelerator ? record->accelerator : "-",
-              record->draining, record->layers.from, record->layers.to,
-              record->start_ms);
+              *record->accelerator ? record->accelerator : "-", draining,
+              record->layers.from, record->layers.to, record->start_ms);
     }
   /* Another entry VM has sent an order, so the order count has to be
    * requested from the server. */
@@ -472,13 +508,14 @@
       && (record->layers.from != self->ordered.from
           || record->layers.to != self->ordered.to))
     self->orders = -1;
-  if (record->draining && !old->draining && !self->said_leaving)
+  if (draining && self->draining_us == 0 && !self->said_leaving)
     {
       self->draining_us = now_us;
       self->fleet->events.availability_changed (self->fleet->events.context);
     }
-  if (!record->draining && !self->said_leaving)
+  if (!draining && !self->said_leaving)
     self->draining_us = 0;
+  record->draining = draining;
   self->record = *record;
   self->listed = true;
   self->marked = true;
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -18,6 +18,8 @@
 
 /** Maximum number of failure domains tracked separately. */
 #define EG_FLEET_DOMAINS_MAX 32
+/** Number of servers that have left which are remembered. */
+#define EG_FLEET_LEFT_MAX 64
 /** Number of recently removed servers remembered per failure domain. */
 #define EG_DOMAIN_REMOVALS_MAX 64
 
@@ -113,6 +115,13 @@
   unsigned removed_count; /**< Total number of removals recorded. */
 };
 
+/** A start of a server that has left. */
+struct eg_left_server
+{
+  uint64_t id_hash;
+  int64_t start_ms;
+};
+
 /** Callbacks of a fleet. */
 struct eg_fleet_events
 {
@@ -141,6 +150,8 @@
   int64_t changed_us; /**< Time of the last change to a record. */
   struct eg_domain_history domains[EG_FLEET_DOMAINS_MAX];
   size_t domain_count;
+  struct eg_left_server left[EG_FLEET_LEFT_MAX]; /**< Ring buffer. */
+  size_t left_count;                             /**< Total number recorded. */
   uint64_t probes;
   uint64_t pauses; /**< Responses that asked for one. */
   struct eg_token_bucket probes_allowed;
