--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -65,6 +65,17 @@
   self->store_fault_until_us = random_fault_end (self);
 }
 
+/* Its writers write the servers' records and the configuration again. */
+static void
+restore_store (struct soak *self)
+{
+  if (!self->store_copy.objects)
+    return;
+  soak_store_restore (&self->store, &self->store_copy);
+  soak_backends_publish (self);
+  soak_publish_configuration (self);
+}
+
 static void
 reset_store_connections (struct soak *self)
 {
@@ -122,6 +133,7 @@
       {pause_daemon, false},
       {reload_daemon, true},
       {fail_store, false},
+      {restore_store, false},
       {reset_store_connections, false},
       {drop_store_responses, false},
       {delay_store_traffic, false},
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -21,6 +21,8 @@
 
 #define HEARTBEAT_INTERVAL_MS 400
 #define CHECK_INTERVAL_MS 50
+/* A copy to which the store may be taken back is this old at the most. */
+#define STORE_COPY_INTERVAL_US (3 * EG_US_PER_S)
 #define FAULT_GAP_MIN_MS 150
 #define FAULT_GAP_JITTER_MS 700
 /* Gives the daemons time to start serving. */
@@ -91,6 +93,12 @@
   if (self->store.mode == SOAK_STORE_HEALTHY
       || self->store.mode == SOAK_STORE_LOST_REPLIES)
     soak_backends_publish (self);
+  if (eg_clock_now_us () - self->store_copied_us >= STORE_COPY_INTERVAL_US)
+    {
+      self->store_copied_us = eg_clock_now_us ();
+      soak_store_copy_finish (&self->store_copy);
+      soak_store_copy (&self->store, &self->store_copy);
+    }
 }
 
 static void
@@ -234,6 +242,7 @@
   fflush (stdout);
   soak_release_ports ();
   soak_store_close (&self->store);
+  soak_store_copy_finish (&self->store_copy);
   uv_run (&self->loop, UV_RUN_DEFAULT);
   uv_loop_close (&self->loop);
   json_decref (self->run_counts);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -166,6 +166,8 @@
   int64_t all_full_allowed_us; /**< Not all servers are full before. */
   bool planned_only;           /**< No fault is injected. */
   bool engines; /**< The backend servers are engines with a model. */
+  struct soak_store_copy store_copy; /**< Some seconds old, or zeroed. */
+  int64_t store_copied_us;
   int64_t store_fault_until_us;
   int64_t backend_fault_us; /**< Last crash or abort fault of a backend. */
   int64_t configuration_version;
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -54,6 +54,14 @@
                                    json_copy (self->changes), self->revision};
 }
 
+void
+soak_store_copy_finish (struct soak_store_copy *copy)
+{
+  json_decref (copy->objects);
+  json_decref (copy->changes);
+  *copy = (struct soak_store_copy){0};
+}
+
 void
 soak_store_restore (struct soak_store *self, struct soak_store_copy *copy)
 {
@@ -62,6 +70,7 @@
   self->objects = copy->objects;
   self->changes = copy->changes;
   self->revision = copy->revision;
+  *copy = (struct soak_store_copy){0};
   self->era++;
   soak_http_server_reset (&self->server);
 }
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -59,6 +59,9 @@
  */
 void soak_store_restore (struct soak_store *self, struct soak_store_copy *copy);
 
+/** Frees a copy; a zeroed one is allowed. */
+void soak_store_copy_finish (struct soak_store_copy *copy);
+
 /** Creates or replaces an object, without a check of its revision; takes over
  *  the reference to @p spec. */
 void soak_store_put (struct soak_store *self,
