--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -11,8 +11,8 @@
 /* Servers that end within this time of each other ended at the same moment: a
  * request that is sent again after a crash takes longer to crash the next. */
 #define SAME_MOMENT_US 40000
-/* Crashes more than needed after which two requests are both blamed that were
- * in flight at exactly the same ones. */
+/* Crashes more than needed after which equally likely subjects that were in
+ * flight at exactly the same ones are blamed. */
 #define TIE_CRASHES 1
 
 struct entry
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -95,7 +95,6 @@
   struct eg_list news;      /**< Suspects with news for other VMs. */
   struct eg_quarantine *quarantine;
   int64_t check_due_us;    /**< INT64_MAX: nothing is due. */
-  int64_t last_crash_us;   /**< Of any subject, here or elsewhere; 0: never. */
   size_t summary_position; /**< Where the next summary starts. */
 };
 
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -185,6 +185,16 @@
                           unsigned number,
                           const struct streams_request *sent);
 
+/** Returns whether the response of a client has ended, whole or not. */
+bool streams_client_has_ended (const struct streams_fixture *self,
+                               unsigned number);
+
+/** Sends a request as client @p number, waits until the response has ended, and
+ *  returns its status. */
+unsigned streams_client_request (struct streams_fixture *self,
+                                 unsigned number,
+                                 const struct streams_request *sent);
+
 /** Sends a stream request as client @p number to the first VM. */
 void streams_client_start (struct streams_fixture *self, unsigned number);
 
