policy: a request that was served is remembered before it is suspected

Only parts were remembered as served. Both are now, in slots by hash, apart from the suspects.

test_request_in_steady_use_is_not_blamed_when_all_servers_crash fails without it.

--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -88,13 +88,10 @@
   return eg_map_get (&self->suspects, get_key (subject));
 }
 
-/* Removes the oldest entry that is not suspected, else the oldest that is not
- * blamed, else the oldest. */
+/* Removes the oldest entry that is not blamed, else the oldest. */
 static void
 evict_one (struct eg_crash_blame *self)
 {
-  struct entry *chosen = NULL;
-
   for (struct eg_list *at = self->by_change.next; at != &self->by_change;
        at = at->next)
     {
@@ -102,19 +99,30 @@
 
       if (entry->suspect.blamed_us > 0)
         continue;
-      if (!chosen)
-        chosen = entry;
-      if (entry->suspect.crash_count > 0)
-        continue;
-      chosen = entry;
-      break;
+      remove_entry (self, entry);
+      return;
     }
-  remove_entry (self, chosen ? chosen : oldest (self));
+  remove_entry (self, oldest (self));
+}
+
+static struct eg_served_slot *
+get_slot (struct eg_crash_blame *self, uint64_t key)
+{
+  return &self->served[key % EG_SERVED_SLOTS];
+}
+
+static int64_t
+get_served_us (struct eg_crash_blame *self, uint64_t key)
+{
+  const struct eg_served_slot *slot = get_slot (self, key);
+
+  return slot->key == key ? slot->at_us : 0;
 }
 
 static struct entry *
 add_entry (struct eg_crash_blame *self, struct eg_subject subject)
 {
+  uint64_t key = get_key (subject);
   struct entry *entry;
 
   if (self->suspects.count >= self->config.suspects_max)
@@ -123,24 +131,19 @@
   if (!entry)
     return NULL;
   entry->suspect.subject = subject;
+  entry->suspect.served_us = get_served_us (self, key);
   eg_list_append (&self->by_change, &entry->by_change);
-  eg_map_put (&self->suspects, get_key (subject), entry);
+  eg_map_put (&self->suspects, key, entry);
   return entry;
 }
 
+/* Suspects of several crashes come first: the others are mostly victims. */
 static void
-set_used (struct eg_crash_blame *self, struct entry *entry, int64_t now_us)
+set_changed (struct eg_crash_blame *self, struct entry *entry, int64_t now_us)
 {
   entry->changed_us = now_us;
   eg_list_remove (&entry->by_change);
   eg_list_append (&self->by_change, &entry->by_change);
-}
-
-/* Suspects of several crashes come first: the others are mostly victims. */
-static void
-set_changed (struct eg_crash_blame *self, struct entry *entry, int64_t now_us)
-{
-  set_used (self, entry, now_us);
   if (entry->rounds_left > 0)
     eg_list_remove (&entry->news);
   entry->rounds_left = NEWS_ROUNDS;
@@ -275,16 +278,12 @@
                               struct eg_subject subject,
                               int64_t now_us)
 {
+  uint64_t key = get_key (subject);
   struct entry *entry = find_entry (self, subject);
 
-  if (!entry && subject.kind == EG_SUBJECT_PART)
-    entry = add_entry (self, subject);
-  if (!entry)
-    return;
-  if (set_served (self, entry, now_us))
+  *get_slot (self, key) = (struct eg_served_slot){key, now_us};
+  if (entry && set_served (self, entry, now_us))
     set_changed (self, entry, now_us);
-  else
-    set_used (self, entry, now_us);
 }
 
 bool
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -85,15 +85,27 @@
   void *context;
 };
 
+/** Slots for what was served; a later subject takes the slot of another. */
+#define EG_SERVED_SLOTS 2048
+
+/** When a subject was last served. */
+struct eg_served_slot
+{
+  uint64_t key; /**< Of the subject. */
+  int64_t at_us;
+};
+
 /** All suspects of one VM; allocated by the caller. */
 struct eg_crash_blame
 {
   struct eg_crash_blame_config config;
   struct eg_crash_blame_events events;
-  struct eg_map suspects;   /**< By subject; also parts that were served. */
+  struct eg_map suspects;   /**< By subject. */
   struct eg_list by_change; /**< Suspects, the latest news last. */
   struct eg_list news;      /**< Suspects with news for other VMs. */
   struct eg_quarantine *quarantine;
+  /** What was served before it is suspected. */
+  struct eg_served_slot served[EG_SERVED_SLOTS];
   int64_t check_due_us;    /**< INT64_MAX: nothing is due. */
   size_t summary_position; /**< Where the next summary starts. */
 };
@@ -116,10 +128,7 @@
                                   const struct eg_crash *crash,
                                   int64_t now_us);
 
-/**
- * Records that a subject was served well. A request, which rarely comes again,
- * is remembered only if it is suspected.
- */
+/** Records that a subject was served well. */
 void eg_crash_blame_record_served (struct eg_crash_blame *self,
                                    struct eg_subject subject,
                                    int64_t now_us);
--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -259,6 +259,21 @@
   eg_crash_blame_finish (&self);
 }
 
+static void
+test_request_in_steady_use_is_not_blamed_when_all_servers_crash (void **state)
+{
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  eg_crash_blame_record_served (&self, SOUND, 10 * SECOND);
+  for (unsigned i = 0; i < 4; i++)
+    crash (&self, SOUND, i, 10 * SECOND + 300 * MS * (i + 1));
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_false (is_blamed (&self, SOUND, 12 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
 /* A fleet of VMs that exchange datagrams, some of which are lost. */
 #define VMS 8
 #define SERVERS 9
@@ -431,6 +446,8 @@
           test_part_of_different_requests_is_blamed_but_not_their_shared_one),
       cmocka_unit_test (test_part_is_not_blamed_for_what_one_request_does),
       cmocka_unit_test (test_part_in_steady_use_is_not_blamed_for_a_pause),
+      cmocka_unit_test (
+          test_request_in_steady_use_is_not_blamed_when_all_servers_crash),
       cmocka_unit_test (test_all_vms_blame_the_same_request_in_time),
   };
 
