entry: a stream that is whole soon after it began proves nothing yet

A stream that is whole within half a second counts as served only if its server has not ended a second later.

--- a/entry/call.c
+++ b/entry/call.c
@@ -464,8 +464,12 @@
 {
   const char *fault = find_stream_fault (self);
 
-  if (self->attempt.headers.framed)
+  if (!is_young (&self->attempt, now_us))
     record_served (self, now_us);
+  else if (self->attempt.headers.framed)
+    eg_crash_watch_run_ended (&self->entry->crash_watch,
+                              eg_call_first_server (self), &self->subjects,
+                              now_us);
   else
     suspect_young_run (self, now_us);
   if (!fault)
--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -23,8 +23,11 @@
 /* A server that is not found to have ended within this time of a lost
  * connection has not crashed. The store tells after three missed heartbeats. */
 #define CONFIRM_TIMEOUT_US (6 * EG_US_PER_S)
-/* Lost runs beyond that are dropped, the oldest first. */
-#define LOST_RUNS_MAX 1024
+/* A server that has not ended this long after a short run was not crashed by
+ * it: the end of a server shows within a few hundred milliseconds. */
+#define SHORT_RUN_PROOF_US (1 * EG_US_PER_S)
+/* Runs beyond that are dropped, the oldest first. */
+#define RUNS_MAX 1024
 #define NEWS_INTERVAL_US (100 * EG_US_PER_MS)
 #define NEWS_MESSAGES_MAX 3
 #define SUMMARY_INTERVAL_US (500 * EG_US_PER_MS)
@@ -35,13 +38,14 @@
 #define FANOUT_ALL_MAX 16
 #define FANOUT 6
 
-/* A run whose server may have crashed. */
-struct lost_run
+/* A run whose server may have crashed under it or soon after. */
+struct watched_run
 {
   struct eg_list link;
   struct eg_backend *backend; /* Referenced. */
   int64_t start_ms;           /* Of the server. */
-  int64_t lost_us;
+  int64_t ended_us;           /* When it was lost or complete. */
+  bool complete;
   struct eg_crash_subjects subjects;
 };
 
@@ -89,21 +93,21 @@
 
   memset (self, 0, sizeof *self);
   self->entry = entry;
-  eg_list_init (&self->lost_runs);
+  eg_list_init (&self->runs);
   EG_INVARIANT (eg_crash_blame_init (&self->blame, &config, &events));
 }
 
-static struct lost_run *
+static struct watched_run *
 run_from_link (struct eg_list *link)
 {
-  return EG_CONTAINER_OF (link, struct lost_run, link);
+  return EG_CONTAINER_OF (link, struct watched_run, link);
 }
 
 /* Frees a run that is not in the list any more. */
 static void
-free_run (struct eg_crash_watch *self, struct lost_run *run)
+free_run (struct eg_crash_watch *self, struct watched_run *run)
 {
-  self->lost_run_count--;
+  self->run_count--;
   eg_backend_unref (run->backend);
   free (run);
 }
@@ -113,7 +117,7 @@
 {
   struct eg_list *link;
 
-  while ((link = eg_list_pop_front (&self->lost_runs)))
+  while ((link = eg_list_pop_front (&self->runs)))
     free_run (self, run_from_link (link));
   eg_crash_blame_finish (&self->blame);
 }
@@ -142,11 +146,11 @@
 
 static void
 count_crash (struct eg_crash_watch *self,
-             const struct lost_run *run,
+             const struct watched_run *run,
              int64_t now_us)
 {
   const struct eg_crash crash = {hash_start (run->backend, run->start_ms),
-                                 run->lost_us};
+                                 run->ended_us};
 
   for (size_t i = 0; i < count_subjects (&run->subjects); i++)
     {
@@ -157,7 +161,7 @@
                 "event=suspected kind=%s subject=%" PRIx64
                 " server=%s start_ms=%" PRId64 " confirmed_ms=%" PRId64,
                 kind_names[subject.kind], subject.id, run->backend->record.id,
-                run->start_ms, (now_us - run->lost_us) / EG_US_PER_MS);
+                run->start_ms, (now_us - run->ended_us) / EG_US_PER_MS);
     }
 }
 
@@ -184,45 +188,89 @@
   return false;
 }
 
-void
-eg_crash_watch_run_lost (struct eg_crash_watch *self,
-                         struct eg_backend *backend,
-                         const struct eg_crash_subjects *subjects,
-                         int64_t now_us)
+static void
+watch_run (struct eg_crash_watch *self,
+           struct eg_backend *backend,
+           const struct eg_crash_subjects *subjects,
+           bool complete,
+           int64_t now_us)
 {
-  struct lost_run *run;
+  struct watched_run *run;
 
   if (eg_backend_is_leaving (backend))
     return;
-  if (self->lost_run_count == LOST_RUNS_MAX)
-    free_run (self, run_from_link (eg_list_pop_front (&self->lost_runs)));
+  if (self->run_count == RUNS_MAX)
+    free_run (self, run_from_link (eg_list_pop_front (&self->runs)));
   run = calloc (1, sizeof *run);
   EG_INVARIANT (run);
   run->backend = backend;
   run->start_ms = backend->record.start_ms;
-  run->lost_us = now_us;
+  run->ended_us = now_us;
+  run->complete = complete;
   run->subjects = *subjects;
   eg_backend_ref (backend);
-  eg_list_append (&self->lost_runs, &run->link);
-  self->lost_run_count++;
+  eg_list_append (&self->runs, &run->link);
+  self->run_count++;
+}
+
+void
+eg_crash_watch_run_lost (struct eg_crash_watch *self,
+                         struct eg_backend *backend,
+                         const struct eg_crash_subjects *subjects,
+                         int64_t now_us)
+{
+  watch_run (self, backend, subjects, false, now_us);
+}
+
+void
+eg_crash_watch_run_ended (struct eg_crash_watch *self,
+                          struct eg_backend *backend,
+                          const struct eg_crash_subjects *subjects,
+                          int64_t now_us)
+{
+  watch_run (self, backend, subjects, true, now_us);
+}
+
+static bool
+has_ended (const struct watched_run *run)
+{
+  return run->backend->ended_us > 0
+         || run->backend->record.start_ms != run->start_ms;
+}
+
+/* Returns whether nothing more is to be found out about a run that was complete
+ * soon after it began. */
+static bool
+check_complete_run (struct eg_crash_watch *self,
+                    const struct watched_run *run,
+                    int64_t now_us)
+{
+  if (has_ended (run))
+    return true;
+  if (now_us - run->ended_us < SHORT_RUN_PROOF_US)
+    return false;
+  eg_crash_watch_served (self, &run->subjects, now_us);
+  return true;
 }
 
 /* Counts a lost run whose server is known to have ended. Returns whether
  * nothing more is to be found out about it. */
 static bool
-check_run (struct eg_crash_watch *self, struct lost_run *run, int64_t now_us)
+check_lost_run (struct eg_crash_watch *self,
+                const struct watched_run *run,
+                int64_t now_us)
 {
   struct eg_backend *backend = run->backend;
 
-  if (backend->ended_us > 0 || backend->record.start_ms != run->start_ms)
+  if (has_ended (run))
     {
       count_crash (self, run, now_us);
       return true;
     }
-  if (backend->alive_us > run->lost_us || eg_backend_is_leaving (backend)
-      || now_us - run->lost_us >= CONFIRM_TIMEOUT_US)
+  if (backend->alive_us > run->ended_us || eg_backend_is_leaving (backend)
+      || now_us - run->ended_us >= CONFIRM_TIMEOUT_US)
     return true;
-  eg_backend_check_alive (backend, run->lost_us, now_us);
+  eg_backend_check_alive (backend, run->ended_us, now_us);
   return false;
 }
 
@@ -395,12 +443,13 @@
 void
 eg_crash_watch_check (struct eg_crash_watch *self, int64_t now_us)
 {
-  for (struct eg_list *at = self->lost_runs.next; at != &self->lost_runs;)
+  for (struct eg_list *at = self->runs.next; at != &self->runs;)
     {
-      struct lost_run *run = run_from_link (at);
+      struct watched_run *run = run_from_link (at);
 
       at = at->next;
-      if (check_run (self, run, now_us))
+      if (run->complete ? check_complete_run (self, run, now_us)
+                        : check_lost_run (self, run, now_us))
         {
           eg_list_remove (&run->link);
           free_run (self, run);
--- a/entry/crash_watch.h
+++ b/entry/crash_watch.h
@@ -43,8 +43,8 @@
 {
   struct eg_entry *entry;
   struct eg_crash_blame blame;
-  struct eg_list lost_runs; /**< Not confirmed yet, the oldest first. */
-  size_t lost_run_count;
+  struct eg_list runs; /**< Lost or ended early, the oldest first. */
+  size_t run_count;
   int64_t news_sent_us;
   int64_t summary_sent_us;
   size_t summary_member; /**< Position of the member to send it to. */
@@ -65,6 +65,15 @@
                               const struct eg_crash_subjects *subjects,
                               int64_t now_us);
 
+/**
+ * Takes note that a run ended well, but soon after it began on @p backend:
+ * that shows the request to be sound if the server lives on.
+ */
+void eg_crash_watch_run_ended (struct eg_crash_watch *self,
+                               struct eg_backend *backend,
+                               const struct eg_crash_subjects *subjects,
+                               int64_t now_us);
+
 /** Takes note that a request was served well. */
 void eg_crash_watch_served (struct eg_crash_watch *self,
                             const struct eg_crash_subjects *subjects,
