--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -14,6 +14,9 @@
 /* Crashes more than needed after which equally likely subjects that were in
  * flight at exactly the same ones are blamed. */
 #define TIE_CRASHES 1
+/* By so much the time of service must be later than another VM knows it to be
+ * news for that VM: messages give ages, which differ by their way. */
+#define SERVED_NEWS_US 200000
 
 struct entry
 {
@@ -286,6 +289,15 @@
     set_changed (self, entry, now_us);
 }
 
+/* Returns whether another VM counts crashes that this one knows not to count.
+ */
+static bool
+is_served_news (const struct eg_suspect *own, const struct eg_suspect *theirs)
+{
+  return theirs->crash_count > 0
+         && own->served_us > theirs->served_us + SERVED_NEWS_US;
+}
+
 bool
 eg_crash_blame_merge (struct eg_crash_blame *self,
                       const struct eg_suspect *theirs,
@@ -309,7 +321,7 @@
       blame (self, entry, theirs->blamed_us, false);
       is_new = true;
     }
-  if (is_new)
+  if (is_new || is_served_news (&entry->suspect, theirs))
     set_changed (self, entry, now_us);
   schedule_check (self, entry);
   return is_new;
--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -274,6 +274,34 @@
   eg_crash_blame_finish (&self);
 }
 
+static void
+test_vm_that_has_served_a_suspect_tells_the_others (void **state)
+{
+  struct eg_crash_blame vms[2];
+  const struct eg_suspect *news[4];
+  size_t count;
+
+  (void) state;
+  for (int i = 0; i < 2; i++)
+    assert_true (eg_crash_blame_init (&vms[i], &config, NULL));
+  eg_crash_blame_record_served (&vms[0], SOUND, 10 * SECOND);
+  for (unsigned i = 0; i < 3; i++)
+    crash (&vms[1], SOUND, i, 10 * SECOND + 100 * MS * (i + 1));
+  count = eg_crash_blame_take_news (&vms[1], news, 4);
+  for (size_t i = 0; i < count; i++)
+    eg_crash_blame_merge (&vms[0], news[i], 10 * SECOND + 400 * MS);
+  assert_true (eg_crash_blame_has_news (&vms[0]));
+  count = eg_crash_blame_take_news (&vms[0], news, 4);
+  for (size_t i = 0; i < count; i++)
+    eg_crash_blame_merge (&vms[1], news[i], 10 * SECOND + 500 * MS);
+  for (int i = 0; i < 2; i++)
+    {
+      eg_crash_blame_check (&vms[i], 12 * SECOND);
+      assert_false (is_blamed (&vms[i], SOUND, 12 * SECOND));
+      eg_crash_blame_finish (&vms[i]);
+    }
+}
+
 /* A fleet of VMs that exchange datagrams, some of which are lost. */
 #define VMS 8
 #define SERVERS 9
@@ -448,6 +476,7 @@
       cmocka_unit_test (test_part_in_steady_use_is_not_blamed_for_a_pause),
       cmocka_unit_test (
           test_request_in_steady_use_is_not_blamed_when_all_servers_crash),
+      cmocka_unit_test (test_vm_that_has_served_a_suspect_tells_the_others),
       cmocka_unit_test (test_all_vms_blame_the_same_request_in_time),
   };
 
