--- a/entry/main.c
+++ b/entry/main.c
@@ -134,6 +134,12 @@
     self->configuration.as_of_us = as_of_us;
 }
 
+static const char *
+source_name (const struct eg_store_feed *feed)
+{
+  return feed->call.store->is_peer ? "vm" : "store";
+}
+
 static void
 on_configuration_lost (void *context, enum eg_store_outcome outcome)
 {
@@ -141,7 +147,8 @@
 
   self->configuration.reachable = false;
   eg_log (EG_LOG_WARNING, "configuration",
-          "event=store-lost kind=config outcome=%s age_ms=%" PRId64,
+          "event=store-lost kind=config source=%s outcome=%s age_ms=%" PRId64,
+          source_name (&self->configuration_feed),
           eg_store_outcome_name (outcome),
           (eg_clock_now_us () - self->configuration.as_of_us) / EG_US_PER_MS);
 }
@@ -177,8 +184,9 @@
 {
   struct eg_entry *self = context;
 
-  eg_log (EG_LOG_WARNING, "fleet", "event=store-lost kind=servers outcome=%s",
-          eg_store_outcome_name (outcome));
+  eg_log (EG_LOG_WARNING, "fleet",
+          "event=store-lost kind=servers source=%s outcome=%s",
+          source_name (&self->servers_feed), eg_store_outcome_name (outcome));
   eg_fleet_store_lost (&self->fleet, eg_clock_now_us ());
 }
 
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -470,18 +470,18 @@
                        sizeof store);
   file = fopen (self->settings_path, "w");
   EG_INVARIANT (file);
-  fprintf (file,
-           "[node]\nname = \"node-%u\"\nfailure_domain = \"%s\"\n"
-           "[listen]\ncallers = \"127.0.0.1:%u\"\n"
-           "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
-           "[store]\naddress = \"%s\"\n"
-           "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
-           "[stop]\ngrace_ms = 500\n[keys]\nrevocation_ms = 5000\n"
-           "[retry]\nratio = %g\nwindow_ms = %d\nextra = %d\n",
-           self->number, self->number == 0 ? "room" : "hall",
-           self->callers_port, soak_find_free_port (), soak_find_free_port (),
-           store, options->retry_ratio, options->retry_window_ms,
-           options->retry_extra);
+  fprintf (
+      file,
+      "[node]\nname = \"node-%u\"\nfailure_domain = \"%s\"\n"
+      "[listen]\ncallers = \"127.0.0.1:%u\"\n"
+      "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
+      "[store]\naddress = \"%s\"\n"
+      "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
+      "[stop]\ngrace_ms = 500\n[keys]\nrevocation_ms = 5000\n"
+      "[retry]\nratio = %g\nwindow_ms = %d\nextra = %d\n",
+      self->number, self->number == 0 || options->one_domain ? "room" : "hall",
+      self->callers_port, soak_find_free_port (), soak_find_free_port (), store,
+      options->retry_ratio, options->retry_window_ms, options->retry_extra);
   fclose (file);
 }
 
@@ -680,12 +680,18 @@
 }
 
 void
-streams_vm_restart (struct streams_fixture *self, unsigned vm)
+streams_vm_kill (struct streams_fixture *self, unsigned vm)
 {
   uv_process_kill (&self->vms[vm].process, SIGKILL);
   while (self->vms[vm].running)
     streams_run (self, TICK_MS);
   streams_run (self, TICK_MS);
+}
+
+void
+streams_vm_restart (struct streams_fixture *self, unsigned vm)
+{
+  streams_vm_kill (self, vm);
   start_vm (&self->vms[vm]);
   wait_until_ready (self, vm);
 }
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -87,6 +87,7 @@
   unsigned engines; /**< Listed in the store at the start. */
   unsigned plain;   /**< Plain servers listed in the store at the start. */
   unsigned vms;     /**< Entry VMs, each in its own failure domain; 0: one. */
+  bool one_domain;  /**< All entry VMs are in the first one's domain. */
 };
 
 /** A request of a client. */
@@ -171,6 +172,9 @@
 /** Kills an entry VM's process and starts it again. */
 void streams_vm_restart (struct streams_fixture *self, unsigned vm);
 
+/** Kills an entry VM's process for good. */
+void streams_vm_kill (struct streams_fixture *self, unsigned vm);
+
 /** Kills all entry VMs' processes at once and starts them again. */
 void streams_vms_restart (struct streams_fixture *self);
 
--- /dev/null
+++ b/test/test_readers.c
@@ -0,0 +1,89 @@
+/* Tests of VMs whose reader, the VM that reads the store for them, fails. */
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "test/streams_fixture.h"
+
+/* Time in which a change in the store is in force. */
+#define APPLY_MS 2000
+/* Time until a VM has read which VM is its reader, and watches it. */
+#define MEMBERS_READ_MS 2500
+
+static struct streams_fixture fixture;
+
+/* VM 0 is the reader of VM 1: they differ in their names alone. */
+static int
+start (void **state)
+{
+  const struct streams_options options = {.retry_ratio = 0.2,
+                                          .retry_extra = 200,
+                                          .retry_window_ms = 10000,
+                                          .engines = 1,
+                                          .plain = 2,
+                                          .vms = 2,
+                                          .one_domain = true};
+
+  streams_fixture_init (&fixture, &options);
+  streams_run (&fixture, MEMBERS_READ_MS);
+  *state = &fixture;
+  return 0;
+}
+
+static int
+stop (void **state)
+{
+  streams_fixture_finish (*state);
+  return 0;
+}
+
+static void
+test_removal_after_a_readers_failure_is_not_taken_for_an_outage (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request request = {
+      .vm = 1, .plain = true, .body = "body"};
+  struct streams_engine *leaving = &self->engines[STREAMS_ENGINES];
+
+  streams_vm_kill (self, 0);
+  streams_engine_withdraw (leaving);
+  streams_run (self, 600);
+  leaving->arrivals = 0;
+  for (int i = 0; i < 8; i++)
+    assert_int_equal (streams_client_request (self, 0, &request), 200);
+  assert_int_equal (leaving->arrivals, 0);
+}
+
+static void
+test_change_is_in_force_in_time_while_the_reader_is_frozen (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request at_v2 = {
+      .vm = 1, .plain = true, .body = "body", .path = "/v2/x"};
+
+  uv_process_kill (&self->vms[0].process, SIGSTOP);
+  streams_publish_configuration (self, 2);
+  streams_run (self, APPLY_MS);
+  assert_int_equal (streams_client_request (self, 0, &at_v2), 200);
+  uv_process_kill (&self->vms[0].process, SIGCONT);
+}
+
+#define READER_TEST(name)                                                      \
+  cmocka_unit_test_setup_teardown (test_##name, start, stop)
+
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+      READER_TEST (removal_after_a_readers_failure_is_not_taken_for_an_outage),
+      READER_TEST (change_is_in_force_in_time_while_the_reader_is_frozen),
+  };
+
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_store_era.c
+++ b/test/test_store_era.c
@@ -131,6 +131,48 @@
   assert_int_equal (self->engines[0].arrivals, 0);
 }
 
+static void
+test_vm_that_starts_after_a_step_back_uses_its_peers_newer_configuration (
+    void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request at_v2 = {
+      .vm = 1, .plain = true, .body = "body", .path = "/v2/x"};
+  struct soak_store_copy copy;
+
+  soak_store_copy (&self->store, &copy);
+  streams_publish_configuration (self, 2);
+  streams_run (self, APPLY_MS);
+  soak_store_restore (&self->store, &copy);
+  streams_vm_restart (self, 1);
+  for (int i = 0; i < 5; i++)
+    {
+      assert_int_equal (streams_client_request (self, 0, &at_v2), 200);
+      streams_run (self, 100);
+    }
+}
+
+static void
+test_vm_that_starts_after_a_step_back_sends_nothing_to_a_server_that_left (
+    void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request request = {.vm = 1, .body = "body"};
+  struct soak_store_copy copy;
+
+  soak_store_copy (&self->store, &copy);
+  streams_engine_publish (&self->engines[0], true);
+  streams_run (self, APPLY_MS);
+  soak_store_restore (&self->store, &copy);
+  streams_vm_restart (self, 1);
+  streams_run (self, APPLY_MS);
+  self->engines[0].arrivals = 0;
+  self->engines[1].full = true;
+  for (int i = 0; i < 5; i++)
+    streams_client_request (self, 0, &request);
+  assert_int_equal (self->engines[0].arrivals, 0);
+}
+
 static const struct eg_lease_config lease_config = {.duration_us = 2200000,
                                                     .drift_us = 100000,
                                                     .pause_us = 200000,
@@ -220,6 +262,10 @@
       ERA_TEST (changes_after_a_step_back_are_seen_whatever_their_revision),
       ERA_TEST (servers_that_the_copy_lacks_are_used_until_they_are_written),
       ERA_TEST (server_that_leaves_gets_no_work_though_the_copy_calls_it_ready),
+      ERA_TEST (
+          vm_that_starts_after_a_step_back_uses_its_peers_newer_configuration),
+      ERA_TEST (
+          vm_that_starts_after_a_step_back_sends_nothing_to_a_server_that_left),
       cmocka_unit_test (
           test_former_holder_does_not_act_on_a_lease_that_came_back),
       cmocka_unit_test (
