platform: the failure of a reader is not taken for an outage of the store

What callers saw: requests reached a server that had left, up to 1.8 s after its VM had read that the record was gone (DRAIN).

Cause: each feed reported "the store is lost" when its source failed, also when that was another VM's mirror. The fleet then took every removal of the next 1.8 s for a record that an outage had let expire, and went on using the server. A VM whose reader is cut off goes back to it every second or so, and was in that state nearly all the time.

Only the store's own silence counts as an outage now. A VM that reads a mirror learns of outages from the mirror, which names the age of its last one, so that records which expired meanwhile still get their time to return.

--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -550,15 +550,6 @@
 void
 eg_fleet_synced (struct eg_fleet *self, bool listed, int64_t now_us)
 {
-  if (self->store_lost_us > 0)
-    {
-      eg_log (EG_LOG_NOTICE, "fleet",
-              "event=store-back kind=servers away_ms=%" PRId64,
-              (now_us - self->store_lost_us) / EG_US_PER_MS);
-      self->records_expiring = true;
-      self->store_back_us = now_us;
-      self->store_lost_us = 0;
-    }
   if (!listed)
     return;
   self->list_complete = true;
@@ -580,6 +571,22 @@
   self->records_expiring = true;
 }
 
+void
+eg_fleet_store_back (struct eg_fleet *self, int64_t end_us, int64_t now_us)
+{
+  if (self->store_lost_us > 0)
+    eg_log (EG_LOG_NOTICE, "fleet",
+            "event=store-back kind=servers away_ms=%" PRId64
+            " ended_ms=%" PRId64,
+            (now_us - self->store_lost_us) / EG_US_PER_MS,
+            (now_us - end_us) / EG_US_PER_MS);
+  self->store_lost_us = 0;
+  if (now_us - end_us >= REAPPEAR_GRACE_US || end_us < self->store_back_us)
+    return;
+  self->records_expiring = true;
+  self->store_back_us = end_us;
+}
+
 void
 eg_fleet_store_restored (struct eg_fleet *self, int64_t now_us)
 {
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -177,9 +177,16 @@
 /** Ends a list or a batch of changes; see eg_feed_events. */
 void eg_fleet_synced (struct eg_fleet *self, bool listed, int64_t now_us);
 
-/** Records that the store is unreachable. */
+/** Records that the store itself is unreachable. */
 void eg_fleet_store_lost (struct eg_fleet *self, int64_t now_us);
 
+/**
+ * Records that the store was unreachable until @p end_us: records that expired
+ * meanwhile may be written again. 0: for this VM alone, so that none expired.
+ */
+void
+eg_fleet_store_back (struct eg_fleet *self, int64_t end_us, int64_t now_us);
+
 /**
  * Records that the store has come back from an older copy: records that it
  * lacks may be written again.
--- a/entry/main.c
+++ b/entry/main.c
@@ -187,9 +187,24 @@
   eg_log (EG_LOG_WARNING, "fleet",
           "event=store-lost kind=servers source=%s outcome=%s",
           source_name (&self->servers_feed), eg_store_outcome_name (outcome));
+}
+
+static void
+on_servers_outage_began (void *context)
+{
+  struct eg_entry *self = context;
+
   eg_fleet_store_lost (&self->fleet, eg_clock_now_us ());
 }
 
+static void
+on_servers_outage_ended (void *context, int64_t end_us)
+{
+  struct eg_entry *self = context;
+
+  eg_fleet_store_back (&self->fleet, end_us, eg_clock_now_us ());
+}
+
 /* What this VM has written may be lost, and what others have written may be
  * missing until they write it again. */
 static void
@@ -352,11 +367,19 @@
 init_feeds (struct eg_entry *self)
 {
   const struct eg_feed_events configuration_events = {
-      on_configuration_list, on_configuration_object, on_configuration_synced,
-      on_configuration_lost, self};
+      .list_begins = on_configuration_list,
+      .object = on_configuration_object,
+      .synced = on_configuration_synced,
+      .lost = on_configuration_lost,
+      .context = self};
   const struct eg_feed_events servers_events = {
-      on_servers_list, on_servers_object, on_servers_synced, on_servers_lost,
-      self};
+      .list_begins = on_servers_list,
+      .object = on_servers_object,
+      .synced = on_servers_synced,
+      .lost = on_servers_lost,
+      .outage_began = on_servers_outage_began,
+      .outage_ended = on_servers_outage_ended,
+      .context = self};
   const struct eg_feed_source source =
       eg_source_selector_feed_source (&self->source_selector);
 
