entry: a feed without a working reader asks the store, not the dead reader

Cause: where both readers of a VM's failure domain are cut off, its two feeds shared one selection of the source. The success of one sent the other back to a reader that does not respond, for a time-out of 0.7 to 1.2 s, and the failure of one put off the other's next call to the store. A store that was away for a second cost such a VM more than four.

Each feed has a selector of its own now. A reader that timed out is not asked in place of the store: the feed waits for its next call to the store instead, at most 1.8 s. Two tests of the selection fail on the code before (they return the dead reader).

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -55,7 +55,8 @@
   struct eg_exchange_pool pool;
   struct eg_store_era store_era;
   struct eg_store store;
-  struct eg_source_selector source_selector;
+  struct eg_source_selector configuration_source;
+  struct eg_source_selector servers_source;
   struct eg_mirror mirror;
   struct eg_store_feed configuration_feed;
   struct eg_store_feed servers_feed;
--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -467,10 +467,9 @@
     return;
   self->sent_us = now_us;
   drop_expired (self, now_us);
-  if (eg_source_selector_is_reader (&self->entry->source_selector)
-      || self->peer_count > 0)
+  if (eg_members_is_reader (&self->entry->members) || self->peer_count > 0)
     send_totals (self, now_us);
-  if (eg_source_selector_is_reader (&self->entry->source_selector))
+  if (eg_members_is_reader (&self->entry->members))
     return;
   reader = choose_reader (self, now_us);
   if (!reader)
@@ -502,8 +501,7 @@
                        list_suspects (&self->entry->fleet), "leaving",
                        list_leaving (&self->entry->fleet));
   text = json_dumps (message, JSON_COMPACT);
-  if (eg_source_selector_is_reader (&self->entry->source_selector)
-      || self->peer_count > 0)
+  if (eg_members_is_reader (&self->entry->members) || self->peer_count > 0)
     send_to_all (self, text, text);
   else if ((reader = choose_reader (self, now_us)))
     eg_load_gossip_send (self, reader->endpoint, text);
--- a/entry/main.c
+++ b/entry/main.c
@@ -380,13 +380,15 @@
       .outage_began = on_servers_outage_began,
       .outage_ended = on_servers_outage_ended,
       .context = self};
-  const struct eg_feed_source source =
-      eg_source_selector_feed_source (&self->source_selector);
+  const struct eg_feed_source configuration_source =
+      eg_source_selector_feed_source (&self->configuration_source);
+  const struct eg_feed_source servers_source =
+      eg_source_selector_feed_source (&self->servers_source);
 
-  eg_store_feed_init (&self->configuration_feed, &source,
+  eg_store_feed_init (&self->configuration_feed, &configuration_source,
                       eg_mirror_add (&self->mirror, eg_configuration_kind),
                       WATCH_WAIT_MS, 0, &self->random, &configuration_events);
-  eg_store_feed_init (&self->servers_feed, &source,
+  eg_store_feed_init (&self->servers_feed, &servers_source,
                       eg_mirror_add (&self->mirror, eg_servers_kind),
                       WATCH_WAIT_MS, SERVERS_BATCH_START_US, &self->random,
                       &servers_events);
@@ -417,7 +419,8 @@
   EG_INVARIANT (eg_endpoint_parse (eg_str_from (self->settings->store_address),
                                    &self->store.endpoint));
   eg_fleet_init (&self->fleet, &self->pool, &fleet_events);
-  eg_source_selector_init (&self->source_selector, self);
+  eg_source_selector_init (&self->configuration_source, self);
+  eg_source_selector_init (&self->servers_source, self);
   eg_mirror_init (&self->mirror);
   self->started_us = eg_clock_now_us ();
   init_feeds (self);
--- a/entry/members.c
+++ b/entry/members.c
@@ -375,9 +375,16 @@
 }
 
 struct eg_member *
-eg_members_any_reader (struct eg_members *self)
+eg_members_responding_reader (struct eg_members *self)
 {
-  return self->readers[0];
+  return self->readers[0] && self->readers[0]->failures == 0 ? self->readers[0]
+                                                             : NULL;
+}
+
+bool
+eg_members_is_reader (const struct eg_members *self)
+{
+  return self->own_rank < eg_members_reader_count (self);
 }
 
 void
@@ -393,7 +400,8 @@
       if (!reader
           || eg_endpoint_key (reader->endpoint) != eg_endpoint_key (endpoint))
         continue;
-      if (eg_store_outcome_is_answer (outcome))
+      reader->is_proven = eg_store_outcome_is_answer (outcome);
+      if (reader->is_proven)
         reader->failures = 0;
       else if (outcome == EG_STORE_REFUSED)
         /* The reader is up, and will have data again once the store responds
--- a/entry/members.h
+++ b/entry/members.h
@@ -33,6 +33,7 @@
   int64_t capacity;
   int64_t failed_until_us; /**< Not used as a reader until then. */
   unsigned failures;       /**< Consecutive failures. */
+  bool is_proven;          /**< It answered the last call to it. */
   bool marked;
 };
 
@@ -86,8 +87,14 @@
 struct eg_member *eg_members_choose_reader (struct eg_members *self,
                                             int64_t now_us);
 
-/** Returns the best ranked reader of this failure domain, or NULL. */
-struct eg_member *eg_members_any_reader (struct eg_members *self);
+/**
+ * Returns the best ranked reader of this failure domain if it responds, though
+ * maybe without data; else NULL.
+ */
+struct eg_member *eg_members_responding_reader (struct eg_members *self);
+
+/** Returns whether this VM reads the store for its failure domain. */
+bool eg_members_is_reader (const struct eg_members *self);
 
 /** Records the outcome of a call to a reader. */
 void eg_members_record_peer_outcome (struct eg_members *self,
--- a/entry/quarantine_store.c
+++ b/entry/quarantine_store.c
@@ -163,7 +163,7 @@
 eg_quarantine_store_add (struct eg_quarantine_store *self,
                          const struct eg_suspect *suspect)
 {
-  if (eg_source_selector_is_reader (&self->entry->source_selector))
+  if (eg_members_is_reader (&self->entry->members))
     add_change (self, suspect->subject, suspect->blamed_us);
 }
 
@@ -171,7 +171,7 @@
 eg_quarantine_store_remove (struct eg_quarantine_store *self,
                             const struct eg_suspect *suspect)
 {
-  if (eg_source_selector_is_reader (&self->entry->source_selector))
+  if (eg_members_is_reader (&self->entry->members))
     add_change (self, suspect->subject, 0);
 }
 
@@ -222,7 +222,7 @@
 
   return !self->read
          || (now_us >= self->list_due_us
-             && eg_source_selector_is_reader (&entry->source_selector)
+             && eg_members_is_reader (&entry->members)
              && !eg_load_gossip_hears_all_domains (&entry->load_gossip,
                                                    now_us));
 }
--- a/entry/source_selector.c
+++ b/entry/source_selector.c
@@ -8,8 +8,9 @@
 /* Mean interval between calls to the store by a VM that is not a reader,
  * while the store does not respond; randomised by up to 50 %. A configuration
  * must take effect within 3 s after an outage, the shortest window in the
- * users' specification. */
-#define DIRECT_CALL_INTERVAL_US (1500 * EG_US_PER_MS)
+ * users' specification, and the last call of the outage may take 0.7 s to time
+ * out. */
+#define DIRECT_CALL_INTERVAL_US (1200 * EG_US_PER_MS)
 
 void
 eg_source_selector_init (struct eg_source_selector *self,
@@ -22,13 +23,6 @@
   self->peer.era = &entry->store_era;
 }
 
-bool
-eg_source_selector_is_reader (const struct eg_source_selector *self)
-{
-  return self->entry->members.own_rank
-         < eg_members_reader_count (&self->entry->members);
-}
-
 static struct eg_store *
 choose (void *context, struct eg_store_feed *feed)
 {
@@ -40,7 +34,7 @@
   (void) feed;
   /* If a reader times out, use the store itself instead of the second
    * reader: both may be partitioned, and each attempt costs a time-out. */
-  if (eg_source_selector_is_reader (self) || self->peer_timed_out)
+  if (eg_members_is_reader (&entry->members) || self->peer_timed_out)
     return &entry->store;
   reader = eg_members_choose_reader (&entry->members, now_us);
   /* This VM is the second reader and replaces the first, so it reads the
@@ -52,10 +46,11 @@
   if (!reader && now_us >= self->next_direct_call_us)
     return &entry->store;
   if (!reader)
-    reader = eg_members_any_reader (&entry->members);
+    reader = eg_members_responding_reader (&entry->members);
   if (!reader)
-    return &entry->store;
+    return NULL;
   self->peer.endpoint = reader->endpoint;
+  self->peer.is_proven = reader->is_proven;
   return &self->peer;
 }
 
--- a/entry/source_selector.h
+++ b/entry/source_selector.h
@@ -1,11 +1,14 @@
 /**
  * @file
- * Selects where this entry VM reads the configuration and the server records:
- * from the store, or from a peer of its failure domain that mirrors the store.
+ * Selects where a feed of this entry VM reads the configuration or the server
+ * records: from the store, or from a peer of its failure domain that mirrors
+ * the store.
  *
  * Mirrors keep the store's load independent of the number of entry VMs. After a
  * peer fails, the store itself is read at once; calls to the store are then
- * spaced out, because all VMs may fall back at the same time.
+ * spaced out, because all VMs may fall back at the same time. Each feed has its
+ * own selector: what one of them has just found out must not send the other one
+ * back to a peer that does not respond.
  */
 #ifndef EG_ENTRY_SOURCE_SELECTOR_H
 #define EG_ENTRY_SOURCE_SELECTOR_H
@@ -14,7 +17,7 @@
 
 struct eg_entry;
 
-/** State of the source selection; allocated by the caller. */
+/** State of one feed's selection; allocated by the caller. */
 struct eg_source_selector
 {
   struct eg_entry *entry;
@@ -28,11 +31,8 @@
 void eg_source_selector_init (struct eg_source_selector *self,
                               struct eg_entry *entry);
 
-/** Returns the callbacks through which feeds select their source. */
+/** Returns the callbacks through which the feed selects its source. */
 struct eg_feed_source
 eg_source_selector_feed_source (struct eg_source_selector *self);
 
-/** Returns whether this entry VM reads the store directly. */
-bool eg_source_selector_is_reader (const struct eg_source_selector *self);
-
 #endif
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -74,15 +74,15 @@
 
   (void) state;
   eg_random_init (&entry.random, 1);
-  eg_source_selector_init (&entry.source_selector, &entry);
-  source = eg_source_selector_feed_source (&entry.source_selector);
+  eg_source_selector_init (&entry.servers_source, &entry);
+  source = eg_source_selector_feed_source (&entry.servers_source);
   for (int i = 0; i < 1000; i++)
     {
       int64_t now_us = eg_clock_now_us ();
 
       source.outcome (source.context, &entry.store, EG_STORE_NO_REPLY);
-      assert_true (entry.source_selector.next_direct_call_us > now_us);
-      assert_true (entry.source_selector.next_direct_call_us - now_us
+      assert_true (entry.servers_source.next_direct_call_us > now_us);
+      assert_true (entry.servers_source.next_direct_call_us - now_us
                    < longest_us);
     }
 }
@@ -98,8 +98,8 @@
 
   (void) state;
   eg_random_init (&entry.random, 1);
-  eg_source_selector_init (&entry.source_selector, &entry);
-  source = eg_source_selector_feed_source (&entry.source_selector);
+  eg_source_selector_init (&entry.servers_source, &entry);
+  source = eg_source_selector_feed_source (&entry.servers_source);
   entry.members.in_domain = 18;
   entry.members.own_rank = 7;
   for (uint32_t i = 0; i < 2; i++)
@@ -108,13 +108,67 @@
       entry.members.readers[i] = &readers[i];
     }
   assert_ptr_equal (source.choose (source.context, NULL),
-                    &entry.source_selector.peer);
-  source.outcome (source.context, &entry.source_selector.peer,
+                    &entry.servers_source.peer);
+  source.outcome (source.context, &entry.servers_source.peer,
                   EG_STORE_NO_REPLY);
   assert_ptr_equal (source.choose (source.context, NULL), &entry.store);
   source.outcome (source.context, &entry.store, EG_STORE_OK);
   assert_ptr_equal (source.choose (source.context, NULL),
-                    &entry.source_selector.peer);
+                    &entry.servers_source.peer);
+}
+
+static void
+test_dead_readers_are_not_asked_instead_of_the_store (void **state)
+{
+  static struct eg_entry entry;
+  static struct eg_member reader;
+  struct eg_feed_source source;
+
+  (void) state;
+  eg_random_init (&entry.random, 1);
+  eg_source_selector_init (&entry.servers_source, &entry);
+  source = eg_source_selector_feed_source (&entry.servers_source);
+  reader.endpoint = (struct eg_endpoint){1, 1};
+  entry.members.in_domain = 3;
+  entry.members.own_rank = 2;
+  entry.members.readers[0] = &reader;
+  source.choose (source.context, NULL);
+  source.outcome (source.context, &entry.servers_source.peer,
+                  EG_STORE_NO_REPLY);
+  assert_ptr_equal (source.choose (source.context, NULL), &entry.store);
+  source.outcome (source.context, &entry.store, EG_STORE_NO_REPLY);
+  assert_null (source.choose (source.context, NULL));
+  entry.servers_source.next_direct_call_us = eg_clock_now_us ();
+  assert_ptr_equal (source.choose (source.context, NULL), &entry.store);
+}
+
+static void
+test_feeds_do_not_send_each_other_to_a_dead_reader (void **state)
+{
+  static struct eg_entry entry;
+  static struct eg_member readers[2];
+  struct eg_feed_source configuration;
+  struct eg_feed_source servers;
+
+  (void) state;
+  eg_random_init (&entry.random, 1);
+  eg_source_selector_init (&entry.configuration_source, &entry);
+  eg_source_selector_init (&entry.servers_source, &entry);
+  configuration = eg_source_selector_feed_source (&entry.configuration_source);
+  servers = eg_source_selector_feed_source (&entry.servers_source);
+  entry.members.in_domain = 3;
+  entry.members.own_rank = 2;
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      readers[i].endpoint = (struct eg_endpoint){i + 1, 1};
+      entry.members.readers[i] = &readers[i];
+    }
+  configuration.choose (configuration.context, NULL);
+  configuration.outcome (configuration.context,
+                         &entry.configuration_source.peer, EG_STORE_NO_REPLY);
+  servers.outcome (servers.context, &entry.store, EG_STORE_OK);
+  assert_ptr_equal (configuration.choose (configuration.context, NULL),
+                    &entry.store);
 }
 
 int
@@ -125,6 +179,8 @@
       cmocka_unit_test (test_unresponsive_reader_backoff),
       cmocka_unit_test (test_store_is_retried_in_time),
       cmocka_unit_test (test_store_is_used_after_reader_timeout),
+      cmocka_unit_test (test_dead_readers_are_not_asked_instead_of_the_store),
+      cmocka_unit_test (test_feeds_do_not_send_each_other_to_a_dead_reader),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
