entry: VMs tell each other the configuration's version; a starting one asks

What callers saw: 404 on a route that had been served, from a VM that had started after the store came back from an older copy (CONFIG). A revoked key would have been accepted there as well.

Cause: a VM took the store's present content for the configuration in force. After a step back the two differ until the operator writes again, and a VM that starts in between had no other source, though its peers hold the newer version.

Evidence: vm_that_starts_after_a_step_back_uses_its_peers_newer_configuration answered 404 to each request on the newer version's route.

The version in force is exchanged between VMs by datagram; who hears of a newer one fetches it from that VM's peer listener. A VM that starts relies on what it has read only once two peers have answered, or had 0.4 s to. This also brings changes to a VM whose readers are cut off.

--- a/entry/call.c
+++ b/entry/call.c
@@ -25,7 +25,8 @@
 /* A repeatable request that has run for this multiple of its latency goal is
  * sent to another server. */
 #define SLOW_LATENCY_GOALS 4
-/* Retry-After sent until the first configuration arrives. */
+/* Retry-After sent until a configuration has arrived and other VMs have been
+ * asked for a newer one. */
 #define RETRY_AFTER_CONFIGURATION_MS 500
 /* Fraction of the engines' stall time-out from which a refusal is attributed
  * to a dead server. Refusals for lack of capacity are immediate. */
@@ -1007,7 +1008,7 @@
   const struct eg_route *route;
   uint32_t service;
 
-  if (!configuration)
+  if (!eg_entry_has_configuration (self->entry))
     {
       eg_call_refuse (self, "no-configuration", RETRY_AFTER_CONFIGURATION_MS);
       return;
--- /dev/null
+++ b/entry/configuration_spread.c
@@ -0,0 +1,170 @@
+#include "entry/configuration_spread.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "entry/entry.h"
+#include "platform/configuration.h"
+
+/* A large configuration takes some hundred milliseconds on a small VM. */
+#define FETCH_TIMEOUT_US (700 * EG_US_PER_MS)
+
+static void
+on_fetched (void *context, enum eg_store_outcome outcome, json_t *document)
+{
+  struct eg_configuration_spread *self = context;
+
+  eg_version_spread_fetch_ended (&self->versions);
+  eg_log (EG_LOG_INFO, "configuration",
+          "event=configuration-fetched outcome=%s offered=%" PRId64,
+          eg_store_outcome_name (outcome), self->versions.offered);
+  if (outcome == EG_STORE_OK)
+    eg_entry_accept_configuration (self->entry, document);
+}
+
+void
+eg_configuration_spread_init (struct eg_configuration_spread *self,
+                              struct eg_entry *entry)
+{
+  const struct eg_store_reply_sink sink = {on_fetched, self};
+
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  self->peer.pool = &entry->pool;
+  self->peer.is_peer = true;
+  eg_version_spread_init (&self->versions, entry->settings->first_start,
+                          eg_clock_now_us ());
+  eg_store_call_init (&self->call, &self->peer, &sink);
+}
+
+void
+eg_configuration_spread_finish (struct eg_configuration_spread *self)
+{
+  eg_store_call_finish (&self->call);
+}
+
+void
+eg_configuration_spread_set_version (struct eg_configuration_spread *self,
+                                     int64_t version)
+{
+  eg_version_spread_set_own (&self->versions, version);
+}
+
+static void
+send_message (struct eg_configuration_spread *self,
+              struct eg_endpoint to,
+              const struct eg_version_message *message)
+{
+  json_t *document =
+      json_pack ("{s:s, s:I, s:b, s:b}", "kind", EG_VERSION_MESSAGE_KIND,
+                 "version", (json_int_t) message->version, "asks",
+                 message->asks, "confirmed", message->confirmed);
+  char *text = json_dumps (document, JSON_COMPACT);
+
+  eg_load_gossip_send (&self->entry->load_gossip, to, text);
+  free (text);
+  json_decref (document);
+}
+
+void
+eg_configuration_spread_receive (struct eg_configuration_spread *self,
+                                 struct eg_endpoint from,
+                                 const json_t *message,
+                                 int64_t now_us)
+{
+  const json_t *version = json_object_get (message, "version");
+  const struct eg_version_message received = {
+      json_integer_value (version),
+      json_is_true (json_object_get (message, "asks")),
+      json_is_true (json_object_get (message, "confirmed"))};
+  struct eg_version_message answer;
+
+  if (!json_is_integer (version) || received.version < 0)
+    {
+      eg_log (EG_LOG_WARNING, "configuration",
+              "event=message-unreadable expected=\"a version of 0 or more\"");
+      return;
+    }
+  if (eg_version_spread_receive (&self->versions, eg_endpoint_key (from),
+                                 &received, now_us, &answer))
+    send_message (self, from, &answer);
+}
+
+/* Sends to some members, from a random position of the list on. */
+static void
+send_round (struct eg_configuration_spread *self,
+            const struct eg_version_round *round)
+{
+  const struct eg_members *members = &self->entry->members;
+  const struct eg_list *at = &members->all;
+  uint64_t skipped =
+      eg_random_below (&self->entry->random, eg_members_count (members));
+  size_t sent = 0;
+
+  if (eg_list_is_empty (&members->all))
+    return;
+  for (; skipped > 0; skipped--)
+    at = at->next;
+  for (unsigned i = 0; i < eg_members_count (members) && sent < round->count;
+       i++)
+    {
+      const struct eg_member *member;
+
+      at = at->next == &members->all ? members->all.next : at->next;
+      member = EG_CONTAINER_OF (at, struct eg_member, all);
+      if (eg_endpoint_key (member->endpoint)
+          == eg_endpoint_key (members->own_endpoint))
+        continue;
+      send_message (self, member->endpoint, &round->message);
+      sent++;
+    }
+}
+
+static void
+start_fetch (struct eg_configuration_spread *self, uint64_t from)
+{
+  const struct eg_member *member =
+      eg_members_find_endpoint (&self->entry->members, from);
+  char path[64];
+
+  if (!member)
+    {
+      eg_version_spread_fetch_ended (&self->versions);
+      return;
+    }
+  self->peer.endpoint = member->endpoint;
+  snprintf (path, sizeof path, "%s/%s", eg_configuration_kind,
+            eg_configuration_name);
+  if (!eg_store_call_start (&self->call, "GET", path, NULL, FETCH_TIMEOUT_US))
+    eg_version_spread_fetch_ended (&self->versions);
+}
+
+void
+eg_configuration_spread_check (struct eg_configuration_spread *self,
+                               int64_t now_us)
+{
+  const struct eg_members *members = &self->entry->members;
+  bool was_confirmed = eg_version_spread_is_confirmed (&self->versions);
+  int64_t peers = -1;
+  struct eg_version_round round;
+  uint64_t from;
+
+  if (members->lists_read > 0)
+    peers = (int64_t) eg_members_count (members) - 1;
+  eg_store_call_check (&self->call, now_us);
+  round = eg_version_spread_check (&self->versions, peers, now_us);
+  if (!was_confirmed && eg_version_spread_is_confirmed (&self->versions))
+    eg_log (EG_LOG_NOTICE, "configuration",
+            "event=configuration-confirmed version=%" PRId64
+            " answers=%zu peers=%" PRId64 " after_ms=%" PRId64,
+            self->versions.own, self->versions.answers, peers,
+            (now_us - self->versions.started_us) / EG_US_PER_MS);
+  if (round.count > 0)
+    send_round (self, &round);
+  if (eg_version_spread_take_fetch (&self->versions, now_us, &from))
+    start_fetch (self, from);
+}
--- a/entry/connections.c
+++ b/entry/connections.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "platform/configuration.h"
 #include "net/response_writer.h"
 
 /* Length of the accept queue. */
@@ -186,6 +187,18 @@
     }
 }
 
+/* Other VMs ask for it when theirs is older, whatever the store holds. */
+static void
+serve_configuration (struct eg_connection *self)
+{
+  json_t *object = self->entry->configuration.object;
+  char *text = object ? json_dumps (object, JSON_COMPACT) : NULL;
+
+  send_text (self, text ? 200 : 404, EG_STR ("application/json"),
+             text ? eg_str_from (text) : EG_STR ("{}"));
+  free (text);
+}
+
 static void
 serve_peer (struct eg_connection *self)
 {
@@ -194,6 +207,9 @@
 
   if (eg_str_equal (target, EG_STR ("/metrics")))
     serve_metrics (self);
+  else if (eg_mirror_is_object_target (target, eg_configuration_kind,
+                                       eg_configuration_name))
+    serve_configuration (self);
   else if (eg_mirror_parse (&self->entry->mirror, target, now_us, &self->query))
     serve_query (self, now_us);
   else
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -6,6 +6,7 @@
 #define EG_ENTRY_ENTRY_H
 
 #include "base/random.h"
+#include "entry/configuration_spread.h"
 #include "entry/connections.h"
 #include "entry/crash_watch.h"
 #include "entry/fleet.h"
@@ -36,6 +37,7 @@
 {
   /** NULL until a configuration has been received. */
   struct eg_configuration *current;
+  json_t *object; /**< As it was read; NULL: none. */
   /** Time at which the store was last known to have no newer version. */
   int64_t as_of_us;
   bool reachable; /**< The last call to the store succeeded. */
@@ -61,6 +63,7 @@
   struct eg_store_feed configuration_feed;
   struct eg_store_feed servers_feed;
   struct eg_accepted_configuration configuration;
+  struct eg_configuration_spread configuration_spread;
   struct eg_fleet fleet;
   struct eg_planner planner;
   struct eg_connections connections;
@@ -84,6 +87,15 @@
 /** Returns whether the configuration is recent enough to accept API keys. */
 bool eg_entry_keys_are_fresh (const struct eg_entry *self, int64_t now_us);
 
+/**
+ * Puts a configuration into force if it is newer than the present one.
+ * @param object as the store holds it; borrowed.
+ */
+void eg_entry_accept_configuration (struct eg_entry *self, json_t *object);
+
+/** Returns whether there is a configuration that requests may be served by. */
+bool eg_entry_has_configuration (const struct eg_entry *self);
+
 /** Returns whether this entry VM can serve clients. */
 bool eg_entry_is_ready (const struct eg_entry *self, int64_t now_us);
 
--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -286,6 +286,12 @@
       eg_crash_watch_receive (&self->entry->crash_watch, message, now_us);
       return;
     }
+  if (kind && strcmp (kind, EG_VERSION_MESSAGE_KIND) == 0)
+    {
+      eg_configuration_spread_receive (&self->entry->configuration_spread, from,
+                                       message, now_us);
+      return;
+    }
   json_array_foreach (down, index, id) eg_fleet_suspect_reported (
       &self->entry->fleet, eg_str_from (json_string_value (id)), now_us);
   apply_leaving (&self->entry->fleet, json_object_get (message, "leaving"),
--- a/entry/main.c
+++ b/entry/main.c
@@ -74,11 +74,19 @@
                 < self->settings->revocation_ms * EG_US_PER_MS - KEY_MARGIN_US;
 }
 
+bool
+eg_entry_has_configuration (const struct eg_entry *self)
+{
+  return self->configuration.current
+         && eg_version_spread_is_confirmed (
+             &self->configuration_spread.versions);
+}
+
 bool
 eg_entry_is_ready (const struct eg_entry *self, int64_t now_us)
 {
   (void) now_us;
-  return self->stop_us == 0 && self->configuration.current
+  return self->stop_us == 0 && eg_entry_has_configuration (self)
          && self->fleet.list_complete;
 }
 
@@ -88,16 +96,12 @@
   (void) context;
 }
 
-static void
-on_configuration_object (void *context, json_t *object, bool deleted)
+void
+eg_entry_accept_configuration (struct eg_entry *self, json_t *object)
 {
-  struct eg_entry *self = context;
-  const char *name = eg_store_object_name (object);
   struct eg_configuration *decoded;
   struct eg_error error;
 
-  if (deleted || !name || strcmp (name, eg_configuration_name) != 0)
-    return;
   decoded = eg_configuration_decode (eg_store_object_spec (object), &error);
   if (!decoded)
     {
@@ -118,6 +122,19 @@
           decoded->organisation_count);
   eg_configuration_free_decoded (self->configuration.current);
   self->configuration.current = decoded;
+  json_decref (self->configuration.object);
+  self->configuration.object = json_incref (object);
+  eg_configuration_spread_set_version (&self->configuration_spread,
+                                       decoded->version);
+}
+
+static void
+on_configuration_object (void *context, json_t *object, bool deleted)
+{
+  const char *name = eg_store_object_name (object);
+
+  if (!deleted && name && strcmp (name, eg_configuration_name) == 0)
+    eg_entry_accept_configuration (context, object);
 }
 
 static void
@@ -323,6 +340,7 @@
   eg_connections_check (&self->connections, now_us);
   eg_planner_check (&self->planner, now_us);
   eg_members_check (&self->members, now_us);
+  eg_configuration_spread_check (&self->configuration_spread, now_us);
   eg_load_gossip_check (&self->load_gossip, now_us);
   eg_crash_watch_check (&self->crash_watch, now_us);
   eg_quarantine_store_check (&self->quarantine_store, now_us);
@@ -425,6 +443,7 @@
   self->started_us = eg_clock_now_us ();
   init_feeds (self);
   eg_members_init (&self->members, self);
+  eg_configuration_spread_init (&self->configuration_spread, self);
   eg_planner_init (&self->planner, self);
   eg_crash_watch_init (&self->crash_watch, self);
   eg_quarantine_store_init (&self->quarantine_store, self);
--- a/entry/members.c
+++ b/entry/members.c
@@ -14,8 +14,8 @@
  * refreshes. */
 #define WRITE_INTERVAL_US (60 * EG_US_PER_S)
 #define EXPIRY_US (3 * WRITE_INTERVAL_US)
-/* The list is read soon after the start, when all VMs write their objects,
- * and rarely after that. */
+/* On the first start of the system the list is read when all VMs have written
+ * their objects, else at once; after that rarely. */
 #define FIRST_LIST_DELAY_US (600 * EG_US_PER_MS)
 #define LIST_INTERVAL_US (10 * EG_US_PER_S)
 #define RETRY_DELAY_US (1 * EG_US_PER_S)
@@ -278,7 +278,9 @@
                                    &self->own_endpoint));
   eg_store_call_init (&self->list_call, &entry->store, &list_sink);
   eg_store_call_init (&self->own_call, &entry->store, &own_sink);
-  self->list_due_us = eg_clock_now_us () + FIRST_LIST_DELAY_US;
+  self->list_due_us = eg_clock_now_us ();
+  if (entry->settings->first_start)
+    self->list_due_us += FIRST_LIST_DELAY_US;
 }
 
 void
@@ -381,6 +383,21 @@
                                                              : NULL;
 }
 
+const struct eg_member *
+eg_members_find_endpoint (const struct eg_members *self, uint64_t key)
+{
+  for (const struct eg_list *at = self->all.next; at != &self->all;
+       at = at->next)
+    {
+      const struct eg_member *member =
+          EG_CONTAINER_OF (at, struct eg_member, all);
+
+      if (eg_endpoint_key (member->endpoint) == key)
+        return member;
+    }
+  return NULL;
+}
+
 bool
 eg_members_is_reader (const struct eg_members *self)
 {
--- a/entry/members.h
+++ b/entry/members.h
@@ -93,6 +93,10 @@
  */
 struct eg_member *eg_members_responding_reader (struct eg_members *self);
 
+/** Returns the member with the endpoint of the given key, or NULL. */
+const struct eg_member *eg_members_find_endpoint (const struct eg_members *self,
+                                                  uint64_t key);
+
 /** Returns whether this VM reads the store for its failure domain. */
 bool eg_members_is_reader (const struct eg_members *self);
 
