entry: a VM that starts is told which servers have left

What callers saw: requests reached a server that had said it was leaving, from a VM that had started after the store came back from an older copy (DRAIN).

Cause: the copy calls the server ready, and a VM that starts has no memory of its own. Its peers keep what they know of each start of a server, but passed on only what the server itself had said, not what the store had told and lost.

Evidence: five of five requests reached the server in vm_that_starts_after_a_step_back_sends_nothing_to_a_server_that_left.

The answers to the questions of a VM that starts name the starts of servers that are leaving or have left. They count also if the record is read later.

--- a/entry/configuration_spread.c
+++ b/entry/configuration_spread.c
@@ -12,6 +12,8 @@
 
 /* A large configuration takes some hundred milliseconds on a small VM. */
 #define FETCH_TIMEOUT_US (700 * EG_US_PER_MS)
+/* Starts of servers in an answer, some 35 bytes each. */
+#define LEFT_PER_MESSAGE_MAX 96
 
 static void
 on_fetched (void *context, enum eg_store_outcome outcome, json_t *document)
@@ -54,17 +56,60 @@
   eg_version_spread_set_own (&self->versions, version);
 }
 
+/* Lists starts of servers, whose hashes are too large for a JSON number. */
+static json_t *
+list_left (const struct eg_fleet *fleet)
+{
+  struct eg_left_server starts[LEFT_PER_MESSAGE_MAX];
+  size_t count = eg_fleet_list_left (fleet, starts, LEFT_PER_MESSAGE_MAX);
+  json_t *list = json_array ();
+
+  for (size_t i = 0; i < count; i++)
+    {
+      char hash[17];
+
+      snprintf (hash, sizeof hash, "%016" PRIx64, starts[i].id_hash);
+      json_array_append_new (
+          list, json_pack ("[s, I]", hash, (json_int_t) starts[i].start_ms));
+    }
+  return list;
+}
+
+static void
+apply_left (struct eg_fleet *fleet, const json_t *list, int64_t now_us)
+{
+  json_t *server;
+  size_t index;
+
+  json_array_foreach (list, index, server)
+  {
+    const char *hash = json_string_value (json_array_get (server, 0));
+    const json_t *start_ms = json_array_get (server, 1);
+
+    if (hash && json_is_integer (start_ms))
+      eg_fleet_left_reported (
+          fleet,
+          &(struct eg_left_server){strtoull (hash, NULL, 16),
+                                   json_integer_value (start_ms)},
+          now_us);
+  }
+}
+
 static void
 send_message (struct eg_configuration_spread *self,
               struct eg_endpoint to,
-              const struct eg_version_message *message)
+              const struct eg_version_message *message,
+              bool tells_left)
 {
   json_t *document =
       json_pack ("{s:s, s:I, s:b, s:b}", "kind", EG_VERSION_MESSAGE_KIND,
                  "version", (json_int_t) message->version, "asks",
                  message->asks, "confirmed", message->confirmed);
-  char *text = json_dumps (document, JSON_COMPACT);
+  char *text;
 
+  if (tells_left)
+    json_object_set_new (document, "left", list_left (&self->entry->fleet));
+  text = json_dumps (document, JSON_COMPACT);
   eg_load_gossip_send (&self->entry->load_gossip, to, text);
   free (text);
   json_decref (document);
@@ -89,9 +134,10 @@
               "event=message-unreadable expected=\"a version of 0 or more\"");
       return;
     }
+  apply_left (&self->entry->fleet, json_object_get (message, "left"), now_us);
   if (eg_version_spread_receive (&self->versions, eg_endpoint_key (from),
                                  &received, now_us, &answer))
-    send_message (self, from, &answer);
+    send_message (self, from, &answer, received.asks);
 }
 
 /* Sends to some members, from a random position of the list on. */
@@ -119,7 +165,7 @@
       if (eg_endpoint_key (member->endpoint)
           == eg_endpoint_key (members->own_endpoint))
         continue;
-      send_message (self, member->endpoint, &round->message);
+      send_message (self, member->endpoint, &round->message, false);
       sent++;
     }
 }
--- a/entry/configuration_spread.h
+++ b/entry/configuration_spread.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * Exchanges the version of the configuration in use with the other entry VMs,
- * and fetches a newer one from them.
+ * and fetches a newer one from them. A VM that has just started is also told
+ * which servers have left.
  */
 #ifndef EG_ENTRY_CONFIGURATION_SPREAD_H
 #define EG_ENTRY_CONFIGURATION_SPREAD_H
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -247,28 +247,37 @@
                                  record->start_ms};
 }
 
-static void
-remember_left (struct eg_fleet *self, const struct eg_server_record *record)
+static size_t
+count_left (const struct eg_fleet *self)
+{
+  return self->left_count < EG_FLEET_LEFT_MAX ? self->left_count
+                                              : EG_FLEET_LEFT_MAX;
+}
+
+static bool
+is_same_start (const struct eg_left_server *a, const struct eg_left_server *b)
 {
-  self->left[self->left_count++ % EG_FLEET_LEFT_MAX] = identify_start (record);
+  return a->id_hash == b->id_hash && a->start_ms == b->start_ms;
 }
 
 /* Returns whether a start of a server has left, whatever its record says: a
  * store that comes back from an older copy may call it ready again. */
 static bool
-has_left (const struct eg_fleet *self, const struct eg_server_record *record)
+has_left (const struct eg_fleet *self, const struct eg_left_server *start)
 {
-  struct eg_left_server start = identify_start (record);
-  size_t count = self->left_count < EG_FLEET_LEFT_MAX ? self->left_count
-                                                      : EG_FLEET_LEFT_MAX;
-
-  for (size_t i = 0; i < count; i++)
-    if (self->left[i].id_hash == start.id_hash
-        && self->left[i].start_ms == start.start_ms)
+  for (size_t i = 0; i < count_left (self); i++)
+    if (is_same_start (&self->left[i], start))
       return true;
   return false;
 }
 
+static void
+remember_left (struct eg_fleet *self, const struct eg_left_server *start)
+{
+  if (!has_left (self, start))
+    self->left[self->left_count++ % EG_FLEET_LEFT_MAX] = *start;
+}
+
 static struct eg_backend *
 add_backend (struct eg_fleet *self, const struct eg_server_record *record)
 {
@@ -425,8 +434,10 @@
 
   if (!self->listed)
     return;
+  struct eg_left_server start = identify_start (&self->record);
+
   if (eg_backend_is_leaving (self))
-    remember_left (fleet, &self->record);
+    remember_left (fleet, &start);
   else
     history->removed_us[history->removed_count++ % EG_DOMAIN_REMOVALS_MAX] =
         now_us;
@@ -460,12 +471,13 @@
                int64_t now_us)
 {
   const struct eg_server_record *old = &self->record;
+  struct eg_left_server start = identify_start (record);
   bool restarted = record->start_ms != old->start_ms;
   /* A start that leaves does not become ready again; without a time of start,
    * it may be another one. */
   bool left =
       record->start_ms > 0
-      && ((!restarted && old->draining) || has_left (self->fleet, record));
+      && ((!restarted && old->draining) || has_left (self->fleet, &start));
   bool draining = record->draining || left;
   bool changed =
       restarted || !self->listed || draining != old->draining
@@ -738,6 +750,46 @@
     set_leaving (backend, "vm", now_us);
 }
 
+size_t
+eg_fleet_list_left (const struct eg_fleet *self,
+                    struct eg_left_server *starts,
+                    size_t max)
+{
+  size_t count = 0;
+
+  for (const struct eg_list *at = self->all.next;
+       at != &self->all && count < max; at = at->next)
+    {
+      const struct eg_backend *backend =
+          EG_CONTAINER_OF (at, struct eg_backend, all);
+
+      if (backend->listed && backend->record.start_ms > 0
+          && eg_backend_is_leaving (backend))
+        starts[count++] = identify_start (&backend->record);
+    }
+  /* The latest first: the copy is only some seconds old. */
+  for (size_t i = 0; i < count_left (self) && count < max; i++)
+    starts[count++] =
+        self->left[(self->left_count - 1 - i) % EG_FLEET_LEFT_MAX];
+  return count;
+}
+
+void
+eg_fleet_left_reported (struct eg_fleet *self,
+                        const struct eg_left_server *start,
+                        int64_t now_us)
+{
+  remember_left (self, start);
+  for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
+    {
+      struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
+      struct eg_left_server known = identify_start (&backend->record);
+
+      if (is_same_start (&known, start))
+        set_leaving (backend, "vm", now_us);
+    }
+}
+
 bool
 eg_backend_is_leaving (const struct eg_backend *self)
 {
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -256,6 +256,21 @@
                                 int64_t start_ms,
                                 int64_t now_us);
 
+/**
+ * Lists the starts of servers that are leaving or have left, as far as they are
+ * remembered.
+ * @return their number, at most @p max.
+ */
+size_t eg_fleet_list_left (const struct eg_fleet *self,
+                           struct eg_left_server *starts,
+                           size_t max);
+
+/** Takes note that a start of a server is leaving or has left, whether or not
+ *  its record has been read. */
+void eg_fleet_left_reported (struct eg_fleet *self,
+                             const struct eg_left_server *start,
+                             int64_t now_us);
+
 /**
  * Returns when the first server that may take requests of @p service for itself
  * or as the first of a path ends its pause; 0 if one is not pausing, or there
