entry: VMs that start together read their list of members twice

Since a VM that starts reads the list at once, those that join at the same moment were missing from each other's list for ten seconds: each took itself for the reader and for the only one that shares limits. Seen in the logs of the tests of limits (members-read count=1 for ten seconds beside a second VM). The list is read again after 0.6 s, by when all have written their objects.

--- a/entry/members.c
+++ b/entry/members.c
@@ -15,7 +15,7 @@
 #define WRITE_INTERVAL_US (60 * EG_US_PER_S)
 #define EXPIRY_US (3 * WRITE_INTERVAL_US)
 /* On the first start of the system the list is read when all VMs have written
- * their objects, else at once; after that rarely. */
+ * their objects, else at once and again after that time; then rarely. */
 #define FIRST_LIST_DELAY_US (600 * EG_US_PER_MS)
 #define LIST_INTERVAL_US (10 * EG_US_PER_S)
 #define RETRY_DELAY_US (1 * EG_US_PER_S)
@@ -236,7 +236,9 @@
   count_members (self);
   rank_domain (self);
   collect_readers (self);
-  self->list_due_us = now_us + LIST_INTERVAL_US;
+  /* VMs that start at the same moment are not in each other's first list. */
+  self->list_due_us =
+      now_us + (self->lists_read == 1 ? FIRST_LIST_DELAY_US : LIST_INTERVAL_US);
   eg_log (EG_LOG_INFO, "members",
           "event=members-read count=%u in_domain=%u "
           "rank=%u",
