policy: requests stay within the limits that servers name, over all VMs

Cause: nothing read the field. Each VM chose by load and path alone.

First sends, retries, resumptions and orders to move a stream are counted; the choice of servers knows what is left; who finds no server is refused at once with the time until room.

--- a/entry/call.c
+++ b/entry/call.c
@@ -228,6 +228,9 @@
   attempt->received_us = now_us;
   attempt->status = head->status;
   eg_backend_notice (eg_call_first_server (self), &notice, now_us);
+  if (attempt->headers.has_request_id && head->status != 421)
+    eg_server_limits_responded (eg_call_first_server (self), &notice,
+                                attempt->started_us, now_us);
   if (attempt->headers.has_load)
     eg_backend_update_load (eg_call_first_server (self),
                             attempt->headers.running + attempt->headers.waiting,
@@ -562,6 +565,7 @@
   struct eg_attempt *attempt = &self->attempt;
 
   self->sends--;
+  eg_server_rate_refund (&eg_call_first_server (self)->rate);
   self->may_have_run = attempt->earlier_may_have_run;
   if (attempt->charged)
     eg_retry_window_refund (eg_entry_retry_window (self->entry, self->service),
@@ -708,6 +712,7 @@
   eg_attempt_hold_placement (attempt, placement);
   for (uint32_t i = 0; i < placement->count; i++)
     eg_server_room_sent (&placement->stages[i]->room, now_us);
+  eg_server_rate_spend (&first->rate);
   self->sends++;
   attempt->earlier_may_have_run = self->may_have_run;
   self->may_have_run = true;
@@ -886,6 +891,19 @@
   return true;
 }
 
+/* Returns why no server takes the request. */
+static enum eg_resend_limit
+find_missing_room (const struct eg_call *self, int64_t now_us)
+{
+  bool limited;
+
+  return eg_server_limits_wait_us (self->entry, self->service, now_us, &limited)
+                     > 0
+                 && limited
+             ? EG_LIMIT_SERVER_LIMITS
+             : EG_LIMIT_NO_SERVER;
+}
+
 static void
 begin_attempt (struct eg_call *self, int64_t now_us)
 {
@@ -904,7 +922,7 @@
     }
   else if (!choose_placement (self, now_us, &placement)
            || !can_add_first_server (self, placement.stages[0]))
-    cannot_send (self, "no-server", EG_LIMIT_NO_SERVER);
+    cannot_send (self, "no-server", find_missing_room (self, now_us));
   else if (is_retry && !spend_retry (self, self->cause, now_us))
     cannot_send (self, self->cause, EG_LIMIT_RETRY_BUDGET);
   else
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -94,6 +94,7 @@
 eg_call_refuse (struct eg_call *self, const char *cause, int64_t retry_after_ms)
 {
   eg_metrics_count (&self->entry->metrics, EG_COUNT_REFUSED);
+  self->entry->metrics.refused[self->limit]++;
   send_own_response (self, 503, cause, cause, retry_after_ms);
 }
 
@@ -121,15 +122,16 @@
 retry_after_ms (const struct eg_call *self)
 {
   int64_t now_us = eg_clock_now_us ();
-  int64_t pause_end_us =
-      eg_fleet_pause_end_us (&self->entry->fleet, self->service, now_us);
+  bool limited;
+  int64_t wait_us =
+      eg_server_limits_wait_us (self->entry, self->service, now_us, &limited);
   int64_t quarantine_us;
 
   if (eg_crash_watch_is_blamed (&self->entry->crash_watch, &self->subjects,
                                 now_us, &quarantine_us))
     return quarantine_us / EG_US_PER_MS + 1;
-  if (pause_end_us > 0)
-    return (pause_end_us - now_us) / EG_US_PER_MS + 1;
+  if (wait_us > 0)
+    return wait_us / EG_US_PER_MS + 1;
   return self->route.kind == EG_ROUTE_STREAM ? RETRY_AFTER_PATH_MS
                                              : EG_RETRY_AFTER_SERVER_MS;
 }
--- a/entry/call_move.c
+++ b/entry/call_move.c
@@ -199,13 +199,15 @@
   struct eg_placement_request placement_request;
 
   if (!service || self->moves >= MOVES_MAX
-      || eg_server_room_is_paused (&first->room, now_us))
+      || eg_server_room_is_paused (&first->room, now_us)
+      || !eg_server_limits_may_send (self->entry, first, now_us))
     return false;
   placement_request = eg_call_placement_request (self, service);
   if (!eg_placement_move (self->entry, &placement_request, &attempt->placement,
                           now_us, &attempt->next_placement))
     return false;
   eg_attempt_hold_placement (attempt, &attempt->next_placement);
+  eg_server_rate_spend (&first->rate);
   attempt->moving = true;
   attempt->move_started_us = now_us;
   eg_call_write_path (&attempt->next_placement, &path);
--- a/entry/configuration_spread.c
+++ b/entry/configuration_spread.c
@@ -99,7 +99,7 @@
 send_message (struct eg_configuration_spread *self,
               struct eg_endpoint to,
               const struct eg_version_message *message,
-              bool tells_left)
+              bool to_starting_vm)
 {
   json_t *document =
       json_pack ("{s:s, s:I, s:b, s:b}", "kind", EG_VERSION_MESSAGE_KIND,
@@ -107,8 +107,13 @@
                  message->asks, "confirmed", message->confirmed);
   char *text;
 
-  if (tells_left)
-    json_object_set_new (document, "left", list_left (&self->entry->fleet));
+  if (to_starting_vm)
+    {
+      json_object_set_new (document, "left", list_left (&self->entry->fleet));
+      json_object_set_new (
+          document, "limits",
+          eg_server_limits_list (self->entry, eg_clock_now_us ()));
+    }
   text = json_dumps (document, JSON_COMPACT);
   eg_load_gossip_send (&self->entry->load_gossip, to, text);
   free (text);
@@ -135,6 +140,8 @@
       return;
     }
   apply_left (&self->entry->fleet, json_object_get (message, "left"), now_us);
+  eg_server_limits_apply (self->entry, json_object_get (message, "limits"),
+                          now_us);
   if (eg_version_spread_receive (&self->versions, eg_endpoint_key (from),
                                  &received, now_us, &answer))
     send_message (self, from, &answer, received.asks);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -17,6 +17,7 @@
 #include "entry/planner.h"
 #include "entry/quarantine_store.h"
 #include "entry/reload.h"
+#include "entry/server_limits.h"
 #include "entry/settings.h"
 #include "entry/source_selector.h"
 #include "platform/store.h"
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -90,8 +90,8 @@
   eg_hash_table_finish (&self->by_id);
 }
 
-static struct eg_backend *
-find_id (struct eg_fleet *self, struct eg_str id)
+struct eg_backend *
+eg_fleet_find_id (struct eg_fleet *self, struct eg_str id)
 {
   struct eg_hash_node *node =
       eg_hash_table_find (&self->by_id, eg_hash_mix (eg_hash_str (id)));
@@ -388,7 +388,7 @@
                            struct eg_str id,
                            int64_t now_us)
 {
-  struct eg_backend *backend = find_id (self, id);
+  struct eg_backend *backend = eg_fleet_find_id (self, id);
 
   if (!backend || !backend->listed || eg_backend_is_suspect (backend, now_us)
       || now_us - backend->reported_down_us < REPORTED_PROBE_INTERVAL_US)
@@ -499,6 +499,7 @@
       self->ordered = (struct eg_layer_range){0, 0};
       self->orders_resume_us = 0;
       self->room = (struct eg_server_room){0};
+      self->rate = (struct eg_server_rate){0};
       self->said_leaving = false;
     }
   if (changed)
@@ -541,7 +542,7 @@
                         int64_t now_us)
 {
   const char *name = eg_store_object_name (object);
-  struct eg_backend *backend = find_id (self, eg_str_from (name));
+  struct eg_backend *backend = eg_fleet_find_id (self, eg_str_from (name));
   struct eg_server_record record;
   struct eg_error error;
 
@@ -736,6 +737,14 @@
     pause_requests (self, notice->pause_us, now_us);
   if (notice->leaving)
     set_leaving (self, "response", now_us);
+  if (notice->limit_unreadable)
+    eg_log (EG_LOG_WARNING, "fleet",
+            "event=server-limit-unreadable server=%s expected=\"one decimal "
+            "number of requests per second\"",
+            self->record.id);
+  if (notice->has_limit && self->fleet->events.limit_named)
+    self->fleet->events.limit_named (self->fleet->events.context, self,
+                                     notice->limit_per_s);
 }
 
 void
@@ -744,7 +753,7 @@
                            int64_t start_ms,
                            int64_t now_us)
 {
-  struct eg_backend *backend = find_id (self, id);
+  struct eg_backend *backend = eg_fleet_find_id (self, id);
 
   if (backend && backend->record.start_ms == start_ms)
     set_leaving (backend, "vm", now_us);
@@ -796,32 +805,6 @@
   return self->record.draining || self->said_leaving;
 }
 
-int64_t
-eg_fleet_pause_end_us (const struct eg_fleet *self,
-                       const char *service,
-                       int64_t now_us)
-{
-  int64_t end_us = 0;
-
-  for (const struct eg_list *at = self->all.next; at != &self->all;
-       at = at->next)
-    {
-      const struct eg_backend *backend =
-          EG_CONTAINER_OF (at, struct eg_backend, all);
-
-      if (strcmp (backend->record.service, service) != 0
-          || backend->record.layers.from > 0 || eg_backend_is_leaving (backend)
-          || !eg_backend_is_present (backend, now_us)
-          || eg_backend_is_suspect (backend, now_us))
-        continue;
-      if (!eg_server_room_is_paused (&backend->room, now_us))
-        return 0;
-      if (end_us == 0 || backend->room.paused_until_us < end_us)
-        end_us = backend->room.paused_until_us;
-    }
-  return end_us;
-}
-
 void
 eg_backend_record_fault (struct eg_backend *self,
                          enum eg_server_fault fault,
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -11,6 +11,7 @@
 #include "net/exchange.h"
 #include "platform/headers.h"
 #include "platform/servers.h"
+#include "policy/server_rate.h"
 #include "policy/server_room.h"
 #include "policy/token_bucket.h"
 
@@ -74,6 +75,9 @@
   int64_t draining_us; /**< When it was first seen leaving; 0: it is not. */
   bool said_leaving;   /**< It has said so itself since its start. */
   struct eg_server_room room; /**< See EG_SERVER_FAULT_NO_CAPACITY. */
+  struct eg_server_rate rate; /**< See eg_server_limits_may_send(). */
+  uint32_t rate_rank; /**< This VM's rank among those that share the rate. */
+  unsigned rate_rank_list; /**< Number of the list of members it is from. */
   double penalty; /**< Decaying weight of recent faults, as of @c penalty_us. */
   int64_t penalty_us;
   unsigned running;       /**< Requests of this entry VM. */
@@ -130,6 +134,10 @@
                     const struct eg_engine_report *report);
   /** A server became suspect or started draining. */
   void (*availability_changed) (void *context);
+  /** A server has named the limit of its requests; NULL: not needed. */
+  void (*limit_named) (void *context,
+                       struct eg_backend *backend,
+                       double limit_per_s);
   void *context;
 };
 
@@ -193,6 +201,9 @@
  */
 void eg_fleet_store_restored (struct eg_fleet *self, int64_t now_us);
 
+/** Returns the server with the given id, or NULL. */
+struct eg_backend *eg_fleet_find_id (struct eg_fleet *self, struct eg_str id);
+
 /** Returns the server with the given address, or NULL. */
 struct eg_backend *eg_fleet_find_by_endpoint (struct eg_fleet *self,
                                               struct eg_endpoint endpoint);
@@ -271,15 +282,6 @@
                              const struct eg_left_server *start,
                              int64_t now_us);
 
-/**
- * Returns when the first server that may take requests of @p service for itself
- * or as the first of a path ends its pause; 0 if one is not pausing, or there
- * is none.
- */
-int64_t eg_fleet_pause_end_us (const struct eg_fleet *self,
-                               const char *service,
-                               int64_t now_us);
-
 /** Records a fault of a server. */
 void eg_backend_record_fault (struct eg_backend *self,
                               enum eg_server_fault fault,
--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -130,11 +130,12 @@
 {
   const struct eg_entry *entry = self->entry;
   json_t *message = json_pack (
-      "{s:s, s:s, s:b, s:o, s:o, s:o, s:O}", "kind", kind, "domain",
+      "{s:s, s:s, s:b, s:o, s:o, s:o, s:o, s:O}", "kind", kind, "domain",
       entry->settings->domain, "reads", entry->servers_feed.mirror->is_direct,
       "down", list_suspects (&entry->fleet), "leaving",
       list_leaving (&entry->fleet), "heard",
-      list_contacts (self, eg_clock_now_us ()), "loads", loads);
+      list_contacts (self, eg_clock_now_us ()), "limits",
+      eg_server_limits_list (entry, eg_clock_now_us ()), "loads", loads);
   char *text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
 
   json_decref (message);
@@ -296,6 +297,8 @@
       &self->entry->fleet, eg_str_from (json_string_value (id)), now_us);
   apply_leaving (&self->entry->fleet, json_object_get (message, "leaving"),
                  now_us);
+  eg_server_limits_apply (self->entry, json_object_get (message, "limits"),
+                          now_us);
   if (kind && strcmp (kind, KIND_ALERT) == 0)
     return;
   if (!kind || !json_is_object (loads))
@@ -503,9 +506,10 @@
       || now_us - self->alert_sent_us < ALERT_INTERVAL_US)
     return;
   self->alert_sent_us = now_us;
-  message = json_pack ("{s:s, s:o, s:o}", "kind", KIND_ALERT, "down",
+  message = json_pack ("{s:s, s:o, s:o, s:o}", "kind", KIND_ALERT, "down",
                        list_suspects (&self->entry->fleet), "leaving",
-                       list_leaving (&self->entry->fleet));
+                       list_leaving (&self->entry->fleet), "limits",
+                       eg_server_limits_list (self->entry, now_us));
   text = json_dumps (message, JSON_COMPACT);
   if (eg_members_is_reader (&self->entry->members) || self->peer_count > 0)
     send_to_all (self, text, text);
--- a/entry/main.c
+++ b/entry/main.c
@@ -275,6 +275,12 @@
   uv_timer_start (&self->deferred, on_deferred, 0, 0);
 }
 
+static void
+on_limit_named (void *context, struct eg_backend *backend, double limit_per_s)
+{
+  eg_server_limits_named (context, backend, limit_per_s, eg_clock_now_us ());
+}
+
 static void
 check_stop (struct eg_entry *self, int64_t now_us)
 {
@@ -415,8 +421,11 @@
 static int
 run (struct eg_entry *self)
 {
-  const struct eg_fleet_events fleet_events = {on_reported,
-                                               on_availability_changed, self};
+  const struct eg_fleet_events fleet_events = {.reported = on_reported,
+                                               .availability_changed =
+                                                   on_availability_changed,
+                                               .limit_named = on_limit_named,
+                                               .context = self};
   uv_signal_t signals[3];
   struct eg_error error;
   bool opened;
--- a/entry/members.c
+++ b/entry/members.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "entry/entry.h"
 
@@ -20,6 +21,11 @@
 #define LIST_INTERVAL_US (10 * EG_US_PER_S)
 #define RETRY_DELAY_US (1 * EG_US_PER_S)
 #define CALL_TIMEOUT_US (1500 * EG_US_PER_MS)
+/* Lists are some seconds old and read at the interval above: a list older than
+ * this shows that the store is out of reach, and a VM that joined longer ago is
+ * in the lists of all others. */
+#define LIST_OUTDATED_US (20 * EG_US_PER_S)
+#define JOIN_WAIT_US (25 * EG_US_PER_S)
 /* Assumed number of VMs until the list has been read: more than in most
  * systems, so that shares are too small rather than too large. */
 #define INITIAL_COUNT 64
@@ -233,6 +239,7 @@
   *self->after = '\0';
   drop_expired (self, now_us);
   self->lists_read++;
+  self->as_of_us = self->list_sent_us;
   count_members (self);
   rank_domain (self);
   collect_readers (self);
@@ -256,6 +263,11 @@
   if ((outcome == EG_STORE_OK || outcome == EG_STORE_CONFLICT) && document
       && eg_store_object_revision (document, &revision))
     {
+      /* On the first start of the system, all VMs join before they serve. */
+      if (outcome == EG_STORE_OK && !self->is_written
+          && !self->entry->settings->first_start)
+        self->joined_us = now_us;
+      self->is_written = true;
       self->revision = revision;
       self->write_due_us = now_us + WRITE_INTERVAL_US;
       return;
@@ -331,6 +343,8 @@
   if (now_us < self->list_due_us || eg_store_call_is_active (&self->list_call))
     return;
   eg_store_list_path (path, sizeof path, MEMBER_KIND, self->after, true);
+  if (!*self->after)
+    self->list_sent_us = now_us;
   self->list_due_us = now_us + RETRY_DELAY_US;
   if (!eg_store_call_start (&self->list_call, "GET", path, NULL,
                             CALL_TIMEOUT_US))
@@ -351,6 +365,37 @@
   return self->count;
 }
 
+struct eg_rate_sharers
+eg_members_sharers (const struct eg_members *self, int64_t now_us)
+{
+  return (struct eg_rate_sharers){
+      .vms = self->count,
+      .is_new = self->joined_us > 0 && now_us - self->joined_us < JOIN_WAIT_US,
+      .outdated = now_us - self->as_of_us >= LIST_OUTDATED_US,
+      .uptime_us = now_us - self->entry->started_us};
+}
+
+/* The member with the highest value is the first. */
+static uint64_t
+order_for (uint64_t subject, const char *name)
+{
+  return eg_hash_mix (eg_hash_str (eg_str_from (name)) ^ subject);
+}
+
+uint32_t
+eg_members_rank_for (const struct eg_members *self, uint64_t subject)
+{
+  uint64_t own = order_for (subject, self->entry->settings->name);
+  uint32_t rank = 0;
+
+  for (const struct eg_list *at = self->all.next; at != &self->all;
+       at = at->next)
+    rank +=
+        order_for (subject, EG_CONTAINER_OF (at, struct eg_member, all)->name)
+        > own;
+  return rank;
+}
+
 unsigned
 eg_members_in_domain (const struct eg_members *self)
 {
--- a/entry/members.h
+++ b/entry/members.h
@@ -14,6 +14,7 @@
 
 #include "base/list.h"
 #include "platform/store.h"
+#include "policy/server_rate.h"
 
 struct eg_entry;
 
@@ -48,10 +49,15 @@
   int64_t revision; /**< Revision of this VM's object; 0: not written yet. */
   int64_t list_due_us;
   int64_t write_due_us;
-  unsigned lists_read; /**< Number of lists completed. */
-  unsigned count;      /**< Result of eg_members_count(). */
-  unsigned in_domain;  /**< Result of eg_members_in_domain(). */
-  unsigned own_rank;   /**< Rank within the failure domain, from 0. */
+  unsigned lists_read;  /**< Number of lists completed. */
+  int64_t list_sent_us; /**< When the first page of the present list was asked
+                             for. */
+  int64_t as_of_us;     /**< The same of the last list completed. */
+  int64_t joined_us;  /**< When this VM's object was created; 0: it existed. */
+  bool is_written;    /**< This VM's object is known to exist. */
+  unsigned count;     /**< Result of eg_members_count(). */
+  unsigned in_domain; /**< Result of eg_members_in_domain(). */
+  unsigned own_rank;  /**< Rank within the failure domain, from 0. */
   /** The two best ranked VMs of this failure domain, or NULL. */
   struct eg_member *readers[2];
   struct eg_endpoint own_endpoint;
@@ -75,6 +81,16 @@
 /** Returns the number of entry VMs that share system-wide limits. */
 unsigned eg_members_count (const struct eg_members *self);
 
+/** Describes the VMs that share limits, but for this VM's rank. */
+struct eg_rate_sharers eg_members_sharers (const struct eg_members *self,
+                                           int64_t now_us);
+
+/**
+ * Returns the number of members before this VM in an order that depends on
+ * @p subject, a hash of what they share.
+ */
+uint32_t eg_members_rank_for (const struct eg_members *self, uint64_t subject);
+
 /** Returns the number of entry VMs in this failure domain. */
 unsigned eg_members_in_domain (const struct eg_members *self);
 
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -89,6 +89,12 @@
                       " %" PRIu64 "\n",
                       eg_resend_limit_name ((enum eg_resend_limit) i),
                       self->streams_aborted[i]);
+  for (size_t i = 0; i < EG_RESEND_LIMITS; i++)
+    eg_buffer_printf (out,
+                      "eelgrasswood_requests_refused_by_limit_total{limit="
+                      "\"%s\"} %" PRIu64 "\n",
+                      eg_resend_limit_name ((enum eg_resend_limit) i),
+                      self->refused[i]);
   for (size_t i = 0; i < EG_TIMINGS; i++)
     print_timing (self, (enum eg_timing) i, out);
   eg_buffer_printf (
@@ -99,13 +105,14 @@
       "eelgrasswood_server_connections_total %" PRIu64 "\n"
       "eelgrasswood_server_connections_reused_total %" PRIu64 "\n"
       "eelgrasswood_servers %zu\n"
+      "eelgrasswood_servers_limited %zu\n"
       "eelgrasswood_requests_running %zu\n"
       "eelgrasswood_configuration_version %" PRId64 "\n"
       "eelgrasswood_configuration_age_seconds %g\n"
       "eelgrasswood_ready %d\n",
       entry->store.calls, entry->fleet.probes, entry->fleet.pauses,
       entry->pool.opened, entry->pool.reused, entry->fleet.count,
-      entry->connections.running,
+      eg_server_limits_count (entry), entry->connections.running,
       entry->configuration.current ? entry->configuration.current->version : -1,
       (double) (now_us - entry->configuration.as_of_us) / EG_US_PER_S,
       eg_entry_is_ready (entry, now_us));
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -34,6 +34,11 @@
 /* Maximum random addition to the load of a plain server, which spreads requests
  * over servers with nearly the same load. */
 #define LOAD_JITTER 0.05
+/* Requests added to the load of a plain server, and cost added to that of a
+ * path, whose first server's limit is used up but for one request: enough to
+ * prefer a server without a limit in another failure domain. */
+#define LIMITED_LOAD 1.0
+#define LIMITED_COST_US 500000.0
 /* Validity of the load reported in a response. */
 #define LOAD_AGE_MAX_US (500 * EG_US_PER_MS)
 
@@ -109,6 +114,16 @@
   return (first - slots) / slots * request->answer_tokens * TOKEN_US;
 }
 
+/* Keeps the last requests that a limited server takes for those that have no
+ * other one. */
+static double
+limit_cost_us (struct eg_entry *entry,
+               struct eg_backend *backend,
+               int64_t now_us)
+{
+  return LIMITED_COST_US * (1 - eg_server_limits_left (entry, backend, now_us));
+}
+
 /* Forward passes take longer, and preemption becomes more likely, as a
  * server fills up. */
 static double
@@ -184,10 +199,11 @@
           || search->count == EG_PATH_CANDIDATES_MAX)
         continue;
       /* The number of first servers a request may be sent to is limited, and
-       * one of them may have asked for a pause. */
+       * one of them may have asked for a pause or named a limit. */
       if (layers.from == 0
           && ((request->only_used && !was_used (backend, request))
-              || eg_server_room_is_paused (&backend->room, now_us)))
+              || eg_server_room_is_paused (&backend->room, now_us)
+              || !eg_server_limits_may_send (entry, backend, now_us)))
         continue;
       domain = domain_number (search, backend->record.domain);
       if (domain == EG_PATH_DOMAINS_MAX)
@@ -199,7 +215,9 @@
           layers.from,
           layers.to,
           layer_cost_us (entry, backend, request, now_us),
-          WAIT_WEIGHT * slot_wait_us (entry, backend, request)};
+          WAIT_WEIGHT * slot_wait_us (entry, backend, request)
+              + (layers.from == 0 ? limit_cost_us (entry, backend, now_us)
+                                  : 0)};
       search->count++;
     }
 }
@@ -299,10 +317,13 @@
 
       if (!serves (backend, request, now_us)
           || (request->only_used && !was_used (backend, request))
-          || eg_server_room_is_paused (&backend->room, now_us))
+          || eg_server_room_is_paused (&backend->room, now_us)
+          || !eg_server_limits_may_send (entry, backend, now_us))
         continue;
-      load = plain_load (entry, backend, now_us)
-             + eg_random_double (&entry->random) * LOAD_JITTER;
+      load =
+          plain_load (entry, backend, now_us)
+          + LIMITED_LOAD * (1 - eg_server_limits_left (entry, backend, now_us))
+          + eg_random_double (&entry->random) * LOAD_JITTER;
       if (request->avoid_used && was_used (backend, request))
         load += used_penalty;
       if (load < best_load)
--- a/policy/resend.c
+++ b/policy/resend.c
@@ -23,6 +23,7 @@
     [EG_LIMIT_DEADLINE] = {"deadline", false},
     [EG_LIMIT_RETRY_BUDGET] = {"retry-budget", true},
     [EG_LIMIT_NO_SERVER] = {"no-server", true},
+    [EG_LIMIT_SERVER_LIMITS] = {"server-limits", true},
     [EG_LIMIT_NO_SERVICE] = {"no-service", false},
     [EG_LIMIT_KEYS] = {"keys", true},
     [EG_LIMIT_STOPPING] = {"stopping", false},
--- a/policy/resend.h
+++ b/policy/resend.h
@@ -39,6 +39,7 @@
   EG_LIMIT_DEADLINE,       /**< Too little time is left. */
   EG_LIMIT_RETRY_BUDGET,   /**< The service's retry budget is used up. */
   EG_LIMIT_NO_SERVER,      /**< No server is available at present. */
+  EG_LIMIT_SERVER_LIMITS,  /**< The servers' own limits are used up. */
   EG_LIMIT_NO_SERVICE,     /**< The configuration has removed the service. */
   EG_LIMIT_KEYS,           /**< API keys may not be used at present. */
   EG_LIMIT_STOPPING,       /**< The daemon is shutting down. */
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -26,6 +26,7 @@
 /* Events before a stream ends inside the next one. */
 #define EVENTS_BEFORE_BREAK 40
 #define ENDLESS_INTERVAL_MS 2
+#define NOTICE_BYTES 96
 
 /** A stream in progress; state of its connection. */
 struct engine_stream
@@ -73,16 +74,22 @@
   soak_store_put (&self->store, "config", "main", spec);
 }
 
+/* Writes what a server says of itself in all its responses. */
 static struct eg_str
-leaving_field (const struct streams_engine *self)
+write_notice (const struct streams_engine *self, char *text, size_t capacity)
 {
-  return self->leaving ? EG_STR ("Server-Leaving: 1\r\n") : EG_STR ("");
+  snprintf (text, capacity, "%s%s%s%s",
+            self->leaving ? "Server-Leaving: 1\r\n" : "",
+            self->limit ? "Server-Limit: " : "", self->limit ? self->limit : "",
+            self->limit ? "\r\n" : "");
+  return eg_str_from (text);
 }
 
 static void
 respond_report (struct streams_engine *self,
                 struct soak_http_connection *connection)
 {
+  char notice[NOTICE_BYTES];
   char body[256];
 
   snprintf (body, sizeof body,
@@ -90,7 +97,9 @@
             "\"kvUsed\":0,\"kvTotal\":400000,\"born\":%" PRId64 ","
             "\"layers\":{\"from\":0,\"to\":%d,\"version\":1}}",
             self->start_ms, MODEL_LAYERS);
-  soak_http_respond (connection, 200, leaving_field (self), eg_str_from (body));
+  soak_http_respond (connection, 200,
+                     write_notice (self, notice, sizeof notice),
+                     eg_str_from (body));
 }
 
 static bool
@@ -171,6 +180,7 @@
   const struct eg_http_head *request = &connection->reader.head;
   struct engine_stream *stream = connection->state;
   struct eg_str last = eg_http_head_find (request, "last-event-id");
+  char notice[NOTICE_BYTES];
   char head[256];
 
   stream->next_event = 1;
@@ -180,7 +190,8 @@
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             "%sX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n%.*s\r\n",
             has_chunks (stream) ? "Transfer-Encoding: chunked\r\n" : "",
-            stream->id, EG_STR_ARGS (leaving_field (stream->engine)));
+            stream->id,
+            EG_STR_ARGS (write_notice (stream->engine, notice, sizeof notice)));
   eg_socket_write (&connection->socket, eg_str_from (head));
   send_event (connection);
 }
@@ -245,15 +256,17 @@
 respond_plain (struct soak_http_connection *connection)
 {
   struct engine_stream *stream = connection->state;
-  char fields[96];
+  char notice[NOTICE_BYTES];
+  char fields[160];
 
   if (stream->answer != STREAMS_ANSWER_WELL)
     {
       respond_unframed (connection);
       return;
     }
-  snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\nX-Server-Seal: s\r\n",
-            stream->id);
+  snprintf (fields, sizeof fields,
+            "X-Attempt-Id: %s\r\nX-Server-Seal: s\r\n%.*s", stream->id,
+            EG_STR_ARGS (write_notice (stream->engine, notice, sizeof notice)));
   soak_http_respond (connection, 200, eg_str_from (fields), EG_STR ("done"));
 }
 
@@ -291,7 +304,8 @@
   const struct eg_http_head *head = &connection->reader.head;
   struct eg_str target = eg_http_head_target (head);
   struct engine_stream *stream;
-  char fields[160];
+  char notice[NOTICE_BYTES];
+  char fields[256];
 
   self->requests++;
   if (!eg_str_equal (eg_http_head_find (head, "x-expect-instance"),
@@ -321,9 +335,10 @@
   if (self->full)
     {
       snprintf (fields, sizeof fields,
-                "X-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n%s%s%s", stream->id,
-                self->pause ? "Retry-After: " : "",
-                self->pause ? self->pause : "", self->pause ? "\r\n" : "");
+                "X-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n%s%s%s%.*s",
+                stream->id, self->pause ? "Retry-After: " : "",
+                self->pause ? self->pause : "", self->pause ? "\r\n" : "",
+                EG_STR_ARGS (write_notice (self, notice, sizeof notice)));
       soak_http_respond (connection, 503, eg_str_from (fields), EG_STR (""));
       return;
     }
@@ -473,6 +488,7 @@
   fprintf (
       file,
       "[node]\nname = \"node-%u\"\nfailure_domain = \"%s\"\n"
+      "first_start = %s\n"
       "[listen]\ncallers = \"127.0.0.1:%u\"\n"
       "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
       "[store]\naddress = \"%s\"\n"
@@ -480,7 +496,8 @@
       "[stop]\ngrace_ms = 500\n[keys]\nrevocation_ms = 5000\n"
       "[retry]\nratio = %g\nwindow_ms = %d\nextra = %d\n",
       self->number, self->number == 0 || options->one_domain ? "room" : "hall",
-      self->callers_port, soak_find_free_port (), soak_find_free_port (), store,
+      options->first_start ? "true" : "false", self->callers_port,
+      soak_find_free_port (), soak_find_free_port (), store,
       options->retry_ratio, options->retry_window_ms, options->retry_extra);
   fclose (file);
 }
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -60,6 +60,7 @@
   bool leaving;       /**< Says so in its responses. */
   int64_t start_ms;   /**< Of its record and reports. */
   const char *pause;  /**< Retry-After of its refusals; NULL: none. */
+  const char *limit;  /**< Server-Limit of its responses; NULL: none. */
   unsigned requests;  /**< All requests received, also for reports. */
   unsigned arrivals;  /**< Stream requests received. */
   unsigned runs;      /**< Stream requests not refused. */
@@ -88,6 +89,7 @@
   unsigned plain;   /**< Plain servers listed in the store at the start. */
   unsigned vms;     /**< Entry VMs, each in its own failure domain; 0: one. */
   bool one_domain;  /**< All entry VMs are in the first one's domain. */
+  bool first_start; /**< The whole system starts, so no VM joins later. */
 };
 
 /** A request of a client. */
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -158,6 +158,61 @@
     }
 }
 
+static struct eg_server_notice
+read_limit (const char *status, const char *fields)
+{
+  struct eg_server_notice notice;
+  struct eg_http_reader reader;
+  char text[300];
+
+  snprintf (text, sizeof text, "HTTP/1.1 %s\r\n%s\r\nContent-Length: 0\r\n\r\n",
+            status, fields);
+  read_head (&reader, EG_HTTP_RESPONSE, text);
+  notice = eg_server_notice_decode (&reader.head);
+  eg_http_reader_finish (&reader);
+  return notice;
+}
+
+static void
+test_limit_is_a_decimal_number_of_requests_per_second (void **state)
+{
+  static const struct
+  {
+    const char *field;
+    double per_s;
+  } readable[] = {{"Server-Limit: 12.5", 12.5}, {"server-limit: 3 ", 3},
+                  {"Server-Limit: .5", 0.5},    {"Server-Limit: 0", 0},
+                  {"Server-Limit: 0.0", 0},     {"Server-Limit: 1.", 1}};
+  static const char *const unreadable[] = {
+      "Server-Limit: -1",   "Server-Limit: +1",
+      "Server-Limit: 1e3",  "Server-Limit: ",
+      "Server-Limit: .",    "Server-Limit: nan",
+      "Server-Limit: inf",  "Server-Limit: 1, 2",
+      "Server-Limit: 10/s", "Server-Limit: 5\r\nServer-Limit: 6"};
+  char huge[256] = "Server-Limit: ";
+
+  (void) state;
+  for (size_t i = 0; i < sizeof readable / sizeof readable[0]; i++)
+    {
+      struct eg_server_notice notice = read_limit ("200 OK", readable[i].field);
+
+      assert_true (notice.has_limit);
+      assert_false (notice.limit_unreadable);
+      assert_float_equal (notice.limit_per_s, readable[i].per_s, 1e-9);
+    }
+  for (size_t i = 0; i < sizeof unreadable / sizeof unreadable[0]; i++)
+    {
+      struct eg_server_notice notice = read_limit ("503 No", unreadable[i]);
+
+      assert_false (notice.has_limit);
+      assert_true (notice.limit_unreadable);
+    }
+  memset (huge + strlen (huge), '9', 200);
+  assert_true (read_limit ("200 OK", huge).limit_per_s > 1e100);
+  assert_false (read_limit ("421 Other", "Server-Limit: 5").has_limit);
+  assert_false (read_limit ("200 OK", "X-Other: 5").limit_unreadable);
+}
+
 static int64_t
 read_pause (const char *status, const char *value)
 {
@@ -450,6 +505,7 @@
       cmocka_unit_test (test_request_is_forwarded),
       cmocka_unit_test (test_request_headers),
       cmocka_unit_test (test_response_headers),
+      cmocka_unit_test (test_limit_is_a_decimal_number_of_requests_per_second),
       cmocka_unit_test (test_pause_is_a_decimal_number_of_seconds),
       cmocka_unit_test (test_server_says_that_it_is_leaving),
       cmocka_unit_test (test_ambiguous_framing_is_rejected),
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -47,8 +47,10 @@
 test_leaving_holds_for_one_start_whatever_its_source (void **state)
 {
   int changes = 0;
-  const struct eg_fleet_events events = {on_reported, on_availability_changed,
-                                         &changes};
+  const struct eg_fleet_events events = {.reported = on_reported,
+                                         .availability_changed =
+                                             on_availability_changed,
+                                         .context = &changes};
   const struct eg_server_notice notice = {.leaving = true};
   struct eg_fleet fleet;
   struct eg_backend *backend;
