policy: a VM without others asks again before it trusts a copy of the store

A VM that finds no other one in its first list of members relied on what it had read at once. A copy that the store came back from may lack those that joined lately, so that it would have used an older configuration than theirs. It waits for its second list now, 0.8 s after its start. By reading; the test of the single VM states the new time and fails on the code before.

--- a/policy/version_spread.c
+++ b/policy/version_spread.c
@@ -15,6 +15,9 @@
 #define ANSWER_WAIT_US (400 * EG_US_PER_MS)
 /* Time until the other VMs are known, or seem to be out of reach. */
 #define PEERS_WAIT_US (2000 * EG_US_PER_MS)
+/* A VM without others waits until its second list of them: those that joined
+ * lately may be missing from a copy that the store came back from. */
+#define ALONE_WAIT_US (800 * EG_US_PER_MS)
 /* The store mostly delivers a new version within this time anyway. */
 #define FETCH_DELAY_US (100 * EG_US_PER_MS)
 #define FETCH_INTERVAL_US (250 * EG_US_PER_MS)
@@ -48,23 +51,32 @@
   return (struct eg_version_message){self->own, asks, self->confirmed};
 }
 
-static void
-check_confirmed (struct eg_version_spread *self, int64_t peers, int64_t now_us)
+static bool
+has_asked_enough (const struct eg_version_spread *self,
+                  int64_t peers,
+                  int64_t now_us)
 {
   size_t needed = EG_VERSION_ANSWERS;
 
-  if (peers >= 0 && self->peers_known_us == 0)
+  if (peers < 0)
+    return now_us - self->started_us >= PEERS_WAIT_US;
+  if (peers == 0)
+    return now_us - self->started_us >= ALONE_WAIT_US;
+  if ((size_t) peers < needed)
+    needed = (size_t) peers;
+  return self->answers >= needed
+         || now_us - self->peers_known_us >= ANSWER_WAIT_US;
+}
+
+static void
+check_confirmed (struct eg_version_spread *self, int64_t peers, int64_t now_us)
+{
+  if (peers > 0 && self->peers_known_us == 0)
     self->peers_known_us = now_us;
   if (self->offered > 0 && now_us - self->offered_us >= OFFER_EXPIRY_US)
     self->offered = 0;
-  if (self->confirmed || self->offered > 0)
-    return;
-  if (peers >= 0 && (size_t) peers < needed)
-    needed = (size_t) peers;
-  self->confirmed =
-      peers < 0 ? now_us - self->started_us >= PEERS_WAIT_US
-                : self->answers >= needed
-                      || now_us - self->peers_known_us >= ANSWER_WAIT_US;
+  if (!self->confirmed && self->offered == 0)
+    self->confirmed = has_asked_enough (self, peers, now_us);
 }
 
 struct eg_version_round
--- a/policy/version_spread.h
+++ b/policy/version_spread.h
@@ -37,7 +37,7 @@
   bool confirmed;
   bool has_news; /**< The version has risen since it was told to others. */
   int64_t started_us;
-  int64_t peers_known_us; /**< When the other VMs became known; 0: not yet. */
+  int64_t peers_known_us; /**< When other VMs became known; 0: not yet. */
   int64_t asked_us;       /**< Time of the last questions. */
   int64_t told_us;        /**< Time of the last regular message. */
   uint64_t answered_by[EG_VERSION_ANSWERS];
--- a/test/test_version_spread.c
+++ b/test/test_version_spread.c
@@ -201,7 +201,7 @@
 }
 
 static void
-test_starting_vm_without_others_waits_for_none (void **state)
+test_starting_vm_without_others_waits_for_their_second_list (void **state)
 {
   struct eg_version_spread self;
 
@@ -209,7 +209,9 @@
   eg_version_spread_init (&self, false, START_US);
   eg_version_spread_check (&self, -1, START_US + 1900 * MS);
   assert_false (eg_version_spread_is_confirmed (&self));
-  eg_version_spread_check (&self, 0, START_US + 1900 * MS);
+  eg_version_spread_check (&self, 0, START_US + 700 * MS);
+  assert_false (eg_version_spread_is_confirmed (&self));
+  eg_version_spread_check (&self, 0, START_US + 800 * MS);
   assert_true (eg_version_spread_is_confirmed (&self));
 }
 
@@ -223,7 +225,8 @@
       cmocka_unit_test (
           test_starting_vm_goes_on_when_the_newer_version_is_out_of_reach),
       cmocka_unit_test (test_starting_vms_do_not_confirm_each_other),
-      cmocka_unit_test (test_starting_vm_without_others_waits_for_none),
+      cmocka_unit_test (
+          test_starting_vm_without_others_waits_for_their_second_list),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
