soak: routes of recent versions, and a store that stays behind

A client asks for the routes of recent configurations: what one daemon serves is in force on all within 2 s, and a daemon that starts knows it. After a step back the writers take up to 1.5 s to write again; the daemons' settings say whether the system starts for the first time.

--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -7,6 +7,8 @@
 #define FAULT_MIN_MS 300
 #define FAULT_MAX_MS 3000
 #define DELAY_MS_MAX 400
+/* Longest time from a step back of the store until its writers have noticed. */
+#define REWRITE_MS_MAX 1500
 
 static int64_t
 random_fault_end (struct soak *self)
@@ -65,15 +67,27 @@
   self->store_fault_until_us = random_fault_end (self);
 }
 
-/* Its writers write the servers' records and the configuration again. */
 static void
 restore_store (struct soak *self)
 {
   if (!self->store_copy.objects)
     return;
   soak_store_restore (&self->store, &self->store_copy);
+  self->store_rewrite_us =
+      eg_clock_now_us ()
+      + (int64_t) eg_random_below (&self->random, REWRITE_MS_MAX)
+            * EG_US_PER_MS;
+}
+
+/* Writers of the servers' records and the configuration write them again. */
+void
+soak_check_rewrite (struct soak *self, int64_t now_us)
+{
+  if (self->store_rewrite_us == 0 || now_us < self->store_rewrite_us)
+    return;
+  self->store_rewrite_us = 0;
   soak_backends_publish (self);
-  soak_publish_configuration (self);
+  soak_write_configuration (self);
 }
 
 static void
@@ -176,7 +190,7 @@
 static bool
 has_unplanned_fault (const struct soak *self)
 {
-  if (self->store.mode != SOAK_STORE_HEALTHY)
+  if (self->store.mode != SOAK_STORE_HEALTHY || self->store_rewrite_us > 0)
     return true;
   for (int i = 0; i < SOAK_NODES; i++)
     if (self->nodes[i].paused || self->nodes[i].store_proxy.drop_responses
--- a/test/soak/nodes.c
+++ b/test/soak/nodes.c
@@ -238,6 +238,32 @@
                     0);
 }
 
+static void
+write_settings (struct soak_node *self)
+{
+  char store[32];
+  FILE *file;
+
+  soak_format_address (self->store_proxy.endpoint, store, sizeof store);
+  snprintf (self->settings_path, sizeof self->settings_path, "%s/node-%u.toml",
+            self->soak->directory, self->number);
+  file = fopen (self->settings_path, "w");
+  EG_INVARIANT (file);
+  fprintf (file,
+           "[node]\nname = \"node-%u\"\nfailure_domain = \"room\"\n"
+           "first_start = %s\n"
+           "[listen]\ncallers = \"127.0.0.1:%u\"\n"
+           "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
+           "[store]\naddress = \"%s\"\n"
+           "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
+           "[stop]\ngrace_ms = %d\n[keys]\nrevocation_ms = %d\n"
+           "[retry]\nratio = 0.2\nwindow_ms = 10000\nextra = 200\n",
+           self->number, self->was_started ? "false" : "true",
+           self->callers_port, self->ready_port, self->peers_port, store,
+           SOAK_STOP_GRACE_MS, KEY_REVOCATION_MS);
+  fclose (file);
+}
+
 void
 soak_node_start (struct soak_node *self)
 {
@@ -252,6 +278,9 @@
                                   .stdio_count = 3};
   FILE *log;
 
+  write_settings (self);
+  self->was_started = true;
+  self->seen_version = 0;
   snprintf (log_path, sizeof log_path, "%s/node-%u.log", self->soak->directory,
             self->number);
   log = fopen (log_path, "a");
@@ -287,31 +316,6 @@
   uv_process_kill (&self->process, number);
 }
 
-static void
-write_settings (struct soak_node *self)
-{
-  char store[32];
-  FILE *file;
-
-  soak_format_address (self->store_proxy.endpoint, store, sizeof store);
-  snprintf (self->settings_path, sizeof self->settings_path, "%s/node-%u.toml",
-            self->soak->directory, self->number);
-  file = fopen (self->settings_path, "w");
-  EG_INVARIANT (file);
-  fprintf (file,
-           "[node]\nname = \"node-%u\"\nfailure_domain = \"room\"\n"
-           "[listen]\ncallers = \"127.0.0.1:%u\"\n"
-           "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
-           "[store]\naddress = \"%s\"\n"
-           "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
-           "[stop]\ngrace_ms = %d\n[keys]\nrevocation_ms = %d\n"
-           "[retry]\nratio = 0.2\nwindow_ms = 10000\nextra = 200\n",
-           self->number, self->callers_port, soak_find_free_port (),
-           soak_find_free_port (), store, SOAK_STOP_GRACE_MS,
-           KEY_REVOCATION_MS);
-  fclose (file);
-}
-
 void
 soak_nodes_init (struct soak *self)
 {
@@ -323,9 +327,10 @@
       node->number = i;
       soak_proxy_open (&node->store_proxy, self, self->store.server.endpoint);
       node->callers_port = soak_find_free_port ();
+      node->ready_port = soak_find_free_port ();
+      node->peers_port = soak_find_free_port ();
       uv_timer_init (&self->loop, &node->restart_timer);
       node->restart_timer.data = node;
-      write_settings (node);
       soak_node_start (node);
     }
 }
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -2,7 +2,8 @@
  * clients get and the requests that backend servers see.
  * Usage: soak DAEMON DIRECTORY [FIRST-SEED [SEEDS [SECONDS]]]
  * SECONDS is the time from the start of a run until only planned events still
- * happen: backend servers leave or are full, and the configuration changes.
+ * happen: backend servers leave, are full or name limits, and the configuration
+ * changes.
  * With odd seeds, the backend servers are engines; with those divisible by 5,
  * there are planned events only, also stops of daemons. With the others, a
  * request crashes backend servers, or, if the seed is divisible by 3, a part of
@@ -65,11 +66,11 @@
 }
 
 void
-soak_publish_configuration (struct soak *self)
+soak_write_configuration (struct soak *self)
 {
   json_t *spec = json_pack (
       "{s:I, s:[o, o, o], s:[{s:s, s:s, s:i}], s:[{s:s, s:[s], s:i}]}",
-      "version", (json_int_t) ++self->configuration_version, "routes",
+      "version", (json_int_t) self->configuration_version, "routes",
       route ("/read/", "idempotent", false),
       route ("/write/", "non_idempotent", false),
       route ("/stream/", "streaming", true), "services", "name", "app",
@@ -77,6 +78,16 @@
       "temple", "apiKeys", "secret", "priority", 1);
 
   EG_INVARIANT (spec);
+  for (int64_t i = 0;
+       i < SOAK_VERSION_ROUTES && i < self->configuration_version; i++)
+    {
+      char prefix[32];
+
+      snprintf (prefix, sizeof prefix, "/v%" PRId64 "/",
+                self->configuration_version - i);
+      json_array_append_new (json_object_get (spec, "routes"),
+                             route (prefix, "idempotent", false));
+    }
   if (self->engines)
     json_object_set_new (
         json_array_get (json_object_get (spec, "services"), 0), "engine",
@@ -85,13 +96,21 @@
   soak_store_put (&self->store, "config", "main", spec);
 }
 
+void
+soak_publish_configuration (struct soak *self)
+{
+  self->configuration_version++;
+  soak_write_configuration (self);
+}
+
 static void
 on_heartbeat_timer (uv_timer_t *timer)
 {
   struct soak *self = timer->data;
 
-  if (self->store.mode == SOAK_STORE_HEALTHY
-      || self->store.mode == SOAK_STORE_LOST_REPLIES)
+  if (self->store_rewrite_us == 0
+      && (self->store.mode == SOAK_STORE_HEALTHY
+          || self->store.mode == SOAK_STORE_LOST_REPLIES))
     soak_backends_publish (self);
   if (eg_clock_now_us () - self->store_copied_us >= STORE_COPY_INTERVAL_US)
     {
@@ -106,6 +125,7 @@
 {
   self->stopping = true;
   soak_clients_finish (self);
+  soak_canary_finish (self);
   if (!self->planned_only)
     soak_deadly_finish (self);
   soak_clear_faults (self, true);
@@ -139,6 +159,7 @@
   self->last_check_us = now_us;
   eg_exchange_pool_trim (&self->pool, now_us);
   soak_backends_check_leaving (self, now_us);
+  soak_check_rewrite (self, now_us);
   soak_clear_faults (self, now_us >= self->faults_end_us);
   /* Last: a server starts again only after its listener has been closed. */
   for (int i = 0; i < SOAK_BACKENDS; i++)
@@ -222,6 +243,7 @@
   soak_backends_publish (self);
   soak_nodes_init (self);
   soak_clients_init (self);
+  soak_canary_init (self);
   if (!self->planned_only)
     soak_deadly_init (self, seed % DEADLY_PART_PERIOD == 0);
   start_timer (self, &self->heartbeat_timer, on_heartbeat_timer,
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -16,6 +16,8 @@
 #include "test/soak/store.h"
 
 #define SOAK_NODES 3
+/** Versions of the configuration that have a route of their own each. */
+#define SOAK_VERSION_ROUTES 4
 #define SOAK_BACKENDS 4
 #define SOAK_CLIENTS 20
 /** Short streams end long before a leaving server does; long ones may be in
@@ -99,6 +101,10 @@
   unsigned number;
   char settings_path[256];
   uint16_t callers_port;
+  uint16_t ready_port;
+  uint16_t peers_port;
+  bool was_started;
+  int64_t seen_version; /**< Served since its start. */
   struct soak_proxy store_proxy;
   bool running;
   bool exit_expected;
@@ -141,6 +147,21 @@
   unsigned late_arrivals; /**< At servers, although it must be known. */
 };
 
+/** The client that asks for routes of recent configurations. */
+struct soak_canary
+{
+  struct soak *soak;
+  struct eg_exchange exchange;
+  uv_timer_t timer;
+  struct soak_node *node;
+  int64_t node_started_us; /**< Start of the node that was asked. */
+  int64_t version;         /**< That was asked for. */
+  unsigned status;
+  int64_t sent_us;
+  int64_t newest; /**< Served by any node. */
+  int64_t newest_us;
+};
+
 /** State of the run of one seed. */
 struct soak
 {
@@ -152,6 +173,7 @@
   struct soak_node nodes[SOAK_NODES];
   struct soak_client clients[SOAK_CLIENTS];
   struct soak_deadly deadly;
+  struct soak_canary canary;
   json_t *run_counts; /**< Executions of each request, by request id. */
   uv_timer_t fault_timer;
   uv_timer_t heartbeat_timer;
@@ -168,6 +190,8 @@
   bool engines; /**< The backend servers are engines with a model. */
   struct soak_store_copy store_copy; /**< Some seconds old, or zeroed. */
   int64_t store_copied_us;
+  /** When its writers write again what a step back has lost; 0: nothing is. */
+  int64_t store_rewrite_us;
   int64_t store_fault_until_us;
   int64_t backend_fault_us; /**< Last crash or abort fault of a backend. */
   int64_t configuration_version;
@@ -211,6 +235,12 @@
 /** Lets all backend servers refuse requests at the same time. */
 void soak_fill_all_backends (struct soak *self);
 
+/** Starts the client that asks for routes of recent configurations. */
+void soak_canary_init (struct soak *self);
+
+/** Cancels its request in flight. */
+void soak_canary_finish (struct soak *self);
+
 /** Returns whether a server in service takes requests: if not, they must be
  *  refused. */
 bool soak_has_room (const struct soak *self);
@@ -267,6 +297,12 @@
 /** Writes the next version of the configuration to the store. */
 void soak_publish_configuration (struct soak *self);
 
+/** Writes the present version of the configuration to the store. */
+void soak_write_configuration (struct soak *self);
+
+/** Writes again what a step back of the store has lost, once it is time. */
+void soak_check_rewrite (struct soak *self, int64_t now_us);
+
 /** Injects a fault or a planned event, chosen at random. */
 void soak_inject_fault (struct soak *self);
 
