--- a/entry/placement.c
+++ b/entry/placement.c
@@ -38,7 +38,7 @@
  * path, whose first server's limit is used up but for one request: enough to
  * prefer a server without a limit in another failure domain. */
 #define LIMITED_LOAD 1.0
-#define LIMITED_COST_US 500000.0
+#define LIMITED_COST_US 50000.0
 /* Validity of the load reported in a response. */
 #define LOAD_AGE_MAX_US (500 * EG_US_PER_MS)
 
