--- a/test/soak/backends.c
+++ b/test/soak/backends.c
@@ -57,6 +57,7 @@
     }
   snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\nX-Server-Seal: s\r\n",
             request->id);
+  soak_backend_write_limit (request->backend, fields, sizeof fields);
   soak_format_body (request->id, body, sizeof body);
   soak_http_respond (connection, 200, eg_str_from (fields), eg_str_from (body));
 }
@@ -92,13 +93,16 @@
 {
   struct backend_request *request = connection->state;
   struct eg_str connection_field = soak_http_connection_field (connection);
+  char limit[48] = "";
   char head[256];
 
+  soak_backend_write_limit (request->backend, limit, sizeof limit);
+
   snprintf (head, sizeof head,
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\nX-Attempt-Id: %s\r\n"
-            "X-Server-Seal: s\r\n%.*s\r\n",
-            request->id, EG_STR_ARGS (connection_field));
+            "X-Server-Seal: s\r\n%s%.*s\r\n",
+            request->id, limit, EG_STR_ARGS (connection_field));
   eg_socket_write (&connection->socket, eg_str_from (head));
   send_event (connection);
 }
@@ -119,10 +123,11 @@
 refuse (struct soak_http_connection *connection)
 {
   struct backend_request *request = connection->state;
-  char fields[96];
+  char fields[128];
 
   snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n",
             request->id);
+  soak_backend_write_limit (request->backend, fields, sizeof fields);
   soak_http_respond (connection, 503, eg_str_from (fields), EG_STR (""));
 }
 
@@ -169,6 +174,7 @@
                     request->id, self->id,
                     (double) (eg_clock_now_us () - self->leaving_us)
                         / EG_US_PER_S);
+  soak_backend_arrived (self);
   if (eg_clock_now_us () < self->full_until_us)
     {
       refuse (connection);
@@ -213,6 +219,7 @@
   self->running = true;
   self->started_us = eg_clock_now_us ();
   self->full_until_us = 0;
+  self->limit_until_us = 0;
   self->deadly_end_us = 0;
   self->phase = SOAK_BACKEND_SERVING;
 }
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -158,6 +158,7 @@
       {soak_leave_backend, true},
       {soak_fill_backend, true},
       {soak_fill_all_backends, true},
+      {soak_limit_backend, true},
   };
   size_t chosen =
       eg_random_below (&self->random, sizeof faults / sizeof faults[0]);
@@ -175,6 +176,7 @@
   static void (*const events[]) (struct soak * self) = {
       soak_leave_backend,         soak_leave_backend,
       soak_leave_backend,         soak_fill_backend,
+      soak_limit_backend,         soak_limit_backend,
       soak_fill_all_backends,     reload_daemon,
       soak_publish_configuration, stop_daemon,
   };
--- a/test/soak/leaving.c
+++ b/test/soak/leaving.c
@@ -24,6 +24,12 @@
 #define ALL_FULL_GAP_US (2 * EG_US_PER_S)
 /* Daemons may avoid a server for this long after it was full. */
 #define FULL_MEMORY_US (300 * EG_US_PER_MS)
+/* Daemons may keep to a limit for this long after it was last named. */
+#define LIMIT_MEMORY_US (2 * EG_US_PER_S)
+#define LIMIT_MIN 2
+#define LIMIT_JITTER 12
+#define LIMITED_MS_MIN 4000
+#define LIMITED_MS_JITTER 5000
 /* Daemons know a server this long after its start: they take over changes of
  * records in batches, which are longer after their own start. */
 #define KNOWN_US (600 * EG_US_PER_MS)
@@ -55,7 +61,8 @@
       if (backend != except && backend->running
           && backend->phase == SOAK_BACKEND_SERVING
           && backend->started_us <= known_us
-          && backend->full_until_us <= since_us)
+          && backend->full_until_us <= since_us
+          && backend->limit_until_us <= since_us - LIMIT_MEMORY_US)
         return true;
     }
   return false;
@@ -113,6 +120,22 @@
     fill_backend (backend, FULL_MS_MIN, FULL_MS_MAX);
 }
 
+void
+soak_limit_backend (struct soak *self)
+{
+  struct soak_backend *backend =
+      &self->backends[eg_random_below (&self->random, SOAK_BACKENDS)];
+
+  if (!backend->running || eg_clock_now_us () < backend->limit_until_us
+      || !has_room (self, backend, eg_clock_now_us ()))
+    return;
+  backend->limit_per_s =
+      LIMIT_MIN + (unsigned) eg_random_below (&self->random, LIMIT_JITTER);
+  backend->limited_us = eg_clock_now_us ();
+  backend->limit_until_us =
+      random_time_us (self, LIMITED_MS_MIN, LIMITED_MS_JITTER);
+}
+
 void
 soak_fill_all_backends (struct soak *self)
 {
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -16,6 +16,8 @@
 #include "test/soak/store.h"
 
 #define SOAK_NODES 3
+/** Arrivals at a backend server that are remembered. */
+#define SOAK_ARRIVALS 512
 /** Versions of the configuration that have a route of their own each. */
 #define SOAK_VERSION_ROUTES 4
 #define SOAK_BACKENDS 4
@@ -78,6 +80,11 @@
   bool unannounced;      /**< It leaves without a draining record. */
   int64_t full_until_us; /**< Until then it refuses requests. */
   int64_t deadly_end_us; /**< When it ends under a request; 0: never. */
+  unsigned limit_per_s;  /**< That it names; valid until limit_until_us. */
+  int64_t limited_us;    /**< When it first named it. */
+  int64_t limit_until_us;
+  int64_t arrivals_us[SOAK_ARRIVALS]; /**< Ring buffer. */
+  unsigned arrival_count;             /**< Total number recorded. */
 };
 
 /** A TCP proxy between a daemon and the store. */
@@ -235,6 +242,17 @@
 /** Lets all backend servers refuse requests at the same time. */
 void soak_fill_all_backends (struct soak *self);
 
+/** Lets a backend server name a limit for some seconds. */
+void soak_limit_backend (struct soak *self);
+
+/** Appends the field by which a backend server names its limit. */
+void soak_backend_write_limit (const struct soak_backend *self,
+                               char *fields,
+                               size_t capacity);
+
+/** Records a request that reached a backend server. */
+void soak_backend_arrived (struct soak_backend *self);
+
 /** Starts the client that asks for routes of recent configurations. */
 void soak_canary_init (struct soak *self);
 
--- a/test/test_server_rate.c
+++ b/test/test_server_rate.c
@@ -317,7 +317,7 @@
   limit_after ((const double[]){__VA_ARGS__},                                  \
                sizeof ((const double[]){__VA_ARGS__}) / sizeof (double),       \
                interval_us)
-#define NOT_NAMED -1.0
+#define NOT_NAMED (-1.0)
 
 static void
 test_changing_limit_is_read_as_the_lowest_of_a_second (void **state)
