entry: limits go to other VMs in messages of their own

They were part of the load messages, which may have 8 KB: with 99 servers, of which most name a limit, such a message would have been dropped whole, and with it the loads.

--- a/entry/configuration_spread.c
+++ b/entry/configuration_spread.c
@@ -112,7 +112,7 @@
       json_object_set_new (document, "left", list_left (&self->entry->fleet));
       json_object_set_new (
           document, "limits",
-          eg_server_limits_list (self->entry, eg_clock_now_us ()));
+          eg_server_limits_list (self->entry, 0, eg_clock_now_us ()));
     }
   text = json_dumps (document, JSON_COMPACT);
   eg_load_gossip_send (&self->entry->load_gossip, to, text);
--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -130,12 +130,11 @@
 {
   const struct eg_entry *entry = self->entry;
   json_t *message = json_pack (
-      "{s:s, s:s, s:b, s:o, s:o, s:o, s:o, s:O}", "kind", kind, "domain",
+      "{s:s, s:s, s:b, s:o, s:o, s:o, s:O}", "kind", kind, "domain",
       entry->settings->domain, "reads", entry->servers_feed.mirror->is_direct,
       "down", list_suspects (&entry->fleet), "leaving",
       list_leaving (&entry->fleet), "heard",
-      list_contacts (self, eg_clock_now_us ()), "limits",
-      eg_server_limits_list (entry, eg_clock_now_us ()), "loads", loads);
+      list_contacts (self, eg_clock_now_us ()), "loads", loads);
   char *text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
 
   json_decref (message);
@@ -422,6 +421,33 @@
       eg_load_gossip_send (self, self->peers[i].endpoint, to_others);
 }
 
+/* Sends the limits that servers name, in as many messages as they need. */
+static void
+send_limits (struct eg_load_gossip *self,
+             void (*send) (struct eg_load_gossip *self, const char *text),
+             int64_t now_us)
+{
+  size_t total = eg_server_limits_count (self->entry);
+
+  for (size_t sent = 0; sent < total; sent += EG_LIMITS_PER_MESSAGE_MAX)
+    {
+      json_t *message =
+          json_pack ("{s:s, s:o}", "kind", KIND_ALERT, "limits",
+                     eg_server_limits_list (self->entry, sent, now_us));
+      char *text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
+
+      send (self, text);
+      free (text);
+      json_decref (message);
+    }
+}
+
+static void
+send_text_to_all (struct eg_load_gossip *self, const char *text)
+{
+  send_to_all (self, text, text);
+}
+
 /* Aggregates the loads received and sends the totals to the VMs and to the
  * other readers. */
 static void
@@ -440,6 +466,7 @@
   group_text = format_message (self, KIND_GROUP, group);
   sum_text = format_message (self, KIND_SUM, sum);
   send_to_all (self, group_text, sum_text);
+  send_limits (self, send_text_to_all, now_us);
   free (group_text);
   free (sum_text);
   json_decref (group);
@@ -463,6 +490,15 @@
                           % 2];
 }
 
+static void
+send_to_reader (struct eg_load_gossip *self, const char *text)
+{
+  const struct eg_member *reader = choose_reader (self, eg_clock_now_us ());
+
+  if (reader)
+    eg_load_gossip_send (self, reader->endpoint, text);
+}
+
 void
 eg_load_gossip_check (struct eg_load_gossip *self, int64_t now_us)
 {
@@ -487,6 +523,7 @@
   add_own_loads (self, own);
   text = format_message (self, KIND_OWN, own);
   eg_load_gossip_send (self, reader->endpoint, text);
+  send_limits (self, send_to_reader, now_us);
   free (text);
   json_decref (own);
 }
@@ -509,7 +546,7 @@
   message = json_pack ("{s:s, s:o, s:o, s:o}", "kind", KIND_ALERT, "down",
                        list_suspects (&self->entry->fleet), "leaving",
                        list_leaving (&self->entry->fleet), "limits",
-                       eg_server_limits_list (self->entry, now_us));
+                       eg_server_limits_list (self->entry, 0, now_us));
   text = json_dumps (message, JSON_COMPACT);
   if (eg_members_is_reader (&self->entry->members) || self->peer_count > 0)
     send_to_all (self, text, text);
--- a/entry/server_limits.c
+++ b/entry/server_limits.c
@@ -9,9 +9,6 @@
 #include "base/log.h"
 #include "entry/entry.h"
 
-/* Maximum number of limits in a message, some 50 bytes each. */
-#define LIMITS_PER_MESSAGE_MAX 64
-
 static struct eg_rate_sharers
 get_sharers (const struct eg_entry *entry,
              struct eg_backend *backend,
@@ -146,6 +143,12 @@
   return shortest_us == INT64_MAX ? 0 : shortest_us;
 }
 
+static bool
+is_limited (const struct eg_backend *backend)
+{
+  return backend->listed && eg_server_rate_is_limited (&backend->rate);
+}
+
 size_t
 eg_server_limits_count (const struct eg_entry *entry)
 {
@@ -153,29 +156,29 @@
   size_t count = 0;
 
   for (const struct eg_list *at = all->next; at != all; at = at->next)
-    {
-      const struct eg_backend *backend =
-          EG_CONTAINER_OF (at, struct eg_backend, all);
-
-      count += backend->listed && eg_server_rate_is_limited (&backend->rate);
-    }
+    count += is_limited (EG_CONTAINER_OF (at, struct eg_backend, all));
   return count;
 }
 
 json_t *
-eg_server_limits_list (const struct eg_entry *entry, int64_t now_us)
+eg_server_limits_list (const struct eg_entry *entry,
+                       size_t skipped,
+                       int64_t now_us)
 {
   const struct eg_list *all = &entry->fleet.all;
   json_t *list = json_array ();
+  size_t position = 0;
 
   for (const struct eg_list *at = all->next; at != all; at = at->next)
     {
       const struct eg_backend *backend =
           EG_CONTAINER_OF (at, struct eg_backend, all);
 
-      if (backend->listed && eg_server_rate_is_limited (&backend->rate)
-          && now_us - backend->rate.named_us < EG_SERVER_RATE_EXPIRY_US
-          && json_array_size (list) < LIMITS_PER_MESSAGE_MAX)
+      if (!is_limited (backend) || position++ < skipped)
+        continue;
+      if (position > skipped + EG_LIMITS_PER_MESSAGE_MAX)
+        break;
+      if (now_us - backend->rate.named_us < EG_SERVER_RATE_EXPIRY_US)
         json_array_append_new (
             list, json_pack ("[s, I, f, I]", backend->record.id,
                              (json_int_t) backend->record.start_ms,
--- a/entry/server_limits.h
+++ b/entry/server_limits.h
@@ -53,8 +53,17 @@
 /** Returns the number of servers that have a limit. */
 size_t eg_server_limits_count (const struct eg_entry *entry);
 
-/** Lists the limits that this VM knows, with their age. */
-json_t *eg_server_limits_list (const struct eg_entry *entry, int64_t now_us);
+/** Maximum number of limits in a message, some 50 bytes each. */
+#define EG_LIMITS_PER_MESSAGE_MAX 64
+
+/**
+ * Lists limits that this VM knows, with their age: at most
+ * EG_LIMITS_PER_MESSAGE_MAX.
+ * @param skipped number of limited servers to leave out first.
+ */
+json_t *eg_server_limits_list (const struct eg_entry *entry,
+                               size_t skipped,
+                               int64_t now_us);
 
 /** Applies a list of another VM. */
 void eg_server_limits_apply (struct eg_entry *entry,
