platform: a store whose era falls is read again

What callers saw: a change was never in force, the VMs took the store for down (CONFIG).

A store that lost the count of its eras would not have been read until the VMs restarted.

--- a/entry/main.c
+++ b/entry/main.c
@@ -440,7 +440,8 @@
   eg_exchange_pool_init (&self->pool, &self->loop, POOL_IDLE_US);
   self->pool.events =
       (struct eg_exchange_pool_events){on_connection_ended, self};
-  self->store_era = (struct eg_store_era){0, on_store_restored, self};
+  self->store_era =
+      (struct eg_store_era){.restored = on_store_restored, .context = self};
   self->store.pool = &self->pool;
   self->store.era = &self->store_era;
   EG_INVARIANT (eg_endpoint_parse (eg_str_from (self->settings->store_address),
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -91,13 +91,18 @@
               json_t *value)
 {
   const struct store_request *request = connection->state;
+  const struct soak_store *self = request->store;
   char *text = json_dumps (value, JSON_COMPACT);
-  char fields[96];
+  char fields[160] = "Content-Type: application/json\r\n";
+  size_t len = strlen (fields);
 
   json_decref (value);
-  snprintf (fields, sizeof fields,
-            "Content-Type: application/json\r\nStore-Era: %" PRId64 "\r\n",
-            request->store->era);
+  if (!self->era_text)
+    snprintf (fields + len, sizeof fields - len, "Store-Era: %" PRId64 "\r\n",
+              self->era);
+  else if (*self->era_text)
+    snprintf (fields + len, sizeof fields - len, "Store-Era: %s\r\n",
+              self->era_text);
   soak_http_respond (connection, status, eg_str_from (fields),
                      eg_str_from (text));
   free (text);
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -30,6 +30,8 @@
   json_t *changes; /**< In order: revision, key, deleted. */
   int64_t revision;
   int64_t era; /**< Rises with each soak_store_restore(). */
+  /** Sent in place of the era; empty: no era is named; NULL: the era. */
+  const char *era_text;
   enum soak_store_mode mode;
 };
 
--- a/test/test_store_era.c
+++ b/test/test_store_era.c
@@ -173,6 +173,50 @@
   assert_int_equal (self->engines[0].arrivals, 0);
 }
 
+/* Publishes a version and asks both VMs for its route. */
+static void
+check_change (struct streams_fixture *self, int version)
+{
+  char path[32];
+
+  snprintf (path, sizeof path, "/v%d/x", version);
+  streams_publish_configuration (self, version);
+  streams_run (self, APPLY_MS);
+  for (unsigned vm = 0; vm < 2; vm++)
+    assert_int_equal (
+        streams_client_request (
+            self, 0,
+            &(struct streams_request){
+                .vm = vm, .plain = true, .body = "body", .path = path}),
+        200);
+}
+
+static void
+test_changes_are_seen_whatever_the_store_calls_its_era (void **state)
+{
+  static const char *const eras[] = {"-3", "soon", "", "1e3",
+                                     "99999999999999999999999"};
+  struct streams_fixture *self = *state;
+
+  for (int i = 0; i < 5; i++)
+    {
+      self->store.era_text = eras[i];
+      check_change (self, 2 + i);
+    }
+}
+
+static void
+test_changes_are_seen_by_a_store_whose_era_falls (void **state)
+{
+  struct streams_fixture *self = *state;
+
+  self->store.era = 5;
+  check_change (self, 2);
+  self->store.era = 2;
+  streams_run (self, 1000);
+  check_change (self, 3);
+}
+
 static const struct eg_lease_config lease_config = {.duration_us = 2200000,
                                                     .drift_us = 100000,
                                                     .pause_us = 200000,
@@ -266,6 +310,8 @@
           vm_that_starts_after_a_step_back_uses_its_peers_newer_configuration),
       ERA_TEST (
           vm_that_starts_after_a_step_back_sends_nothing_to_a_server_that_left),
+      ERA_TEST (changes_are_seen_whatever_the_store_calls_its_era),
+      ERA_TEST (changes_are_seen_by_a_store_whose_era_falls),
       cmocka_unit_test (
           test_former_holder_does_not_act_on_a_lease_that_came_back),
       cmocka_unit_test (
