--- a/entry/connections.c
+++ b/entry/connections.c
@@ -7,8 +7,8 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/entry.h"
-#include "platform/configuration.h"
 #include "net/response_writer.h"
+#include "platform/configuration.h"
 
 /* Length of the accept queue. */
 #define LISTEN_BACKLOG 1024
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -428,14 +428,12 @@
 {
   struct eg_fleet *fleet = self->fleet;
   bool may_reappear = fleet->records_expiring && !eg_backend_is_leaving (self);
-
+  struct eg_left_server start = identify_start (&self->record);
   struct eg_domain_history *history =
       domain_history (fleet, self->record.domain);
 
   if (!self->listed)
     return;
-  struct eg_left_server start = identify_start (&self->record);
-
   if (eg_backend_is_leaving (self))
     remember_left (fleet, &start);
   else
@@ -589,10 +587,8 @@
 {
   if (self->store_lost_us > 0)
     eg_log (EG_LOG_NOTICE, "fleet",
-            "event=store-back kind=servers away_ms=%" PRId64
-            " ended_ms=%" PRId64,
-            (now_us - self->store_lost_us) / EG_US_PER_MS,
-            (now_us - end_us) / EG_US_PER_MS);
+            "event=store-back kind=servers away_ms=%" PRId64 " for_others=%d",
+            (now_us - self->store_lost_us) / EG_US_PER_MS, end_us > 0);
   self->store_lost_us = 0;
   if (now_us - end_us >= REAPPEAR_GRACE_US || end_us < self->store_back_us)
     return;
@@ -737,11 +733,12 @@
     pause_requests (self, notice->pause_us, now_us);
   if (notice->leaving)
     set_leaving (self, "response", now_us);
-  if (notice->limit_unreadable)
+  if (notice->limit_unreadable && !self->limit_unreadable)
     eg_log (EG_LOG_WARNING, "fleet",
             "event=server-limit-unreadable server=%s expected=\"one decimal "
             "number of requests per second\"",
             self->record.id);
+  self->limit_unreadable = notice->limit_unreadable;
   if (notice->has_limit && self->fleet->events.limit_named)
     self->fleet->events.limit_named (self->fleet->events.context, self,
                                      notice->limit_per_s);
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -76,6 +76,7 @@
   bool said_leaving;   /**< It has said so itself since its start. */
   struct eg_server_room room; /**< See EG_SERVER_FAULT_NO_CAPACITY. */
   struct eg_server_rate rate; /**< See eg_server_limits_may_send(). */
+  bool limit_unreadable;      /**< As its last response named it; was logged. */
   uint32_t rate_rank; /**< This VM's rank among those that share the rate. */
   unsigned rate_rank_list; /**< Number of the list of members it is from. */
   double penalty; /**< Decaying weight of recent faults, as of @c penalty_us. */
--- a/entry/members.h
+++ b/entry/members.h
@@ -49,12 +49,12 @@
   int64_t revision; /**< Revision of this VM's object; 0: not written yet. */
   int64_t list_due_us;
   int64_t write_due_us;
-  unsigned lists_read;  /**< Number of lists completed. */
-  int64_t list_sent_us; /**< When the first page of the present list was asked
-                             for. */
-  int64_t as_of_us;     /**< The same of the last list completed. */
-  int64_t joined_us;  /**< When this VM's object was created; 0: it existed. */
+  unsigned lists_read; /**< Number of lists completed. */
+  /** When the first page of the list being read was asked for. */
+  int64_t list_sent_us;
+  int64_t as_of_us;   /**< The same of the last list completed. */
   bool is_written;    /**< This VM's object is known to exist. */
+  int64_t joined_us;  /**< When it was created; 0: it existed before. */
   unsigned count;     /**< Result of eg_members_count(). */
   unsigned in_domain; /**< Result of eg_members_in_domain(). */
   unsigned own_rank;  /**< Rank within the failure domain, from 0. */
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -46,8 +46,8 @@
   uint64_t counts[EG_COUNTERS];
   /** EG_COUNT_STREAMS_ABORTED by what ruled out another send. */
   uint64_t streams_aborted[EG_RESEND_LIMITS];
-  uint64_t
-      refused[EG_RESEND_LIMITS]; /**< Requests, by what ruled out a send. */
+  /** Requests refused, by what ruled out a send. */
+  uint64_t refused[EG_RESEND_LIMITS];
   struct eg_histogram times[EG_TIMINGS];
 };
 
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -35,8 +35,8 @@
  * over servers with nearly the same load. */
 #define LOAD_JITTER 0.05
 /* Requests added to the load of a plain server, and cost added to that of a
- * path, whose first server's limit is used up but for one request: enough to
- * prefer a server without a limit in another failure domain. */
+ * path, in proportion to the part of the (first) server's limit that is used
+ * up. A higher cost leaves limits unused and fills the other servers. */
 #define LIMITED_LOAD 1.0
 #define LIMITED_COST_US 50000.0
 /* Validity of the load reported in a response. */
