policy: a write of the lease from before a step back does not count

What would have been seen: two planners for some seconds, whose orders the engines' count of orders keeps apart.

Cause: a VM that is paused over a step back of the store, without the lease, sends its write on the version that it knows. The store gives versions out again, so the condition can hold by chance, and the reply made the VM a holder beside the one whose record it had replaced.

Evidence: property_lease with steps back, falsified after 83 runs (two holders at 395.52 s; the write was on version 6 of era 11, taken for version 6 of era 12).

--- a/policy/lease.c
+++ b/policy/lease.c
@@ -112,6 +112,7 @@
                  int64_t now_us)
 {
   self->outstanding = action;
+  self->outstanding_is_outdated = false;
   self->sent_us = now_us;
   self->wake_us = INT64_MAX;
   if (action == EG_LEASE_READ)
@@ -158,8 +159,12 @@
                  int64_t now_us,
                  struct eg_random *random)
 {
-  bool failed = event == EG_LEASE_UNAVAILABLE || event == EG_LEASE_NO_REPLY;
+  bool failed;
 
+  /* Its condition may have held by chance: versions are given out again. */
+  if (event == EG_LEASE_WRITTEN && self->outstanding_is_outdated)
+    event = EG_LEASE_NO_REPLY;
+  failed = event == EG_LEASE_UNAVAILABLE || event == EG_LEASE_NO_REPLY;
   if (event != EG_LEASE_TIME)
     {
       handle_reply (self, event, version, found, now_us);
@@ -189,6 +194,7 @@
     {
       self->ours = false;
       self->lost_sequence = self->next.sequence;
+      self->outstanding_is_outdated = true;
     }
   if (self->outstanding == EG_LEASE_WAIT)
     self->wake_us = now_us;
--- a/policy/lease.h
+++ b/policy/lease.h
@@ -84,6 +84,8 @@
   int64_t written_us;          /**< When @c next was sent. */
   int64_t wake_us;             /**< When EG_LEASE_TIME is due. */
   enum eg_lease_action outstanding;
+  /** The store has stepped back since the outstanding operation was sent. */
+  bool outstanding_is_outdated;
   bool seen;       /**< Whether @c version was ever read. */
   bool must_read;  /**< Whether a read must precede the next write. */
   bool ours;       /**< Whether that version names this process. */
