entry: a run lost before its server's end is not counted as a crash

Cause: a run that a server resets is held against its request if the server is found to have ended within six seconds. A probe asks whether the server lives, but it was not sent within 250 ms of an earlier probe of the same server, and one that the server accepted and reset counted as no answer. A server that ended in that time under another request was then blamed on both.

Change: the check of a lost run is sent at once, within the limit of probes; a connection that the server accepted shows that it lived then.

--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -209,13 +209,19 @@
   eg_buffer_clear (&self->probe.body);
   /* The server may have exited if it closed an idle connection. */
   if (fault == EG_EXCHANGE_STALE)
-    request_report (self, true, PROBE_TIMEOUT_US, eg_clock_now_us ());
-  else
-    eg_backend_record_fault (self,
-                             fault == EG_EXCHANGE_UNREACHABLE
-                                 ? EG_SERVER_FAULT_UNREACHABLE
-                                 : EG_SERVER_FAULT_TIMED_OUT,
-                             EG_STR ("probe"), eg_clock_now_us ());
+    {
+      request_report (self, true, PROBE_TIMEOUT_US, eg_clock_now_us ());
+      return;
+    }
+  /* It accepted the connection, so that what was lost before that was not lost
+   * by its end. */
+  if (fault != EG_EXCHANGE_UNREACHABLE)
+    self->alive_us = self->probe.started_us;
+  eg_backend_record_fault (self,
+                           fault == EG_EXCHANGE_UNREACHABLE
+                               ? EG_SERVER_FAULT_UNREACHABLE
+                               : EG_SERVER_FAULT_TIMED_OUT,
+                           EG_STR ("probe"), eg_clock_now_us ());
 }
 
 static const struct eg_exchange_events probe_events = {
@@ -914,9 +920,11 @@
     return;
   if (!self->record.has_engine && self->port_check_us <= since_us)
     check_port (self, now_us);
+  /* At once even after another probe: the server may end any moment. */
   else if (self->record.has_engine && self->probe.started_us <= since_us
-           && !eg_exchange_is_active (&self->probe.exchange))
-    eg_backend_probe (self, now_us);
+           && !eg_exchange_is_active (&self->probe.exchange)
+           && may_probe (self->fleet, now_us))
+    request_report (self, true, SUSPECT_PROBE_TIMEOUT_US, now_us);
 }
 
 void
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -23,6 +23,9 @@
 #define CRASH_DELAY_US (60 * EG_US_PER_MS)
 #define RESTART_PAUSE_US (300 * EG_US_PER_MS)
 #define PLAIN_MS 80
+/* An aborting server resets a stream after this time, and ends later. */
+#define ABORT_MS 60
+#define END_AFTER_ABORT_US (200 * EG_US_PER_MS)
 /* Events before a stream ends inside the next one. */
 #define EVENTS_BEFORE_BREAK 40
 #define ENDLESS_INTERVAL_MS 2
@@ -316,7 +319,9 @@
     }
   if (eg_str_starts_with (target, EG_STR ("/eelgrasswood/report")))
     {
-      if (!self->silent)
+      if (self->aborting_reports)
+        abort_response (connection);
+      else if (!self->silent)
         respond_report (self, connection);
       return;
     }
@@ -351,7 +356,14 @@
     }
   stream->answer = self->fixture->next_answer;
   self->fixture->next_answer = STREAMS_ANSWER_WELL;
-  if (stream->answer == STREAMS_ANSWER_ENDLESS)
+  if (self->aborting)
+    {
+      if (self->crash_us == 0)
+        self->crash_us =
+            eg_clock_now_us () + ABORT_MS * EG_US_PER_MS + END_AFTER_ABORT_US;
+      soak_http_schedule (connection, ABORT_MS, abort_response);
+    }
+  else if (stream->answer == STREAMS_ANSWER_ENDLESS)
     respond_endless (connection);
   else if (self->plain)
     soak_http_schedule (connection, PLAIN_MS, respond_plain);
@@ -432,6 +444,7 @@
     {
       self->restart_us = 0;
       self->start_ms++;
+      self->aborting_reports = false;
       /* Without the store, the VMs could not learn of another id. */
       if (self->fixture->store.mode == SOAK_STORE_HEALTHY)
         {
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -58,12 +58,15 @@
   bool full;          /**< Refuses each new stream with 503. */
   bool silent;        /**< Neither delivers events nor answers reports. */
   bool leaving;       /**< Says so in its responses. */
-  int64_t start_ms;   /**< Of its record and reports. */
-  const char *pause;  /**< Retry-After of its refusals; NULL: none. */
-  const char *limit;  /**< Server-Limit of its responses; NULL: none. */
-  unsigned requests;  /**< All requests received, also for reports. */
-  unsigned arrivals;  /**< Stream requests received. */
-  unsigned runs;      /**< Stream requests not refused. */
+  /** Resets each stream; ends a while after the first of them. */
+  bool aborting;
+  bool aborting_reports; /**< Resets the connections of reports. */
+  int64_t start_ms;      /**< Of its record and reports. */
+  const char *pause;     /**< Retry-After of its refusals; NULL: none. */
+  const char *limit;     /**< Server-Limit of its responses; NULL: none. */
+  unsigned requests;     /**< All requests received, also for reports. */
+  unsigned arrivals;     /**< Stream requests received. */
+  unsigned runs;         /**< Stream requests not refused. */
 };
 
 /** A client with one stream. */
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -279,6 +279,54 @@
   return &self->request;
 }
 
+static void
+test_stream_that_was_reset_before_its_servers_ended_is_served (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request sound = {.body = "sound"};
+
+  for (int i = 0; i < SENDS_MAX && self->crashes < 4; i++)
+    {
+      for (unsigned n = 0; n < STREAMS_ENGINES; n++)
+        self->engines[n].aborting = self->engines[n].aborting_reports = true;
+      streams_client_send (self, 0, &sound);
+      streams_run (self, 800);
+    }
+  for (unsigned n = 0; n < STREAMS_ENGINES; n++)
+    self->engines[n].aborting = self->engines[n].aborting_reports = false;
+  assert_true (self->crashes >= 4);
+  streams_run (self, SPREAD_MS);
+  assert_served (self, &sound);
+}
+
+static void
+test_stream_that_was_reset_soon_after_a_probe_is_served (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request sound = {.body = "sound"};
+  struct varied_request other;
+
+  self->engines[0].aborting = true;
+  for (int i = 0; i < SENDS_MAX && self->crashes < 4; i++)
+    {
+      streams_client_send (self, 0, vary (&other, 0, "50"));
+      streams_run (self, 50);
+      streams_client_send (self, 1, &sound);
+      streams_run (self, 5);
+      /* No run begins after these two. */
+      self->engines[0].full = true;
+      streams_run (self, 400);
+      self->engines[0].full = false;
+      streams_client_leave (self, 0);
+      streams_client_leave (self, 1);
+      streams_run (self, 1000);
+    }
+  self->engines[0].aborting = false;
+  assert_true (self->crashes >= 4);
+  streams_run (self, SPREAD_MS);
+  assert_served (self, &sound);
+}
+
 static void
 assert_part_refused (struct streams_fixture *self, unsigned vm)
 {
@@ -370,6 +418,10 @@
           start_two_vms),
       CRASH_TEST (sound_streams_on_crashed_servers_are_served_again,
                   start_one_vm),
+      CRASH_TEST (stream_that_was_reset_before_its_servers_ended_is_served,
+                  start_one_vm),
+      CRASH_TEST (stream_that_was_reset_soon_after_a_probe_is_served,
+                  start_two_vms_with_one_engine),
       CRASH_TEST (requests_with_a_part_that_crashed_five_servers_are_not_sent,
                   start_two_vms),
       CRASH_TEST (
