policy: VMs that all start at once rely on their version when all have answered

Cause: only VMs that have heard from others since their start count as answers, and none of them has when all start together, so that each waits its full time.

Change: the answers of all others, or of 16 in a larger fleet, are enough, if none has a newer version. A VM that hears of another one that has just started asks up to 16 at once.

--- a/policy/version_spread.c
+++ b/policy/version_spread.c
@@ -51,20 +51,23 @@
   return (struct eg_version_message){self->own, asks, self->confirmed};
 }
 
+static size_t
+limit_to (size_t count, int64_t peers)
+{
+  return count < (size_t) peers ? count : (size_t) peers;
+}
+
 static bool
 has_asked_enough (const struct eg_version_spread *self,
                   int64_t peers,
                   int64_t now_us)
 {
-  size_t needed = EG_VERSION_ANSWERS;
-
   if (peers < 0)
     return now_us - self->started_us >= PEERS_WAIT_US;
   if (peers == 0)
     return now_us - self->started_us >= ALONE_WAIT_US;
-  if ((size_t) peers < needed)
-    needed = (size_t) peers;
-  return self->answers >= needed
+  return self->answers >= limit_to (EG_VERSION_ANSWERS, peers)
+         || self->heard >= limit_to (EG_VERSION_ANSWERS_STARTING, peers)
          || now_us - self->peers_known_us >= ANSWER_WAIT_US;
 }
 
@@ -94,7 +97,7 @@
       if (self->asked_us > 0 && now_us - self->asked_us < ASK_INTERVAL_US)
         return round;
       self->asked_us = now_us;
-      round.count = ASK_FANOUT;
+      round.count = self->heard > 0 ? EG_VERSION_ANSWERS_STARTING : ASK_FANOUT;
     }
   else if (self->has_news)
     {
@@ -106,20 +109,20 @@
       self->told_us = now_us;
       round.count = 1;
     }
-  if (round.count > (size_t) peers)
-    round.count = (size_t) peers;
+  round.count = limit_to (round.count, peers);
   round.message = own_message (self, !self->confirmed);
   return round;
 }
 
+/* Adds a sender to @p count of at most @p max different ones. */
 static void
-count_answer (struct eg_version_spread *self, uint64_t from)
+add_sender (uint64_t *senders, size_t *count, size_t max, uint64_t from)
 {
-  for (size_t i = 0; i < self->answers; i++)
-    if (self->answered_by[i] == from)
+  for (size_t i = 0; i < *count; i++)
+    if (senders[i] == from)
       return;
-  if (self->answers < EG_VERSION_ANSWERS)
-    self->answered_by[self->answers++] = from;
+  if (*count < max)
+    senders[(*count)++] = from;
 }
 
 bool
@@ -130,7 +133,9 @@
                            struct eg_version_message *answer)
 {
   if (message->confirmed)
-    count_answer (self, from);
+    add_sender (self->answered_by, &self->answers, EG_VERSION_ANSWERS, from);
+  add_sender (self->heard_from, &self->heard, EG_VERSION_ANSWERS_STARTING,
+              from);
   if (message->version > self->own && message->version >= self->offered)
     {
       if (message->version > self->offered)
--- a/policy/version_spread.h
+++ b/policy/version_spread.h
@@ -6,7 +6,10 @@
  * VMs tell each other the version they use: some of the others at once when it
  * rises, and one of them from time to time. Who hears of a newer one fetches it
  * from that VM. A VM that has just started asks others first, and does not rely
- * on what it has read until they have answered or had their time to.
+ * on what it has read until they have answered or had their time to. Two
+ * answers of VMs that rely on theirs are enough. Where all have just started,
+ * as after a loss of power, the answers of all are, or of a sample of a larger
+ * fleet.
  */
 #ifndef EG_POLICY_VERSION_SPREAD_H
 #define EG_POLICY_VERSION_SPREAD_H
@@ -21,6 +24,8 @@
 
 /** VMs that a starting one has to hear from, if there are as many. */
 #define EG_VERSION_ANSWERS 2
+/** The same where those that answer have just started, too. */
+#define EG_VERSION_ANSWERS_STARTING 16
 
 /** A message between two VMs. */
 struct eg_version_message
@@ -40,8 +45,10 @@
   int64_t peers_known_us; /**< When other VMs became known; 0: not yet. */
   int64_t asked_us;       /**< Time of the last questions. */
   int64_t told_us;        /**< Time of the last regular message. */
-  uint64_t answered_by[EG_VERSION_ANSWERS];
+  uint64_t answered_by[EG_VERSION_ANSWERS]; /**< VMs that are confirmed. */
   size_t answers;
+  uint64_t heard_from[EG_VERSION_ANSWERS_STARTING]; /**< Any others. */
+  size_t heard;
   int64_t offered; /**< Newest version heard of, above @c own; 0: none. */
   uint64_t offered_by;
   int64_t offered_us; /**< When @c offered was first heard of. */
