policy: starting VMs do not wait long for those that are gone

Where a VM was removed shortly before all others are killed, its object is still in the list, and the others waited 400 ms for its answer.

Change: three quarters of the others that have also just started are enough after 100 ms. A VM that hears of such another one asks many at once, not 100 ms later.

--- a/policy/version_spread.c
+++ b/policy/version_spread.c
@@ -13,6 +13,10 @@
 #define ASK_INTERVAL_US (100 * EG_US_PER_MS)
 /* Time for answers to the first questions and their repetitions. */
 #define ANSWER_WAIT_US (400 * EG_US_PER_MS)
+/* Of VMs that have just started, this share has to answer within this time;
+ * the others are taken to be gone. */
+#define STARTING_SHARE 0.75
+#define SILENCE_WAIT_US (100 * EG_US_PER_MS)
 /* Time until the other VMs are known, or seem to be out of reach. */
 #define PEERS_WAIT_US (2000 * EG_US_PER_MS)
 /* A VM without others waits until its second list of them: those that joined
@@ -57,6 +61,19 @@
   return count < (size_t) peers ? count : (size_t) peers;
 }
 
+/* Returns whether VMs that have just started have told enough. */
+static bool
+have_starting_answered (const struct eg_version_spread *self,
+                        int64_t peers,
+                        int64_t now_us)
+{
+  size_t asked = limit_to (EG_VERSION_ANSWERS_STARTING, peers);
+
+  return self->heard >= asked
+         || (now_us - self->peers_known_us >= SILENCE_WAIT_US
+             && (double) self->heard >= STARTING_SHARE * (double) asked);
+}
+
 static bool
 has_asked_enough (const struct eg_version_spread *self,
                   int64_t peers,
@@ -67,7 +84,7 @@
   if (peers == 0)
     return now_us - self->started_us >= ALONE_WAIT_US;
   return self->answers >= limit_to (EG_VERSION_ANSWERS, peers)
-         || self->heard >= limit_to (EG_VERSION_ANSWERS_STARTING, peers)
+         || have_starting_answered (self, peers, now_us)
          || now_us - self->peers_known_us >= ANSWER_WAIT_US;
 }
 
@@ -94,10 +111,14 @@
     return round;
   if (!self->confirmed)
     {
-      if (self->asked_us > 0 && now_us - self->asked_us < ASK_INTERVAL_US)
+      bool ask_many = self->heard > 0;
+
+      if (self->asked_us > 0 && now_us - self->asked_us < ASK_INTERVAL_US
+          && ask_many == self->asked_many)
         return round;
       self->asked_us = now_us;
-      round.count = self->heard > 0 ? EG_VERSION_ANSWERS_STARTING : ASK_FANOUT;
+      self->asked_many = ask_many;
+      round.count = ask_many ? EG_VERSION_ANSWERS_STARTING : ASK_FANOUT;
     }
   else if (self->has_news)
     {
--- a/policy/version_spread.h
+++ b/policy/version_spread.h
@@ -9,7 +9,7 @@
  * on what it has read until they have answered or had their time to. Two
  * answers of VMs that rely on theirs are enough. Where all have just started,
  * as after a loss of power, the answers of all are, or of a sample of a larger
- * fleet.
+ * fleet; some of them may be gone for good, and are not waited for long.
  */
 #ifndef EG_POLICY_VERSION_SPREAD_H
 #define EG_POLICY_VERSION_SPREAD_H
@@ -44,6 +44,7 @@
   int64_t started_us;
   int64_t peers_known_us; /**< When other VMs became known; 0: not yet. */
   int64_t asked_us;       /**< Time of the last questions. */
+  bool asked_many;        /**< Questions went to more than a few VMs. */
   int64_t told_us;        /**< Time of the last regular message. */
   uint64_t answered_by[EG_VERSION_ANSWERS]; /**< VMs that are confirmed. */
   size_t answers;
