entry: a reader that the store turns away reads from a reader elsewhere

Cause: a reader knew one source, the store.

Change: between its calls to the store, which are spaced out as those of other VMs without a reader, it reads from a reader that says it reaches the store.

Measured: two tests of a VM that the store turns away fail before (keys; the removal of a server).

--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -556,6 +556,27 @@
   json_decref (message);
 }
 
+static bool
+is_heard_reader (const struct eg_load_peer *peer, int64_t now_us)
+{
+  return peer->is_reader && now_us - peer->received_us <= PEER_EXPIRY_US;
+}
+
+bool
+eg_load_gossip_find_store_reader (const struct eg_load_gossip *self,
+                                  struct eg_endpoint *endpoint,
+                                  int64_t now_us)
+{
+  for (size_t i = 0; i < self->peer_count; i++)
+    if (is_heard_reader (&self->peers[i], now_us)
+        && self->peers[i].store_reachable)
+      {
+        *endpoint = self->peers[i].endpoint;
+        return true;
+      }
+  return false;
+}
+
 bool
 eg_load_gossip_store_is_down (const struct eg_load_gossip *self, int64_t now_us)
 {
@@ -567,7 +588,7 @@
     {
       const struct eg_load_peer *peer = &self->peers[i];
 
-      if (!peer->is_reader || now_us - peer->received_us > PEER_EXPIRY_US)
+      if (!is_heard_reader (peer, now_us))
         continue;
       if (peer->store_reachable)
         return false;
--- a/entry/load_gossip.h
+++ b/entry/load_gossip.h
@@ -79,6 +79,14 @@
 bool eg_load_gossip_store_is_down (const struct eg_load_gossip *self,
                                    int64_t now_us);
 
+/**
+ * Finds a reader that reads the store itself, as it said lately.
+ * @return false if none is heard from.
+ */
+bool eg_load_gossip_find_store_reader (const struct eg_load_gossip *self,
+                                       struct eg_endpoint *endpoint,
+                                       int64_t now_us);
+
 /**
  * Returns whether the entry VMs of a failure domain are reachable, that is, the
  * domain is not partitioned from this VM. Also true while no domain at all is
--- a/entry/source_selector.c
+++ b/entry/source_selector.c
@@ -23,6 +23,29 @@
   self->peer.era = &entry->store_era;
 }
 
+static struct eg_store *
+use_peer (struct eg_source_selector *self,
+          struct eg_endpoint endpoint,
+          bool is_proven)
+{
+  self->peer.endpoint = endpoint;
+  self->peer.is_proven = is_proven;
+  return &self->peer;
+}
+
+static struct eg_store *
+choose_for_reader (struct eg_source_selector *self, int64_t now_us)
+{
+  struct eg_entry *entry = self->entry;
+  struct eg_endpoint endpoint;
+
+  if (now_us >= self->next_direct_call_us || self->peer_timed_out
+      || !eg_load_gossip_find_store_reader (&entry->load_gossip, &endpoint,
+                                            now_us))
+    return &entry->store;
+  return use_peer (self, endpoint, false);
+}
+
 static struct eg_store *
 choose (void *context, struct eg_store_feed *feed)
 {
@@ -34,7 +57,9 @@
   (void) feed;
   /* If a reader times out, use the store itself instead of the second
    * reader: both may be partitioned, and each attempt costs a time-out. */
-  if (eg_members_is_reader (&entry->members) || self->peer_timed_out)
+  if (eg_members_is_reader (&entry->members))
+    return choose_for_reader (self, now_us);
+  if (self->peer_timed_out)
     return &entry->store;
   reader = eg_members_choose_reader (&entry->members, now_us);
   /* This VM is the second reader and replaces the first, so it reads the
@@ -49,9 +74,7 @@
     reader = eg_members_responding_reader (&entry->members);
   if (!reader)
     return NULL;
-  self->peer.endpoint = reader->endpoint;
-  self->peer.is_proven = reader->is_proven;
-  return &self->peer;
+  return use_peer (self, reader->endpoint, reader->is_proven);
 }
 
 static void
--- a/entry/source_selector.h
+++ b/entry/source_selector.h
@@ -6,9 +6,11 @@
  *
  * Mirrors keep the store's load independent of the number of entry VMs. After a
  * peer fails, the store itself is read at once; calls to the store are then
- * spaced out, because all VMs may fall back at the same time. Each feed has its
- * own selector: what one of them has just found out must not send the other one
- * back to a peer that does not respond.
+ * spaced out, because all VMs may fall back at the same time. A reader that the
+ * store turns away, or that is cut off from it alone, reads from a reader of
+ * another failure domain between such calls. Each feed has its own selector:
+ * what one of them has just found out must not send the other one back to a
+ * peer that does not respond.
  */
 #ifndef EG_ENTRY_SOURCE_SELECTOR_H
 #define EG_ENTRY_SOURCE_SELECTOR_H
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -312,7 +312,8 @@
   sscanf (target, OBJECTS_PATH "%63[^/]/%63s", request->kind, request->name);
   if (self->mode == SOAK_STORE_RESET)
     soak_http_abort (connection);
-  else if (self->mode == SOAK_STORE_UNAVAILABLE)
+  else if (self->mode == SOAK_STORE_UNAVAILABLE
+           || (self->turns_away_second && connection->server == &self->second))
     respond_json (connection, 503, json_object ());
   else if (self->mode != SOAK_STORE_UNRESPONSIVE)
     soak_http_schedule (connection, RESPONSE_DELAY_MS, handle_request);
@@ -331,12 +332,15 @@
   self->era = 1;
   soak_http_server_init (&self->server, loop, 0, on_request, self);
   soak_http_server_start (&self->server);
+  soak_http_server_init (&self->second, loop, 0, on_request, self);
+  soak_http_server_start (&self->second);
 }
 
 void
 soak_store_close (struct soak_store *self)
 {
   soak_http_server_stop (&self->server);
+  soak_http_server_stop (&self->second);
   json_decref (self->objects);
   json_decref (self->changes);
 }
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -25,6 +25,8 @@
 struct soak_store
 {
   struct soak_http_server server;
+  struct soak_http_server second; /**< The same store at another address. */
+  bool turns_away_second;         /**< Answers 503 there. */
   struct eg_random *random;
   json_t *objects; /**< By "KIND/NAME"; deleted objects stay. */
   json_t *changes; /**< In order: revision, key, deleted. */
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -41,13 +41,13 @@
 };
 
 static json_t *
-pack_plain_route (const char *prefix)
+pack_plain_route (const char *prefix, bool needs_key)
 {
   return json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}",
                     "name", prefix, "host", "streams.example", "pathPrefix",
                     prefix, "kind", "idempotent", "timeoutMs", DEADLINE_MS,
                     "goalLatencyMs", 2000, "priority", 2, "service", "app",
-                    "maxAttempts", 2, "public", 1);
+                    "maxAttempts", 2, "public", !needs_key);
 }
 
 void
@@ -67,11 +67,14 @@
 
   snprintf (prefix, sizeof prefix, "/v%d/", version);
   spec = json_pack (
-      "{s:i, s:[o, o, o], s:[{s:s, s:s, s:i, s:o}, {s:s, s:s, s:i}], s:[]}",
-      "version", version, "routes", route, pack_plain_route ("/plain/"),
-      pack_plain_route (prefix), "services", "name", "model", "healthPath",
-      "/healthz", "maxConnections", 1000, "engine", engine, "name", "app",
-      "healthPath", "/healthz", "maxConnections", 1000, "tenants");
+      "{s:i, s:[o, o, o, o], s:[{s:s, s:s, s:i, s:o}, {s:s, s:s, s:i}], "
+      "s:[{s:s, s:[s]}]}",
+      "version", version, "routes", route, pack_plain_route ("/plain/", false),
+      pack_plain_route (prefix, false), pack_plain_route ("/keyed/", true),
+      "services", "name", "model", "healthPath", "/healthz", "maxConnections",
+      1000, "engine", engine, "name", "app", "healthPath", "/healthz",
+      "maxConnections", 1000, "tenants", "name", "organisation", "apiKeys",
+      "key");
 
   EG_INVARIANT (spec);
   soak_store_put (&self->store, "config", "main", spec);
@@ -494,8 +497,9 @@
   FILE *file;
 
   self->callers_port = soak_find_free_port ();
-  soak_format_address (self->fixture->store.server.endpoint, store,
-                       sizeof store);
+  soak_format_address (self->number == 0 ? self->fixture->store.server.endpoint
+                                         : self->fixture->store.second.endpoint,
+                       store, sizeof store);
   file = fopen (self->settings_path, "w");
   EG_INVARIANT (file);
   fprintf (
@@ -626,7 +630,8 @@
   snprintf (head, sizeof head,
             "POST %s HTTP/1.1\r\nHost: streams.example\r\n"
             "X-Attempt-Id: a%u\r\nX-Deadline-Ms: %d\r\n"
-            "X-Token-Usage: 100,%d\r\n%s%s%sContent-Length: %zu\r\n\r\n",
+            "X-Token-Usage: 100,%d\r\nApi-Key: key\r\n"
+            "%s%s%sContent-Length: %zu\r\n\r\n",
             get_path (sent), ++self->next_id, DEADLINE_MS, 2 * STREAMS_EVENTS,
             sent->parts ? "X-Prefix-Hash: " : "",
             sent->parts ? sent->parts : "", sent->parts ? "\r\n" : "",
