policy: callers refused in a shortage come back when it is likely over

Load: a service whose servers are all full, or lack a part of the model, for some seconds; a VM whose configuration is too old to check keys.

Callers saw: 503 with Retry-After 1.5 s (0.5 s for keys), whatever had passed.

Change: policy/shortage, without I/O. Streams: 2 s and the time since the first refusal, 6 s at most; keys and plain requests the same from 0.5 s and 0.25 s; at most half of the time that the caller has left. eg_service_state holds what a VM keeps of a service.

test_shortage plays shortages of 0.1 to 8 s: with the constant of before, a shortage of 2 s fails its first test.

--- a/entry/call.c
+++ b/entry/call.c
@@ -28,6 +28,8 @@
 /* Retry-After sent until a configuration has arrived and other VMs have been
  * asked for a newer one. */
 #define RETRY_AFTER_CONFIGURATION_MS 500
+/* Shortest Retry-After while the configuration is too old to check keys. */
+#define RETRY_AFTER_KEYS_US (500 * EG_US_PER_MS)
 /* Fraction of the engines' stall time-out from which a refusal is attributed
  * to a dead server. Refusals for lack of capacity are immediate. */
 #define STALL_REFUSAL_FRACTION 0.5
@@ -235,6 +237,9 @@
     eg_backend_update_load (eg_call_first_server (self),
                             attempt->headers.running + attempt->headers.waiting,
                             attempt->headers.slots, now_us);
+  if (head->status == 200)
+    eg_shortage_served (
+        &eg_entry_service (self->entry, self->service)->shortage, now_us);
   attempt->mode = EG_RESPONSE_BUFFERED;
   if (self->route.kind == EG_ROUTE_STREAM && head->status == 200
       && attempt->headers.has_signature && attempt->headers.has_request_id)
@@ -568,8 +573,9 @@
   eg_server_rate_refund (&eg_call_first_server (self)->rate);
   self->may_have_run = attempt->earlier_may_have_run;
   if (attempt->charged)
-    eg_retry_window_refund (eg_entry_retry_window (self->entry, self->service),
-                            attempt->started_us);
+    eg_retry_window_refund (
+        &eg_entry_service (self->entry, self->service)->retries,
+        attempt->started_us);
   attempt->charged = false;
   if (attempt->first_is_new)
     eg_backend_unref (self->first_servers[--self->first_server_count]);
@@ -799,8 +805,9 @@
   double extra = (double) settings->retry_extra * RETRY_EXTRA_FRACTION
                  / eg_members_count (&self->entry->members);
 
-  if (eg_retry_window_spend (eg_entry_retry_window (self->entry, self->service),
-                             settings->retry_ratio, extra, now_us))
+  if (eg_retry_window_spend (
+          &eg_entry_service (self->entry, self->service)->retries,
+          settings->retry_ratio, extra, now_us))
     return true;
   eg_log (EG_LOG_DEBUG, "call",
           "event=retry-budget-spent request=%.*s service=%s cause=%s",
@@ -973,9 +980,15 @@
     return true;
   if (!eg_entry_keys_are_fresh (self->entry, now_us))
     {
-      eg_call_refuse (self, "keys-too-old", RETRY_AFTER_CONFIGURATION_MS);
+      eg_shortage_refused (&self->entry->key_shortage, now_us);
+      eg_call_refuse (self, "keys-too-old",
+                      eg_shortage_wait_us (&self->entry->key_shortage,
+                                           RETRY_AFTER_KEYS_US,
+                                           self->deadline_us - now_us, now_us)
+                          / EG_US_PER_MS);
       return false;
     }
+  eg_shortage_served (&self->entry->key_shortage, now_us);
   organisation =
       self->headers.key.len > 0 && !self->headers.key_repeated
           ? eg_configuration_find_key (configuration, self->headers.key)
@@ -1043,17 +1056,17 @@
       return;
     }
   self->route = *route;
+  set_deadline (self);
   if (!identify (self, now_us))
     return;
   set_subjects (self);
-  set_deadline (self);
   if (self->priority > PRIORITY_CLASS_MAX)
     self->priority = PRIORITY_CLASS_MAX;
   service = eg_route_choose (route, eg_random_next (&self->entry->random));
   eg_str_copy (eg_str_from (configuration->services[service].name),
                self->service, sizeof self->service);
-  eg_retry_window_request (eg_entry_retry_window (self->entry, self->service),
-                           now_us);
+  eg_retry_window_request (
+      &eg_entry_service (self->entry, self->service)->retries, now_us);
   begin_attempt (self, now_us);
 }
 
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -9,9 +9,9 @@
 #include "entry/entry.h"
 #include "net/response_writer.h"
 
-/* Retry-After for streams: the time to load a lost server's layers elsewhere,
- * and for this VM to learn that they are loaded. */
-#define RETRY_AFTER_PATH_MS 1500
+/* Shortest Retry-After for streams: the time to load a lost server's layers
+ * elsewhere, and for this VM to learn that they are loaded. */
+#define RETRY_AFTER_PATH_US (2000 * EG_US_PER_MS)
 
 static const char *
 route_name (const struct eg_call *self)
@@ -117,6 +117,21 @@
   eg_connection_abort (connection);
 }
 
+static int64_t
+shortage_wait_ms (const struct eg_call *self, int64_t now_us)
+{
+  struct eg_shortage *shortage =
+      &eg_entry_service (self->entry, self->service)->shortage;
+  int64_t shortest_us = self->route.kind == EG_ROUTE_STREAM
+                            ? RETRY_AFTER_PATH_US
+                            : EG_RETRY_AFTER_SERVER_MS * EG_US_PER_MS;
+
+  eg_shortage_refused (shortage, now_us);
+  return eg_shortage_wait_us (shortage, shortest_us, self->deadline_us - now_us,
+                              now_us)
+         / EG_US_PER_MS;
+}
+
 /* Returns when the client is to come back. */
 static int64_t
 retry_after_ms (const struct eg_call *self)
@@ -132,8 +147,7 @@
     return quarantine_us / EG_US_PER_MS + 1;
   if (wait_us > 0)
     return wait_us / EG_US_PER_MS + 1;
-  return self->route.kind == EG_ROUTE_STREAM ? RETRY_AFTER_PATH_MS
-                                             : EG_RETRY_AFTER_SERVER_MS;
+  return shortage_wait_ms (self, now_us);
 }
 
 void
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -11,23 +11,22 @@
  * check and the start of execution on the server. */
 #define KEY_MARGIN_US (120 * EG_US_PER_MS)
 
-struct eg_retry_window *
-eg_entry_retry_window (struct eg_entry *self, const char *service)
+struct eg_service_state *
+eg_entry_service (struct eg_entry *self, const char *service)
 {
-  struct eg_service_retries *retries;
+  struct eg_service_state *state;
 
-  for (size_t i = 0; i < self->retry_services; i++)
-    if (strcmp (self->retries[i].service, service) == 0)
-      return &self->retries[i].window;
-  /* Services beyond the maximum share the last budget. */
-  if (self->retry_services == EG_RETRY_SERVICES_MAX)
-    return &self->retries[EG_RETRY_SERVICES_MAX - 1].window;
-  retries = &self->retries[self->retry_services++];
-  eg_str_copy (eg_str_from (service), retries->service,
-               sizeof retries->service);
-  eg_retry_window_init (&retries->window,
+  for (size_t i = 0; i < self->service_count; i++)
+    if (strcmp (self->services[i].service, service) == 0)
+      return &self->services[i];
+  /* Services beyond the maximum share the last state. */
+  if (self->service_count == EG_SERVICES_MAX)
+    return &self->services[EG_SERVICES_MAX - 1];
+  state = &self->services[self->service_count++];
+  eg_str_copy (eg_str_from (service), state->service, sizeof state->service);
+  eg_retry_window_init (&state->retries,
                         self->settings->retry_window_ms * EG_US_PER_MS);
-  return &retries->window;
+  return state;
 }
 
 bool
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -22,15 +22,17 @@
 #include "entry/source_selector.h"
 #include "platform/store.h"
 #include "policy/retry_window.h"
+#include "policy/shortage.h"
 
 /** Maximum number of services with a retry budget of their own. */
-#define EG_RETRY_SERVICES_MAX 32
+#define EG_SERVICES_MAX 32
 
-/** Retry budget of one service. */
-struct eg_service_retries
+/** What this VM keeps of one service. */
+struct eg_service_state
 {
   char service[EG_CONFIG_NAME_BYTES];
-  struct eg_retry_window window;
+  struct eg_retry_window retries;
+  struct eg_shortage shortage;
 };
 
 /** The active configuration and its age. */
@@ -69,8 +71,9 @@
   struct eg_planner planner;
   struct eg_connections connections;
   struct eg_metrics metrics;
-  struct eg_service_retries retries[EG_RETRY_SERVICES_MAX];
-  size_t retry_services;
+  struct eg_service_state services[EG_SERVICES_MAX];
+  size_t service_count;
+  struct eg_shortage key_shortage; /**< Of API keys that are recent enough. */
   struct eg_members members;
   struct eg_load_gossip load_gossip;
   struct eg_crash_watch crash_watch;
@@ -81,9 +84,9 @@
   int64_t stop_us;   /**< Start of a graceful shutdown; 0: not shutting down. */
 };
 
-/** Returns the retry budget of a service. */
-struct eg_retry_window *eg_entry_retry_window (struct eg_entry *self,
-                                               const char *service);
+/** Returns the state of a service. */
+struct eg_service_state *eg_entry_service (struct eg_entry *self,
+                                           const char *service);
 
 /** Returns whether the configuration is recent enough to accept API keys. */
 bool eg_entry_keys_are_fresh (const struct eg_entry *self, int64_t now_us);
