test: tests with daemons run beside each other

The soak's stand-in for the store closes its second listener when a run ends; since the store got it, the soak waited for it forever.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -141,7 +141,7 @@
   uv_close ((uv_handle_t *) &self->heartbeat_timer, NULL);
   uv_close ((uv_handle_t *) &self->check_timer, NULL);
   eg_exchange_pool_finish (&self->pool);
-  soak_http_server_stop (&self->store.server);
+  soak_store_stop (&self->store);
 }
 
 static void
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -337,10 +337,16 @@
 }
 
 void
-soak_store_close (struct soak_store *self)
+soak_store_stop (struct soak_store *self)
 {
   soak_http_server_stop (&self->server);
   soak_http_server_stop (&self->second);
+}
+
+void
+soak_store_close (struct soak_store *self)
+{
+  soak_store_stop (self);
   json_decref (self->objects);
   json_decref (self->changes);
 }
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -50,7 +50,10 @@
                       uv_loop_t *loop,
                       struct eg_random *random);
 
-/** Closes the listener and frees the objects. */
+/** Closes the listeners. */
+void soak_store_stop (struct soak_store *self);
+
+/** Does the same, and frees the objects. */
 void soak_store_close (struct soak_store *self);
 
 /** Copies the state of the store. */
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -496,7 +496,6 @@
   char store[32];
   FILE *file;
 
-  self->callers_port = soak_find_free_port ();
   soak_format_address (self->number == 0 ? self->fixture->store.server.endpoint
                                          : self->fixture->store.second.endpoint,
                        store, sizeof store);
@@ -785,10 +784,12 @@
 
       vm->fixture = self;
       vm->number = i;
-      /* In the working directory. */
+      vm->callers_port = soak_find_free_port ();
+      /* In the working directory, which tests that run beside this one use. */
       snprintf (vm->settings_path, sizeof vm->settings_path, "streams-%u.toml",
-                i);
-      snprintf (vm->log_path, sizeof vm->log_path, "streams-%u.log", i);
+                vm->callers_port);
+      snprintf (vm->log_path, sizeof vm->log_path, "streams-%u.log",
+                vm->callers_port);
       remove (vm->log_path);
       write_settings (vm, options);
       start_vm (vm);
