--- a/entry/call.c
+++ b/entry/call.c
@@ -28,8 +28,6 @@
 /* Retry-After sent until a configuration has arrived and other VMs have been
  * asked for a newer one. */
 #define RETRY_AFTER_CONFIGURATION_MS 500
-/* Shortest Retry-After while the configuration is too old to check keys. */
-#define RETRY_AFTER_KEYS_US (500 * EG_US_PER_MS)
 /* Fraction of the engines' stall time-out from which a refusal is attributed
  * to a dead server. Refusals for lack of capacity are immediate. */
 #define STALL_REFUSAL_FRACTION 0.5
@@ -980,15 +978,9 @@
     return true;
   if (!eg_entry_keys_are_fresh (self->entry, now_us))
     {
-      eg_shortage_refused (&self->entry->key_shortage, now_us);
-      eg_call_refuse (self, "keys-too-old",
-                      eg_shortage_wait_us (&self->entry->key_shortage,
-                                           RETRY_AFTER_KEYS_US,
-                                           self->deadline_us - now_us, now_us)
-                          / EG_US_PER_MS);
+      eg_call_refuse (self, "keys-too-old", RETRY_AFTER_CONFIGURATION_MS);
       return false;
     }
-  eg_shortage_served (&self->entry->key_shortage, now_us);
   organisation =
       self->headers.key.len > 0 && !self->headers.key_repeated
           ? eg_configuration_find_key (configuration, self->headers.key)
@@ -1056,10 +1048,10 @@
       return;
     }
   self->route = *route;
-  set_deadline (self);
   if (!identify (self, now_us))
     return;
   set_subjects (self);
+  set_deadline (self);
   if (self->priority > PRIORITY_CLASS_MAX)
     self->priority = PRIORITY_CLASS_MAX;
   service = eg_route_choose (route, eg_random_next (&self->entry->random));
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -73,7 +73,6 @@
   struct eg_metrics metrics;
   struct eg_service_state services[EG_SERVICES_MAX];
   size_t service_count;
-  struct eg_shortage key_shortage; /**< Of API keys that are recent enough. */
   struct eg_members members;
   struct eg_load_gossip load_gossip;
   struct eg_crash_watch crash_watch;
