--- a/entry/entry.h
+++ b/entry/entry.h
@@ -24,7 +24,7 @@
 #include "policy/retry_window.h"
 #include "policy/shortage.h"
 
-/** Maximum number of services with a retry budget of their own. */
+/** Maximum number of services with a state of their own. */
 #define EG_SERVICES_MAX 32
 
 /** What this VM keeps of one service. */
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -918,12 +918,16 @@
 {
   if (eg_server_room_is_paused (&self->room, now_us))
     return;
-  if (!self->record.has_engine && self->port_check_us <= since_us)
-    check_port (self, now_us);
-  /* At once even after another probe: the server may end any moment. */
-  else if (self->record.has_engine && self->probe.started_us <= since_us
-           && !eg_exchange_is_active (&self->probe.exchange)
-           && may_probe (self->fleet, now_us))
+  if (!self->record.has_engine)
+    {
+      if (self->port_check_us <= since_us)
+        check_port (self, now_us);
+      return;
+    }
+  /* Even soon after another probe: the server may end at any moment. */
+  if (self->probe.started_us <= since_us
+      && !eg_exchange_is_active (&self->probe.exchange)
+      && may_probe (self->fleet, now_us))
     request_report (self, true, SUSPECT_PROBE_TIMEOUT_US, now_us);
 }
 
--- a/entry/source_selector.c
+++ b/entry/source_selector.c
@@ -33,6 +33,7 @@
   return &self->peer;
 }
 
+/* Uses another reader only while this one gets no answer from the store. */
 static struct eg_store *
 choose_for_reader (struct eg_source_selector *self, int64_t now_us)
 {
@@ -55,10 +56,10 @@
   struct eg_member *reader;
 
   (void) feed;
-  /* If a reader times out, use the store itself instead of the second
-   * reader: both may be partitioned, and each attempt costs a time-out. */
   if (eg_members_is_reader (&entry->members))
     return choose_for_reader (self, now_us);
+  /* If a reader times out, use the store itself instead of the second
+   * reader: both may be partitioned, and each attempt costs a time-out. */
   if (self->peer_timed_out)
     return &entry->store;
   reader = eg_members_choose_reader (&entry->members, now_us);
--- a/policy/version_spread.c
+++ b/policy/version_spread.c
@@ -111,7 +111,7 @@
     return round;
   if (!self->confirmed)
     {
-      bool ask_many = self->heard > 0;
+      bool ask_many = self->heard > self->answers;
 
       if (self->asked_us > 0 && now_us - self->asked_us < ASK_INTERVAL_US
           && ask_many == self->asked_many)
