test: one set-up and one check for the tests of readers

The two set-ups of test_readers differed in the failure domains alone, and the check that VM 1 serves without a server stood twice; crash() and crash_after_delivery() of test_crash_blame in a flag. Assertions are as before.

--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -27,15 +27,22 @@
 #define DEADLY REQUEST (1)
 #define SOUND REQUEST (2)
 
+static void
+record_crash (struct eg_crash_blame *self,
+              struct eg_subject subject,
+              const struct eg_crash *crash)
+{
+  eg_crash_blame_record_crash (self, subject, crash, crash->at_us);
+  eg_crash_blame_check (self, crash->at_us);
+}
+
 static void
 crash (struct eg_crash_blame *self,
        struct eg_subject subject,
        uint64_t server,
        int64_t at_us)
 {
-  eg_crash_blame_record_crash (self, subject,
-                               &(struct eg_crash){server, at_us, false}, at_us);
-  eg_crash_blame_check (self, at_us);
+  record_crash (self, subject, &(struct eg_crash){server, at_us, false});
 }
 
 /* As crash(), where a run had delivered something. */
@@ -45,9 +52,7 @@
                       uint64_t server,
                       int64_t at_us)
 {
-  eg_crash_blame_record_crash (self, subject,
-                               &(struct eg_crash){server, at_us, true}, at_us);
-  eg_crash_blame_check (self, at_us);
+  record_crash (self, subject, &(struct eg_crash){server, at_us, true});
 }
 
 static bool
--- a/test/test_readers.c
+++ b/test/test_readers.c
@@ -19,9 +19,8 @@
 
 static struct streams_fixture fixture;
 
-/* VM 0 is the reader of VM 1: they differ in their names alone. */
-static int
-start (void **state)
+static void
+start_vms (void **state, bool one_domain)
 {
   const struct streams_options options = {.retry_ratio = 0.2,
                                           .retry_extra = 200,
@@ -29,11 +28,18 @@
                                           .engines = 1,
                                           .plain = 2,
                                           .vms = 2,
-                                          .one_domain = true};
+                                          .one_domain = one_domain};
 
   streams_fixture_init (&fixture, &options);
   streams_run (&fixture, MEMBERS_READ_MS);
   *state = &fixture;
+}
+
+/* VM 0 is the reader of VM 1: they differ in their names alone. */
+static int
+start (void **state)
+{
+  start_vms (state, true);
   return 0;
 }
 
@@ -41,16 +47,7 @@
 static int
 start_two_domains (void **state)
 {
-  const struct streams_options options = {.retry_ratio = 0.2,
-                                          .retry_extra = 200,
-                                          .retry_window_ms = 10000,
-                                          .engines = 1,
-                                          .plain = 2,
-                                          .vms = 2};
-
-  streams_fixture_init (&fixture, &options);
-  streams_run (&fixture, MEMBERS_READ_MS);
-  *state = &fixture;
+  start_vms (state, false);
   return 0;
 }
 
@@ -61,21 +58,30 @@
   return 0;
 }
 
+/* Requires that VM 1 serves requests, and sends none of them to @p server. */
 static void
-test_removal_after_a_readers_failure_is_not_taken_for_an_outage (void **state)
+assert_served_without (struct streams_fixture *self,
+                       struct streams_engine *server)
 {
-  struct streams_fixture *self = *state;
   const struct streams_request request = {
       .vm = 1, .plain = true, .body = "body"};
+
+  server->arrivals = 0;
+  for (int i = 0; i < 8; i++)
+    assert_int_equal (streams_client_request (self, 0, &request), 200);
+  assert_int_equal (server->arrivals, 0);
+}
+
+static void
+test_removal_after_a_readers_failure_is_not_taken_for_an_outage (void **state)
+{
+  struct streams_fixture *self = *state;
   struct streams_engine *leaving = &self->engines[STREAMS_ENGINES];
 
   streams_vm_kill (self, 0);
   streams_engine_withdraw (leaving);
   streams_run (self, 600);
-  leaving->arrivals = 0;
-  for (int i = 0; i < 8; i++)
-    assert_int_equal (streams_client_request (self, 0, &request), 200);
-  assert_int_equal (leaving->arrivals, 0);
+  assert_served_without (self, leaving);
 }
 
 static void
@@ -112,18 +118,13 @@
 test_reader_that_the_store_turns_away_learns_of_servers (void **state)
 {
   struct streams_fixture *self = *state;
-  const struct streams_request request = {
-      .vm = 1, .plain = true, .body = "body"};
   struct streams_engine *leaving = &self->engines[STREAMS_ENGINES];
 
   self->store.turns_away_second = true;
   streams_run (self, APPLY_MS);
   streams_engine_withdraw (leaving);
   streams_run (self, APPLY_MS);
-  leaving->arrivals = 0;
-  for (int i = 0; i < 8; i++)
-    assert_int_equal (streams_client_request (self, 0, &request), 200);
-  assert_int_equal (leaving->arrivals, 0);
+  assert_served_without (self, leaving);
 }
 
 #define READER_TEST(name)                                                      \
