--- a/review/standin/servers.c
+++ b/review/standin/servers.c
@@ -8,6 +8,7 @@
 #include "review/standin/parts.h"
 
 #define REFUSED_MISDIRECTED 421
+#define SMALL_BYTES 100
 
 /** A request in progress; state of its connection. */
 struct server_request
@@ -16,6 +17,7 @@
   char id[64];
   unsigned next;
   bool deadly;
+  bool is_small; /**< Its answer is short, whatever the server's are. */
 };
 
 void
@@ -115,7 +117,7 @@
 
   write_fields (self, request->id, !failure || self->seals_failures, fields,
                 sizeof fields);
-  while (body.len < self->body_bytes)
+  while (body.len < (request->is_small ? SMALL_BYTES : self->body_bytes))
     eg_buffer_printf (&body, "%08zu %s\n", body.len, request->id);
   stand_note (self->stand, "server %s answers %s: %u, %zu bytes", self->id,
               request->id, failure ? self->status : 200, body.len);
@@ -228,6 +230,8 @@
       respond_report (self, connection);
       return;
     }
+  request->is_small =
+      target.len > 0 && memmem (target.data, target.len, "/small", 6);
   self->runs++;
   stand_note (self->stand, "server %s of %s runs %s, tenant %.*s", self->id,
               self->service, request->id, EG_STR_ARGS (tenant));
