--- a/review/4/case.c
+++ b/review/4/case.c
@@ -15,7 +15,7 @@
 #define DEADLY_EVERY 5
 
 static struct stand stand;
-/* A session of some length: each turn adds a part. */
+/* A conversation of some length: each turn adds a part. */
 static struct drafts drafts = {.parts = 12, .deadly_part = 10};
 static unsigned crashes;
 static unsigned late;
