entry: VMs of a large fleet share probes, and checks of a doubt begin with two

On a fleet of 103 VMs and 93 engines, health checks and new connections were the largest costs: 23,171 checks and 73,668 connections for 13,000 requests.

Each VM probed every server of a path that was silent for 150 ms, and every server that any other VM reported as down; two servers that refused a connection made each VM connect to eight others.

- Servers that have passed an event since the silent stream's last one are not probed.
- VMs of fleets of more than 16 share the probes that 16 would make.
A server that another VM reports as down is verified by those that depend on it and a few others; the rest avoid it meanwhile.
- Two checks start first when a doubt about the path arises, and the others on the next tick unless one has succeeded.

--- a/entry/call.c
+++ b/entry/call.c
@@ -358,6 +358,8 @@
       self->refusals_in_row = 0;
       check_delivering (self, now_us);
       eg_run_progress_received (&self->attempt.progress, now_us);
+      for (uint32_t i = 0; i < self->attempt.placement.count; i++)
+        eg_backend_seen (self->attempt.placement.stages[i], now_us);
       self->last_event_us = now_us;
       eg_call_forward_body (self, eg_buffer_view (&events));
     }
--- a/entry/call_move.c
+++ b/entry/call_move.c
@@ -263,13 +263,25 @@
     eg_call_replace_attempt (self, "stage-suspect");
 }
 
-/* Probes every server of the path. A dead one refuses the connection at
- * once, long before an engine or the store would report it. */
+/* Probes the servers of the path, but for those that have shown since the last
+ * event that they run. A dead one refuses the connection at once, long before
+ * an engine or the store would report it. */
 static void
 probe_path (struct eg_call *self, int64_t now_us)
 {
-  for (uint32_t i = 0; i < self->attempt.placement.count; i++)
-    eg_backend_probe (self->attempt.placement.stages[i], now_us);
+  const struct eg_attempt *attempt = &self->attempt;
+  uint32_t count = attempt->placement.count;
+  uint32_t start = (uint32_t) eg_random_below (&self->entry->random, count);
+
+  /* VMs with a small share of probes begin at different servers. */
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct eg_backend *backend =
+          attempt->placement.stages[(start + i) % count];
+
+      if (!eg_backend_is_seen (backend, attempt->received_us))
+        eg_backend_probe (backend, now_us);
+    }
 }
 
 void
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -29,6 +29,16 @@
  * the sustained rate allows for three suspects. */
 #define PROBES_PER_S 12.0
 #define PROBES_BURST 72.0
+/* Fleets of up to this number of VMs use the full limit. In larger ones the VMs
+ * share what so many would use, since each finding is announced to all: probes
+ * otherwise grow with the product of VMs and servers. */
+#define PROBES_SHARED_VMS 16
+/* Part of the limit that a VM of any fleet has. */
+#define PROBES_SHARE_MIN 0.1
+/* Weight of another VM's report that a server is down until this VM knows
+ * better, and how long it lasts without another report. */
+#define REPORTED_PENALTY 4.0
+#define REPORTED_PENALTY_US (700 * EG_US_PER_MS)
 /* Minimum interval between probes caused by reports of other VMs. */
 #define REPORTED_PROBE_INTERVAL_US (500 * EG_US_PER_MS)
 /* A server that refuses connections has ended after this time, if no other one
@@ -426,13 +436,24 @@
   return true;
 }
 
+/* Returns the part of the limit of probes that this VM may use. */
+static double
+probe_share (const struct eg_fleet *self)
+{
+  if (self->vms <= PROBES_SHARED_VMS)
+    return 1;
+  return fmax (PROBES_SHARE_MIN, (double) PROBES_SHARED_VMS / self->vms);
+}
+
 /* The platform counts probes, and a fleet that is slow as a whole would
  * trigger many of them, so a token bucket limits the rate. */
 static bool
 may_probe (struct eg_fleet *self, int64_t now_us)
 {
-  return eg_token_bucket_take (&self->probes_allowed, 1, PROBES_PER_S,
-                               PROBES_BURST, now_us);
+  double share = probe_share (self);
+
+  return eg_token_bucket_take (&self->probes_allowed, 1, PROBES_PER_S * share,
+                               PROBES_BURST * share, now_us);
 }
 
 void
@@ -446,7 +467,10 @@
       || now_us - backend->reported_down_us < REPORTED_PROBE_INTERVAL_US)
     return;
   backend->reported_down_us = now_us;
-  request_report (backend, true, REPORTED_PROBE_TIMEOUT_US, now_us);
+  /* In a large fleet, those verify it that depend on it, and some others. */
+  if (backend->running > 0 || probe_share (self) == 1
+      || may_probe (self, now_us))
+    request_report (backend, true, REPORTED_PROBE_TIMEOUT_US, now_us);
 }
 
 void
@@ -751,8 +775,9 @@
 }
 
 void
-eg_fleet_check (struct eg_fleet *self, int64_t now_us)
+eg_fleet_check (struct eg_fleet *self, unsigned vms, int64_t now_us)
 {
+  self->vms = vms;
   *self->questioned_service = '\0';
   if (self->records_expiring && self->store_lost_us == 0
       && now_us - self->store_back_us >= REAPPEAR_GRACE_US)
@@ -819,11 +844,30 @@
              || self->connected_us >= reach->lost_us);
 }
 
+void
+eg_backend_seen (struct eg_backend *self, int64_t now_us)
+{
+  self->seen_us = now_us;
+}
+
+bool
+eg_backend_is_seen (const struct eg_backend *self, int64_t since_us)
+{
+  return self->seen_us > since_us || self->alive_us > since_us;
+}
+
 double
 eg_backend_penalty (const struct eg_backend *self, int64_t now_us)
 {
-  return self->penalty
-         * exp (-(double) (now_us - self->penalty_us) / PENALTY_DECAY_US);
+  double penalty =
+      self->penalty
+      * exp (-(double) (now_us - self->penalty_us) / PENALTY_DECAY_US);
+
+  if (self->reported_down_us > 0
+      && now_us - self->reported_down_us < REPORTED_PENALTY_US
+      && !eg_backend_is_seen (self, self->reported_down_us))
+    penalty += REPORTED_PENALTY;
+  return penalty;
 }
 
 static void
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -105,6 +105,8 @@
   int64_t peer_slowness_us;
   /** When another entry VM last reported it as down. */
   int64_t reported_down_us;
+  /** Last event of a run that passed it; see eg_backend_is_seen(). */
+  int64_t seen_us;
   struct eg_probe probe;
   struct eg_exchange order; /**< Pending order of the planner. */
   /** Orders the engine has accepted since its start; negative: unknown. */
@@ -170,6 +172,7 @@
   uint64_t probes;
   uint64_t pauses; /**< Responses that asked for one. */
   struct eg_token_bucket probes_allowed;
+  unsigned vms; /**< Entry VMs that share the probes; see eg_fleet_check(). */
   struct eg_server_reach reach; /**< Path of this VM to all of them. */
   /** Service of a server that has refused_us set; empty: there is none. */
   char questioned_service[EG_CONFIG_NAME_BYTES];
@@ -240,8 +243,11 @@
 struct eg_backend *eg_fleet_find_by_endpoint (struct eg_fleet *self,
                                               struct eg_endpoint endpoint);
 
-/** Probes suspects and removes servers whose grace period has ended. */
-void eg_fleet_check (struct eg_fleet *self, int64_t now_us);
+/**
+ * Probes suspects and removes servers whose grace period has ended.
+ * @param vms number of entry VMs, which share the work of probing.
+ */
+void eg_fleet_check (struct eg_fleet *self, unsigned vms, int64_t now_us);
 
 /**
  * Returns whether the view of a failure domain is stable enough to move layers
@@ -282,7 +288,16 @@
 /** Returns whether a suspect is out of reach of a VM that reaches no server. */
 bool eg_backend_is_cut_off (const struct eg_backend *self, int64_t now_us);
 
-/** Returns the current weight of recent faults; 0: none. */
+/** Records that an event of a run that passes a server has arrived. */
+void eg_backend_seen (struct eg_backend *self, int64_t now_us);
+
+/** Returns whether a server has shown that it runs since @p since_us. */
+bool eg_backend_is_seen (const struct eg_backend *self, int64_t since_us);
+
+/**
+ * Returns the current weight of recent faults, and of reports of other VMs that
+ * this VM has not verified; 0: none.
+ */
 double eg_backend_penalty (const struct eg_backend *self, int64_t now_us);
 
 /** Takes note of what a server says of itself in a response. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -270,7 +270,7 @@
     eg_store_feed_check (&self->configuration_feed, now_us);
   if (may_read (self, now_us))
     eg_store_feed_check (&self->servers_feed, now_us);
-  eg_fleet_check (&self->fleet, now_us);
+  eg_fleet_check (&self->fleet, eg_members_count (&self->members), now_us);
   eg_reach_watch_check (&self->reach_watch, now_us);
   eg_peer_paths_check (&self->peer_paths, now_us);
   eg_monitor_check (self, now_us);
--- a/entry/reach_watch.c
+++ b/entry/reach_watch.c
@@ -18,6 +18,10 @@
  * age, and makes so many otherwise. */
 #define PROOF_AGE_MAX_US (500 * EG_US_PER_MS)
 #define PROOF_CHECKS 2
+/* Servers checked first when a doubt arises. One that accepts ends the doubt,
+ * which mostly arises where several servers have crashed; the other checks
+ * follow on the next tick. */
+#define FIRST_DOUBT_CHECKS 2
 
 static void
 on_connected (void *context)
@@ -217,6 +221,22 @@
   return eg_server_reach_is_proven (reach, now_us - PROOF_AGE_MAX_US);
 }
 
+/* Starts the checks that are due. */
+static void
+start_due_checks (struct eg_reach_watch *self, int64_t now_us)
+{
+  struct eg_server_reach *reach = &self->entry->fleet.reach;
+  size_t due = eg_server_reach_check (reach, now_us);
+  size_t postponed = 0;
+
+  if (due == 0 && reach->state == EG_REACH_DOUBTFUL)
+    due = self->postponed;
+  else if (reach->state == EG_REACH_DOUBTFUL && due > FIRST_DOUBT_CHECKS)
+    postponed = due - FIRST_DOUBT_CHECKS;
+  self->postponed = postponed;
+  start_checks (self, due - postponed, NULL, now_us);
+}
+
 /* Where peers still reach servers, those that refused this VM have not ended.
  */
 static void
@@ -238,8 +258,7 @@
   end_checks (self, now_us);
   if (*self->entry->fleet.questioned_service)
     seek_proof (self, self->entry->fleet.questioned_service, now_us);
-  start_checks (self, eg_server_reach_check (&self->entry->fleet.reach, now_us),
-                NULL, now_us);
+  start_due_checks (self, now_us);
   settle_refusals (self, now_us);
   note_change (self, now_us);
 }
--- a/entry/reach_watch.h
+++ b/entry/reach_watch.h
@@ -29,7 +29,8 @@
 {
   struct eg_entry *entry;
   struct eg_reach_check checks[EG_REACH_CHECKS_MAX];
-  int64_t proof_sought_us;    /**< See eg_reach_watch_prove(). */
+  int64_t proof_sought_us; /**< See eg_reach_watch_prove(). */
+  size_t postponed;        /**< Checks of a doubt that the next tick starts. */
   enum eg_reach_state logged; /**< The state as last logged. */
   bool was_lost;              /**< The path, as last logged. */
   uint64_t losses;            /**< Number of times it was lost. */
