--- a/http/json.c
+++ b/http/json.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "http/json_splitter.h"
+
 json_t *
 eg_json_parse (struct eg_str text, struct eg_error *error)
 {
@@ -17,6 +19,58 @@
   return value;
 }
 
+/* Adds a value, if there is one, under a key without escapes. */
+static bool
+add_value (json_t *container, struct eg_str key, json_t *value)
+{
+  char name[128];
+
+  if (json_is_array (container))
+    return json_array_append_new (container, value) == 0;
+  if (!memchr (key.data, '\\', key.len) && eg_str_copy (key, name, sizeof name))
+    return json_object_set_new (container, name, value) == 0;
+  json_decref (value);
+  return false;
+}
+
+static json_t *
+parse_items (struct eg_json_splitter *items, unsigned levels, size_t *dropped)
+{
+  json_t *container = items->close == '}' ? json_object () : json_array ();
+  struct eg_str key;
+  struct eg_str text;
+
+  while (eg_json_splitter_next (items, &key) == EG_JSON_SPLIT_ITEM
+         && eg_json_splitter_take (items, &text))
+    {
+      size_t before = *dropped;
+      json_t *value = eg_json_parse_decodable (text, levels - 1, dropped);
+
+      if (!add_value (container, key, value) && *dropped == before)
+        (*dropped)++;
+    }
+  if (items->complete)
+    return container;
+  (*dropped)++;
+  json_decref (container);
+  return NULL;
+}
+
+json_t *
+eg_json_parse_decodable (struct eg_str text, unsigned levels, size_t *dropped)
+{
+  struct eg_json_splitter items;
+  json_t *value =
+      json_loadb (text.data ? text.data : "", text.len, JSON_DECODE_ANY, NULL);
+
+  if (value)
+    return value;
+  if (levels > 0 && eg_json_splitter_open (&items, text))
+    return parse_items (&items, levels, dropped);
+  (*dropped)++;
+  return NULL;
+}
+
 static const struct eg_json_member *
 find_member (const struct eg_json_member *members,
              size_t count,
--- a/http/json.h
+++ b/http/json.h
@@ -37,6 +37,16 @@
 /** Parses @p text; on failure returns NULL, and @p error has the location. */
 json_t *eg_json_parse (struct eg_str text, struct eg_error *error);
 
+/**
+ * Parses @p text without the members and elements that cannot be decoded.
+ * @param levels nesting depth down to which a container may lose some of its
+ *               content; below it, a container is decoded whole or not at all.
+ * @param dropped is increased by the number of values left out.
+ * @return NULL if nothing can be decoded or the structure is invalid.
+ */
+json_t *
+eg_json_parse_decodable (struct eg_str text, unsigned levels, size_t *dropped);
+
 /**
  * Reads the members of @p object into their targets; any other member is an
  * error.
