platform: read the other VMs of a list with an unreadable one

One VM with an unknown kind, an unknown field or an undecodable value made the whole list of GET /vms invalid.

--- a/test/test_gossip_parts.c
+++ b/test/test_gossip_parts.c
@@ -100,6 +100,34 @@
   eg_gossip_vm_list_changed (node->gossip);
 }
 
+/* One VM that could not be read made the whole list unreadable. */
+static void
+test_unreadable_vm_leaves_the_others (void **state)
+{
+#define VM(address, kind)                                                      \
+  "{\"address\":\"" address "\",\"failure_domain\":\"a\",\"kind\":" kind       \
+  ",\"state\":\"live\"}"
+  static const char text[] = "[" VM ("127.0.0.1:1", "\"entry\"") "," VM (
+      "127.0.0.1:2",
+      "\"other\"") "," VM ("127.0.0.1:3",
+                           "1e400") ","
+                                    "{\"address\":\"127.0.0.1:4\",\"state\":"
+                                    "\"li," VM ("127.0.0.1:5",
+                                                "\"backend\"") "]";
+  struct eg_vm_list list;
+  struct eg_error error;
+
+  (void) state;
+  assert_int_equal (eg_vm_list_init (&list, EG_STR (text), &error), EG_OK);
+  assert_int_equal (list.count, 2);
+  assert_string_equal (list.vms[0].address, "127.0.0.1:1");
+  assert_string_equal (list.vms[1].address, "127.0.0.1:5");
+  eg_vm_list_finish (&list);
+  assert_int_equal (eg_vm_list_init (&list, EG_STR ("{}"), &error), EG_INVALID);
+  assert_int_equal (eg_vm_list_init (&list, EG_STR ("[{}"), &error),
+                    EG_INVALID);
+}
+
 static void
 start_node (struct node *node)
 {
@@ -321,6 +349,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_unreadable_vm_leaves_the_others),
       cmocka_unit_test_setup_teardown (test_quarantine_is_broadcast, set_up,
                                        tear_down),
       cmocka_unit_test_setup_teardown (test_refusing_server_is_broadcast,
