entry: leave out undecodable values of reports and messages

The report of an engine contains ids that callers choose; one that is not UTF-8 made the whole report unreadable. The same held for any value of a datagram between VMs. Undecodable members, and undecodable elements of their lists, are now left out, logged (messages: one line a second) and counted. Loads are limited to 0 to 1e15: larger ones were converted to integers out of range.

--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -198,6 +198,11 @@
               error.message);
       return;
     }
+  if (report.undecodable > 0)
+    eg_log (EG_LOG_WARNING, "fleet",
+            "event=report-partly-undecodable server=%s values=%zu",
+            self->record.id, report.undecodable);
+  self->fleet->undecodable += report.undecodable;
   clear_suspicion (self);
   set_alive (self, self->probe.started_us);
   self->kv_used = report.kv_used;
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -168,7 +168,8 @@
   struct eg_left_server left[EG_FLEET_LEFT_MAX]; /**< Ring buffer. */
   size_t left_count;                             /**< Total number recorded. */
   uint64_t probes;
-  uint64_t pauses; /**< Responses that asked for one. */
+  uint64_t undecodable; /**< Values of reports that were left out. */
+  uint64_t pauses;      /**< Responses that asked for one. */
   struct eg_token_bucket probes_allowed;
   struct eg_server_reach reach; /**< Path of this VM to all of them. */
   /** Service of a server that has refused_us set; empty: there is none. */
--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -1,5 +1,6 @@
 #include "entry/load_gossip.h"
 
+#include <arpa/inet.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +8,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "http/json.h"
 
 /* Interval between messages. */
 #define MESSAGE_INTERVAL_US (200 * EG_US_PER_MS)
@@ -32,6 +34,14 @@
 /* Maximum number of suspects in a message; a larger number points to a fault
  * of this VM's own link. */
 #define SUSPECTS_PER_MESSAGE_MAX 8
+/* Depth of messages down to which a value that cannot be decoded is left out:
+ * its members, and the elements of these. */
+#define MESSAGE_LEVELS 2
+/* Minimum interval between log lines about such values; the counter has all. */
+#define UNDECODABLE_LOG_INTERVAL_US (1 * EG_US_PER_S)
+/* Largest load, in tokens times layers, that a VM can have caused. A larger
+ * one cannot be added up in integers. */
+#define LOAD_MAX 1e15
 /* Maximum number of leaving servers in a message: a release takes one at a
  * time, and a record in the store replaces the news soon. */
 #define LEAVING_PER_MESSAGE_MAX 32
@@ -175,12 +185,19 @@
   double slowness; /**< From its report; 0: unknown. */
 };
 
+static double
+read_figure (const json_t *figures, size_t position)
+{
+  return fmin (fmax (json_number_value (json_array_get (figures, position)), 0),
+               LOAD_MAX);
+}
+
 static struct server_load
 read_load (const json_t *figures)
 {
-  return (struct server_load){json_number_value (json_array_get (figures, 0)),
-                              json_number_value (json_array_get (figures, 1)),
-                              json_number_value (json_array_get (figures, 2))};
+  return (struct server_load){read_figure (figures, 0),
+                              read_figure (figures, 1),
+                              read_figure (figures, 2)};
 }
 
 static void
@@ -404,6 +421,24 @@
   space->len = sizeof bytes;
 }
 
+static void
+count_undecodable (struct eg_load_gossip *self,
+                   struct eg_endpoint from,
+                   size_t values,
+                   int64_t now_us)
+{
+  struct in_addr ip = {from.ip};
+
+  self->undecodable += values;
+  if (values == 0
+      || now_us - self->undecodable_logged_us < UNDECODABLE_LOG_INTERVAL_US)
+    return;
+  self->undecodable_logged_us = now_us;
+  eg_log (EG_LOG_WARNING, "loads",
+          "event=message-partly-undecodable from=%s:%u values=%zu",
+          inet_ntoa (ip), ntohs (from.port), values);
+}
+
 static void
 on_message (uv_udp_t *socket,
             ssize_t len,
@@ -412,15 +447,18 @@
             unsigned flags)
 {
   const struct sockaddr_in *from = (const struct sockaddr_in *) address;
+  struct eg_endpoint sender;
+  size_t undecodable = 0;
   json_t *message;
 
   (void) flags;
   if (len <= 0 || !address)
     return;
-  message = json_loadb (space->base, (size_t) len, 0, NULL);
-  handle_message (socket->data,
-                  (struct eg_endpoint){from->sin_addr.s_addr, from->sin_port},
-                  message, eg_clock_now_us ());
+  sender = (struct eg_endpoint){from->sin_addr.s_addr, from->sin_port};
+  message = eg_json_parse_decodable ((struct eg_str){space->base, (size_t) len},
+                                     MESSAGE_LEVELS, &undecodable);
+  count_undecodable (socket->data, sender, undecodable, eg_clock_now_us ());
+  handle_message (socket->data, sender, message, eg_clock_now_us ());
   json_decref (message);
 }
 
--- a/entry/load_gossip.h
+++ b/entry/load_gossip.h
@@ -54,6 +54,8 @@
   size_t contact_count;
   int64_t sent_us;
   int64_t alert_sent_us;
+  uint64_t undecodable; /**< Values of messages that were left out. */
+  int64_t undecodable_logged_us;
   /** When the last totals arrived from a reader. */
   int64_t totals_received_us;
   /** Report to the second reader of the failure domain. */
