planner: take a lease with an unreadable record after its time

A record of another writer without holder, incarnation or sequence counted as a failure of the store, so that no VM became the planner until somebody deleted it. It now names no holder, and a candidate takes it when its revision has not changed for as long as for a lease that is held.

--- a/entry/planner.c
+++ b/entry/planner.c
@@ -95,6 +95,34 @@
     start_lease_call (self, action);
 }
 
+/* Another writer may have stored an invalid record. It names no holder, so that
+ * a candidate takes the lease once the record has not changed for as long as a
+ * lease lasts. */
+static void
+handle_unreadable (struct eg_planner *self, json_t *document, bool read)
+{
+  const struct eg_lease_record nobody = {0};
+  int64_t revision;
+
+  if (!read)
+    {
+      step_lease (self, EG_LEASE_NO_REPLY, 0, NULL);
+      return;
+    }
+  if (!eg_store_object_revision (document, &revision))
+    {
+      eg_log (EG_LOG_WARNING, "planner",
+              "event=lease-unreadable expected=\"a revision\"");
+      step_lease (self, EG_LEASE_UNAVAILABLE, 0, NULL);
+      return;
+    }
+  eg_log (EG_LOG_WARNING, "planner",
+          "event=lease-unreadable revision=%" PRId64 " expected=\"holder, "
+          "incarnation and sequence\"",
+          revision);
+  step_lease (self, EG_LEASE_FOUND, (uint64_t) revision, &nobody);
+}
+
 static bool
 read_record (json_t *object, struct eg_lease_record *record, int64_t *revision)
 {
@@ -129,8 +157,7 @@
     {
     case EG_STORE_OK:
       if (!read_record (document, &record, &revision))
-        step_lease (self, read ? EG_LEASE_UNAVAILABLE : EG_LEASE_NO_REPLY, 0,
-                    NULL);
+        handle_unreadable (self, document, read);
       else
         step_lease (self, read ? EG_LEASE_FOUND : EG_LEASE_WRITTEN,
                     (uint64_t) revision, read ? &record : NULL);
