store: decode the objects of an answer one by one

One object that the parser rejects made a whole page of a list, or all events of a watch, unreadable. The feed took that for a failure of the store: no VM saw a change of any server, and after a restart no VM became ready.

An answer is now split into its objects, and each is decoded separately. One that cannot be decoded is replaced by its name and revision: it counts for paging, replaces what was known under its name, and is unusable. It is logged and counted in eelgrasswood_undecodable_total.

--- a/entry/members.c
+++ b/entry/members.c
@@ -211,7 +211,6 @@
   struct eg_members *self = context;
   int64_t now_us = eg_clock_now_us ();
   json_t *items = eg_store_page_objects (document);
-  const char *last = NULL;
   json_t *object;
   size_t index;
 
@@ -225,14 +224,9 @@
     for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
       EG_CONTAINER_OF (at, struct eg_member, all)->marked = false;
   json_array_foreach (items, index, object)
-  {
-    update_member (self, object, now_us);
-    last = eg_store_object_name (object);
-  }
-  if (eg_store_page_has_more (document) && last
-      && strlen (last) < sizeof self->after)
+      update_member (self, object, now_us);
+  if (eg_store_page_next (document, self->after, sizeof self->after))
     {
-      eg_str_copy (eg_str_from (last), self->after, sizeof self->after);
       self->list_due_us = now_us;
       return;
     }
@@ -269,7 +263,11 @@
         self->joined_us = now_us;
       self->is_written = true;
       self->revision = revision;
-      self->write_due_us = now_us + WRITE_INTERVAL_US;
+      /* One that another writer has made undecodable is replaced at once. */
+      if (eg_store_object_spec (document))
+        self->write_due_us = now_us + WRITE_INTERVAL_US;
+      else
+        self->write_due_us = now_us;
       return;
     }
   if (outcome == EG_STORE_MISSING)
@@ -333,7 +331,7 @@
 void
 eg_members_check (struct eg_members *self, int64_t now_us)
 {
-  char path[128];
+  char path[EG_STORE_PATH_BYTES];
 
   eg_store_call_check (&self->list_call, now_us);
   eg_store_call_check (&self->own_call, now_us);
--- a/entry/members.h
+++ b/entry/members.h
@@ -45,7 +45,7 @@
   struct eg_list all;
   struct eg_store_call list_call;
   struct eg_store_call own_call;
-  char after[64];
+  char after[EG_STORE_AFTER_BYTES];
   int64_t revision; /**< Revision of this VM's object; 0: not written yet. */
   int64_t list_due_us;
   int64_t write_due_us;
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -107,6 +107,10 @@
   eg_buffer_printf (
       out,
       "eelgrasswood_store_calls_total %" PRIu64 "\n"
+      "eelgrasswood_undecodable_total{from=\"store\"} %" PRIu64 "\n"
+      "eelgrasswood_undecodable_total{from=\"mirror\"} %" PRIu64 "\n"
+      "eelgrasswood_undecodable_total{from=\"report\"} %" PRIu64 "\n"
+      "eelgrasswood_undecodable_total{from=\"message\"} %" PRIu64 "\n"
       "eelgrasswood_probes_total %" PRIu64 "\n"
       "eelgrasswood_server_pauses_total %" PRIu64 "\n"
       "eelgrasswood_server_connections_total %" PRIu64 "\n"
@@ -119,8 +123,13 @@
       "eelgrasswood_configuration_version %" PRId64 "\n"
       "eelgrasswood_configuration_age_seconds %g\n"
       "eelgrasswood_ready %d\n",
-      entry->store.calls, entry->fleet.probes, entry->fleet.pauses,
-      entry->pool.opened, entry->pool.reused, entry->fleet.count,
+      entry->store.calls, entry->store.undecodable,
+      entry->configuration_source.peer.undecodable
+          + entry->servers_source.peer.undecodable
+          + entry->configuration_spread.peer.undecodable,
+      entry->fleet.undecodable, entry->load_gossip.undecodable,
+      entry->fleet.probes, entry->fleet.pauses, entry->pool.opened,
+      entry->pool.reused, entry->fleet.count,
       eg_server_reach_is_lost (&entry->fleet.reach), entry->reach_watch.losses,
       eg_server_limits_count (entry), entry->connections.running,
       entry->configuration.current ? entry->configuration.current->version : -1,
--- a/entry/quarantine_store.c
+++ b/entry/quarantine_store.c
@@ -66,6 +66,16 @@
            --self->change_count * sizeof *self->changes);
 }
 
+/* A time further ahead than a quarantine lasts is none that a VM has written;
+ * the quarantine would not end. */
+static bool
+is_time (const json_t *ms)
+{
+  return json_is_integer (ms) && json_integer_value (ms) >= 0
+         && json_integer_value (ms)
+                <= (eg_clock_wall_us () + EG_QUARANTINE_US) / EG_US_PER_MS;
+}
+
 /* The age is kept as a time of day, the only clock that VMs share. */
 static void
 apply_object (struct eg_quarantine_store *self,
@@ -78,10 +88,11 @@
   struct eg_suspect suspect = {.blamed_us = 1};
   int64_t age_us;
 
-  if (!parse_name (name, &suspect.subject) || !json_is_integer (blamed))
+  if (!parse_name (name, &suspect.subject) || !is_time (blamed))
     {
-      eg_log (EG_LOG_WARNING, "crashes", "event=quarantine-unreadable name=%s",
-              name ? name : "-");
+      eg_log (EG_LOG_WARNING, "crashes",
+              "event=quarantine-unreadable name=%s blamed_ms=%" PRId64,
+              name ? name : "-", (int64_t) json_integer_value (blamed));
       return;
     }
   age_us = eg_clock_wall_us () - json_integer_value (blamed) * EG_US_PER_MS;
@@ -230,7 +241,7 @@
 void
 eg_quarantine_store_check (struct eg_quarantine_store *self, int64_t now_us)
 {
-  char path[64];
+  char path[EG_STORE_PATH_BYTES];
   bool started;
 
   eg_store_call_check (&self->call, now_us);
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -87,28 +87,30 @@
   append_change (self, key, true);
 }
 
+static void
+replace_all (struct eg_buffer *text, const char *searched, const char *inserted)
+{
+  struct eg_buffer replaced = {0};
+  const char *from = eg_buffer_text (text);
+  const char *at;
+
+  while ((at = strstr (from, searched)))
+    {
+      eg_buffer_append (&replaced, (struct eg_str){from, (size_t) (at - from)});
+      eg_buffer_append (&replaced, eg_str_from (inserted));
+      from = at + strlen (searched);
+    }
+  eg_buffer_append (&replaced, eg_str_from (from));
+  eg_buffer_finish (text);
+  *text = replaced;
+}
+
 /* Replaces the addresses in an answer by those that its caller sees. */
 static void
 apply_aliases (const struct soak_store_view *view, struct eg_buffer *text)
 {
   for (size_t i = 0; i < view->alias_count; i++)
-    {
-      const struct soak_store_alias *alias = &view->aliases[i];
-      struct eg_buffer replaced = {0};
-      const char *from = eg_buffer_text (text);
-      const char *at;
-
-      while ((at = strstr (from, alias->address)))
-        {
-          eg_buffer_append (&replaced,
-                            (struct eg_str){from, (size_t) (at - from)});
-          eg_buffer_append (&replaced, eg_str_from (alias->seen_as));
-          from = at + strlen (alias->address);
-        }
-      eg_buffer_append (&replaced, eg_str_from (from));
-      eg_buffer_finish (text);
-      *text = replaced;
-    }
+    replace_all (text, view->aliases[i].address, view->aliases[i].seen_as);
 }
 
 /* With the closing quote, so that no address begins another one. */
@@ -148,6 +150,8 @@
   json_decref (value);
   eg_buffer_append (&text, eg_str_from (dumped));
   free (dumped);
+  if (self->undecodable)
+    replace_all (&text, "\"undecodable\"", self->undecodable);
   if (connection->server != &self->server)
     apply_aliases (
         EG_CONTAINER_OF (connection->server, struct soak_store_view, server),
--- a/test/soak/store.h
+++ b/test/soak/store.h
@@ -53,6 +53,8 @@
   int64_t era; /**< Rises with each soak_store_restore(). */
   /** Sent in place of the era; empty: no era is named; NULL: the era. */
   const char *era_text;
+  /** Sent in place of each string "undecodable"; NULL: the string itself. */
+  const char *undecodable;
   enum soak_store_mode mode;
 };
 
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -15,6 +15,7 @@
 #include "platform/configuration.h"
 #include "platform/headers.h"
 #include "platform/mirror.h"
+#include "platform/store.h"
 #include "platform/servers.h"
 #include "policy/server_room.h"
 
@@ -480,6 +481,98 @@
   eg_buffer_finish (&out);
 }
 
+/* Ids of stalled streams are chosen by callers: one that is not UTF-8 made the
+ * whole report of an engine unreadable. */
+static void
+test_undecodable_stalled_stream_leaves_the_report (void **state)
+{
+  static struct eg_engine_report report;
+  struct eg_error error;
+
+  (void) state;
+  assert_true (eg_engine_report_decode (
+      &report,
+      EG_STR ("{\"sequence\":2,\"layers\":{\"from\":3,\"to\":9},\"stalled\":["
+              "{\"id\":\"\xff\"},{\"id\":\"\\u0000\"},7,{\"id\":\"y\"}],"
+              "\"other\":1e400}"),
+      &error));
+  assert_int_equal (report.orders, 2);
+  assert_int_equal (report.layers.to, 9);
+  assert_int_equal (report.stalled_count, 1);
+  assert_string_equal (report.stalled[0].request_id, "y");
+  assert_int_equal (report.undecodable, 3);
+}
+
+/* A negative or missing age made the keys of a copy count as current. */
+static void
+test_age_of_a_mirrored_answer_is_checked (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    bool valid;
+  } cases[] = {
+      {"{\"age_us\":0}", true},     {"{\"age_us\":7}", true},
+      {"{\"age_us\":-1}", false},   {"{\"age_us\":0.5}", false},
+      {"{\"age_us\":\"\"}", false}, {"{}", false},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      json_t *document = json_loads (cases[i].text, 0, NULL);
+      int64_t age_us;
+
+      assert_int_equal (eg_mirror_age_us (document, &age_us), cases[i].valid);
+      json_decref (document);
+    }
+}
+
+/* A wait that overflows when it is converted to microseconds. */
+static void
+test_wait_of_a_query_is_limited (void **state)
+{
+  struct eg_mirror mirror;
+  struct eg_mirror_query query;
+
+  (void) state;
+  eg_mirror_init (&mirror);
+  eg_mirror_add (&mirror, "things");
+  assert_true (eg_mirror_parse (&mirror,
+                                EG_STR ("/eelgrasswood/objects/things?watch=1&"
+                                        "waitMs=9223372036854775807"),
+                                5, &query));
+  assert_true (query.until_us > 5 && query.until_us < 3600000000);
+  eg_mirror_finish (&mirror);
+}
+
+/* The name of an object decided whether the pages after it were read: a name
+ * that is too long ended the list, and one with a blank broke the request. */
+static void
+test_paging_goes_on_after_any_name (void **state)
+{
+  char long_name[300];
+  char after[EG_STORE_AFTER_BYTES] = "";
+  char path[EG_STORE_PATH_BYTES];
+  json_t *page;
+
+  (void) state;
+  memset (long_name, 'x', sizeof long_name - 1);
+  long_name[sizeof long_name - 1] = '\0';
+  page = json_pack ("{s:[{s:{s:s}}, {s:{s:s}}, {s:i}], s:b}", "items",
+                    "metadata", "name", "a b&c=\xc3\xa9", "metadata", "name",
+                    long_name, "spec", 1, "hasMore", 1);
+  assert_true (eg_store_page_next (page, after, sizeof after));
+  assert_string_equal (after, "a b&c=\xc3\xa9");
+  eg_store_list_path (path, sizeof path, "servers", after, true);
+  assert_string_equal (path, "servers?after=a%20b%26c%3D%C3%A9&allowStale=1");
+  /* The page does not lead on: a further call would return it again. */
+  assert_false (eg_store_page_next (page, after, sizeof after));
+  json_object_set_new (page, "hasMore", json_false ());
+  assert_false (eg_store_page_next (page, after, sizeof after));
+  json_decref (page);
+}
+
 static void
 test_move_refusal_names_a_server (void **state)
 {
@@ -549,6 +642,10 @@
       cmocka_unit_test (test_reports_and_orders),
       cmocka_unit_test (test_move_refusal_names_a_server),
       cmocka_unit_test (test_mirror_caches_serialised_objects),
+      cmocka_unit_test (test_undecodable_stalled_stream_leaves_the_report),
+      cmocka_unit_test (test_age_of_a_mirrored_answer_is_checked),
+      cmocka_unit_test (test_wait_of_a_query_is_limited),
+      cmocka_unit_test (test_paging_goes_on_after_any_name),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -314,6 +314,32 @@
   assert_served (self, &sound);
 }
 
+/* One undecodable quarantine in the store hid all others from VMs that start.
+ */
+static void
+test_undecodable_quarantine_leaves_the_others (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request deadly = {.body = "deadly"};
+  const struct streams_request sound = {.body = "sound"};
+
+  streams_run (self, MEMBERS_READ_MS);
+  send_until_crashed (self, &deadly, 3);
+  streams_run (self, SPREAD_MS);
+  self->store.undecodable = "18446744073709551615";
+  soak_store_put (&self->store, "eelgrasswood-quarantines",
+                  "part-0000000000000001",
+                  json_pack ("{s:s}", "blamed_ms", "undecodable"));
+  soak_store_put (&self->store, "eelgrasswood-quarantines",
+                  "part-0000000000000002",
+                  json_pack ("{s:I}", "blamed_ms", (json_int_t) INT64_MAX));
+  streams_vms_restart (self);
+  streams_run (self, SPREAD_MS);
+  assert_refused (self, &deadly);
+  assert_served (self, &sound);
+  assert_true (streams_count_log (self, 0, "event=quarantine-unreadable") > 1);
+}
+
 static void
 test_vms_that_do_not_hear_each_other_share_quarantines_by_the_store (
     void **state)
@@ -519,6 +545,7 @@
                   start_two_vms),
       CRASH_TEST (vms_that_restart_together_refuse_what_crashed_three_servers,
                   start_two_vms),
+      CRASH_TEST (undecodable_quarantine_leaves_the_others, start_two_vms),
       CRASH_TEST (
           vms_that_do_not_hear_each_other_share_quarantines_by_the_store,
           start_two_vms),
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -3,12 +3,16 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
 #include "base/clock.h"
 #include "entry/entry.h"
+#include "test/soak/ports.h"
 
 #define FAILURES 6
 
@@ -117,6 +121,72 @@
                     &entry.servers_source.peer);
 }
 
+static void
+send_datagram (const struct eg_entry_settings *settings, struct eg_str text)
+{
+  struct sockaddr_in to = {.sin_family = AF_INET};
+  struct eg_endpoint endpoint;
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+
+  assert_true (fd >= 0);
+  assert_true (
+      eg_endpoint_parse (eg_str_from (settings->listen_peers), &endpoint));
+  to.sin_addr.s_addr = endpoint.ip;
+  to.sin_port = endpoint.port;
+  assert_int_equal (sendto (fd, text.data, text.len, 0,
+                            (const struct sockaddr *) &to, sizeof to),
+                    (ssize_t) text.len);
+  close (fd);
+}
+
+/* One value that could not be decoded made a whole message unreadable; a load
+ * beyond the range of integers was converted to one. */
+static void
+test_undecodable_value_leaves_the_message (void **state)
+{
+  static struct eg_entry entry;
+  static struct eg_entry_settings settings = {.domain = "here"};
+  const struct eg_fleet_events events = {0};
+  struct eg_load_gossip *gossip = &entry.load_gossip;
+  json_t *server = json_pack ("{s:{s:s, s:i}, s:{s:s, s:s, s:s, s:i, s:s}}",
+                              "metadata", "name", "i-1", "revision", 1, "spec",
+                              "service", "app", "address", "10.0.0.1:80",
+                              "zone", "here", "slots", 4, "state", "ready");
+  struct eg_backend *backend;
+
+  (void) state;
+  snprintf (settings.listen_peers, sizeof settings.listen_peers, "127.0.0.1:%u",
+            soak_find_free_port ());
+  entry.settings = &settings;
+  uv_loop_init (&entry.loop);
+  eg_fleet_init (&entry.fleet, &entry.pool, &events);
+  eg_fleet_update_server (&entry.fleet, server, false, eg_clock_now_us ());
+  backend = eg_fleet_find_id (&entry.fleet, EG_STR ("i-1"));
+  assert_non_null (backend);
+  eg_list_init (&entry.members.all);
+  assert_true (eg_load_gossip_open (gossip, &entry));
+  send_datagram (&settings,
+                 EG_STR ("{\"kind\":\"sum\",\"heard\":[\"room\",\"\xff\","
+                         "\"hall\"],\"down\":[\"\\u0000\"],\"loads\":{"
+                         "\"i-0\":[1e400,0,0],\"i-1\":[1e300,-7,2]}}"));
+  for (int i = 0; i < 100 && gossip->contact_count == 0; i++)
+    {
+      uv_run (&entry.loop, UV_RUN_NOWAIT);
+      usleep (10000);
+    }
+  assert_int_equal (gossip->contact_count, 2);
+  assert_int_equal (gossip->undecodable, 3);
+  assert_true (backend->kv_others > 0 && backend->kv_others <= 1e15);
+  assert_true (backend->first_others >= 0);
+  assert_true (backend->peer_slowness >= 2);
+  eg_load_gossip_finish (gossip);
+  uv_run (&entry.loop, UV_RUN_NOWAIT);
+  uv_loop_close (&entry.loop);
+  eg_fleet_finish (&entry.fleet);
+  soak_release_ports ();
+  json_decref (server);
+}
+
 static void
 test_dead_readers_are_not_asked_instead_of_the_store (void **state)
 {
@@ -179,6 +249,7 @@
       cmocka_unit_test (test_unresponsive_reader_backoff),
       cmocka_unit_test (test_store_is_retried_in_time),
       cmocka_unit_test (test_store_is_used_after_reader_timeout),
+      cmocka_unit_test (test_undecodable_value_leaves_the_message),
       cmocka_unit_test (test_dead_readers_are_not_asked_instead_of_the_store),
       cmocka_unit_test (test_feeds_do_not_send_each_other_to_a_dead_reader),
   };
--- a/test/test_readers.c
+++ b/test/test_readers.c
@@ -127,6 +127,105 @@
   assert_served_without (self, leaving);
 }
 
+/* Values that the decoder rejects, in an object of another writer; the second
+ * one also ends the object too early. test_json_splitter has more of them. */
+static const char *const undecodable[] = {"18446744073709551615", "\"cut"};
+
+static json_t *
+undecodable_spec (void)
+{
+  return json_pack ("{s:s}", "sequence", "undecodable");
+}
+
+/* Requires that both VMs serve, and that they see that a server has gone. */
+static void
+assert_changes_are_seen (struct streams_fixture *self,
+                         struct streams_engine *leaving)
+{
+  const struct streams_request request = {.plain = true, .body = "body"};
+
+  assert_int_equal (streams_client_request (self, 0, &request), 200);
+  streams_engine_withdraw (leaving);
+  streams_run (self, APPLY_MS);
+  assert_served_without (self, leaving);
+}
+
+/* One undecodable record made all servers unknown, on readers and on the VMs
+ * that read their mirrors; after a restart, no VM became ready. */
+static void
+test_undecodable_record_of_a_server_leaves_the_others (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct streams_engine *leaving = &self->engines[STREAMS_ENGINES];
+
+  for (size_t i = 0; i < sizeof undecodable / sizeof undecodable[0]; i++)
+    {
+      self->store.undecodable = undecodable[i];
+      soak_store_put (&self->store, "servers", "other", undecodable_spec ());
+      streams_run (self, 300);
+      assert_changes_are_seen (self, leaving);
+      streams_vms_restart (self);
+      streams_engine_publish (leaving, false);
+      streams_run (self, MEMBERS_READ_MS);
+      assert_changes_are_seen (self, leaving);
+      streams_engine_publish (leaving, false);
+      streams_run (self, APPLY_MS);
+    }
+  assert_true (streams_count_log (self, 0, "event=object-undecodable") > 0);
+}
+
+/* A server whose record becomes undecodable must not be used as it was. */
+static void
+test_record_that_becomes_undecodable_replaces_the_former_one (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct streams_engine *replaced = &self->engines[STREAMS_ENGINES];
+
+  self->store.undecodable = undecodable[0];
+  soak_store_put (&self->store, "servers", replaced->id, undecodable_spec ());
+  streams_run (self, APPLY_MS);
+  assert_served_without (self, replaced);
+}
+
+/* Without the list of VMs, a VM neither finds its reader nor shares loads. */
+static void
+test_undecodable_entry_of_a_vm_leaves_the_others (void **state)
+{
+  struct streams_fixture *self = *state;
+  unsigned before[2];
+
+  self->store.undecodable = undecodable[0];
+  soak_store_put (&self->store, "eelgrasswood-vms", "a", undecodable_spec ());
+  for (unsigned vm = 0; vm < 2; vm++)
+    before[vm] = streams_count_log (self, vm, "event=members-read count=2");
+  streams_vms_restart (self);
+  streams_run (self, MEMBERS_READ_MS);
+  for (unsigned vm = 0; vm < 2; vm++)
+    assert_true (streams_count_log (self, vm, "event=members-read count=2")
+                 > before[vm]);
+}
+
+static bool
+is_lease_taken_again (const struct streams_fixture *self)
+{
+  return streams_count_log (self, 0, "event=lease-taken")
+             + streams_count_log (self, 1, "event=lease-taken")
+         > 1;
+}
+
+/* No VM took a lease whose record it could not read, so that nothing was
+ * planned until somebody deleted the record. */
+static void
+test_undecodable_lease_is_taken_after_its_time (void **state)
+{
+  struct streams_fixture *self = *state;
+
+  self->store.undecodable = undecodable[0];
+  soak_store_put (&self->store, "eelgrasswood-leases", "layer-planner",
+                  undecodable_spec ());
+  assert_true (streams_wait (self, is_lease_taken_again, 8000));
+}
+
 #define READER_TEST(name)                                                      \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -142,6 +241,10 @@
       cmocka_unit_test_setup_teardown (
           test_reader_that_the_store_turns_away_learns_of_servers,
           start_two_domains, stop),
+      READER_TEST (undecodable_record_of_a_server_leaves_the_others),
+      READER_TEST (record_that_becomes_undecodable_replaces_the_former_one),
+      READER_TEST (undecodable_entry_of_a_vm_leaves_the_others),
+      READER_TEST (undecodable_lease_is_taken_after_its_time),
   };
 
   if (argc > 1)
