settings: accept bounds with a fraction

graceS = 7.5 and budgetWindowS were rendered with "000" appended, so that grace_ms = 7.5000 was rejected, and would have meant 7.5 ms. All integers may have a fraction, which is rounded down, so that bounds hold. nan is no longer within each range.

--- a/base/settings.c
+++ b/base/settings.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <inttypes.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,15 +10,18 @@
 #include "base/toml_document.h"
 
 static const char *const type_names[] = {
-    [EG_SETTING_INTEGER] = "integer", [EG_SETTING_BOOLEAN] = "boolean",
-    [EG_SETTING_TEXT] = "text",       [EG_SETTING_SECRET] = "secret text",
-    [EG_SETTING_NUMBER] = "number",   [EG_SETTING_ADDRESS] = "address",
+    [EG_SETTING_INTEGER] = "integer",  [EG_SETTING_BOOLEAN] = "boolean",
+    [EG_SETTING_TEXT] = "text",        [EG_SETTING_SECRET] = "secret text",
+    [EG_SETTING_NUMBER] = "number",    [EG_SETTING_ADDRESS] = "address",
+    [EG_SETTING_THOUSANDS] = "number",
 };
 
+/* Kinds of values; a number may also be given without a fraction. */
 static const enum eg_toml_kind toml_kinds[] = {
-    [EG_SETTING_INTEGER] = EG_TOML_INTEGER,
+    [EG_SETTING_INTEGER] = EG_TOML_NUMBER,
     [EG_SETTING_BOOLEAN] = EG_TOML_BOOLEAN,
     [EG_SETTING_NUMBER] = EG_TOML_NUMBER,
+    [EG_SETTING_THOUSANDS] = EG_TOML_NUMBER,
     [EG_SETTING_TEXT] = EG_TOML_STRING,
     [EG_SETTING_SECRET] = EG_TOML_STRING,
     [EG_SETTING_ADDRESS] = EG_TOML_STRING,
@@ -56,6 +60,11 @@
     case EG_SETTING_BOOLEAN:
       snprintf (text, capacity, "true or false");
       return;
+    case EG_SETTING_THOUSANDS:
+      snprintf (text, capacity, "a number from %g to %g %s",
+                (double) setting->min / 1000, (double) setting->max / 1000,
+                setting->unit);
+      return;
     case EG_SETTING_NUMBER:
       snprintf (text, capacity, "a number from %" PRId64 " to %" PRId64 "%s%s",
                 setting->min, setting->max, *setting->unit ? " " : "",
@@ -72,6 +81,20 @@
     }
 }
 
+/* Rounds down, apart from what decimal fractions lose in binary. */
+static int64_t
+thousandths (double number)
+{
+  return (int64_t) floor (number * 1000 + 1e-6);
+}
+
+/* Not a number is out of each range. */
+static bool
+is_in_range (const struct eg_setting *setting, double number)
+{
+  return number >= (double) setting->min && number <= (double) setting->max;
+}
+
 static bool
 store (const struct eg_setting *setting,
        void *target,
@@ -88,11 +111,17 @@
         return false;
       memcpy (field_of (setting, target), &integer, sizeof integer);
       return true;
+    case EG_SETTING_THOUSANDS:
+      if (!is_in_range (setting, number * 1000))
+        return false;
+      integer = thousandths (number);
+      memcpy (field_of (setting, target), &integer, sizeof integer);
+      return true;
     case EG_SETTING_BOOLEAN:
       *(bool *) field_of (setting, target) = integer != 0;
       return true;
     case EG_SETTING_NUMBER:
-      if (number < (double) setting->min || number > (double) setting->max)
+      if (!is_in_range (setting, number))
         return false;
       memcpy (field_of (setting, target), &number, sizeof number);
       return true;
@@ -150,18 +179,26 @@
   const struct eg_setting *setting = find_setting (table, entry->key);
   double number = entry->number;
   char expected[128];
+  bool stored;
 
   if (!setting)
     return eg_error_set (error, EG_INVALID,
                          "%s:%u: %s: unknown key; --help lists the keys", path,
                          entry->line, entry->key);
   describe_value (setting, expected, sizeof expected);
-  if (setting->type == EG_SETTING_NUMBER && entry->kind == EG_TOML_INTEGER)
+  if (toml_kinds[setting->type] == EG_TOML_NUMBER
+      && entry->kind == EG_TOML_INTEGER)
     number = (double) entry->integer;
   else if (entry->kind != toml_kinds[setting->type])
     return eg_error_set (error, EG_INVALID, "%s:%u: %s: expected %s", path,
                          entry->line, entry->key, expected);
-  if (store (setting, target, entry->text, entry->integer, number))
+  if (setting->type == EG_SETTING_INTEGER && entry->kind == EG_TOML_NUMBER)
+    stored = is_in_range (setting, floor (number))
+             && store (setting, target, entry->text, (int64_t) floor (number),
+                       number);
+  else
+    stored = store (setting, target, entry->text, entry->integer, number);
+  if (stored)
     return EG_OK;
   if (setting->type == EG_SETTING_SECRET)
     return eg_error_set (error, EG_INVALID, "%s:%u: %s: expected %s", path,
@@ -170,6 +207,10 @@
     return eg_error_set (error, EG_INVALID,
                          "%s:%u: %s: expected %s, found %" PRId64, path,
                          entry->line, entry->key, expected, entry->integer);
+  if (entry->kind == EG_TOML_NUMBER)
+    return eg_error_set (error, EG_INVALID, "%s:%u: %s: expected %s, found %g",
+                         path, entry->line, entry->key, expected,
+                         entry->number);
   return eg_error_set (error, EG_INVALID,
                        "%s:%u: %s: expected %s, found \"%s\"", path,
                        entry->line, entry->key, expected, entry->text);
@@ -184,6 +225,43 @@
   return false;
 }
 
+/* Returns the other key of the same field; NULL if there is none. */
+static const struct eg_setting *
+find_alternative (const struct eg_setting_table *table,
+                  const struct eg_setting *setting)
+{
+  for (size_t i = 0; i < table->count; i++)
+    if (&table->settings[i] != setting
+        && table->settings[i].offset == setting->offset)
+      return &table->settings[i];
+  return NULL;
+}
+
+/* Stores the default of a key that is not in the file, or requires that the
+ * file has exactly one of a field's keys. */
+static enum eg_status
+prepare_field (const struct eg_setting_table *table,
+               const struct eg_setting *setting,
+               const struct eg_toml_document *document,
+               const char *path,
+               void *target,
+               struct eg_error *error)
+{
+  const struct eg_setting *other = find_alternative (table, setting);
+  bool given = document_has (document, setting->key);
+
+  if (setting->default_text)
+    store_default (setting, target);
+  if (other && given && document_has (document, other->key))
+    return eg_error_set (error, EG_INVALID, "%s:1: %s: given beside %s", path,
+                         setting->key, other->key);
+  if (given || setting->default_text || (other && other->default_text)
+      || (other && document_has (document, other->key)))
+    return EG_OK;
+  return eg_error_set (error, EG_INVALID, "%s:1: %s: must be given", path,
+                       setting->key);
+}
+
 enum eg_status
 eg_settings_load (const struct eg_setting_table *table,
                   const char *path,
@@ -195,19 +273,9 @@
 
   if (status != EG_OK)
     goto out;
-  for (size_t i = 0; i < table->count; i++)
-    {
-      const struct eg_setting *setting = &table->settings[i];
-
-      if (setting->default_text)
-        store_default (setting, target);
-      else if (!document_has (&document, setting->key))
-        {
-          status = eg_error_set (error, EG_INVALID, "%s:1: %s: must be given",
-                                 path, setting->key);
-          goto out;
-        }
-    }
+  for (size_t i = 0; i < table->count && status == EG_OK; i++)
+    status = prepare_field (table, &table->settings[i], &document, path, target,
+                            error);
   for (size_t i = 0; i < document.count && status == EG_OK; i++)
     status = apply_entry (table, &document.entries[i], path, target, error);
 out:
@@ -238,6 +306,8 @@
       const struct eg_setting *setting = &table->settings[i];
       const void *field = field_of (setting, source);
 
+      if (setting->type == EG_SETTING_THOUSANDS)
+        continue;
       fprintf (stream, "%s = ", setting->key);
       if (setting->type == EG_SETTING_INTEGER)
         fprintf (stream, "%" PRId64, *(const int64_t *) field);
@@ -264,7 +334,13 @@
       describe_value (setting, expected, sizeof expected);
       fprintf (stream, "  %s (%s)\n      %s. Takes %s; ", setting->key,
                type_names[setting->type], setting->help, expected);
-      if (!setting->default_text)
+      if (setting->type == EG_SETTING_THOUSANDS)
+        fprintf (stream, "in place of %s.\n",
+                 find_alternative (table, setting)->key);
+      else if (find_alternative (table, setting))
+        fprintf (stream, "or give %s.\n",
+                 find_alternative (table, setting)->key);
+      else if (!setting->default_text)
         fputs ("must be given.\n", stream);
       else if (!*setting->default_text)
         fputs ("empty by default.\n", stream);
--- a/base/settings.h
+++ b/base/settings.h
@@ -18,9 +18,15 @@
 /** Value types, with the type of the field in the settings struct. */
 enum eg_setting_type
 {
-  EG_SETTING_INTEGER, /**< int64_t, between min and max. */
+  /** int64_t, between min and max. A fraction is rounded down: such values are
+   *  bounds, which then hold. */
+  EG_SETTING_INTEGER,
   EG_SETTING_BOOLEAN, /**< bool. */
   EG_SETTING_NUMBER,  /**< double, between min and max. */
+  /** int64_t of thousandths between min and max, given as a number of whole
+   *  units. Another way to give the EG_SETTING_INTEGER with the same field, in
+   *  seconds instead of milliseconds. Not printed; the default is NULL. */
+  EG_SETTING_THOUSANDS,
   EG_SETTING_TEXT,    /**< char[max], at least min bytes long. */
   EG_SETTING_SECRET,  /**< As TEXT, but never printed. */
   EG_SETTING_ADDRESS, /**< char[max]: IPv4 address and port, `1.2.3.4:80`. */
--- a/entry/reload.c
+++ b/entry/reload.c
@@ -30,6 +30,7 @@
   switch (row->type)
     {
     case EG_SETTING_INTEGER:
+    case EG_SETTING_THOUSANDS:
       return sizeof (int64_t);
     case EG_SETTING_BOOLEAN:
       return sizeof (bool);
@@ -61,6 +62,9 @@
       char *current = (char *) settings + row->offset;
       const char *updated = (const char *) loaded + row->offset;
 
+      /* Its field is that of another row. */
+      if (row->type == EG_SETTING_THOUSANDS)
+        continue;
       if (is_equal (row, current, updated) || strcmp (row->key, start_key) == 0)
         continue;
       if (needs_restart (row->key))
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -26,6 +26,7 @@
   char name[8];
   char address[24];
   char secret[16];
+  int64_t grace_ms;
 };
 
 static const struct eg_setting sample_keys[] = {
@@ -39,8 +40,13 @@
      offsetof (struct sample_settings, address), "Address"},
     {"a.secret", EG_SETTING_SECRET, "", 4, 16, "",
      offsetof (struct sample_settings, secret), "Secret"},
+    {"grace_ms", EG_SETTING_INTEGER, "ms", 100, 60000, "500",
+     offsetof (struct sample_settings, grace_ms), "Grace"},
+    {"grace_s", EG_SETTING_THOUSANDS, "s", 100, 60000, NULL,
+     offsetof (struct sample_settings, grace_ms), "Grace"},
 };
-static const struct eg_setting_table sample_table = {sample_keys, 5};
+static const struct eg_setting_table sample_table = {
+    sample_keys, sizeof sample_keys / sizeof sample_keys[0]};
 
 static enum eg_status
 load_text (const char *text,
@@ -90,6 +96,15 @@
       {"a.name = \"x\"\na.address = \"localhost:1\"\n", ":2: a.address"},
       {"port = 3\n", "a.name: must be given"},
       {"port = = 3\n", ":1: not valid TOML"},
+      {"port = [1, 2]\na.name = \"x\"\n", ":1: port: expected an integer"},
+      {"a.name = [\"x\"]\n", ":1: a.name: expected text"},
+      {"port = 0.9\na.name = \"x\"\n", "from 1 to 100, found 0.9"},
+      {"port = 1e300\na.name = \"x\"\n", ":1: port: expected"},
+      {"port = nan\na.name = \"x\"\n", ":1: port: expected"},
+      {"grace_s = 0.05\na.name = \"x\"\n",
+       "expected a number from 0.1 to 60 s, found 0.05"},
+      {"grace_s = nan\na.name = \"x\"\n", ":1: grace_s: expected"},
+      {"grace_s = 1\ngrace_ms = 500\na.name = \"x\"\n", "given beside grace_"},
   };
   struct sample_settings settings;
   struct eg_error error;
@@ -104,6 +119,42 @@
     }
 }
 
+/* Guards against bounds with a fraction that keep a program from starting. */
+static void
+test_integers_and_seconds_may_have_fractions (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    int64_t port;
+    int64_t grace_ms;
+  } cases[] = {
+      {"", 7, 500},
+      {"port = 7.5000\n", 7, 500},
+      {"port = 100.9\n", 100, 500},
+      {"grace_ms = 700\n", 7, 700},
+      {"grace_s = 7.5\n", 7, 7500},
+      {"grace_s = 8\n", 7, 8000},
+      {"grace_s = 0.1\n", 7, 100},
+      {"grace_s = 4.35\n", 7, 4350},
+      {"grace_s = 1.0009\n", 7, 1000},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct sample_settings settings;
+      struct eg_error error = {0};
+      char text[80];
+
+      snprintf (text, sizeof text, "%sa.name = \"x\"\n", cases[i].text);
+      if (load_text (text, &settings, &error) != EG_OK)
+        fail_msg ("%s: %s", text, error.message);
+      assert_int_equal (settings.port, cases[i].port);
+      assert_int_equal (settings.grace_ms, cases[i].grace_ms);
+    }
+}
+
 static void
 test_secrets_are_not_printed (void **state)
 {
@@ -245,6 +296,7 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (test_settings_defaults_and_values),
       cmocka_unit_test (test_settings_errors_name_line_and_key),
+      cmocka_unit_test (test_integers_and_seconds_may_have_fractions),
       cmocka_unit_test (test_secrets_are_not_printed),
       cmocka_unit_test (test_str_functions),
       cmocka_unit_test (test_histogram_quantiles),
