--- a/test/test_reload.c
+++ b/test/test_reload.c
@@ -187,6 +187,76 @@
   soak_release_ports ();
 }
 
+/* Values of the template's parameters; others are names. */
+static const char *const parameters[][2] = {
+    {"bootstrap", "false"},           {"listen.front", "10.0.0.1:1"},
+    {"listen.ready", "10.0.0.1:2"},   {"ip", "10.0.0.1"},
+    {"internalPorts.0", "3"},         {"platform.address", "10.0.0.2:1"},
+    {"limits.memoryMb", "160.5"},     {"limits.fileDescriptors", "4100"},
+    {"limits.linkMbps", "20"},        {"limits.cpuShare", "0.12"},
+    {"bounds.graceS", "7.5"},         {"bounds.revokeStrict", "true"},
+    {"bounds.revokeMs", "4999.5"},    {"bounds.retryBudgetRatio", "0.2"},
+    {"bounds.budgetWindowS", "2.25"}, {"bounds.budgetExtraRetries", "200.75"},
+    {"bounds.stall_ms", "1500.25"},   {"bounds.fencingRequired", "true"},
+};
+
+static const char *
+find_parameter (const char *name, size_t len)
+{
+  for (size_t i = 0; i < sizeof parameters / sizeof parameters[0]; i++)
+    if (strlen (parameters[i][0]) == len
+        && strncmp (parameters[i][0], name, len) == 0)
+      return parameters[i][1];
+  return "name";
+}
+
+/* Writes the settings as the platform does from the template. */
+static void
+render_template (const char *path)
+{
+  FILE *template = fopen (EG_SOURCE_DIR "/deploy/settings.toml.in", "r");
+  FILE *rendered = fopen (path, "w");
+  char text[4096];
+  const char *at = text;
+  const char *mark;
+  size_t len;
+
+  assert_non_null (template);
+  assert_non_null (rendered);
+  len = fread (text, 1, sizeof text - 1, template);
+  text[len] = '\0';
+  for (; (mark = strstr (at, "{{")); at = strstr (mark, "}}") + 2)
+    {
+      fwrite (at, 1, (size_t) (mark - at), rendered);
+      fputs (
+          find_parameter (mark + 2, (size_t) (strstr (mark, "}}") - mark - 2)),
+          rendered);
+    }
+  fputs (at, rendered);
+  assert_int_equal (fclose (rendered), 0);
+  fclose (template);
+}
+
+/* With graceS = 7.5 the daemon did not start. */
+static void
+test_template_takes_bounds_with_fractions (void **state)
+{
+  struct file *file = *state;
+  struct eg_entry_settings settings;
+  struct eg_error error;
+
+  render_template (file->path);
+  if (eg_settings_load (&eg_entry_setting_table, file->path, &settings, &error)
+      != EG_OK)
+    fail_msg ("%s", error.message);
+  assert_int_equal (settings.stop_grace_ms, 7500);
+  assert_int_equal (settings.retry_window_ms, 2250);
+  assert_int_equal (settings.revocation_ms, 4999);
+  assert_int_equal (settings.retry_extra, 200);
+  assert_int_equal (settings.stall_ms, 1500);
+  assert_int_equal (settings.memory_mb, 160);
+}
+
 int
 main (void)
 {
@@ -202,6 +272,8 @@
       cmocka_unit_test_setup_teardown (
           test_signals_while_the_daemon_starts_are_handled_when_it_runs, set_up,
           tear_down),
+      cmocka_unit_test_setup_teardown (
+          test_template_takes_bounds_with_fractions, set_up, tear_down),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
