--- a/policy/layer_plan.c
+++ b/policy/layer_plan.c
@@ -16,8 +16,8 @@
  * path. */
 #define MEMORY_PENALTY 4.0
 /* The same for the memory that remains when the server with the most of it is
- * lost, where servers are weighted by their speed: there, a second server may
- * be too small to take over. */
+ * lost. It counts where the large accelerators of a failure domain can hold the
+ * whole model: elsewhere it would take memory from paths through slow ones. */
 #define LOSS_PENALTY 0.25
 /* Requests enter at the servers of the first layer, each of which accepts no
  * more than it has slots. This is the penalty if the layers have memory for
@@ -72,6 +72,7 @@
       occupies memory for as long as it runs. */
   bool weighted;
   double step_factor_min; /**< Of the fastest accelerator. */
+  double loss_penalty;    /**< LOSS_PENALTY, or 0. */
   struct eg_plan_server **servers;
   size_t count;
   unsigned replicas[EG_MODEL_LAYERS_MAX];
@@ -99,8 +100,8 @@
 
   if (replicas == 0)
     return 0;
-  if (self->weighted)
-    value -= LOSS_PENALTY * memory_ratio (self, tokens - largest);
+  if (self->loss_penalty > 0)
+    value -= self->loss_penalty * memory_ratio (self, tokens - largest);
   if (replicas > 1)
     value += VALUE_REPLICA;
   return value - MEMORY_PENALTY * memory_ratio (self, tokens);
@@ -192,7 +193,7 @@
               double *largest)
 {
   memset (largest, 0, EG_MODEL_LAYERS_MAX * sizeof *largest);
-  for (size_t i = 0; self->weighted && i < self->count; i++)
+  for (size_t i = 0; self->loss_penalty > 0 && i < self->count; i++)
     {
       const struct eg_plan_server *server = self->servers[i];
       double tokens = tokens_per_layer (self, server, server->planned);
@@ -549,6 +550,19 @@
                                      : TARGET_TOKENS_FRACTION));
 }
 
+/* Returns how many layers the large accelerators of a failure domain hold. */
+static size_t
+count_large_layers (const struct domain_plan *self)
+{
+  size_t layers = 0;
+
+  for (size_t i = 0; i < self->count; i++)
+    if (is_large (self->engine, self->servers[i]->accelerator))
+      layers +=
+          eg_engine_layers_max (self->engine, self->servers[i]->accelerator);
+  return layers;
+}
+
 size_t
 eg_layer_plan_make (struct eg_plan_server *servers,
                     size_t count,
@@ -573,6 +587,8 @@
             plan->servers[plan->count++] = &servers[i];
             empty &= servers[i].held.to == servers[i].held.from;
           }
+      plan->loss_penalty =
+          count_large_layers (plan) >= engine->layers ? LOSS_PENALTY : 0;
       if (plan->count > 0)
         plan_domain (plan, empty ? ATTEMPTS_EMPTY : ATTEMPTS_INCREMENTAL,
                      !empty);
