entry: planned stops and closes deliver what is queued for slow clients

A request ends when its response is in the write queue. The process exited as soon as no request was in progress, and connections that were to be closed were dropped 2 s later, whatever was still queued for a slow client. An idle time-out that ran during delivery, and a client that ended its side, dropped the queue too; a connection closed with unread bytes was reset, which discards what the kernel holds.

Connections now send their queue, end the sending direction and are read until the client closes. Time-outs restart when the client acknowledges bytes. A planned stop waits for clients until 100 ms before the end of the grace period.

--- a/entry/connections.h
+++ b/entry/connections.h
@@ -34,14 +34,18 @@
   struct eg_buffer pipelined;
   /** Error status found while reading the request; 0: none. */
   unsigned reject_status;
-  /** Time of the last response, of the request's first byte, or of closing. */
+  /** Time of the last response, of the request's first byte, or of closing;
+   *  later, when the client was last seen to receive bytes. */
   int64_t last_activity_us;
+  /** Bytes that the client had not acknowledged at the last check. */
+  size_t undelivered;
   /** A peer's mirror query; pending if @c query_pending. */
   struct eg_mirror_query query;
   bool query_pending;
   bool idle; /**< No byte of the next request has been received. */
   bool processing;
-  bool closing;
+  bool read_ended; /**< The client sends no more. */
+  bool closing;    /**< No more requests are served. */
 };
 
 /** All inbound connections; allocated by the caller. */
@@ -53,6 +57,8 @@
   struct eg_list all;
   size_t connection_count;
   size_t running;    /**< Requests being processed, as of the last tick. */
+  size_t delivering; /**< During a planned stop: connections whose clients have
+                          not received all of their responses. */
   size_t body_bytes; /**< Total size of buffered request bodies. */
 };
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -41,6 +41,9 @@
 #define BALANCER_REMOVAL_US (2600 * EG_US_PER_MS)
 /* Remaining part of the grace period when the last requests are aborted. */
 #define STOP_MARGIN_US (250 * EG_US_PER_MS)
+/* Remaining part of the grace period when the process exits, whether or not all
+ * clients have received their responses. */
+#define EXIT_MARGIN_US (100 * EG_US_PER_MS)
 
 static const int handled_signals[] = {SIGTERM, SIGINT, SIGHUP};
 #define HANDLED_SIGNALS (sizeof handled_signals / sizeof handled_signals[0])
@@ -210,20 +213,26 @@
 check_stop (struct eg_entry *self, int64_t now_us)
 {
   int64_t stopped_us = now_us - self->stop_us;
-  int64_t grace_us =
-      self->settings->stop_grace_ms * EG_US_PER_MS - STOP_MARGIN_US;
+  int64_t grace_us = self->settings->stop_grace_ms * EG_US_PER_MS;
+  bool delivering = self->connections.delivering > 0;
 
   if (self->stop_us == 0 || stopped_us < BALANCER_REMOVAL_US)
     return;
   eg_connections_close_idle (&self->connections);
-  if (self->connections.running > 0 && stopped_us >= grace_us)
+  if (self->connections.running > 0 && stopped_us >= grace_us - STOP_MARGIN_US)
     {
       eg_log (EG_LOG_WARNING, "main", "event=stop-cuts requests=%zu",
               self->connections.running);
       eg_connections_abort_requests (&self->connections);
     }
-  else if (self->connections.running == 0)
-    uv_stop (&self->loop);
+  else if (self->connections.running == 0
+           && (!delivering || stopped_us >= grace_us - EXIT_MARGIN_US))
+    {
+      if (delivering)
+        eg_log (EG_LOG_WARNING, "main", "event=stop-cuts responses=%zu",
+                self->connections.delivering);
+      uv_stop (&self->loop);
+    }
 }
 
 /* On the first start of the system, VMs first determine which of them read
--- a/net/socket.c
+++ b/net/socket.c
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "base/status.h"
@@ -219,6 +221,19 @@
   return self->queued;
 }
 
+size_t
+eg_socket_undelivered (const struct eg_socket *self)
+{
+  uv_os_fd_t descriptor;
+  int in_kernel = 0;
+
+  if (self->closing
+      || uv_fileno ((const uv_handle_t *) &self->tcp, &descriptor) != 0
+      || ioctl (descriptor, SIOCOUTQ, &in_kernel) != 0 || in_kernel < 0)
+    in_kernel = 0;
+  return self->queued + (size_t) in_kernel;
+}
+
 static void
 on_closed (uv_handle_t *handle)
 {
@@ -246,6 +261,26 @@
   eg_socket_close (self);
 }
 
+static void
+on_sending_ended (uv_shutdown_t *request, int status)
+{
+  (void) status; /* A connection that has failed is reported by a read. */
+  free (request);
+}
+
+void
+eg_socket_end_sending (struct eg_socket *self)
+{
+  uv_shutdown_t *request;
+
+  if (self->closing)
+    return;
+  request = malloc (sizeof *request);
+  EG_INVARIANT (request);
+  if (uv_shutdown (request, (uv_stream_t *) &self->tcp, on_sending_ended) != 0)
+    free (request);
+}
+
 void
 eg_socket_close_after_writes (struct eg_socket *self)
 {
--- a/net/socket.h
+++ b/net/socket.h
@@ -80,9 +80,22 @@
 /** Returns the number of bytes in the write queue. */
 size_t eg_socket_queued (const struct eg_socket *self);
 
+/**
+ * Returns the number of bytes that the other end has not acknowledged: those of
+ * the write queue and those in the kernel. The end of sending counts as one.
+ */
+size_t eg_socket_undelivered (const struct eg_socket *self);
+
 /** Closes the socket and discards the write queue; idempotent. */
 void eg_socket_close (struct eg_socket *self);
 
+/**
+ * Ends the sending direction after the write queue has been sent; nothing may
+ * be written afterwards. Reading goes on, because the kernel discards what it
+ * has not sent yet if a socket is closed with unread bytes.
+ */
+void eg_socket_end_sending (struct eg_socket *self);
+
 /** Closes the socket after the write queue has been sent. */
 void eg_socket_close_after_writes (struct eg_socket *self);
 
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -53,6 +53,23 @@
                     !needs_key);
 }
 
+static json_t *
+pack_limits (const struct streams_fixture *self)
+{
+  json_t *limits = json_object ();
+
+  if (self->header_bytes_max > 0)
+    json_object_set_new (limits, "maxHeaderBytes",
+                         json_integer (self->header_bytes_max));
+  if (self->body_bytes_max > 0)
+    json_object_set_new (limits, "maxBodyBytes",
+                         json_integer (self->body_bytes_max));
+  if (self->idle_timeout_ms > 0)
+    json_object_set_new (limits, "idleTimeoutMs",
+                         json_integer (self->idle_timeout_ms));
+  return limits;
+}
+
 void
 streams_publish_configuration (struct streams_fixture *self, int version)
 {
@@ -71,13 +88,14 @@
   snprintf (prefix, sizeof prefix, "/v%d/", version);
   spec = json_pack (
       "{s:i, s:[o, o, o, o, o], s:[{s:s, s:s, s:i, s:o}, {s:s, s:s, s:i}], "
-      "s:[{s:s, s:[s]}]}",
+      "s:[{s:s, s:[s]}], s:o}",
       "version", version, "routes", route, pack_plain_route ("/plain/", false),
       pack_plain_route (prefix, false), pack_plain_route ("/keyed/", true),
       pack_plain_route ("/once/", false), "services", "name", "model",
       "healthPath", "/healthz", "maxConnections", 1000, "engine", engine,
       "name", "app", "healthPath", "/healthz", "maxConnections", 1000,
-      "tenants", "name", "organisation", "apiKeys", "key");
+      "tenants", "name", "organisation", "apiKeys", "key", "limits",
+      pack_limits (self));
 
   EG_INVARIANT (spec);
   soak_store_put (&self->store, "config", "main", spec);
@@ -265,8 +283,10 @@
 respond_plain (struct soak_http_connection *connection)
 {
   struct engine_stream *stream = connection->state;
+  size_t body_len = stream->engine->fixture->plain_bytes;
   char notice[NOTICE_BYTES];
   char fields[160];
+  char *body;
 
   if (stream->answer != STREAMS_ANSWER_WELL)
     {
@@ -276,7 +296,18 @@
   snprintf (fields, sizeof fields,
             "X-Attempt-Id: %s\r\nX-Server-Seal: s\r\n%.*s", stream->id,
             EG_STR_ARGS (write_notice (stream->engine, notice, sizeof notice)));
-  soak_http_respond (connection, 200, eg_str_from (fields), EG_STR ("done"));
+  if (body_len == 0)
+    {
+      soak_http_respond (connection, 200, eg_str_from (fields),
+                         EG_STR ("done"));
+      return;
+    }
+  body = malloc (body_len);
+  EG_INVARIANT (body);
+  memset (body, 'x', body_len);
+  soak_http_respond (connection, 200, eg_str_from (fields),
+                     (struct eg_str){body, body_len});
+  free (body);
 }
 
 /* Returns whether a comma-separated field lists the part of a prompt. */
@@ -513,11 +544,12 @@
       "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
       "[store]\naddress = \"%s\"\n"
       "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
-      "[stop]\ngrace_ms = 500\n[keys]\nrevocation_ms = 5000\n"
+      "[stop]\ngrace_ms = %d\n[keys]\nrevocation_ms = 5000\n"
       "[retry]\nratio = %g\nwindow_ms = %d\nextra = %d\n",
       self->number, self->number == 0 || options->one_domain ? "room" : "hall",
       options->first_start ? "true" : "false", self->callers_port,
-      soak_find_free_port (), self->peers_port, store, options->retry_ratio,
+      soak_find_free_port (), self->peers_port, store,
+      options->grace_ms > 0 ? options->grace_ms : 500, options->retry_ratio,
       options->retry_window_ms, options->retry_extra);
   fclose (file);
 }
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -97,6 +97,7 @@
   bool one_domain;  /**< All entry VMs are in the first one's domain. */
   bool first_start; /**< The whole system starts, so no VM joins later. */
   bool cuts;        /**< streams_cut() is used; not with @c one_domain. */
+  int grace_ms;     /**< Of a planned stop; 0: 500. */
 };
 
 /** A request of a client. */
@@ -140,6 +141,11 @@
   enum streams_answer next_answer;
   /** Part of a prompt that ends servers; NULL: none. */
   const char *deadly_part;
+  size_t plain_bytes; /**< Length of plain servers' answers; 0: a few. */
+  /** Limits that published configurations set for clients; 0: the default. */
+  int header_bytes_max;
+  int body_bytes_max;
+  int idle_timeout_ms;
   bool has_paths;
   unsigned deadly_arrivals; /**< Requests that may end a server, received. */
   unsigned crashes;         /**< Servers that ended under them. */
