entry: a changed maxHeaderBytes holds for open connections

The limit was copied into the parser of a connection when it was opened, so that a raised limit did not apply to connections that clients keep. It is read again when a request begins.

changed_limit_of_heads_holds_for_open_connections: 431 for a head of 30 KB under a limit of 32 KB before, 200 after; a lowered limit gives 431.

--- a/entry/connections.c
+++ b/entry/connections.c
@@ -45,6 +45,13 @@
   return current ? &current->limits : &defaults;
 }
 
+static size_t
+head_bytes_max (const struct eg_connection *self)
+{
+  return limits_of (self)->head_bytes_max
+         + (self->kind == EG_LISTEN_PEERS ? HOP_HEAD_BYTES : 0);
+}
+
 bool
 eg_connection_will_close (const struct eg_connection *self)
 {
@@ -343,7 +350,11 @@
       size_t taken;
 
       if (self->idle)
-        self->last_activity_us = eg_clock_now_us ();
+        {
+          self->last_activity_us = eg_clock_now_us ();
+          /* The configuration may have changed since the last request. */
+          self->reader.head_max = head_bytes_max (self);
+        }
       self->idle = false;
       taken = eg_http_reader_feed (&self->reader, bytes);
       bytes.data += taken;
@@ -477,11 +488,8 @@
   eg_buffer_init (&self->body);
   eg_buffer_init (&self->pipelined);
   eg_call_init (&self->call, connections->entry, self);
-  eg_http_reader_init (
-      &self->reader, EG_HTTP_REQUEST,
-      limits_of (self)->head_bytes_max
-          + (self->kind == EG_LISTEN_PEERS ? HOP_HEAD_BYTES : 0),
-      &reader_events, self);
+  eg_http_reader_init (&self->reader, EG_HTTP_REQUEST, head_bytes_max (self),
+                       &reader_events, self);
   eg_list_append (&connections->all, &self->all);
   connections->connection_count++;
   if (self->kind == EG_LISTEN_CALLERS)
--- a/test/test_slow_readers.c
+++ b/test/test_slow_readers.c
@@ -318,12 +318,55 @@
   struct streams_fixture *self = *state;
 
   connect_all (self, "");
-  assert_int_equal (read_all (self, ANSWER_BYTES * 10, 5000), READERS);
+  assert_int_equal (read_all (self, (size_t) ANSWER_BYTES * 10, 5000), READERS);
   streams_vm_stop (self, 0);
   streams_run (self, STOPPED_MS);
   assert_false (self->vms[0].running);
 }
 
+/* Sends a request with a long field on the first connection; returns the
+ * status. */
+static unsigned
+request_with_long_head (struct streams_fixture *self, size_t field_len)
+{
+  struct eg_buffer field = {0};
+  unsigned status = 0;
+
+  eg_buffer_append (&field, EG_STR ("X-Long: "));
+  for (size_t i = 0; i < field_len; i++)
+    eg_buffer_append (&field, EG_STR ("x"));
+  eg_buffer_append (&field, EG_STR ("\r\n"));
+  reader_send (&readers[0], eg_buffer_text (&field));
+  eg_buffer_finish (&field);
+  assert_int_equal (read_all (self, ANSWER_BYTES, 5000), 1);
+  assert_int_equal (sscanf (readers[0].head, "HTTP/1.1 %u", &status), 1);
+  return status;
+}
+
+static void
+publish_head_limit (struct streams_fixture *self, int version, int bytes)
+{
+  self->header_bytes_max = bytes;
+  streams_publish_configuration (self, version);
+  streams_run (self, CONFIGURED_MS);
+}
+
+/* Guards against connections that keep the limit of the configuration that was
+ * in force when they were opened. */
+static void
+test_changed_limit_of_heads_holds_for_open_connections (void **state)
+{
+  struct streams_fixture *self = *state;
+
+  self->plain_bytes = 0;
+  reader_connect (&readers[0], self);
+  assert_int_equal (request_with_long_head (self, 12000), 200);
+  publish_head_limit (self, 2, 32768);
+  assert_int_equal (request_with_long_head (self, 30000), 200);
+  publish_head_limit (self, 3, 8192);
+  assert_int_equal (request_with_long_head (self, 12000), 431);
+}
+
 #define SLOW_TEST(name)                                                        \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -338,6 +381,7 @@
       SLOW_TEST (client_that_goes_on_sending_gets_all_of_its_answer),
       SLOW_TEST (client_that_does_not_read_its_answer_is_dropped),
       SLOW_TEST (planned_stop_does_not_wait_for_what_was_received),
+      SLOW_TEST (changed_limit_of_heads_holds_for_open_connections),
   };
 
   if (argc > 1)
