policy: event ids increase by any step

The relay required each id to be the next integer, and truncated streams whose servers leave numbers out. It now requires a decimal number, of any length, that is higher than the last id. That still detects a server that does not continue after Last-Event-Id, and now also ids that are not numbers, by which it could not be told.

--- a/policy/event_relay.c
+++ b/policy/event_relay.c
@@ -63,17 +63,46 @@
   return (struct eg_str){NULL, 0};
 }
 
-/* Numeric ids must increase by one within the stream. */
+static bool
+is_number (struct eg_str id)
+{
+  for (size_t i = 0; i < id.len; i++)
+    if (id.data[i] < '0' || id.data[i] > '9')
+      return false;
+  return id.len > 0;
+}
+
+static struct eg_str
+skip_zeros (struct eg_str number)
+{
+  while (number.len > 1 && *number.data == '0')
+    {
+      number.data++;
+      number.len--;
+    }
+  return number;
+}
+
+/* Compares numbers of any length. */
+static bool
+is_higher (struct eg_str number, struct eg_str than)
+{
+  number = skip_zeros (number);
+  than = skip_zeros (than);
+  if (number.len != than.len)
+    return number.len > than.len;
+  return memcmp (number.data, than.data, number.len) > 0;
+}
+
+/* Ids increase within the stream, not always by one: the next attempt continues
+ * after the last id, so an id that is not higher is sent twice. An id that a
+ * client names to resume its own stream need not be a number. */
 static bool
 is_next (const struct eg_event_relay *self, struct eg_str id)
 {
-  int64_t last;
-  int64_t next;
+  struct eg_str last = eg_str_from (self->last_id);
 
-  if (!eg_str_to_int64 (eg_str_from (self->last_id), &last)
-      || !eg_str_to_int64 (id, &next))
-    return true;
-  return next == last + 1;
+  return is_number (id) && (!is_number (last) || is_higher (id, last));
 }
 
 static enum eg_relay_result
--- a/policy/event_relay.h
+++ b/policy/event_relay.h
@@ -36,7 +36,8 @@
 {
   EG_RELAY_OK,
   EG_RELAY_TOO_LONG,     /**< An event or its id is too long. */
-  EG_RELAY_OUT_OF_ORDER, /**< Ids are not consecutive. */
+  EG_RELAY_OUT_OF_ORDER, /**< An id is not higher than the last one, or is not a
+                              decimal number. */
 };
 
 /** Initialises to resume after @p last_id; empty for a new stream. */
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -141,6 +141,7 @@
   enum streams_answer next_answer;
   /** Part of a prompt that ends servers; NULL: none. */
   const char *deadly_part;
+  int64_t id_step;    /**< Between the ids of events; 0: one. */
   size_t plain_bytes; /**< Length of plain servers' answers; 0: a few. */
   /** Limits that published configurations set for clients; 0: the default. */
   int header_bytes_max;
--- a/test/test_streams.c
+++ b/test/test_streams.c
@@ -424,6 +424,22 @@
   assert_int_equal (self->engines[2].runs, 1);
 }
 
+/* Guards against streams that are truncated because the ids of their events
+ * leave numbers out, and against lost or doubled events when they resume. */
+static void
+test_stream_whose_ids_leave_numbers_out_is_whole (void **state)
+{
+  struct streams_fixture *self = *state;
+  unsigned running;
+
+  self->id_step = 7;
+  running = begin_stream (self);
+  streams_engine_crash (&self->engines[running]);
+  streams_wait (self, first_has_ended, STREAM_TIMEOUT_MS);
+  assert_complete (&self->clients[0]);
+  assert_int_equal (self->engines[1 - running].runs, 1);
+}
+
 /** A test that starts the fixture with ample retries. */
 #define STREAMS_TEST(name)                                                     \
   cmocka_unit_test_setup_teardown (name, start_with_ample_retries, stop)
@@ -452,6 +468,7 @@
       STREAMS_TEST (test_client_is_told_at_once_when_the_first_pause_ends),
       STREAMS_TEST (test_server_that_says_it_is_leaving_gets_no_new_work),
       STREAMS_TEST (test_silent_stream_of_a_leaving_server_goes_on_elsewhere),
+      STREAMS_TEST (test_stream_whose_ids_leave_numbers_out_is_whole),
   };
 
   if (argc > 1)
