net: a long Keep-Alive time-out does not overflow

A server's time-out in seconds was multiplied by a million in 64 bits; s became less than a second, and the connection was closed.

connection_is_kept_as_long_as_the_server_states failed before and passes.

--- a/net/exchange.c
+++ b/net/exchange.c
@@ -14,6 +14,9 @@
 /* Connections are closed this long before the server's keep-alive timeout, so
    that no request is sent on a connection that the server is closing. */
 #define KEEP_ALIVE_MARGIN_US EG_US_PER_S
+/* Longer times that servers state are taken for this one, which exceeds any
+ * pool's own limit. */
+#define KEEP_ALIVE_MAX_S 86400
 
 /** Idle connections to one endpoint, most recently used first. */
 struct host
@@ -116,6 +119,16 @@
   send_request (self);
 }
 
+static void
+set_keep_alive (struct eg_http_connection *self, int64_t seconds)
+{
+  if (seconds > KEEP_ALIVE_MAX_S)
+    seconds = KEEP_ALIVE_MAX_S;
+  if (seconds < 0)
+    seconds = 0;
+  self->keep_alive_us = seconds * EG_US_PER_S - KEEP_ALIVE_MARGIN_US;
+}
+
 static void
 on_head (void *context)
 {
@@ -134,7 +147,7 @@
       eg_str_cut (&keep_alive, '=');
       if (eg_str_to_int64 (eg_str_trim (eg_str_cut (&keep_alive, ',')),
                            &seconds))
-        self->keep_alive_us = seconds * EG_US_PER_S - KEEP_ALIVE_MARGIN_US;
+        set_keep_alive (self, seconds);
     }
   self->skipping =
       !self->exchange
--- a/test/test_exchange.c
+++ b/test/test_exchange.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -358,6 +359,67 @@
   server_finish (&server);
 }
 
+/* Returns whether a connection is kept for reuse after a response. */
+static bool
+is_kept_after (const char *response)
+{
+  struct client client;
+  struct test_server server;
+  struct eg_exchange exchange;
+  struct eg_exchange_request request = {.head = EG_STR (REQUEST)};
+  struct result first;
+  struct result second = {0};
+  bool kept;
+
+  client_init (&client);
+  server_init (&server, response, KEEP_OPEN);
+  run_exchange (&client, server.endpoint, &first);
+  assert_true (first.done);
+  request.endpoint = server.endpoint;
+  eg_exchange_init (&exchange, &events, &second);
+  assert_true (eg_exchange_start (&exchange, &client.pool, &request));
+  kept = client.pool.reused == 1;
+  eg_exchange_cancel (&exchange);
+  eg_buffer_finish (&first.body);
+  client_finish (&client);
+  server_finish (&server);
+  return kept;
+}
+
+/* Guards against the overflow of a time that a server states. */
+static void
+test_connection_is_kept_as_long_as_the_server_states (void **state)
+{
+  static const struct
+  {
+    const char *timeout;
+    bool kept;
+  } cases[] = {
+      {"99999999999999999", true},
+      {"9223372036854775807", true},
+      {"9223372036854776", true},
+      {"60", true},
+      {"9999999999999999999999", true},
+      {"1", false},
+      {"0", false},
+      {"-1", false},
+      {"-9223372036854775808", false},
+      {"-9223372036854776", false},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      char response[160];
+
+      snprintf (response, sizeof response,
+                "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=%s, max=9\r\n"
+                "Content-Length: 0\r\n\r\n",
+                cases[i].timeout);
+      assert_int_equal (is_kept_after (response), cases[i].kept);
+    }
+}
+
 static void
 test_bytes_without_end_that_are_no_response_fail_the_exchange (void **state)
 {
@@ -424,6 +486,7 @@
       cmocka_unit_test (test_response_to_other_request_is_skipped),
       cmocka_unit_test (test_extra_bytes_close_connection),
       cmocka_unit_test (test_paused_connection_is_not_reused),
+      cmocka_unit_test (test_connection_is_kept_as_long_as_the_server_states),
       cmocka_unit_test (
           test_bytes_without_end_that_are_no_response_fail_the_exchange),
       cmocka_unit_test (test_refused_connection),
