entry: a server's failure passed on by a peer is no refusal

Any response of a peer without a signature and other than 502 and 504 was taken for the peer's refusal, so that a server's 500 for a request that had run became a 503, or the request ran again. A refusal is now only what the peer itself says: it names the servers used (Eelgrasswood-Servers) or, from this build on, that it has chosen none (Eelgrasswood-Hop-Refused). Older builds say so in the body, which is still read; older builds ignore the new field. What a peer passes on is treated as a server's own response. A repeatable request whose servers failed with 503 is no longer answered with that status, which would mean that it has not run, but with 502.

--- a/entry/call.c
+++ b/entry/call.c
@@ -182,6 +182,7 @@
   /* For a repeatable request, forward the error response of the server. */
   if (decision == EG_RESEND_FAIL && self->response_head.len > 0
       && self->response_status >= 500
+      && !eg_call_implies_not_executed (self->response_status)
       && strcmp (self->cause, "server-error") == 0)
     {
       eg_call_send_buffered_response (self);
@@ -377,9 +378,8 @@
          && self->attempt.headers.has_request_id;
 }
 
-/* Statuses by which clients assume that the request was not executed. */
-static bool
-implies_not_executed (unsigned status)
+bool
+eg_call_implies_not_executed (unsigned status)
 {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -393,7 +393,7 @@
          && (is_valid_success (self)
              || (self->attempt.status >= 300 && self->attempt.status < 500
                  && !self->attempt.headers.not_executed
-                 && !implies_not_executed (self->attempt.status)));
+                 && !eg_call_implies_not_executed (self->attempt.status)));
 }
 
 static void
@@ -559,7 +559,7 @@
                                  now_us);
       if (attempt->status >= 500 && eg_call_is_repeatable (self))
         eg_call_attempt_failed (self, "server-error");
-      else if (implies_not_executed (attempt->status)
+      else if (eg_call_implies_not_executed (attempt->status)
                && !eg_call_is_repeatable (self))
         eg_call_reject (self, 502, "server-error");
       else
--- a/entry/call.h
+++ b/entry/call.h
@@ -23,6 +23,9 @@
 /** Maximum number of peers tried for one request. */
 #define EG_CALL_PEERS_MAX 4
 
+/** Body of the 403 response to a request of a sender that is no known VM. */
+#define EG_HOP_FORBIDDEN_TEXT "only entry VMs may send requests here\n"
+
 /** How the response body of the current attempt is handled. */
 enum eg_response_mode
 {
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -77,6 +77,8 @@
   eg_response_write_request_id (&out, self->headers.id);
   if (self->is_from_peer && *self->service)
     eg_response_write_servers_used (&out, (unsigned) self->first_server_count);
+  else if (self->is_from_peer)
+    eg_response_write_hop_refused (&out);
   eg_buffer_printf (&out,
                     "Content-Type: application/problem+json\r\n"
                     "Content-Length: %d\r\n",
--- a/entry/call_hop.c
+++ b/entry/call_hop.c
@@ -166,6 +166,56 @@
   return attempt->headers.has_signature && attempt->headers.has_request_id;
 }
 
+/* Builds before the field Eelgrasswood-Hop-Refused only say in the body that
+ * the request has not run. While a stream is resumed, the body is not kept, and
+ * it makes no difference whether the request has run. */
+static bool
+is_refusal_of_older_build (struct eg_call *self)
+{
+  const struct eg_attempt *attempt = &self->attempt;
+  const char *body = eg_buffer_text (&self->response_body);
+
+  if (self->head_sent)
+    return attempt->status == 503;
+  return attempt->headers.is_problem && strstr (body, "\"ran\":\"no\"}");
+}
+
+/* Returns whether the peer itself says that the request has not run. A failure
+ * of a server that it passes on says nothing of the kind. */
+static bool
+is_refusal (struct eg_call *self)
+{
+  const struct eg_attempt *attempt = &self->attempt;
+
+  if (is_server_response (attempt) || attempt->status == 502
+      || attempt->status == 504)
+    return false;
+  return attempt->headers.hop_refused || attempt->headers.has_servers_used
+         || (attempt->status == 403
+             && strcmp (eg_buffer_text (&self->response_body),
+                        EG_HOP_FORBIDDEN_TEXT)
+                    == 0)
+         || is_refusal_of_older_build (self);
+}
+
+/* The peer passes on a response without signature, as this VM would do with
+ * that of a server. The request may have run; the peer has not failed. */
+static void
+handle_unsigned_response (struct eg_call *self)
+{
+  unsigned status = self->attempt.status;
+
+  self->servers_used_by_peers += self->attempt.peer_servers_max;
+  if (self->head_sent || status < 300)
+    eg_call_attempt_failed (self, "answer-unsigned");
+  else if (status >= 500 && eg_call_is_repeatable (self))
+    eg_call_attempt_failed (self, "server-error");
+  else if (eg_call_implies_not_executed (status))
+    eg_call_reject (self, 502, "server-error");
+  else
+    eg_call_send_buffered_response (self);
+}
+
 static void
 on_done (void *context)
 {
@@ -189,8 +239,10 @@
   else if (attempt->status == 502 || attempt->status == 504
            || is_server_response (attempt))
     handle_loss (self, "peer-failed", now_us);
-  else
+  else if (is_refusal (self))
     handle_refusal (self, now_us);
+  else
+    handle_unsigned_response (self);
 }
 
 static void
--- a/entry/call_state.h
+++ b/entry/call_state.h
@@ -96,6 +96,10 @@
 /** Handles a part of the body of a response. */
 void eg_call_on_body (void *context, struct eg_str bytes);
 
+/** Returns whether clients conclude from a status that the request has not run.
+ */
+bool eg_call_implies_not_executed (unsigned status);
+
 /** Returns why a stream whose response has ended is not whole, or NULL. */
 const char *eg_call_find_stream_fault (const struct eg_call *self);
 
--- a/entry/connections.c
+++ b/entry/connections.c
@@ -265,7 +265,7 @@
       eg_log (EG_LOG_WARNING, "callers",
               "event=hop-rejected cause=\"the sender is no entry VM\"");
       send_text (self, 403, EG_STR ("text/plain"),
-                 EG_STR ("only entry VMs may send requests here\n"));
+                 EG_STR (EG_HOP_FORBIDDEN_TEXT));
       return true;
     }
   eg_metrics_count (&self->entry->metrics, EG_COUNT_FROM_PEERS);
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -287,6 +287,13 @@
   soak_http_finish_request (connection);
 }
 
+static bool
+is_unsigned (enum streams_answer answer)
+{
+  return answer == STREAMS_ANSWER_UNSIGNED_ERROR
+         || answer == STREAMS_ANSWER_UNSIGNED_UNAVAILABLE;
+}
+
 static void
 respond_plain (struct soak_http_connection *connection)
 {
@@ -296,6 +303,15 @@
   char fields[160];
   char *body;
 
+  if (is_unsigned (stream->answer))
+    {
+      snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\n", stream->id);
+      soak_http_respond (connection,
+                         stream->answer == STREAMS_ANSWER_UNSIGNED_ERROR ? 500
+                                                                         : 503,
+                         eg_str_from (fields), EG_STR ("failed"));
+      return;
+    }
   if (stream->answer != STREAMS_ANSWER_WELL)
     {
       respond_unframed (connection);
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -43,6 +43,10 @@
   STREAMS_ANSWER_EMPTY,
   /** A body without end and without a signature. */
   STREAMS_ANSWER_ENDLESS,
+  /** Status 500 without a signature, after the request has run. */
+  STREAMS_ANSWER_UNSIGNED_ERROR,
+  /** The same with status 503. */
+  STREAMS_ANSWER_UNSIGNED_UNAVAILABLE,
 };
 
 /** An engine or a plain server; refuses or accepts requests as the test says.
--- a/test/test_reach.c
+++ b/test/test_reach.c
@@ -423,6 +423,38 @@
   assert_int_equal (streams_count_runs (self), runs);
 }
 
+/* Guards against a server's failure without a signature that is taken for a
+ * refusal of the peer: the request has run, and must not run again. */
+static void
+test_failure_of_a_server_behind_a_peer_is_no_refusal (void **state)
+{
+  static const enum streams_answer answers[] = {
+      STREAMS_ANSWER_UNSIGNED_ERROR, STREAMS_ANSWER_UNSIGNED_UNAVAILABLE};
+  static const unsigned statuses[] = {500, 502};
+  struct streams_fixture *self = *state;
+
+  cut_and_notice (self, SOAK_CUT_RESET);
+  for (size_t i = 0; i < 2; i++)
+    {
+      unsigned runs = streams_count_runs (self);
+      unsigned refused = streams_count_log (self, 1, "event=hop-refused");
+
+      self->next_answer = answers[i];
+      assert_int_equal (
+          streams_client_request (
+              self, 0,
+              &(struct streams_request){.vm = 1, .once = true, .body = ""}),
+          statuses[i]);
+      assert_true (self->clients[0].retry_after_s < 0);
+      assert_int_equal (streams_count_runs (self), runs + 1);
+      assert_int_equal (streams_count_log (self, 1, "event=hop-refused"),
+                        refused);
+      /* The peer is not avoided for it. */
+      assert_served_promptly (
+          self, &(struct streams_request){.vm = 1, .once = true, .body = ""});
+    }
+}
+
 #define REACH_TEST(name, start)                                                \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -455,6 +487,7 @@
                   start_two),
       REACH_TEST (port_of_the_peers_serves_no_strangers_and_checks_keys,
                   start_two),
+      REACH_TEST (failure_of_a_server_behind_a_peer_is_no_refusal, start_two),
   };
 
   if (argc > 1)
