--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -61,9 +61,6 @@
   if (self->header_bytes_max > 0)
     json_object_set_new (limits, "maxHeaderBytes",
                          json_integer (self->header_bytes_max));
-  if (self->body_bytes_max > 0)
-    json_object_set_new (limits, "maxBodyBytes",
-                         json_integer (self->body_bytes_max));
   if (self->idle_timeout_ms > 0)
     json_object_set_new (limits, "idleTimeoutMs",
                          json_integer (self->idle_timeout_ms));
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -149,7 +149,6 @@
   size_t plain_bytes; /**< Length of plain servers' answers; 0: a few. */
   /** Limits that published configurations set for clients; 0: the default. */
   int header_bytes_max;
-  int body_bytes_max;
   int idle_timeout_ms;
   bool has_paths;
   unsigned deadly_arrivals; /**< Requests that may end a server, received. */
