--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -53,6 +53,20 @@
                     !needs_key);
 }
 
+static json_t *
+pack_limits (const struct streams_fixture *self)
+{
+  json_t *limits = json_object ();
+
+  if (self->header_bytes_max > 0)
+    json_object_set_new (limits, "maxHeaderBytes",
+                         json_integer (self->header_bytes_max));
+  if (self->idle_timeout_ms > 0)
+    json_object_set_new (limits, "idleTimeoutMs",
+                         json_integer (self->idle_timeout_ms));
+  return limits;
+}
+
 void
 streams_publish_configuration (struct streams_fixture *self, int version)
 {
@@ -71,13 +85,14 @@
   snprintf (prefix, sizeof prefix, "/v%d/", version);
   spec = json_pack (
       "{s:i, s:[o, o, o, o, o], s:[{s:s, s:s, s:i, s:o}, {s:s, s:s, s:i}], "
-      "s:[{s:s, s:[s]}]}",
+      "s:[{s:s, s:[s]}], s:o}",
       "version", version, "routes", route, pack_plain_route ("/plain/", false),
       pack_plain_route (prefix, false), pack_plain_route ("/keyed/", true),
       pack_plain_route ("/once/", false), "services", "name", "model",
       "healthPath", "/healthz", "maxConnections", 1000, "engine", engine,
       "name", "app", "healthPath", "/healthz", "maxConnections", 1000,
-      "tenants", "name", "organisation", "apiKeys", "key");
+      "tenants", "name", "organisation", "apiKeys", "key", "limits",
+      pack_limits (self));
 
   EG_INVARIANT (spec);
   soak_store_put (&self->store, "config", "main", spec);
@@ -150,6 +165,14 @@
   soak_http_finish_request (connection);
 }
 
+static int64_t
+get_id_step (const struct engine_stream *stream)
+{
+  int64_t step = stream->engine->fixture->id_step;
+
+  return step > 0 ? step : 1;
+}
+
 static void
 send_event (struct soak_http_connection *connection)
 {
@@ -157,7 +180,7 @@
   char event[96];
 
   snprintf (event, sizeof event, "id: %" PRId64 "\ndata: %s\n\n",
-            stream->next_event, stream->id);
+            stream->next_event * get_id_step (stream), stream->id);
   if (breaks_off (stream))
     {
       event[strlen (event) / 2] = '\0';
@@ -194,7 +217,7 @@
 
   stream->next_event = 1;
   if (eg_str_to_int64 (last, &stream->next_event))
-    stream->next_event++;
+    stream->next_event = stream->next_event / get_id_step (stream) + 1;
   snprintf (head, sizeof head,
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             "%sX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n%.*s\r\n",
@@ -261,13 +284,31 @@
   soak_http_finish_request (connection);
 }
 
+static bool
+is_unsigned (enum streams_answer answer)
+{
+  return answer == STREAMS_ANSWER_UNSIGNED_ERROR
+         || answer == STREAMS_ANSWER_UNSIGNED_UNAVAILABLE;
+}
+
 static void
 respond_plain (struct soak_http_connection *connection)
 {
   struct engine_stream *stream = connection->state;
+  size_t body_len = stream->engine->fixture->plain_bytes;
   char notice[NOTICE_BYTES];
   char fields[160];
+  char *body;
 
+  if (is_unsigned (stream->answer))
+    {
+      snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\n", stream->id);
+      soak_http_respond (connection,
+                         stream->answer == STREAMS_ANSWER_UNSIGNED_ERROR ? 500
+                                                                         : 503,
+                         eg_str_from (fields), EG_STR ("failed"));
+      return;
+    }
   if (stream->answer != STREAMS_ANSWER_WELL)
     {
       respond_unframed (connection);
@@ -276,7 +317,18 @@
   snprintf (fields, sizeof fields,
             "X-Attempt-Id: %s\r\nX-Server-Seal: s\r\n%.*s", stream->id,
             EG_STR_ARGS (write_notice (stream->engine, notice, sizeof notice)));
-  soak_http_respond (connection, 200, eg_str_from (fields), EG_STR ("done"));
+  if (body_len == 0)
+    {
+      soak_http_respond (connection, 200, eg_str_from (fields),
+                         EG_STR ("done"));
+      return;
+    }
+  body = malloc (body_len);
+  EG_INVARIANT (body);
+  memset (body, 'x', body_len);
+  soak_http_respond (connection, 200, eg_str_from (fields),
+                     (struct eg_str){body, body_len});
+  free (body);
 }
 
 /* Returns whether a comma-separated field lists the part of a prompt. */
@@ -513,11 +565,12 @@
       "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
       "[store]\naddress = \"%s\"\n"
       "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
-      "[stop]\ngrace_ms = 500\n[keys]\nrevocation_ms = 5000\n"
+      "[stop]\ngrace_ms = %d\n[keys]\nrevocation_ms = 5000\n"
       "[retry]\nratio = %g\nwindow_ms = %d\nextra = %d\n",
       self->number, self->number == 0 || options->one_domain ? "room" : "hall",
       options->first_start ? "true" : "false", self->callers_port,
-      soak_find_free_port (), self->peers_port, store, options->retry_ratio,
+      soak_find_free_port (), self->peers_port, store,
+      options->grace_ms > 0 ? options->grace_ms : 500, options->retry_ratio,
       options->retry_window_ms, options->retry_extra);
   fclose (file);
 }
