--- a/entry/call.c
+++ b/entry/call.c
@@ -1,6 +1,7 @@
 #include "entry/call_state.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -15,6 +16,11 @@
 /* Interval at which a request looks for a peer that serves, after the first
  * ones have been asked. */
 #define PEER_WAIT_US (25 * EG_US_PER_MS)
+/* From its arrival, a request waits at most this long for the outcome of
+ * another one that is on trial: a run shows within EG_SOUND_RUN_US whether it
+ * is sound.
+ */
+#define TRIAL_WAIT_MAX_US (1000 * EG_US_PER_MS)
 /* Connecting within a region takes about a millisecond. A lost SYN is
  * retransmitted only after a second, so opening another connection is
  * faster. */
@@ -59,6 +65,15 @@
   eg_event_relay_init (&self->relay, EG_STR (""));
 }
 
+static void
+free_parts (struct eg_call *self)
+{
+  free (self->parts);
+  self->parts = NULL;
+  self->subjects.parts = NULL;
+  self->subjects.part_count = 0;
+}
+
 void
 eg_call_finish (struct eg_call *self)
 {
@@ -66,6 +81,7 @@
   eg_buffer_finish (&self->response_body);
   eg_buffer_finish (&self->attempt.move_body);
   eg_event_relay_finish (&self->relay);
+  free_parts (self);
 }
 
 void
@@ -123,6 +139,7 @@
 eg_call_close (struct eg_call *self)
 {
   end_attempt (self);
+  free_parts (self);
   for (size_t i = 0; i < self->first_server_count; i++)
     eg_backend_unref (self->first_servers[i]);
   self->first_server_count = 0;
@@ -635,9 +652,9 @@
   struct eg_backend *first = eg_call_first_server (self);
   struct eg_buffer parts = {0};
 
-  for (uint32_t i = 0; i < self->headers.part_count; i++)
+  for (size_t i = 0; i < self->subjects.part_count; i++)
     eg_buffer_printf (&parts, "%s%" PRIx64, i > 0 ? "," : "",
-                      self->headers.parts[i]);
+                      self->subjects.parts[i]);
   eg_metrics_count (&self->entry->metrics, EG_COUNT_RUNS_LOST);
   eg_log (EG_LOG_NOTICE, "call",
           "event=run-lost request=%.*s fingerprint=%016" PRIx64
@@ -908,6 +925,7 @@
                  int64_t now_us)
 {
   self->attempt.charged = charged;
+  eg_crash_watch_sent (&self->entry->crash_watch, &self->subjects, now_us);
   if (target->peer)
     {
       eg_call_start_hop (self, target->peer, now_us);
@@ -976,11 +994,29 @@
     cannot_send (self, cause, limit);
 }
 
-static bool
-is_quarantined (const struct eg_call *self, int64_t now_us)
+static enum eg_crash_ruling
+judge_crashes (const struct eg_call *self, int64_t now_us)
+{
+  return eg_crash_watch_judge (&self->entry->crash_watch, &self->subjects,
+                               now_us)
+      .ruling;
+}
+
+static void
+refuse_crashing (struct eg_call *self)
+{
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_QUARANTINED);
+  cannot_send (self, "quarantined", EG_LIMIT_QUARANTINED);
+}
+
+/* Waits for the outcome of a trial, though not for long. */
+static void
+hold_for_trial (struct eg_call *self, int64_t now_us)
 {
-  return eg_crash_watch_is_blamed (&self->entry->crash_watch, &self->subjects,
-                                   now_us, NULL);
+  if (self->head_sent || now_us - self->arrived_us >= TRIAL_WAIT_MAX_US)
+    cannot_send (self, "trial", EG_LIMIT_TRIAL);
+  else
+    self->resume_us = now_us + WAIT_INTERVAL_US;
 }
 
 /* API keys are checked again for each attempt, because the configuration may
@@ -1000,7 +1036,8 @@
 
   context.in_flight = true;
   if (eg_resend_decide (&context) != EG_RESEND || !may_use_key (self, now_us)
-      || is_quarantined (self, now_us) || !choose_target (self, now_us, &target)
+      || judge_crashes (self, now_us) > EG_CRASH_TRY
+      || !choose_target (self, now_us, &target)
       || !spend_retry (self, cause, now_us))
     return false;
   if (!eg_exchange_is_connected (&self->attempt.exchange))
@@ -1049,6 +1086,7 @@
 begin_attempt (struct eg_call *self, int64_t now_us)
 {
   const struct eg_service_config *service = eg_call_service (self);
+  enum eg_crash_ruling ruling = judge_crashes (self, now_us);
   bool is_retry = self->sends > 0;
   struct target target;
 
@@ -1056,11 +1094,10 @@
     cannot_send (self, "service-removed", EG_LIMIT_NO_SERVICE);
   else if (!may_use_key (self, now_us))
     cannot_send (self, "keys-too-old", EG_LIMIT_KEYS);
-  else if (is_quarantined (self, now_us))
-    {
-      eg_metrics_count (&self->entry->metrics, EG_COUNT_QUARANTINED);
-      cannot_send (self, "quarantined", EG_LIMIT_QUARANTINED);
-    }
+  else if (ruling == EG_CRASH_REFUSE)
+    refuse_crashing (self);
+  else if (ruling == EG_CRASH_HOLD)
+    hold_for_trial (self, now_us);
   else if (!choose_target (self, now_us, &target))
     handle_no_target (self, now_us);
   else if (is_retry && !spend_retry (self, self->cause, now_us))
@@ -1131,6 +1168,28 @@
   return true;
 }
 
+/* Reads the parts of the prompt twice: first for their number. */
+static void
+set_parts (struct eg_call *self)
+{
+  struct eg_str text = self->headers.parts;
+  size_t count = 0;
+  uint64_t id;
+
+  while (eg_prompt_parts_next (&text, &id))
+    count++;
+  if (count > 0)
+    {
+      self->parts = calloc (count, sizeof *self->parts);
+      EG_INVARIANT (self->parts);
+    }
+  text = self->headers.parts;
+  for (size_t i = 0; i < count; i++)
+    eg_prompt_parts_next (&text, &self->parts[i]);
+  self->subjects.parts = self->parts;
+  self->subjects.part_count = count;
+}
+
 /* The id is left out: it differs for each copy of a request. */
 static void
 set_subjects (struct eg_call *self)
@@ -1142,9 +1201,7 @@
   hash = eg_hash_add (hash, self->headers.host);
   hash = eg_hash_add (hash, eg_str_from (self->head->method));
   self->subjects.request = eg_hash_mix (hash);
-  self->subjects.part_count = self->headers.part_count;
-  memcpy (self->subjects.parts, self->headers.parts,
-          sizeof self->subjects.parts);
+  set_parts (self);
 }
 
 static void
--- a/entry/call.h
+++ b/entry/call.h
@@ -91,6 +91,7 @@
   bool needs_key;
   unsigned priority;
   struct eg_crash_subjects subjects;
+  uint64_t *parts; /**< Of @c subjects. */
   int64_t arrived_us;
   int64_t deadline_us;
   int64_t first_event_us; /**< 0: no event sent yet. */
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -145,11 +145,11 @@
   bool limited;
   int64_t wait_us =
       eg_server_limits_wait_us (self->entry, self->service, now_us, &limited);
-  int64_t quarantine_us;
+  struct eg_crash_verdict verdict =
+      eg_crash_watch_judge (&self->entry->crash_watch, &self->subjects, now_us);
 
-  if (eg_crash_watch_is_blamed (&self->entry->crash_watch, &self->subjects,
-                                now_us, &quarantine_us))
-    return quarantine_us / EG_US_PER_MS + 1;
+  if (verdict.retry_after_us > 0)
+    return verdict.retry_after_us / EG_US_PER_MS + 1;
   if (wait_us > 0)
     return wait_us / EG_US_PER_MS + 1;
   if (self->peer_retry_after_us > 0)
--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -19,7 +19,9 @@
 /* Long enough for a sound run elsewhere to show that it is, and for the news of
  * that to arrive. */
 #define SETTLE_US EG_SOUND_RUN_US
-#define SUSPECTS_MAX 2048
+/* Prompts of some 900 parts fill a head of 12 KB; the parts of several crashes
+ * must find room, though most of them are in no other request. */
+#define SUSPECTS_MAX 8192
 /* A server that is not found to have ended within this time of a lost
  * connection has not crashed. The store tells after three missed heartbeats. */
 #define CONFIRM_TIMEOUT_US (6 * EG_US_PER_S)
@@ -28,6 +30,11 @@
 #define SHORT_RUN_PROOF_US (1 * EG_US_PER_S)
 /* Runs beyond that are dropped, the oldest first. */
 #define RUNS_MAX 1024
+/* Parts of prompts of all runs; beyond that the oldest runs are dropped, too.
+ */
+#define RUN_PARTS_MAX 65536
+/* When a request that another VM may try is to come again. */
+#define TRIAL_WAIT_US (1 * EG_US_PER_S)
 #define NEWS_INTERVAL_US (100 * EG_US_PER_MS)
 #define NEWS_MESSAGES_MAX 3
 #define SUMMARY_INTERVAL_US (500 * EG_US_PER_MS)
@@ -46,8 +53,9 @@
   int64_t start_ms;           /* Of the server. */
   int64_t ended_us;           /* When it was lost or complete. */
   bool complete;
-  bool delivered; /* Something, before it ended. */
-  struct eg_crash_subjects subjects;
+  bool delivered;                    /* Something, before it ended. */
+  struct eg_crash_subjects subjects; /* Its parts follow. */
+  uint64_t parts[];
 };
 
 static const char *const kind_names[EG_SUBJECT_KINDS] =
@@ -109,6 +117,7 @@
 free_run (struct eg_crash_watch *self, struct watched_run *run)
 {
   self->run_count--;
+  self->run_part_count -= run->subjects.part_count;
   eg_backend_unref (run->backend);
   free (run);
 }
@@ -131,20 +140,20 @@
                       ^ (uint64_t) start_ms);
 }
 
-static size_t
-count_subjects (const struct eg_crash_subjects *subjects)
-{
-  return 1 + (size_t) subjects->part_count;
-}
-
-static struct eg_subject
-get_subject (const struct eg_crash_subjects *subjects, size_t index)
+static void
+log_suspected (const struct watched_run *run,
+               struct eg_subject subject,
+               int64_t now_us)
 {
-  if (index == 0)
-    return (struct eg_subject){EG_SUBJECT_REQUEST, subjects->request};
-  return (struct eg_subject){EG_SUBJECT_PART, subjects->parts[index - 1]};
+  eg_log (EG_LOG_NOTICE, "crashes",
+          "event=suspected kind=%s subject=%" PRIx64
+          " server=%s start_ms=%" PRId64 " confirmed_ms=%" PRId64,
+          kind_names[subject.kind], subject.id, run->backend->record.id,
+          run->start_ms, (now_us - run->ended_us) / EG_US_PER_MS);
 }
 
+/* Most parts are in no other request, so that only those that were at several
+ * crashes are logged. */
 static void
 count_crash (struct eg_crash_watch *self,
              const struct watched_run *run,
@@ -152,17 +161,20 @@
 {
   const struct eg_crash crash = {hash_start (run->backend, run->start_ms),
                                  run->ended_us, run->delivered};
+  const struct eg_crash_subjects *subjects = &run->subjects;
+  struct eg_subject subject = {EG_SUBJECT_REQUEST, subjects->request};
 
-  for (size_t i = 0; i < count_subjects (&run->subjects); i++)
+  if (eg_crash_blame_record_crash (&self->blame, subject, &crash, now_us))
+    log_suspected (run, subject, now_us);
+  for (size_t i = 0; i < subjects->part_count; i++)
     {
-      struct eg_subject subject = get_subject (&run->subjects, i);
-
-      if (eg_crash_blame_record_crash (&self->blame, subject, &crash, now_us))
-        eg_log (EG_LOG_NOTICE, "crashes",
-                "event=suspected kind=%s subject=%" PRIx64
-                " server=%s start_ms=%" PRId64 " confirmed_ms=%" PRId64,
-                kind_names[subject.kind], subject.id, run->backend->record.id,
-                run->start_ms, (now_us - run->ended_us) / EG_US_PER_MS);
+      const struct eg_part_use use = {subjects->request, (uint32_t) i + 1};
+
+      subject = (struct eg_subject){EG_SUBJECT_PART, subjects->parts[i]};
+      if (eg_crash_blame_record_part_crash (&self->blame, subject.id, &use,
+                                            &crash, now_us)
+          && eg_crash_blame_crash_count (&self->blame, subject) > 1)
+        log_suspected (run, subject, now_us);
     }
 }
 
@@ -171,9 +183,13 @@
                        const struct eg_crash_subjects *subjects,
                        int64_t now_us)
 {
-  for (size_t i = 0; i < count_subjects (subjects); i++)
-    eg_crash_blame_record_served (&self->blame, get_subject (subjects, i),
-                                  now_us);
+  eg_crash_blame_record_served (
+      &self->blame, (struct eg_subject){EG_SUBJECT_REQUEST, subjects->request},
+      now_us);
+  for (size_t i = 0; i < subjects->part_count; i++)
+    eg_crash_blame_record_served (
+        &self->blame, (struct eg_subject){EG_SUBJECT_PART, subjects->parts[i]},
+        now_us);
 }
 
 void
@@ -184,17 +200,30 @@
   eg_crash_blame_record_idle (&self->blame, lost_us, now_us);
 }
 
-bool
-eg_crash_watch_is_blamed (const struct eg_crash_watch *self,
-                          const struct eg_crash_subjects *subjects,
-                          int64_t now_us,
-                          int64_t *retry_after_us)
+struct eg_crash_verdict
+eg_crash_watch_judge (const struct eg_crash_watch *self,
+                      const struct eg_crash_subjects *subjects,
+                      int64_t now_us)
 {
-  for (size_t i = 0; i < count_subjects (subjects); i++)
-    if (eg_crash_blame_is_blamed (&self->blame, get_subject (subjects, i),
-                                  now_us, retry_after_us))
-      return true;
-  return false;
+  struct eg_crash_verdict verdict =
+      eg_crash_blame_judge (&self->blame, subjects, now_us);
+
+  if (verdict.ruling == EG_CRASH_TRY && verdict.vms_max > 0
+      && eg_members_rank_for (&self->entry->members, verdict.subject.id)
+             >= verdict.vms_max)
+    {
+      verdict.ruling = EG_CRASH_HOLD;
+      verdict.retry_after_us = TRIAL_WAIT_US;
+    }
+  return verdict;
+}
+
+void
+eg_crash_watch_sent (struct eg_crash_watch *self,
+                     const struct eg_crash_subjects *subjects,
+                     int64_t now_us)
+{
+  eg_crash_blame_record_sent (&self->blame, subjects, now_us);
 }
 
 static void
@@ -205,20 +234,27 @@
            bool delivered,
            int64_t now_us)
 {
+  const size_t part_count = subjects->part_count;
   struct watched_run *run;
 
   if (eg_backend_is_leaving (backend))
     return;
-  if (self->run_count == RUNS_MAX)
+  while (self->run_count > 0
+         && (self->run_count >= RUNS_MAX
+             || self->run_part_count + part_count > RUN_PARTS_MAX))
     free_run (self, run_from_link (eg_list_pop_front (&self->runs)));
-  run = calloc (1, sizeof *run);
+  run = calloc (1, sizeof *run + part_count * sizeof *run->parts);
   EG_INVARIANT (run);
   run->backend = backend;
   run->start_ms = backend->record.start_ms;
   run->ended_us = now_us;
   run->complete = complete;
   run->delivered = delivered;
-  run->subjects = *subjects;
+  if (part_count > 0)
+    memcpy (run->parts, subjects->parts, part_count * sizeof *run->parts);
+  run->subjects =
+      (struct eg_crash_subjects){subjects->request, run->parts, part_count};
+  self->run_part_count += part_count;
   eg_backend_ref (backend);
   eg_list_append (&self->runs, &run->link);
   self->run_count++;
@@ -316,10 +352,24 @@
         json_pack ("[I, o, b]", (json_int_t) suspect->crashes[i].server,
                    encode_age (suspect->crashes[i].at_us, now_us),
                    suspect->crashes[i].delivered));
-  return json_pack ("[i, I, o, o, o]", (int) suspect->subject.kind,
-                    (json_int_t) suspect->subject.id,
-                    encode_age (suspect->served_us, now_us),
-                    encode_age (suspect->blamed_us, now_us), crashes);
+  return json_pack (
+      "[i, I, o, o, o, I, I]", (int) suspect->subject.kind,
+      (json_int_t) suspect->subject.id, encode_age (suspect->served_us, now_us),
+      encode_age (suspect->blamed_us, now_us), crashes,
+      (json_int_t) suspect->place, (json_int_t) suspect->requests);
+}
+
+/* Older builds do not say where a part was found; that is then not known. */
+static void
+decode_uses (const json_t *document, struct eg_suspect *suspect)
+{
+  json_int_t place = json_integer_value (json_array_get (document, 5));
+
+  if (place <= 0 || place > UINT32_MAX)
+    return;
+  suspect->place = (uint32_t) place;
+  suspect->requests =
+      (uint64_t) json_integer_value (json_array_get (document, 6));
 }
 
 static bool
@@ -342,6 +392,7 @@
       || !json_is_array (crashes)
       || json_array_size (crashes) > EG_SUSPECT_CRASHES_MAX)
     return false;
+  decode_uses (document, suspect);
   json_array_foreach (crashes, index, crash)
   {
     const json_t *server = json_array_get (crash, 0);
--- a/entry/crash_watch.h
+++ b/entry/crash_watch.h
@@ -14,7 +14,6 @@
 #include <jansson.h>
 
 #include "base/list.h"
-#include "platform/headers.h"
 #include "policy/crash_blame.h"
 
 struct eg_backend;
@@ -30,14 +29,6 @@
 /** Kind of the messages between VMs. */
 #define EG_CRASH_MESSAGE_KIND "crashes"
 
-/** What of a request may crash servers. */
-struct eg_crash_subjects
-{
-  uint64_t request; /**< Fingerprint. */
-  uint64_t parts[EG_PROMPT_PARTS_MAX];
-  uint32_t part_count;
-};
-
 /** State of one VM; allocated by the caller. */
 struct eg_crash_watch
 {
@@ -45,6 +36,7 @@
   struct eg_crash_blame blame;
   struct eg_list runs; /**< Lost or ended early, the oldest first. */
   size_t run_count;
+  size_t run_part_count; /**< Of the prompts of all these runs. */
   int64_t news_sent_us;
   int64_t summary_sent_us;
   size_t summary_member; /**< Position of the member to send it to. */
@@ -87,13 +79,18 @@
                                int64_t now_us);
 
 /**
- * Returns whether a request, or a part of its prompt, is in quarantine.
- * @param[out] retry_after_us time until its end; may be NULL.
+ * Decides whether a request may be sent: it, or a part of its prompt, may be in
+ * quarantine or on trial.
  */
-bool eg_crash_watch_is_blamed (const struct eg_crash_watch *self,
-                               const struct eg_crash_subjects *subjects,
-                               int64_t now_us,
-                               int64_t *retry_after_us);
+struct eg_crash_verdict
+eg_crash_watch_judge (const struct eg_crash_watch *self,
+                      const struct eg_crash_subjects *subjects,
+                      int64_t now_us);
+
+/** Takes note that a request is sent to a server. */
+void eg_crash_watch_sent (struct eg_crash_watch *self,
+                          const struct eg_crash_subjects *subjects,
+                          int64_t now_us);
 
 /** Handles a message of another VM. */
 void eg_crash_watch_receive (struct eg_crash_watch *self,
--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -14,6 +14,22 @@
 /* Crashes more than needed after which equally likely subjects that were in
  * flight at exactly the same ones are blamed. */
 #define TIE_CRASHES 1
+/* A part that was at so many crashes at one moment is blamed for that alone:
+ * the next burst of requests with it would meet as many servers. */
+#define BURST_CRASHES 5
+/* What several crashes at one moment count for, if they are fewer. */
+#define SMALL_BURST_COUNT 2
+/* Crashes of a part that a narrower one need not explain for requests without
+ * the latter to be tried: as many may have another cause. */
+#define MISSES_MAX 2
+/* Time for a request on trial to show that it is sound, or to be known to have
+ * crashed its server. */
+#define TRIAL_US 1000000
+/* Number of VMs that may try requests at the same time; what crashes servers
+ * may come to all VMs at once. */
+#define TRIAL_VMS 3
+/* After so long without a crash, all VMs may try. */
+#define TRIAL_VMS_US 6000000
 /* By so much the time of service must be later than another VM knows it to be
  * news for that VM: messages give ages, which differ by their way. */
 #define SERVED_NEWS_US 200000
@@ -22,9 +38,11 @@
 {
   struct eg_suspect suspect;
   struct eg_list by_change;
-  struct eg_list news; /* In eg_crash_blame.news if @c rounds_left > 0. */
+  struct eg_list news;   /* In eg_crash_blame.news if @c rounds_left > 0. */
+  struct eg_list blamed; /* In eg_crash_blame.blamed if it is blamed. */
   unsigned rounds_left;
   int64_t changed_us;
+  int64_t tried_us; /* When a request with it was last sent as a trial. */
 };
 
 bool
@@ -47,6 +65,7 @@
   eg_map_init (&self->suspects);
   eg_list_init (&self->by_change);
   eg_list_init (&self->news);
+  eg_list_init (&self->blamed);
   self->check_due_us = INT64_MAX;
   self->quarantine = eg_quarantine_new (&quarantine);
   return self->quarantine != NULL;
@@ -72,6 +91,8 @@
   eg_list_remove (&entry->by_change);
   if (entry->rounds_left > 0)
     eg_list_remove (&entry->news);
+  if (entry->suspect.blamed_us > 0)
+    eg_list_remove (&entry->blamed);
   free (entry);
 }
 
@@ -91,21 +112,33 @@
   return eg_map_get (&self->suspects, get_key (subject));
 }
 
-/* Removes the oldest entry that is not blamed, else the oldest. */
-static void
-evict_one (struct eg_crash_blame *self)
+/* Returns the oldest entry that is not blamed and was at @p crashes_max crashes
+ * at most, or NULL. */
+static struct entry *
+find_expendable (const struct eg_crash_blame *self, unsigned crashes_max)
 {
   for (struct eg_list *at = self->by_change.next; at != &self->by_change;
        at = at->next)
     {
       struct entry *entry = EG_CONTAINER_OF (at, struct entry, by_change);
 
-      if (entry->suspect.blamed_us > 0)
-        continue;
-      remove_entry (self, entry);
-      return;
+      if (entry->suspect.blamed_us == 0
+          && entry->suspect.crash_count <= crashes_max)
+        return entry;
     }
-  remove_entry (self, oldest (self));
+  return NULL;
+}
+
+/* What was at a single crash goes first: long prompts bring many parts that no
+ * other request has. */
+static void
+evict_one (struct eg_crash_blame *self)
+{
+  struct entry *entry = find_expendable (self, 1);
+
+  if (!entry)
+    entry = find_expendable (self, EG_SUSPECT_CRASHES_MAX);
+  remove_entry (self, entry ? entry : oldest (self));
 }
 
 static struct eg_served_slot *
@@ -224,6 +257,8 @@
   bool was_blamed = entry->suspect.blamed_us > 0;
 
   entry->suspect.blamed_us = at_us;
+  if (!was_blamed)
+    eg_list_append (&self->blamed, &entry->blamed);
   eg_quarantine_add (self->quarantine, get_key (entry->suspect.subject),
                      at_us + self->config.duration_us);
   if (!was_blamed && self->events.blamed)
@@ -245,6 +280,7 @@
       eg_quarantine_remove (self->quarantine, get_key (suspect->subject));
       if (self->events.cleared)
         self->events.cleared (self->events.context, suspect);
+      eg_list_remove (&entry->blamed);
       suspect->blamed_us = 0;
     }
   /* It may have been the rival of another suspect. */
@@ -286,6 +322,23 @@
   return eg_crash_blame_merge (self, &suspect, now_us);
 }
 
+bool
+eg_crash_blame_record_part_crash (struct eg_crash_blame *self,
+                                  uint64_t part,
+                                  const struct eg_part_use *use,
+                                  const struct eg_crash *crash,
+                                  int64_t now_us)
+{
+  const struct eg_suspect suspect = {
+      .subject = {EG_SUBJECT_PART, part},
+      .place = use->place,
+      .requests = UINT64_C (1) << eg_hash_mix (use->request) % 64,
+      .crash_count = 1,
+      .crashes = {*crash}};
+
+  return eg_crash_blame_merge (self, &suspect, now_us);
+}
+
 void
 eg_crash_blame_record_served (struct eg_crash_blame *self,
                               struct eg_subject subject,
@@ -324,6 +377,17 @@
          && own->served_us > theirs->served_us + SERVED_NEWS_US;
 }
 
+/* Adds in what prompts a part was found. A place or a request more is no news
+ * of its own: it goes out with the crashes, which it belongs to. */
+static void
+add_uses (struct eg_suspect *suspect, const struct eg_suspect *theirs)
+{
+  suspect->requests |= theirs->requests;
+  if (theirs->place > 0
+      && (suspect->place == 0 || theirs->place < suspect->place))
+    suspect->place = theirs->place;
+}
+
 bool
 eg_crash_blame_merge (struct eg_crash_blame *self,
                       const struct eg_suspect *theirs,
@@ -339,6 +403,7 @@
   if (!entry)
     return false;
   is_new |= set_served (self, entry, theirs->served_us);
+  add_uses (&entry->suspect, theirs);
   for (unsigned i = 0; i < theirs->crash_count; i++)
     is_new |= add_crash (self, &entry->suspect, &theirs->crashes[i]);
   if (entry->suspect.blamed_us == 0
@@ -362,14 +427,31 @@
   return false;
 }
 
+/* Returns how many of the crashes of @p suspect @p other was not at. */
+static unsigned
+count_misses (const struct eg_suspect *other, const struct eg_suspect *suspect)
+{
+  unsigned misses = 0;
+
+  for (unsigned i = 0; i < suspect->crash_count; i++)
+    misses += !was_at_crash (other, suspect->crashes[i].server);
+  return misses;
+}
+
 /* A part is common to several requests, so that a blamed request does not
- * explain what happened to the others. */
+ * explain what happened to the others. A blamed part does not explain what
+ * happened to one that was at all of its crashes and at more. */
 static bool
 may_explain (const struct eg_suspect *other, const struct eg_suspect *suspect)
 {
-  return other != suspect && other->blamed_us > 0
-         && (other->subject.kind == EG_SUBJECT_PART
-             || suspect->subject.kind == EG_SUBJECT_REQUEST);
+  if (other == suspect || other->blamed_us == 0)
+    return false;
+  if (suspect->subject.kind == EG_SUBJECT_REQUEST)
+    return true;
+  return other->subject.kind == EG_SUBJECT_PART
+         && (other->crash_count == 0 || suspect->served_us > other->served_us
+             || count_misses (suspect, other) > 0
+             || count_misses (other, suspect) == 0);
 }
 
 /* Returns whether something that is already blamed was in flight at a crash. */
@@ -377,37 +459,103 @@
 is_explained (const struct eg_crash_blame *self,
               const struct eg_suspect *suspect,
               const struct eg_crash *crash)
+{
+  for (const struct eg_list *at = self->blamed.next; at != &self->blamed;
+       at = at->next)
+    {
+      const struct eg_suspect *other =
+          &EG_CONTAINER_OF (at, struct entry, blamed)->suspect;
+
+      if (was_at_crash (other, crash->server) && may_explain (other, suspect))
+        return true;
+    }
+  return false;
+}
+
+/* Crashes that count against a suspect. */
+struct evidence
+{
+  struct eg_crash crashes[EG_SUSPECT_CRASHES_MAX];
+  unsigned crash_count;
+  unsigned count;      /* Of those that are independent of each other. */
+  int64_t decisive_us; /* Time of the crash that made it enough. */
+};
+
+/* Returns whether the part was at every crash around a moment that this VM
+ * knows of. A loss of power ends servers that run something else, too. */
+static bool
+was_at_all_of_moment (const struct eg_crash_blame *self,
+                      const struct eg_suspect *suspect,
+                      int64_t first_us)
 {
   const struct entry *other;
   size_t cursor = 0;
 
   while ((other = eg_map_next (&self->suspects, &cursor)))
-    if (may_explain (&other->suspect, suspect)
-        && was_at_crash (&other->suspect, crash->server))
-      return true;
-  return false;
+    for (unsigned i = 0; i < other->suspect.crash_count; i++)
+      {
+        const struct eg_crash *crash = &other->suspect.crashes[i];
+
+        if (llabs (crash->at_us - first_us) < SAME_MOMENT_US
+            && !was_at_crash (suspect, crash->server))
+          return false;
+      }
+  return true;
 }
 
-/* Returns the crashes that nothing else explains, without those at the same
- * moment as another one. */
+/* Returns what @p len crashes at the same moment count for. */
 static unsigned
-collect_crashes (const struct eg_crash_blame *self,
-                 const struct eg_suspect *suspect,
-                 struct eg_crash *crashes)
+weigh_moment (const struct eg_crash_blame *self,
+              const struct eg_suspect *suspect,
+              const struct eg_crash *crashes,
+              unsigned len)
 {
-  unsigned count = 0;
+  bool delivered = false;
 
-  for (unsigned i = 0; i < suspect->crash_count; i++)
-    {
-      const struct eg_crash *crash = &suspect->crashes[i];
+  for (unsigned i = 0; i < len; i++)
+    delivered |= crashes[i].delivered;
+  if (len < 2 || delivered || suspect->subject.kind == EG_SUBJECT_REQUEST
+      || !was_at_all_of_moment (self, suspect, crashes->at_us))
+    return 1;
+  return len < BURST_CRASHES ? SMALL_BURST_COUNT
+                             : get_crashes_min (self, suspect);
+}
 
-      if ((count > 0
-           && crash->at_us - crashes[count - 1].at_us < SAME_MOMENT_US)
-          || is_explained (self, suspect, crash))
-        continue;
-      crashes[count++] = *crash;
+static void
+weigh_evidence (const struct eg_crash_blame *self,
+                const struct eg_suspect *suspect,
+                struct evidence *evidence)
+{
+  unsigned crashes_min = get_crashes_min (self, suspect);
+
+  evidence->count = 0;
+  evidence->decisive_us = 0;
+  for (unsigned first = 0, end; first < evidence->crash_count; first = end)
+    {
+      const struct eg_crash *crashes = &evidence->crashes[first];
+      bool was_enough = evidence->count >= crashes_min;
+
+      end = first + 1;
+      while (end < evidence->crash_count
+             && evidence->crashes[end].at_us - crashes->at_us < SAME_MOMENT_US)
+        end++;
+      evidence->count += weigh_moment (self, suspect, crashes, end - first);
+      if (!was_enough)
+        evidence->decisive_us = crashes->at_us;
     }
-  return count;
+}
+
+/* Collects the crashes that nothing else explains. */
+static void
+collect_evidence (const struct eg_crash_blame *self,
+                  const struct eg_suspect *suspect,
+                  struct evidence *evidence)
+{
+  evidence->crash_count = 0;
+  for (unsigned i = 0; i < suspect->crash_count; i++)
+    if (!is_explained (self, suspect, &suspect->crashes[i]))
+      evidence->crashes[evidence->crash_count++] = suspect->crashes[i];
+  weigh_evidence (self, suspect, evidence);
 }
 
 static bool
@@ -419,9 +567,24 @@
   return false;
 }
 
+/* Returns less than 0 if fewer requests hold the part @p a than @p b, or if it
+ * stands later in their prompts. */
+static int
+compare_width (const struct eg_suspect *a, const struct eg_suspect *b)
+{
+  int a_requests = __builtin_popcountll (a->requests);
+  int b_requests = __builtin_popcountll (b->requests);
+
+  if (a->place == 0 || b->place == 0)
+    return 0;
+  if (a_requests != b_requests)
+    return a_requests - b_requests;
+  return a->place > b->place ? -1 : a->place < b->place;
+}
+
 /* Returns less than 0 if @p a is more likely to crash servers than @p b: it was
  * never served, or longer ago; none of its runs delivered anything before they
- * ended; it was at more crashes. */
+ * ended; it was at more crashes; it is the narrower part. */
 static int
 compare_likelihood (const struct eg_suspect *a, const struct eg_suspect *b)
 {
@@ -432,7 +595,9 @@
     return a->served_us < b->served_us ? -1 : 1;
   if (a_delivered != b_delivered)
     return b_delivered ? -1 : 1;
-  return (int) b->crash_count - (int) a->crash_count;
+  if (a->crash_count != b->crash_count)
+    return (int) b->crash_count - (int) a->crash_count;
+  return compare_width (a, b);
 }
 
 /* Returns whether @p other, which was at all crashes of @p suspect, is at least
@@ -458,8 +623,7 @@
 static bool
 has_rival (const struct eg_crash_blame *self,
            const struct eg_suspect *suspect,
-           const struct eg_crash *crashes,
-           unsigned count)
+           const struct evidence *evidence)
 {
   const struct entry *other;
   size_t cursor = 0;
@@ -468,9 +632,9 @@
     {
       bool covers = &other->suspect != suspect;
 
-      for (unsigned i = 0; covers && i < count; i++)
-        covers = was_at_crash (&other->suspect, crashes[i].server);
-      if (covers && is_rival (self, &other->suspect, suspect, count))
+      for (unsigned i = 0; covers && i < evidence->crash_count; i++)
+        covers = was_at_crash (&other->suspect, evidence->crashes[i].server);
+      if (covers && is_rival (self, &other->suspect, suspect, evidence->count))
         return true;
     }
   return false;
@@ -483,19 +647,18 @@
                const struct eg_suspect *suspect,
                int64_t now_us)
 {
-  struct eg_crash crashes[EG_SUSPECT_CRASHES_MAX] = {{0}};
+  struct evidence evidence;
   unsigned crashes_min = get_crashes_min (self, suspect);
-  unsigned count;
   int64_t due_us;
 
   if (suspect->blamed_us > 0 || suspect->crash_count < crashes_min)
     return false;
-  count = collect_crashes (self, suspect, crashes);
-  if (count < crashes_min)
+  collect_evidence (self, suspect, &evidence);
+  if (evidence.count < crashes_min)
     return false;
-  due_us = crashes[crashes_min - 1].at_us + self->config.settle_us;
+  due_us = evidence.decisive_us + self->config.settle_us;
   if (now_us >= due_us)
-    return !has_rival (self, suspect, crashes, count);
+    return !has_rival (self, suspect, &evidence);
   if (due_us < self->check_due_us)
     self->check_due_us = due_us;
   return false;
@@ -587,18 +750,168 @@
                                   retry_after_us);
 }
 
+unsigned
+eg_crash_blame_crash_count (const struct eg_crash_blame *self,
+                            struct eg_subject subject)
+{
+  const struct entry *entry = find_entry (self, subject);
+
+  return entry ? entry->suspect.crash_count : 0;
+}
+
+static bool
+holds (const struct eg_crash_subjects *subjects, uint64_t part)
+{
+  for (size_t i = 0; i < subjects->part_count; i++)
+    if (subjects->parts[i] == part)
+      return true;
+  return false;
+}
+
+static bool
+is_of_one_request (const struct eg_suspect *part)
+{
+  return __builtin_popcountll (part->requests) < 2;
+}
+
+static bool
+is_of_one_moment (const struct eg_suspect *suspect)
+{
+  return suspect->crash_count > 0
+         && suspect->crashes[suspect->crash_count - 1].at_us
+                    - suspect->crashes[0].at_us
+                < SAME_MOMENT_US;
+}
+
+/* Returns whether @p other may be what crashed servers in place of the blamed
+ * part. */
+static bool
+explains_as_well (const struct eg_suspect *other,
+                  const struct eg_suspect *blamed)
+{
+  unsigned misses_max = compare_width (other, blamed) < 0 ? MISSES_MAX : 0;
+
+  return other != blamed && other->subject.kind == EG_SUBJECT_PART
+         && other->crash_count + misses_max >= blamed->crash_count
+         && other->served_us <= blamed->served_us && !is_of_one_request (other)
+         && count_misses (other, blamed) <= misses_max;
+}
+
+/* Returns whether a run of the request would tell whether the blamed part or
+ * another one crashes servers. */
+static bool
+would_tell (const struct eg_crash_blame *self,
+            const struct eg_suspect *blamed,
+            const struct eg_crash_subjects *subjects)
+{
+  const struct entry *other;
+  size_t cursor = 0;
+
+  while ((other = eg_map_next (&self->suspects, &cursor)))
+    if (explains_as_well (&other->suspect, blamed)
+        && !holds (subjects, other->suspect.subject.id))
+      return true;
+  return false;
+}
+
+static int64_t
+last_crash_us (const struct eg_suspect *suspect)
+{
+  return suspect->crashes[suspect->crash_count - 1].at_us;
+}
+
+/* Judges a request with a part that is blamed, or was at as many crashes. */
+static struct eg_crash_verdict
+judge_part (const struct eg_crash_blame *self,
+            const struct entry *entry,
+            const struct eg_crash_subjects *subjects,
+            int64_t now_us)
+{
+  const struct eg_suspect *suspect = &entry->suspect;
+  struct eg_crash_verdict verdict = {.subject = suspect->subject};
+  int64_t trial_left_us = entry->tried_us + TRIAL_US - now_us;
+
+  if (eg_crash_blame_is_blamed (self, suspect->subject, now_us,
+                                &verdict.retry_after_us))
+    {
+      bool is_doubtful = is_of_one_moment (suspect);
+
+      verdict.ruling = EG_CRASH_REFUSE;
+      if (suspect->crash_count == 0
+          || (!is_doubtful && !would_tell (self, suspect, subjects)))
+        return verdict;
+      verdict.vms_max = is_doubtful ? 1 : TRIAL_VMS;
+    }
+  else if (suspect->crash_count < get_crashes_min (self, suspect))
+    return verdict;
+  verdict.ruling = EG_CRASH_TRY;
+  verdict.retry_after_us = 0;
+  if (verdict.vms_max != 1)
+    verdict.vms_max =
+        now_us - last_crash_us (suspect) < TRIAL_VMS_US ? TRIAL_VMS : 0;
+  if (entry->tried_us == 0 || trial_left_us <= 0)
+    return verdict;
+  verdict.ruling = EG_CRASH_HOLD;
+  verdict.retry_after_us = trial_left_us;
+  return verdict;
+}
+
+struct eg_crash_verdict
+eg_crash_blame_judge (const struct eg_crash_blame *self,
+                      const struct eg_crash_subjects *subjects,
+                      int64_t now_us)
+{
+  struct eg_crash_verdict worst = {
+      .subject = {EG_SUBJECT_REQUEST, subjects->request}};
+
+  if (eg_crash_blame_is_blamed (self, worst.subject, now_us,
+                                &worst.retry_after_us))
+    {
+      worst.ruling = EG_CRASH_REFUSE;
+      return worst;
+    }
+  for (size_t i = 0; i < subjects->part_count; i++)
+    {
+      const struct entry *entry = find_entry (
+          self, (struct eg_subject){EG_SUBJECT_PART, subjects->parts[i]});
+      struct eg_crash_verdict verdict;
+
+      if (!entry)
+        continue;
+      verdict = judge_part (self, entry, subjects, now_us);
+      if (verdict.ruling > worst.ruling
+          || (verdict.ruling == worst.ruling && verdict.vms_max > 0
+              && (worst.vms_max == 0 || verdict.vms_max < worst.vms_max)))
+        worst = verdict;
+    }
+  return worst;
+}
+
+void
+eg_crash_blame_record_sent (struct eg_crash_blame *self,
+                            const struct eg_crash_subjects *subjects,
+                            int64_t now_us)
+{
+  for (size_t i = 0; i < subjects->part_count; i++)
+    {
+      struct entry *entry = find_entry (
+          self, (struct eg_subject){EG_SUBJECT_PART, subjects->parts[i]});
+
+      if (entry
+          && judge_part (self, entry, subjects, now_us).ruling == EG_CRASH_TRY)
+        entry->tried_us = now_us;
+    }
+}
+
 void
 eg_crash_blame_visit_blamed (const struct eg_crash_blame *self,
                              void (*visit) (void *context,
                                             const struct eg_suspect *suspect),
                              void *context)
 {
-  const struct entry *entry;
-  size_t cursor = 0;
-
-  while ((entry = eg_map_next (&self->suspects, &cursor)))
-    if (entry->suspect.blamed_us > 0)
-      visit (context, &entry->suspect);
+  for (const struct eg_list *at = self->blamed.next; at != &self->blamed;
+       at = at->next)
+    visit (context, &EG_CONTAINER_OF (at, struct entry, blamed)->suspect);
 }
 
 bool
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -11,7 +11,14 @@
  * never served. What its runs had delivered at these crashes tells suspects
  * apart that are equal otherwise. A part is not blamed for crashes that a
  * single request explains. Several servers that end at the same moment, as in a
- * loss of power, count as one crash.
+ * loss of power, count as one crash of a request. For a part they count as more
+ * if it was in flight on every server that ended then.
+ *
+ * Of parts that nothing else tells apart the narrowest is blamed: the one that
+ * fewer requests hold, or that stands later in the prompts. A part that was at
+ * as many crashes and is not blamed is on trial until a request with it is
+ * served: only one such request is sent at a time. The same goes for a request
+ * with a blamed part that lacks one that explains the crashes as well.
  *
  * VMs exchange what they know of each suspect. Merging is idempotent and does
  * not depend on the order, so that messages may be lost, repeated and relayed.
@@ -57,6 +64,10 @@
   struct eg_subject subject;
   int64_t served_us; /**< When it was last served well; 0: not known. */
   int64_t blamed_us; /**< When it was blamed; 0: it is not. */
+  uint32_t place; /**< First place of a part in prompts, from 1; 0: unknown. */
+  /** A set of the requests that held a part at crashes: a bit for each, chosen
+   *  by the fingerprint, so that sets of several VMs can be united. */
+  uint64_t requests;
   unsigned crash_count;
   struct eg_crash crashes[EG_SUSPECT_CRASHES_MAX]; /**< That count. */
 };
@@ -87,8 +98,9 @@
   void *context;
 };
 
-/** Slots for what was served; a later subject takes the slot of another. */
-#define EG_SERVED_SLOTS 2048
+/** Slots for what was served; a later subject takes the slot of another. A
+ *  fleet with prompts of some dozen parts serves thousands in @c trust_us. */
+#define EG_SERVED_SLOTS 8192
 
 /** When a subject was last served. */
 struct eg_served_slot
@@ -105,6 +117,7 @@
   struct eg_map suspects;   /**< By subject. */
   struct eg_list by_change; /**< Suspects, the latest news last. */
   struct eg_list news;      /**< Suspects with news for other VMs. */
+  struct eg_list blamed;    /**< Suspects that are blamed. */
   struct eg_quarantine *quarantine;
   /** What was served before it is suspected. */
   struct eg_served_slot served[EG_SERVED_SLOTS];
@@ -130,6 +143,20 @@
                                   const struct eg_crash *crash,
                                   int64_t now_us);
 
+/** Where a part of a prompt was found. */
+struct eg_part_use
+{
+  uint64_t request; /**< Fingerprint of the request. */
+  uint32_t place;   /**< In the prompt, from 1. */
+};
+
+/** As eg_crash_blame_record_crash(), for a part of a prompt. */
+bool eg_crash_blame_record_part_crash (struct eg_crash_blame *self,
+                                       uint64_t part,
+                                       const struct eg_part_use *use,
+                                       const struct eg_crash *crash,
+                                       int64_t now_us);
+
 /** Records that a subject was served well. */
 void eg_crash_blame_record_served (struct eg_crash_blame *self,
                                    struct eg_subject subject,
@@ -164,6 +191,48 @@
                                int64_t now_us,
                                int64_t *retry_after_us);
 
+/** Returns the number of crashes at which a suspect is known to have been. */
+unsigned eg_crash_blame_crash_count (const struct eg_crash_blame *self,
+                                     struct eg_subject subject);
+
+/** What may crash servers of one request. */
+struct eg_crash_subjects
+{
+  uint64_t request;      /**< Fingerprint. */
+  const uint64_t *parts; /**< Of its prompt, in order. */
+  size_t part_count;
+};
+
+/** What to do with a request. */
+enum eg_crash_ruling
+{
+  EG_CRASH_SEND,
+  EG_CRASH_TRY,    /**< Send it, if no other one with the part is on trial. */
+  EG_CRASH_HOLD,   /**< Another one is on trial. */
+  EG_CRASH_REFUSE, /**< It is in quarantine. */
+};
+
+/** What is decided on a request, and why. */
+struct eg_crash_verdict
+{
+  enum eg_crash_ruling ruling;
+  int64_t retry_after_us; /**< 0 if it may be sent. */
+  struct eg_subject subject;
+  /** Number of VMs that may each try a request; 0: all. */
+  uint32_t vms_max;
+};
+
+/** Decides whether a request may be sent. */
+struct eg_crash_verdict
+eg_crash_blame_judge (const struct eg_crash_blame *self,
+                      const struct eg_crash_subjects *subjects,
+                      int64_t now_us);
+
+/** Takes note that a request is sent, which may be a trial of its parts. */
+void eg_crash_blame_record_sent (struct eg_crash_blame *self,
+                                 const struct eg_crash_subjects *subjects,
+                                 int64_t now_us);
+
 /** Calls @p visit for each subject that is blamed. */
 void eg_crash_blame_visit_blamed (
     const struct eg_crash_blame *self,
--- a/policy/resend.c
+++ b/policy/resend.c
@@ -19,6 +19,7 @@
     [EG_LIMIT_NOT_REPEATABLE] = {"not-repeatable", false},
     [EG_LIMIT_SENDS] = {"sends", false},
     [EG_LIMIT_QUARANTINED] = {"quarantined", false},
+    [EG_LIMIT_TRIAL] = {"trial", true},
     [EG_LIMIT_REFUSALS] = {"refusals", true},
     [EG_LIMIT_DEADLINE] = {"deadline", false},
     [EG_LIMIT_RETRY_BUDGET] = {"retry-budget", true},
--- a/policy/resend.h
+++ b/policy/resend.h
@@ -35,6 +35,7 @@
   EG_LIMIT_NOT_REPEATABLE, /**< It may have run, or cannot be resumed. */
   EG_LIMIT_SENDS,          /**< It was sent or run as often as allowed. */
   EG_LIMIT_QUARANTINED,    /**< It is known to crash servers. */
+  EG_LIMIT_TRIAL,          /**< Another request like it is being tried. */
   EG_LIMIT_REFUSALS,       /**< It has to pause after several refusals. */
   EG_LIMIT_DEADLINE,       /**< Too little time is left. */
   EG_LIMIT_RETRY_BUDGET,   /**< The service's retry budget is used up. */
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -119,6 +119,7 @@
 {
   struct eg_request_headers headers;
   struct eg_http_reader reader;
+  uint64_t part;
 
   (void) state;
   read_head (&reader, EG_HTTP_REQUEST,
@@ -127,10 +128,13 @@
              "X-Prefix-Hash: 5c1e07a2:800, 91BD3f06:410 ,x:1,e4402b7d:250\r\n"
              "Api-Key: a\r\nApi-Key: b\r\n\r\n");
   eg_request_headers_decode (&headers, &reader.head);
-  assert_int_equal (headers.part_count, 3);
-  assert_int_equal (headers.parts[0], 0x5c1e07a2);
-  assert_int_equal (headers.parts[1], 0x91bd3f06);
-  assert_int_equal (headers.parts[2], eg_hash_str (EG_STR ("x")));
+  assert_true (eg_prompt_parts_next (&headers.parts, &part));
+  assert_int_equal (part, 0x5c1e07a2);
+  assert_true (eg_prompt_parts_next (&headers.parts, &part));
+  assert_int_equal (part, 0x91bd3f06);
+  assert_true (eg_prompt_parts_next (&headers.parts, &part));
+  assert_int_equal (part, eg_hash_str (EG_STR ("x")));
+  assert_false (eg_prompt_parts_next (&headers.parts, &part));
   assert_true (eg_str_equal (headers.host, EG_STR ("h.example")));
   assert_int_equal (headers.timeout_us, 20000000);
   assert_int_equal (headers.prompt_tokens, 1460);
--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -20,7 +20,7 @@
                                                     .settle_us = SETTLE_US,
                                                     .window_us = 600 * SECOND,
                                                     .duration_us = 600 * SECOND,
-                                                    .suspects_max = 2048};
+                                                    .suspects_max = 8192};
 
 #define REQUEST(id) ((struct eg_subject){EG_SUBJECT_REQUEST, (id)})
 #define PART(id) ((struct eg_subject){EG_SUBJECT_PART, (id)})
@@ -299,6 +299,300 @@
   eg_crash_blame_finish (&self);
 }
 
+/* What a request would be told, with up to three parts. */
+static enum eg_crash_ruling
+judge (const struct eg_crash_blame *self,
+       uint64_t request,
+       const uint64_t *parts,
+       size_t part_count,
+       int64_t now_us)
+{
+  const struct eg_crash_subjects subjects = {request, parts, part_count};
+
+  return eg_crash_blame_judge (self, &subjects, now_us).ruling;
+}
+
+static void
+record_sent (struct eg_crash_blame *self,
+             uint64_t request,
+             const uint64_t *parts,
+             size_t part_count,
+             int64_t now_us)
+{
+  const struct eg_crash_subjects subjects = {request, parts, part_count};
+
+  eg_crash_blame_record_sent (self, &subjects, now_us);
+}
+
+/* Records a crash under a request, with its parts in order. */
+static void
+crash_prompt (struct eg_crash_blame *self,
+              uint64_t request,
+              const uint64_t *parts,
+              size_t part_count,
+              uint64_t server,
+              int64_t at_us)
+{
+  const struct eg_crash crash = {server, at_us, false};
+
+  eg_crash_blame_record_crash (self, REQUEST (request), &crash, at_us);
+  for (size_t i = 0; i < part_count; i++)
+    eg_crash_blame_record_part_crash (
+        self, parts[i], &(struct eg_part_use){request, (uint32_t) i + 1},
+        &crash, at_us);
+  eg_crash_blame_check (self, at_us);
+}
+
+#define LATER_PART 52
+
+/* Guards against a route that is refused as a whole after a restart, when
+ * nothing that was served is remembered. */
+static void
+test_shared_part_is_not_blamed_beside_a_deadly_one_after_a_restart (
+    void **state)
+{
+  const uint64_t deadly[] = {SHARED_PART, DEADLY_PART};
+  const uint64_t sound[] = {SHARED_PART, LATER_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 6; i++)
+    crash_prompt (&self, 10 + i / 2, deadly, 2, i, 10 * SECOND + 200 * MS * i);
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 12 * SECOND));
+  assert_false (is_blamed (&self, PART (SHARED_PART), 12 * SECOND));
+  assert_int_equal (judge (&self, 20, deadly, 2, 12 * SECOND), EG_CRASH_REFUSE);
+  /* One request shows that the shared part is sound; the others wait. */
+  assert_int_equal (judge (&self, 21, sound, 2, 12 * SECOND), EG_CRASH_TRY);
+  record_sent (&self, 21, sound, 2, 12 * SECOND);
+  assert_int_equal (judge (&self, 22, sound, 2, 12 * SECOND + 100 * MS),
+                    EG_CRASH_HOLD);
+  eg_crash_blame_record_served (&self, PART (SHARED_PART),
+                                12 * SECOND + 500 * MS);
+  assert_int_equal (judge (&self, 22, sound, 2, 12 * SECOND + 500 * MS),
+                    EG_CRASH_SEND);
+  assert_int_equal (judge (&self, 23, deadly, 2, 13 * SECOND), EG_CRASH_REFUSE);
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against a sound part that is refused for the whole quarantine because
+ * it stands behind the deadly one in the prompts. */
+static void
+test_sound_part_that_is_blamed_is_cleared_by_one_request (void **state)
+{
+  const uint64_t deadly[] = {DEADLY_PART, LATER_PART};
+  const uint64_t sound[] = {SHARED_PART, LATER_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 6; i++)
+    crash_prompt (&self, 10 + i / 2, deadly, 2, i, 10 * SECOND + 200 * MS * i);
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_true (is_blamed (&self, PART (LATER_PART), 12 * SECOND));
+  assert_int_equal (judge (&self, 20, deadly, 2, 12 * SECOND), EG_CRASH_REFUSE);
+  assert_int_equal (judge (&self, 21, sound, 2, 12 * SECOND), EG_CRASH_TRY);
+  record_sent (&self, 21, sound, 2, 12 * SECOND);
+  assert_int_equal (judge (&self, 22, sound, 2, 12 * SECOND + 100 * MS),
+                    EG_CRASH_HOLD);
+  eg_crash_blame_record_served (&self, PART (LATER_PART),
+                                12 * SECOND + 500 * MS);
+  eg_crash_blame_check (&self, 12 * SECOND + 500 * MS);
+  assert_int_equal (judge (&self, 22, sound, 2, 12 * SECOND + 500 * MS),
+                    EG_CRASH_SEND);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 13 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against a deadly part that goes on because its crashes count as
+ * explained by a sound part that was blamed in its place. */
+static void
+test_part_at_all_crashes_of_a_blamed_one_and_more_is_blamed (void **state)
+{
+  const uint64_t first[] = {SHARED_PART, DEADLY_PART, LATER_PART};
+  const uint64_t other[] = {SHARED_PART, DEADLY_PART, LATER_PART + 1};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 6; i++)
+    crash_prompt (&self, 10 + i / 2, first, 3, i, 10 * SECOND + 200 * MS * i);
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_true (is_blamed (&self, PART (LATER_PART), 12 * SECOND));
+  assert_int_equal (judge (&self, 20, other, 3, 15 * SECOND), EG_CRASH_TRY);
+  record_sent (&self, 20, other, 3, 15 * SECOND);
+  crash_prompt (&self, 20, other, 3, 20, 15 * SECOND + 60 * MS);
+  eg_crash_blame_check (&self, 15 * SECOND + 70 * MS);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 16 * SECOND));
+  assert_false (is_blamed (&self, PART (SHARED_PART), 16 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against a limit of the parts that are followed. */
+static void
+test_deadly_part_at_place_ten_of_thirteen_is_blamed (void **state)
+{
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 6; i++)
+    {
+      uint64_t parts[12];
+
+      for (unsigned at = 0; at < 12; at++)
+        parts[at] = 1000 * (i / 2 + 1) + at;
+      parts[0] = SHARED_PART;
+      parts[9] = DEADLY_PART;
+      crash_prompt (&self, 10 + i / 2, parts, 12, i,
+                    10 * SECOND + 200 * MS * i);
+    }
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 12 * SECOND));
+  assert_false (is_blamed (&self, PART (SHARED_PART), 12 * SECOND));
+  for (unsigned i = 1; i <= 3; i++)
+    for (unsigned at = 1; at < 12; at++)
+      assert_false (is_blamed (&self, PART (1000 * i + at), 12 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against prompts of very many parts, which push the deadly one out of
+ * the table between its crashes. */
+static void
+test_deadly_part_of_very_long_prompts_is_blamed (void **state)
+{
+  struct eg_crash_blame_config small = config;
+  struct eg_crash_blame self;
+  static uint64_t parts[900];
+
+  (void) state;
+  small.suspects_max = 1000;
+  assert_true (eg_crash_blame_init (&self, &small, NULL));
+  for (unsigned i = 0; i < 6; i++)
+    {
+      for (unsigned at = 0; at < 900; at++)
+        parts[at] = 10000 * (i + 1) + at;
+      parts[i % 2 == 0 ? 100 : 800] = DEADLY_PART;
+      crash_prompt (&self, 10 + i, parts, 900, i, 10 * SECOND + 200 * MS * i);
+    }
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 12 * SECOND));
+  assert_true (self.suspects.count <= small.suspects_max);
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against bursts that cost a server for each of their requests before
+ * they count for more than one crash. */
+static void
+test_part_of_a_burst_that_crashes_servers_at_once_is_blamed (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 6; i++)
+    crash_prompt (&self, 10 + i, parts, 2, i, 10 * SECOND + 3 * MS * i);
+  eg_crash_blame_check (&self, 10 * SECOND + SETTLE_US + 20 * MS);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 11 * SECOND));
+  assert_false (is_blamed (&self, PART (SHARED_PART), 11 * SECOND));
+  /* A loss of power may have hit just these requests: one VM tries one. */
+  assert_int_equal (judge (&self, 20, parts, 2, 14 * SECOND), EG_CRASH_TRY);
+  record_sent (&self, 20, parts, 2, 14 * SECOND);
+  for (unsigned i = 1; i < 6; i++)
+    assert_int_equal (judge (&self, 20 + i, parts, 2, 14 * SECOND),
+                      EG_CRASH_HOLD);
+  crash_prompt (&self, 20, parts, 2, 20, 14 * SECOND + 60 * MS);
+  assert_int_equal (judge (&self, 21, parts, 2, 14 * SECOND + 70 * MS),
+                    EG_CRASH_REFUSE);
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against two small bursts that count as two crashes. */
+static void
+test_part_of_two_bursts_of_three_is_blamed (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 6; i++)
+    crash_prompt (&self, 10 + i, parts, 2, i,
+                  10 * SECOND + 4 * SECOND * (i / 3) + 3 * MS * i);
+  eg_crash_blame_check (&self, 15 * SECOND);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 15 * SECOND));
+  assert_false (is_blamed (&self, PART (SHARED_PART), 15 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against a part that is blamed for a loss of power: it was on some of
+ * the servers that ended. */
+static void
+test_part_on_servers_that_lose_power_together_is_not_blamed (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  const uint64_t others[] = {LATER_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 12; i++)
+    if (i % 2 == 0)
+      crash_prompt (&self, 10 + i, parts, 2, i, 10 * SECOND + 3 * MS * i);
+    else
+      crash_prompt (&self, 10 + i, others, 1, i, 10 * SECOND + 3 * MS * i);
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_false (is_blamed (&self, PART (SHARED_PART), 12 * SECOND));
+  assert_false (is_blamed (&self, PART (DEADLY_PART), 12 * SECOND));
+  assert_false (is_blamed (&self, PART (LATER_PART), 12 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against requests with a part that only one request has shown to be at
+ * crashes, of which each costs a server for each of its sends. */
+static void
+test_parts_of_a_request_that_crashes_servers_are_on_trial (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 5; i++)
+    crash_prompt (&self, 10, parts, 2, i, 10 * SECOND + 60 * MS * i);
+  eg_crash_blame_check (&self, 11 * SECOND);
+  assert_false (is_blamed (&self, PART (DEADLY_PART), 14 * SECOND));
+  assert_int_equal (judge (&self, 11, parts, 2, 14 * SECOND), EG_CRASH_TRY);
+  record_sent (&self, 11, parts, 2, 14 * SECOND);
+  assert_int_equal (judge (&self, 11, parts, 2, 14 * SECOND + 60 * MS),
+                    EG_CRASH_HOLD);
+  crash_prompt (&self, 11, parts, 2, 20, 14 * SECOND + 60 * MS);
+  eg_crash_blame_check (&self, 14 * SECOND + 70 * MS);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 15 * SECOND));
+  assert_false (is_blamed (&self, PART (SHARED_PART), 15 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
+/* Older builds do not say where parts stand: then both are blamed, one crash
+ * later. */
+static void
+test_parts_of_unknown_places_are_blamed_together (void **state)
+{
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 5; i++)
+    crash_parts (&self, 10 + i, SHARED_PART, DEADLY_PART, i,
+                 10 * SECOND + 200 * MS * i);
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 12 * SECOND));
+  assert_true (is_blamed (&self, PART (SHARED_PART), 12 * SECOND));
+  eg_crash_blame_finish (&self);
+}
+
 static void
 test_part_in_steady_use_is_not_blamed_for_a_pause (void **state)
 {
@@ -559,6 +853,22 @@
       cmocka_unit_test (
           test_part_of_different_requests_is_blamed_but_not_their_shared_one),
       cmocka_unit_test (test_part_is_not_blamed_for_what_one_request_does),
+      cmocka_unit_test (
+          test_shared_part_is_not_blamed_beside_a_deadly_one_after_a_restart),
+      cmocka_unit_test (
+          test_sound_part_that_is_blamed_is_cleared_by_one_request),
+      cmocka_unit_test (
+          test_part_at_all_crashes_of_a_blamed_one_and_more_is_blamed),
+      cmocka_unit_test (test_deadly_part_at_place_ten_of_thirteen_is_blamed),
+      cmocka_unit_test (test_deadly_part_of_very_long_prompts_is_blamed),
+      cmocka_unit_test (
+          test_part_of_a_burst_that_crashes_servers_at_once_is_blamed),
+      cmocka_unit_test (test_part_of_two_bursts_of_three_is_blamed),
+      cmocka_unit_test (
+          test_part_on_servers_that_lose_power_together_is_not_blamed),
+      cmocka_unit_test (
+          test_parts_of_a_request_that_crashes_servers_are_on_trial),
+      cmocka_unit_test (test_parts_of_unknown_places_are_blamed_together),
       cmocka_unit_test (test_part_in_steady_use_is_not_blamed_for_a_pause),
       cmocka_unit_test (
           test_request_in_steady_use_is_not_blamed_when_all_servers_crash),
