crashes: ask for one crash more where only the width tells parts apart

A verdict by width alone rests on less than one by what was served, and came after four crashes. It now takes five, as for suspects that are equal in all. Five crashes at one moment count as that many, fewer ones for three at the most. Two VMs at a time try requests, so that the outcome of two trials leaves one send of the three that may follow the fifth crash. A verdict of which the crashes are not known, as one from the store, is not put on trial. Trials are logged.

--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -223,6 +223,15 @@
                      const struct eg_crash_subjects *subjects,
                      int64_t now_us)
 {
+  struct eg_crash_verdict verdict =
+      eg_crash_blame_judge (&self->blame, subjects, now_us);
+
+  if (verdict.ruling != EG_CRASH_TRY)
+    return;
+  eg_log (EG_LOG_NOTICE, "crashes",
+          "event=trial kind=%s subject=%" PRIx64 " fingerprint=%016" PRIx64,
+          kind_names[verdict.subject.kind], verdict.subject.id,
+          subjects->request);
   eg_crash_blame_record_sent (&self->blame, subjects, now_us);
 }
 
--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -11,23 +11,25 @@
 /* Servers that end within this time of each other ended at the same moment: a
  * request that is sent again after a crash takes longer to crash the next. */
 #define SAME_MOMENT_US 40000
-/* Crashes more than needed after which equally likely subjects that were in
- * flight at exactly the same ones are blamed. */
+/* Crashes more than needed after which a subject is blamed though others that
+ * are as likely were in flight at exactly the same ones: all of them, or of
+ * parts the narrowest. */
 #define TIE_CRASHES 1
 /* A part that was at so many crashes at one moment is blamed for that alone:
  * the next burst of requests with it would meet as many servers. */
 #define BURST_CRASHES 5
-/* What several crashes at one moment count for, if they are fewer. */
-#define SMALL_BURST_COUNT 2
+/* What fewer crashes at one moment count for at the most: less than is needed,
+ * so that those at another moment must follow. */
+#define SMALL_BURST_MAX 3
 /* Crashes of a part that a narrower one need not explain for requests without
  * the latter to be tried: as many may have another cause. */
 #define MISSES_MAX 2
 /* Time for a request on trial to show that it is sound, or to be known to have
  * crashed its server. */
 #define TRIAL_US 1000000
-/* Number of VMs that may try requests at the same time; what crashes servers
- * may come to all VMs at once. */
-#define TRIAL_VMS 3
+/* Number of VMs that may try requests at the same time: what crashes servers
+ * may come to all VMs at once, of which at most three more may be sent. */
+#define TRIAL_VMS 2
 /* After so long without a crash, all VMs may try. */
 #define TRIAL_VMS_US 6000000
 /* By so much the time of service must be later than another VM knows it to be
@@ -517,8 +519,9 @@
   if (len < 2 || delivered || suspect->subject.kind == EG_SUBJECT_REQUEST
       || !was_at_all_of_moment (self, suspect, crashes->at_us))
     return 1;
-  return len < BURST_CRASHES ? SMALL_BURST_COUNT
-                             : get_crashes_min (self, suspect);
+  if (len >= BURST_CRASHES)
+    return get_crashes_min (self, suspect) + TIE_CRASHES;
+  return len < SMALL_BURST_MAX ? len : SMALL_BURST_MAX;
 }
 
 static void
@@ -582,11 +585,11 @@
   return a->place > b->place ? -1 : a->place < b->place;
 }
 
-/* Returns less than 0 if @p a is more likely to crash servers than @p b: it was
+/* Returns less than 0 if more speaks against @p a than against @p b: it was
  * never served, or longer ago; none of its runs delivered anything before they
- * ended; it was at more crashes; it is the narrower part. */
+ * ended; it was at more crashes. */
 static int
-compare_likelihood (const struct eg_suspect *a, const struct eg_suspect *b)
+compare_evidence (const struct eg_suspect *a, const struct eg_suspect *b)
 {
   bool a_delivered = has_delivered (a);
   bool b_delivered = has_delivered (b);
@@ -595,9 +598,17 @@
     return a->served_us < b->served_us ? -1 : 1;
   if (a_delivered != b_delivered)
     return b_delivered ? -1 : 1;
-  if (a->crash_count != b->crash_count)
-    return (int) b->crash_count - (int) a->crash_count;
-  return compare_width (a, b);
+  return (int) b->crash_count - (int) a->crash_count;
+}
+
+/* Returns less than 0 if @p a is more likely to crash servers than @p b: more
+ * speaks against it, or it is the narrower part. */
+static int
+compare_likelihood (const struct eg_suspect *a, const struct eg_suspect *b)
+{
+  int order = compare_evidence (a, b);
+
+  return order != 0 ? order : compare_width (a, b);
 }
 
 /* Returns whether @p other, which was at all crashes of @p suspect, is at least
@@ -614,9 +625,11 @@
     return other->subject.kind == EG_SUBJECT_REQUEST;
   if (other->blamed_us > 0)
     return false;
-  order = compare_likelihood (other, suspect);
+  order = compare_evidence (other, suspect);
   if (order != 0)
     return order < 0;
+  if (compare_width (other, suspect) < 0)
+    return true;
   return count < get_crashes_min (self, suspect) + TIE_CRASHES;
 }
 
@@ -630,7 +643,8 @@
 
   while ((other = eg_map_next (&self->suspects, &cursor)))
     {
-      bool covers = &other->suspect != suspect;
+      bool covers = &other->suspect != suspect
+                    && other->suspect.crash_count >= evidence->crash_count;
 
       for (unsigned i = 0; covers && i < evidence->crash_count; i++)
         covers = was_at_crash (&other->suspect, evidence->crashes[i].server);
@@ -672,9 +686,8 @@
   size_t cursor = 0;
 
   while ((entry = eg_map_next (&self->suspects, &cursor)))
-    if (may_be_blamed (self, &entry->suspect, now_us)
-        && (!found
-            || compare_likelihood (&entry->suspect, &found->suspect) < 0))
+    if ((!found || compare_likelihood (&entry->suspect, &found->suspect) < 0)
+        && may_be_blamed (self, &entry->suspect, now_us))
       found = entry;
   return found;
 }
@@ -777,10 +790,9 @@
 static bool
 is_of_one_moment (const struct eg_suspect *suspect)
 {
-  return suspect->crash_count > 0
-         && suspect->crashes[suspect->crash_count - 1].at_us
-                    - suspect->crashes[0].at_us
-                < SAME_MOMENT_US;
+  return suspect->crashes[suspect->crash_count - 1].at_us
+             - suspect->crashes[0].at_us
+         < SAME_MOMENT_US;
 }
 
 /* Returns whether @p other may be what crashed servers in place of the blamed
@@ -829,20 +841,21 @@
 {
   const struct eg_suspect *suspect = &entry->suspect;
   struct eg_crash_verdict verdict = {.subject = suspect->subject};
+  bool is_known = suspect->crash_count >= get_crashes_min (self, suspect);
   int64_t trial_left_us = entry->tried_us + TRIAL_US - now_us;
 
   if (eg_crash_blame_is_blamed (self, suspect->subject, now_us,
                                 &verdict.retry_after_us))
     {
-      bool is_doubtful = is_of_one_moment (suspect);
+      bool is_doubtful = is_known && is_of_one_moment (suspect);
 
+      /* Of a verdict from the store the crashes are not known. */
       verdict.ruling = EG_CRASH_REFUSE;
-      if (suspect->crash_count == 0
-          || (!is_doubtful && !would_tell (self, suspect, subjects)))
+      if (!is_known || (!is_doubtful && !would_tell (self, suspect, subjects)))
         return verdict;
       verdict.vms_max = is_doubtful ? 1 : TRIAL_VMS;
     }
-  else if (suspect->crash_count < get_crashes_min (self, suspect))
+  else if (!is_known)
     return verdict;
   verdict.ruling = EG_CRASH_TRY;
   verdict.retry_after_us = 0;
