test: shared, late and simultaneous deadly parts with real daemons

Three cases guard against a shared part that is blamed when nothing was served before the crashes, a deadly part at place ten of thirteen that is not followed, and bursts of three whose crashes count as one.

--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -494,6 +494,124 @@
     }
 }
 
+/* Guards against a route that is refused as a whole because nothing was served
+ * before its servers crashed, as after a restart of all VMs. */
+static void
+test_requests_that_share_a_part_not_served_before_are_served (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct varied_request varied;
+
+  streams_run (self, MEMBERS_READ_MS);
+  send_part_until_crashed (self, 5);
+  streams_run (self, SPREAD_MS);
+  for (unsigned vm = 0; vm < 2; vm++)
+    assert_served (self, vary (&varied, vm, "50"));
+  assert_part_refused (self, 0);
+  assert_part_refused (self, 1);
+}
+
+/* A request with thirteen parts, of which the tenth crashes servers. */
+struct long_request
+{
+  char body[32];
+  char parts[256];
+  struct streams_request request;
+};
+
+static const struct streams_request *
+vary_long (struct long_request *self, unsigned vm, const char *tenth)
+{
+  static unsigned number;
+  size_t len;
+
+  number++;
+  snprintf (self->body, sizeof self->body, "long body %u", number);
+  len = (size_t) snprintf (self->parts, sizeof self->parts, "aa:40");
+  for (unsigned i = 2; i <= 13; i++)
+    if (i == 10)
+      len += (size_t) snprintf (self->parts + len, sizeof self->parts - len,
+                                ",%s:100", tenth);
+    else
+      len += (size_t) snprintf (self->parts + len, sizeof self->parts - len,
+                                ",%x:100", 0x100000 + 16 * number + i);
+  self->request = (struct streams_request){
+      .vm = vm, .body = self->body, .parts = self->parts};
+  return &self->request;
+}
+
+/* Guards against parts that are ignored because of their place. */
+static void
+test_requests_with_a_deadly_part_at_place_ten_are_not_sent (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct long_request varied;
+  unsigned arrivals;
+
+  streams_run (self, MEMBERS_READ_MS);
+  self->deadly_part = "dead";
+  for (unsigned i = 0; i < SENDS_MAX && self->crashes < 5; i++)
+    {
+      streams_client_send (self, 0, vary_long (&varied, i % 2, "dead"));
+      streams_run (self, 200);
+      streams_client_leave (self, 0);
+      streams_run (self, 400);
+    }
+  assert_true (self->crashes >= 5);
+  streams_run (self, SPREAD_MS);
+  arrivals = self->deadly_arrivals;
+  for (unsigned i = 0; i < 2 * REPEATS; i++)
+    assert_int_equal (
+        streams_client_request (self, 0, vary_long (&varied, i % 2, "dead")),
+        503);
+  assert_int_equal (self->deadly_arrivals, arrivals);
+  for (unsigned vm = 0; vm < 2; vm++)
+    assert_served (self, vary_long (&varied, vm, "50"));
+}
+
+#define BURST 3
+#define BURSTS 5
+#define BURST_INTERVAL_MS 4500
+/* The verdict must be in force everywhere so long after the fifth crash. */
+#define STABLE_WINDOW_US (3 * EG_US_PER_S)
+/* Requests that may still be sent after that. */
+#define LATE_MAX 3
+
+/* Guards against crashes at the same moment that count as one, so that each
+ * burst costs all servers. */
+static void
+test_bursts_of_requests_with_a_deadly_part_are_not_sent (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct varied_request varied[BURST];
+  unsigned arrivals = 0;
+  int64_t fifth_us = 0;
+
+  streams_run (self, MEMBERS_READ_MS);
+  self->deadly_part = "dead";
+  for (unsigned i = 0; i < BURSTS; i++)
+    {
+      if (fifth_us > 0 && arrivals == 0
+          && eg_clock_now_us () >= fifth_us + STABLE_WINDOW_US)
+        arrivals = self->deadly_arrivals;
+      for (unsigned n = 0; n < BURST; n++)
+        streams_client_send (self, n, vary (&varied[n], n % 2, "dead"));
+      for (unsigned waited_ms = 0; waited_ms < BURST_INTERVAL_MS;
+           waited_ms += 50)
+        {
+          streams_run (self, 50);
+          if (fifth_us == 0 && self->crashes >= 5)
+            fifth_us = eg_clock_now_us ();
+        }
+      for (unsigned n = 0; n < BURST; n++)
+        streams_client_leave (self, n);
+    }
+  assert_true (arrivals > 0);
+  assert_in_range (self->deadly_arrivals - arrivals, 0, LATE_MAX);
+  for (unsigned vm = 0; vm < 2; vm++)
+    assert_served (self, vary (&varied[0], vm, "50"));
+}
+
 #define CRASH_TEST(name, start)                                                \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -533,6 +651,12 @@
       CRASH_TEST (
           requests_that_share_the_sound_parts_of_crashing_ones_are_served,
           start_two_vms),
+      CRASH_TEST (requests_that_share_a_part_not_served_before_are_served,
+                  start_two_vms),
+      CRASH_TEST (requests_with_a_deadly_part_at_place_ten_are_not_sent,
+                  start_two_vms),
+      CRASH_TEST (bursts_of_requests_with_a_deadly_part_are_not_sent,
+                  start_two_vms),
   };
 
   if (argc > 1)
