entry: moves of streams avoid servers without memory for them

A stream whose stage has failed was offered to servers that were known to be full: each refused the order, and the stream lost time. Servers whose memory would be exceeded by this VM's figures are left out, unless the stream is already on them.

--- a/entry/placement.c
+++ b/entry/placement.c
@@ -398,6 +398,7 @@
                               struct search *search)
 {
   struct eg_list *all = &entry->fleet.all;
+  double tokens = (double) request->prompt_tokens + request->answer_tokens;
   uint32_t first = current->layers[0].to;
 
   search->count = 0;
@@ -415,6 +416,10 @@
                  != 0
           || search->count == EG_PATH_CANDIDATES_MAX)
         continue;
+      /* It would refuse the move, and the stream would lose its time. */
+      if (!is_stage (current, backend)
+          && kv_share (entry, backend, &request->service->engine, tokens) > 1)
+        continue;
       cost_us = layer_cost_us (entry, backend, request, now_us);
       if (is_stage (current, backend))
         cost_us *= KEPT_STAGE_FACTOR;
