--- a/base/str.h
+++ b/base/str.h
@@ -26,6 +26,13 @@
 /** Expands to the length and pointer arguments of a "%.*s" conversion. */
 #define EG_STR_ARGS(s) (int) (s).len, (s).data
 
+/** Longest part of a name without a maximum length that log lines show. */
+#define EG_STR_START_BYTES 64
+
+/** Like EG_STR_ARGS(), but for the first EG_STR_START_BYTES bytes only. */
+#define EG_STR_START_ARGS(s)                                                   \
+  (int) ((s).len < EG_STR_START_BYTES ? (s).len : EG_STR_START_BYTES), (s).data
+
 /** Returns a view of a zero-terminated string; empty if @p text is NULL. */
 struct eg_str eg_str_from (const char *text);
 
--- a/entry/call.c
+++ b/entry/call.c
@@ -59,9 +59,20 @@
   eg_event_relay_init (&self->relay, EG_STR (""));
 }
 
+static void
+drop_configuration (struct eg_call *self)
+{
+  self->route = (struct eg_route){0};
+  self->service = EG_STR ("");
+  self->organisation = EG_STR ("");
+  eg_configuration_unref (self->configuration);
+  self->configuration = NULL;
+}
+
 void
 eg_call_finish (struct eg_call *self)
 {
+  drop_configuration (self);
   eg_buffer_finish (&self->response_head);
   eg_buffer_finish (&self->response_body);
   eg_buffer_finish (&self->attempt.move_body);
@@ -127,6 +138,7 @@
     eg_backend_unref (self->first_servers[i]);
   self->first_server_count = 0;
   self->active = false;
+  drop_configuration (self);
   eg_buffer_clear (&self->response_head);
   eg_buffer_clear (&self->response_body);
 }
@@ -772,7 +784,7 @@
   struct eg_forward_headers headers = {
       .timeout_ms = eg_call_timeout_ms (self, now_us),
       .server_id = eg_str_from (first->record.id),
-      .organisation = eg_str_from (self->organisation),
+      .organisation = self->organisation,
       .last_event_id = eg_str_from (self->relay.last_id),
       .priority = self->priority,
       .has_priority = service->has_engine,
@@ -850,8 +862,7 @@
 {
   const struct eg_configuration *configuration =
       self->entry->configuration.current;
-  size_t index = eg_configuration_find_service (configuration,
-                                                eg_str_from (self->service));
+  size_t index = eg_configuration_find_service (configuration, self->service);
 
   return index == SIZE_MAX ? NULL : &configuration->services[index];
 }
@@ -929,8 +940,9 @@
           settings->retry_ratio, extra, now_us))
     return true;
   eg_log (EG_LOG_DEBUG, "call",
-          "event=retry-budget-spent request=%.*s service=%s cause=%s",
-          EG_STR_ARGS (self->headers.id), self->service, cause);
+          "event=retry-budget-spent request=%.*s service=%.*s cause=%s",
+          EG_STR_ARGS (self->headers.id), EG_STR_START_ARGS (self->service),
+          cause);
   return false;
 }
 
@@ -1074,26 +1086,13 @@
     }
 }
 
-static void
-lower_case (char *text)
-{
-  for (; *text; text++)
-    if (*text >= 'A' && *text <= 'Z')
-      *text = (char) (*text - 'A' + 'a');
-}
-
 static const struct eg_route *
 find_route (const struct eg_call *self)
 {
-  char host[EG_CONFIG_PATH_BYTES];
   struct eg_str path = eg_http_head_target (self->head);
 
-  if (!eg_str_copy (self->headers.host, host, sizeof host))
-    return NULL;
-  lower_case (host);
   path = eg_str_cut (&path, '?');
-  return eg_configuration_route (self->entry->configuration.current,
-                                 eg_str_from (host), path);
+  return eg_configuration_route (self->configuration, self->headers.host, path);
 }
 
 /* Determines the organisation; false if the request was answered with an
@@ -1101,11 +1100,9 @@
 static bool
 identify (struct eg_call *self, int64_t now_us)
 {
-  const struct eg_configuration *configuration =
-      self->entry->configuration.current;
+  const struct eg_configuration *configuration = self->configuration;
   const struct eg_organisation *organisation;
 
-  *self->organisation = '\0';
   self->needs_key = configuration->has_organisations && !self->route.is_public;
   self->priority = self->route.priority;
   if (!self->needs_key)
@@ -1124,8 +1121,7 @@
       eg_call_reject (self, 401, "key-unknown");
       return false;
     }
-  eg_str_copy (eg_str_from (organisation->name), self->organisation,
-               sizeof self->organisation);
+  self->organisation = organisation->name;
   if (organisation->priority >= 0)
     self->priority = (unsigned) organisation->priority;
   return true;
@@ -1135,9 +1131,8 @@
 static void
 set_subjects (struct eg_call *self)
 {
-  uint64_t hash =
-      eg_quarantine_fingerprint (eg_str_from (self->organisation),
-                                 eg_http_head_target (self->head), self->body);
+  uint64_t hash = eg_quarantine_fingerprint (
+      self->organisation, eg_http_head_target (self->head), self->body);
 
   hash = eg_hash_add (hash, self->headers.host);
   hash = eg_hash_add (hash, eg_str_from (self->head->method));
@@ -1178,8 +1173,6 @@
 static void
 start (struct eg_call *self, const struct eg_hop_headers *hop, int64_t now_us)
 {
-  const struct eg_configuration *configuration =
-      self->entry->configuration.current;
   const struct eg_route *route;
   const char *refusal = hop ? find_hop_refusal (self, hop, now_us) : NULL;
   uint32_t service;
@@ -1199,6 +1192,8 @@
       eg_call_reject (self, 400, "no-id-or-host");
       return;
     }
+  self->configuration =
+      eg_configuration_ref (self->entry->configuration.current);
   route = find_route (self);
   if (!route)
     {
@@ -1216,8 +1211,7 @@
   if (self->priority > PRIORITY_CLASS_MAX)
     self->priority = PRIORITY_CLASS_MAX;
   service = eg_route_choose (route, eg_random_next (&self->entry->random));
-  eg_str_copy (eg_str_from (configuration->services[service].name),
-               self->service, sizeof self->service);
+  self->service = self->configuration->services[service].name;
   self->is_credited = !hop || hop->is_credited;
   if (self->is_credited)
     eg_retry_window_request (
@@ -1259,9 +1253,7 @@
   self->head_sent = false;
   self->response_status = 0;
   self->subjects = (struct eg_crash_subjects){0};
-  memset (&self->route, 0, sizeof self->route);
-  *self->service = '\0';
-  *self->organisation = '\0';
+  drop_configuration (self);
   eg_request_headers_decode (&self->headers, head);
   eg_event_relay_finish (&self->relay);
   eg_event_relay_init (&self->relay, self->headers.last_event_id);
--- a/entry/call.h
+++ b/entry/call.h
@@ -85,9 +85,11 @@
   const struct eg_http_head *head;
   struct eg_str body;
   struct eg_request_headers headers;
+  /** Holds the strings of the three following members; NULL: none. */
+  struct eg_configuration *configuration;
   struct eg_route route;
-  char service[EG_CONFIG_NAME_BYTES];
-  char organisation[EG_CONFIG_NAME_BYTES];
+  struct eg_str service;
+  struct eg_str organisation;
   bool needs_key;
   unsigned priority;
   struct eg_crash_subjects subjects;
--- a/entry/call_hop.c
+++ b/entry/call_hop.c
@@ -46,7 +46,7 @@
 
       if (backend->listed && !eg_backend_is_leaving (backend)
           && eg_backend_is_suspect (backend, now_us)
-          && strcmp (backend->record.service, self->service) == 0)
+          && eg_str_equal (backend->record.service, self->service))
         return true;
     }
   return false;
--- a/entry/configuration_spread.c
+++ b/entry/configuration_spread.c
@@ -24,7 +24,13 @@
   eg_log (EG_LOG_INFO, "configuration",
           "event=configuration-fetched outcome=%s offered=%" PRId64,
           eg_store_outcome_name (outcome), self->versions.offered);
-  if (outcome == EG_STORE_OK)
+  if (outcome != EG_STORE_OK)
+    return;
+  /* Keys are not outdated by a reply that is no configuration. */
+  if (eg_configuration_read_version (eg_store_object_spec (document)) < 0)
+    eg_log (EG_LOG_WARNING, "configuration",
+            "event=configuration-unreadable expected=\"a version\"");
+  else
     eg_entry_accept_configuration (self->entry, document);
 }
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -1,9 +1,11 @@
 #include "entry/entry.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "platform/configuration.h"
 
@@ -11,21 +13,60 @@
  * check and the start of execution on the server. */
 #define KEY_MARGIN_US (120 * EG_US_PER_MS)
 
+void
+eg_entry_init_configuration (struct eg_entry *self)
+{
+  self->configuration = (struct eg_accepted_configuration){0};
+  EG_INVARIANT (eg_hash_table_init (&self->services));
+}
+
+/* Frees the state of a service that the configuration in force lacks. */
+static bool
+drop_service (struct eg_hash_node *node, void *context)
+{
+  const struct eg_configuration *current = context;
+  struct eg_service_state *state =
+      EG_CONTAINER_OF (node, struct eg_service_state, by_name);
+
+  if (current
+      && eg_configuration_find_service (current, state->name) != SIZE_MAX)
+    return false;
+  free (state);
+  return true;
+}
+
+void
+eg_entry_finish_configuration (struct eg_entry *self)
+{
+  eg_hash_table_filter (&self->services, drop_service, NULL);
+  eg_hash_table_finish (&self->services);
+  eg_configuration_unref (self->configuration.current);
+  json_decref (self->configuration.object);
+  self->configuration = (struct eg_accepted_configuration){0};
+}
+
 struct eg_service_state *
-eg_entry_service (struct eg_entry *self, const char *service)
+eg_entry_service (struct eg_entry *self, struct eg_str service)
 {
+  uint64_t hash = eg_hash_mix (eg_hash_str (service));
+  struct eg_hash_node *node = eg_hash_table_find (&self->services, hash);
   struct eg_service_state *state;
+  char *name;
 
-  for (size_t i = 0; i < self->service_count; i++)
-    if (strcmp (self->services[i].service, service) == 0)
-      return &self->services[i];
-  /* Services beyond the maximum share the last state. */
-  if (self->service_count == EG_SERVICES_MAX)
-    return &self->services[EG_SERVICES_MAX - 1];
-  state = &self->services[self->service_count++];
-  eg_str_copy (eg_str_from (service), state->service, sizeof state->service);
+  for (; node; node = eg_hash_node_next (node))
+    {
+      state = EG_CONTAINER_OF (node, struct eg_service_state, by_name);
+      if (eg_str_equal (state->name, service))
+        return state;
+    }
+  state = calloc (1, sizeof *state + service.len + 1);
+  EG_INVARIANT (state);
+  name = (char *) (state + 1);
+  memcpy (name, service.data, service.len);
+  state->name = (struct eg_str){name, service.len};
   eg_retry_window_init (&state->retries,
                         self->settings->retry_window_ms * EG_US_PER_MS);
+  eg_hash_table_insert (&self->services, &state->by_name, hash);
   return state;
 }
 
@@ -55,23 +96,77 @@
          && self->fleet.list_complete;
 }
 
+void
+eg_entry_configuration_unusable (struct eg_entry *self,
+                                 int64_t version,
+                                 const char *cause)
+{
+  struct eg_accepted_configuration *configuration = &self->configuration;
+  bool is_newer = version < 0 || !configuration->current
+                  || version > configuration->current->version;
+  int64_t unapplied = version < 0 ? INT64_MAX : version;
+
+  eg_metrics_count (&self->metrics, EG_COUNT_CONFIGURATIONS_INVALID);
+  eg_log (EG_LOG_ERROR, "configuration",
+          "event=configuration-invalid version=%" PRId64 " in_force=%" PRId64
+          " keys=%s cause=\"%s\"",
+          version,
+          configuration->current ? configuration->current->version : -1,
+          is_newer ? "outdated" : "kept", cause);
+  if (is_newer && unapplied > configuration->unapplied)
+    configuration->unapplied = unapplied;
+}
+
+void
+eg_entry_configuration_read (struct eg_entry *self, int64_t as_of_us)
+{
+  struct eg_accepted_configuration *configuration = &self->configuration;
+
+  if (configuration->current && configuration->unapplied == 0
+      && as_of_us > configuration->as_of_us)
+    configuration->as_of_us = as_of_us;
+}
+
+static void
+put_into_force (struct eg_entry *self,
+                struct eg_configuration *decoded,
+                json_t *object)
+{
+  struct eg_accepted_configuration *configuration = &self->configuration;
+
+  if (configuration->current)
+    eg_configuration_drop_keys (configuration->current);
+  eg_configuration_unref (configuration->current);
+  configuration->current = decoded;
+  json_decref (configuration->object);
+  configuration->object = json_incref (object);
+  /* Any newer one replaces one whose version could not be read. */
+  if (configuration->unapplied <= decoded->version
+      || configuration->unapplied == INT64_MAX)
+    configuration->unapplied = 0;
+  eg_hash_table_filter (&self->services, drop_service, decoded);
+  eg_configuration_spread_set_version (&self->configuration_spread,
+                                       decoded->version);
+}
+
 void
 eg_entry_accept_configuration (struct eg_entry *self, json_t *object)
 {
+  const json_t *spec = eg_store_object_spec (object);
   struct eg_configuration *decoded;
   struct eg_error error;
 
-  decoded = eg_configuration_decode (eg_store_object_spec (object), &error);
+  decoded = eg_configuration_decode (spec, &error);
   if (!decoded)
     {
-      eg_log (EG_LOG_ERROR, "configuration",
-              "event=configuration-invalid cause=\"%s\"", error.message);
+      eg_entry_configuration_unusable (
+          self, eg_configuration_read_version (spec), error.message);
       return;
     }
   if (self->configuration.current
       && decoded->version <= self->configuration.current->version)
     {
-      eg_configuration_free_decoded (decoded);
+      eg_configuration_unref (decoded);
       return;
     }
   eg_log (EG_LOG_NOTICE, "configuration",
@@ -79,10 +174,5 @@
           " routes=%zu services=%zu organisations=%zu",
           decoded->version, decoded->route_count, decoded->service_count,
           decoded->organisation_count);
-  eg_configuration_free_decoded (self->configuration.current);
-  self->configuration.current = decoded;
-  json_decref (self->configuration.object);
-  self->configuration.object = json_incref (object);
-  eg_configuration_spread_set_version (&self->configuration_spread,
-                                       decoded->version);
+  put_into_force (self, decoded, object);
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -26,13 +26,11 @@
 #include "policy/retry_window.h"
 #include "policy/shortage.h"
 
-/** Maximum number of services with a state of their own. */
-#define EG_SERVICES_MAX 32
-
 /** What this VM keeps of one service. */
 struct eg_service_state
 {
-  char service[EG_CONFIG_NAME_BYTES];
+  struct eg_hash_node by_name;
+  struct eg_str name; /**< In the memory after the state. */
   struct eg_retry_window retries;
   struct eg_shortage shortage;
   /** When a peer could not serve it either, although this VM reaches servers.
@@ -48,6 +46,9 @@
   json_t *object; /**< As it was read; NULL: none. */
   /** Time at which the store was last known to have no newer version. */
   int64_t as_of_us;
+  /** The newest version that was read but cannot be applied; INT64_MAX if it
+   * has no readable version; 0: none. */
+  int64_t unapplied;
   bool reachable; /**< The last call to the store succeeded. */
 };
 
@@ -78,8 +79,7 @@
   struct eg_planner planner;
   struct eg_connections connections;
   struct eg_metrics metrics;
-  struct eg_service_state services[EG_SERVICES_MAX];
-  size_t service_count;
+  struct eg_hash_table services; /**< States of services, by name. */
   struct eg_members members;
   struct eg_load_gossip load_gossip;
   struct eg_crash_watch crash_watch;
@@ -91,9 +91,18 @@
   int64_t stop_us; /**< Start of a graceful shutdown; 0: not shutting down. */
 };
 
-/** Returns the state of a service. */
+/** Initialises the states of services and the configuration. */
+void eg_entry_init_configuration (struct eg_entry *self);
+
+/** Frees the states of services and the configuration. */
+void eg_entry_finish_configuration (struct eg_entry *self);
+
+/**
+ * Returns the state of a service. It is kept until a configuration without the
+ * service is accepted.
+ */
 struct eg_service_state *eg_entry_service (struct eg_entry *self,
-                                           const char *service);
+                                           struct eg_str service);
 
 /** Returns whether the configuration is recent enough to accept API keys. */
 bool eg_entry_keys_are_fresh (const struct eg_entry *self, int64_t now_us);
@@ -104,6 +113,23 @@
  */
 void eg_entry_accept_configuration (struct eg_entry *self, json_t *object);
 
+/**
+ * Takes note that the store has a configuration that cannot be read. The keys
+ * in use are outdated from now on; see eg_entry_configuration_read().
+ * @param version its version; negative: unknown.
+ * @param cause place, value and limit, for the log.
+ */
+void eg_entry_configuration_unusable (struct eg_entry *self,
+                                      int64_t version,
+                                      const char *cause);
+
+/**
+ * Takes note that the store had no configuration newer than those passed to
+ * eg_entry_accept_configuration() at @p as_of_us. Renews the age of the keys,
+ * unless the newest configuration could not be applied.
+ */
+void eg_entry_configuration_read (struct eg_entry *self, int64_t as_of_us);
+
 /** Returns whether there is a configuration that requests may be served by. */
 bool eg_entry_has_configuration (const struct eg_entry *self);
 
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -91,6 +91,7 @@
   while ((link = eg_list_pop_front (&self->all)))
     free_backend (EG_CONTAINER_OF (link, struct eg_backend, all));
   eg_hash_table_finish (&self->by_id);
+  eg_buffer_finish (&self->questioned_service);
 }
 
 struct eg_backend *
@@ -338,6 +339,10 @@
   EG_INVARIANT (backend);
   backend->fleet = self;
   backend->record = *record;
+  /* update_record() moves the strings. */
+  backend->record.names = NULL;
+  backend->record.service = EG_STR ("");
+  backend->record.accelerator = EG_STR ("");
   backend->slowness = 1;
   backend->orders = record->layers.to > record->layers.from ? -1 : 0;
   eg_buffer_init (&backend->probe.body);
@@ -358,6 +363,7 @@
   eg_exchange_cancel (&self->port_check);
   eg_exchange_cancel (&self->order);
   eg_buffer_finish (&self->probe.body);
+  eg_server_record_finish (&self->record);
   eg_hash_table_remove (&self->fleet->by_id, &self->by_id);
   self->fleet->count--;
   free (self);
@@ -498,8 +504,9 @@
         (fleet->store_lost_us > 0 ? now_us : fleet->store_back_us)
         + REAPPEAR_GRACE_US;
   eg_log (EG_LOG_NOTICE, "fleet",
-          "event=server-gone server=%s service=%s may_return=%d",
-          self->record.id, self->record.service, may_reappear);
+          "event=server-gone server=%s service=%.*s may_return=%d",
+          self->record.id, EG_STR_START_ARGS (self->record.service),
+          may_reappear);
   if (!may_reappear)
     {
       set_ended (self, "record", now_us);
@@ -515,6 +522,7 @@
     EG_CONTAINER_OF (at, struct eg_backend, all)->marked = false;
 }
 
+/* Takes over the strings of @p record. */
 static void
 update_record (struct eg_backend *self,
                struct eg_server_record *record,
@@ -556,13 +564,16 @@
   if (changed)
     {
       self->fleet->changed_us = now_us;
-      eg_log (EG_LOG_NOTICE, "fleet",
-              "event=server-entry server=%s service=%s address=%s "
-              "failure_domain=%s accelerator=%s draining=%d layers=%u-%u "
-              "start_ms=%" PRId64,
-              record->id, record->service, record->address, record->domain,
-              *record->accelerator ? record->accelerator : "-", draining,
-              record->layers.from, record->layers.to, record->start_ms);
+      eg_log (
+          EG_LOG_NOTICE, "fleet",
+          "event=server-entry server=%s service=%.*s address=%s "
+          "failure_domain=%s accelerator=%.*s draining=%d layers=%u-%u "
+          "start_ms=%" PRId64,
+          record->id, EG_STR_START_ARGS (record->service), record->address,
+          record->domain,
+          EG_STR_START_ARGS (record->accelerator.len > 0 ? record->accelerator
+                                                         : EG_STR ("-")),
+          draining, record->layers.from, record->layers.to, record->start_ms);
     }
   /* Another entry VM has sent an order, so the order count has to be
    * requested from the server. */
@@ -580,6 +591,7 @@
   if (!draining && !self->said_leaving)
     self->draining_us = 0;
   record->draining = draining;
+  eg_server_record_finish (&self->record);
   self->record = *record;
   self->listed = true;
   self->marked = true;
@@ -702,7 +714,7 @@
           EG_CONTAINER_OF (at, struct eg_backend, all);
 
       if (other == self || !other->listed
-          || strcmp (other->record.service, self->record.service) != 0)
+          || !eg_str_equal (other->record.service, self->record.service))
         continue;
       others++;
       if (other->connected_us > self->refused_us)
@@ -720,6 +732,13 @@
     set_ended (self, "connection", now_us);
 }
 
+static void
+question_service (struct eg_backend *self)
+{
+  eg_buffer_clear (&self->fleet->questioned_service);
+  eg_buffer_append (&self->fleet->questioned_service, self->record.service);
+}
+
 /* A server that refuses connections has ended, unless this VM has lost its path
  * to the service, or to all servers: that others tell. */
 static void
@@ -733,9 +752,7 @@
       || (!lost && now_us - self->refused_us >= REFUSAL_PROOF_MAX_US))
     settle_refusal (self, true, now_us);
   else if (!lost)
-    eg_str_copy (eg_str_from (self->record.service),
-                 self->fleet->questioned_service,
-                 sizeof self->fleet->questioned_service);
+    question_service (self);
 }
 
 void
@@ -753,7 +770,7 @@
 void
 eg_fleet_check (struct eg_fleet *self, int64_t now_us)
 {
-  *self->questioned_service = '\0';
+  eg_buffer_clear (&self->questioned_service);
   if (self->records_expiring && self->store_lost_us == 0
       && now_us - self->store_back_us >= REAPPEAR_GRACE_US)
     self->records_expiring = false;
@@ -964,9 +981,7 @@
       if (self->refused_connection && self->listed)
         {
           self->refused_us = now_us;
-          eg_str_copy (eg_str_from (self->record.service),
-                       self->fleet->questioned_service,
-                       sizeof self->fleet->questioned_service);
+          question_service (self);
         }
       eg_exchange_pool_close_idle (self->fleet->pool, self->record.endpoint);
     }
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -119,7 +119,7 @@
 /** Recent removals and returns of servers in one failure domain. */
 struct eg_domain_history
 {
-  char name[EG_CONFIG_NAME_BYTES];
+  char name[EG_SERVER_DOMAIN_BYTES];
   int64_t reappeared_us; /**< When a server with layers last reappeared. */
   /** Removals without draining first, as a ring buffer. */
   int64_t removed_us[EG_DOMAIN_REMOVALS_MAX];
@@ -172,7 +172,7 @@
   struct eg_token_bucket probes_allowed;
   struct eg_server_reach reach; /**< Path of this VM to all of them. */
   /** Service of a server that has refused_us set; empty: there is none. */
-  char questioned_service[EG_CONFIG_NAME_BYTES];
+  struct eg_buffer questioned_service;
 };
 
 /** Initialises an empty fleet. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -72,8 +72,7 @@
   if (!self->configuration.reachable)
     eg_log (EG_LOG_NOTICE, "configuration", "event=store-back kind=config");
   self->configuration.reachable = true;
-  if (self->configuration.current && as_of_us > self->configuration.as_of_us)
-    self->configuration.as_of_us = as_of_us;
+  eg_entry_configuration_read (self, as_of_us);
 }
 
 static const char *
@@ -376,6 +375,7 @@
   eg_log_queue_init (&self->log_queue);
   eg_random_init (&self->random, eg_random_system_seed ());
   eg_metrics_init (&self->metrics);
+  eg_entry_init_configuration (self);
   EG_INVARIANT (uv_loop_init (&self->loop) == 0);
   uv_timer_init (&self->loop, &self->deferred);
   self->deferred.data = self;
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -47,7 +47,7 @@
         const struct eg_placement_request *request,
         int64_t now_us)
 {
-  return strcmp (backend->record.service, request->service->name) == 0
+  return eg_str_equal (backend->record.service, request->service->name)
          && eg_backend_is_usable (backend, now_us);
 }
 
@@ -83,7 +83,7 @@
           double tokens)
 {
   const struct eg_accelerator *accelerator =
-      eg_engine_accelerator (engine, eg_str_from (backend->record.accelerator));
+      eg_engine_accelerator (engine, backend->record.accelerator);
   uint32_t layers = backend->record.layers.to - backend->record.layers.from;
   double capacity = accelerator
                         ? eg_engine_kv_capacity (engine, accelerator, layers)
@@ -158,7 +158,7 @@
 {
   const struct eg_engine_model *engine = &request->service->engine;
   const struct eg_accelerator *accelerator =
-      eg_engine_accelerator (engine, eg_str_from (backend->record.accelerator));
+      eg_engine_accelerator (engine, backend->record.accelerator);
   double tokens = (double) request->prompt_tokens + request->answer_tokens;
   double step = accelerator ? accelerator->step_factor : 1;
   double prefill = accelerator ? accelerator->prefill_factor : 1;
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -360,11 +360,11 @@
       struct eg_plan_server *server = &input->servers[input->count];
       const struct eg_accelerator *accelerator;
 
-      if (strcmp (backend->record.service, service->name) != 0)
+      if (!eg_str_equal (backend->record.service, service->name))
         continue;
       check_order (backend, &service->engine, now_us);
-      accelerator = eg_engine_accelerator (
-          &service->engine, eg_str_from (backend->record.accelerator));
+      accelerator =
+          eg_engine_accelerator (&service->engine, backend->record.accelerator);
       if (!accelerator || !is_plannable (backend, now_us))
         continue;
       server->domain = plan_domain (input, backend->record.domain);
--- a/entry/reach_watch.c
+++ b/entry/reach_watch.c
@@ -88,10 +88,14 @@
   return a->checked_us < b->checked_us;
 }
 
-/* Chooses a server, of @p service unless that is NULL, that is not being
+static const struct eg_str any_service = {NULL, 0};
+
+/* Chooses a server, of @p service unless that has no data, that is not being
  * checked and was not checked for longest, or NULL. */
 static struct eg_backend *
-choose_server (struct eg_reach_watch *self, const char *service, int64_t now_us)
+choose_server (struct eg_reach_watch *self,
+               struct eg_str service,
+               int64_t now_us)
 {
   struct eg_list *all = &self->entry->fleet.all;
   struct eg_backend *chosen = NULL;
@@ -102,7 +106,7 @@
       struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
 
       if (!backend->listed || eg_backend_is_leaving (backend)
-          || (service && strcmp (backend->record.service, service) != 0)
+          || (service.data && !eg_str_equal (backend->record.service, service))
           || is_checked (self, eg_backend_hash (backend))
           || (chosen && precedes (self, chosen, backend, now_us)))
         continue;
@@ -117,7 +121,7 @@
 static void
 start_check (struct eg_reach_watch *self,
              struct eg_reach_check *check,
-             const char *service,
+             struct eg_str service,
              int64_t now_us)
 {
   struct eg_backend *backend = choose_server (self, service, now_us);
@@ -185,7 +189,7 @@
 static void
 start_checks (struct eg_reach_watch *self,
               size_t count,
-              const char *service,
+              struct eg_str service,
               int64_t now_us)
 {
   for (size_t i = 0; i < EG_REACH_CHECKS_MAX && count > 0; i++)
@@ -197,7 +201,7 @@
 }
 
 static void
-seek_proof (struct eg_reach_watch *self, const char *service, int64_t now_us)
+seek_proof (struct eg_reach_watch *self, struct eg_str service, int64_t now_us)
 {
   if (now_us - self->proof_sought_us < CHECK_TIMEOUT_US)
     return;
@@ -213,7 +217,7 @@
   if (reach->state != EG_REACH_OK)
     return false;
   if (!eg_server_reach_is_proven (reach, now_us - PROOF_AGE_MAX_US / 2))
-    seek_proof (self, NULL, now_us);
+    seek_proof (self, any_service, now_us);
   return eg_server_reach_is_proven (reach, now_us - PROOF_AGE_MAX_US);
 }
 
@@ -235,11 +239,14 @@
 void
 eg_reach_watch_check (struct eg_reach_watch *self, int64_t now_us)
 {
+  struct eg_str questioned =
+      eg_buffer_view (&self->entry->fleet.questioned_service);
+
   end_checks (self, now_us);
-  if (*self->entry->fleet.questioned_service)
-    seek_proof (self, self->entry->fleet.questioned_service, now_us);
+  if (questioned.len > 0)
+    seek_proof (self, questioned, now_us);
   start_checks (self, eg_server_reach_check (&self->entry->fleet.reach, now_us),
-                NULL, now_us);
+                any_service, now_us);
   settle_refusals (self, now_us);
   note_change (self, now_us);
 }
--- a/entry/server_limits.c
+++ b/entry/server_limits.c
@@ -113,17 +113,17 @@
 /* Returns whether a server may be the only or the first one of a request. */
 static bool
 begins_requests (const struct eg_backend *backend,
-                 const char *service,
+                 struct eg_str service,
                  int64_t now_us)
 {
-  return strcmp (backend->record.service, service) == 0
+  return eg_str_equal (backend->record.service, service)
          && backend->record.layers.from == 0 && !eg_backend_is_leaving (backend)
          && eg_backend_is_present (backend, now_us);
 }
 
 struct eg_backend *
 eg_server_limits_lend (struct eg_entry *entry,
-                       const char *service,
+                       struct eg_str service,
                        int64_t now_us)
 {
   struct eg_list *all = &entry->fleet.all;
@@ -156,7 +156,7 @@
 
 int64_t
 eg_server_limits_wait_us (struct eg_entry *entry,
-                          const char *service,
+                          struct eg_str service,
                           int64_t now_us,
                           bool *limited)
 {
--- a/entry/server_limits.h
+++ b/entry/server_limits.h
@@ -10,6 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/str.h"
+
 struct eg_backend;
 struct eg_entry;
 struct eg_server_notice;
@@ -46,7 +48,7 @@
  *         leaves a request.
  */
 struct eg_backend *eg_server_limits_lend (struct eg_entry *entry,
-                                          const char *service,
+                                          struct eg_str service,
                                           int64_t now_us);
 
 /**
@@ -56,7 +58,7 @@
  * @param[out] limited whether a limit of a server is among the reasons.
  */
 int64_t eg_server_limits_wait_us (struct eg_entry *entry,
-                                  const char *service,
+                                  struct eg_str service,
                                   int64_t now_us,
                                   bool *limited);
 
--- a/policy/configuration.c
+++ b/policy/configuration.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/hash.h"
 #include "base/list.h"
@@ -35,6 +36,7 @@
   self->routes = new_array (routes, sizeof *self->routes);
   self->services = new_array (services, sizeof *self->services);
   self->organisations = new_array (organisations, sizeof *self->organisations);
+  EG_INVARIANT (eg_hash_table_init (&self->services_by_name));
   EG_INVARIANT (eg_hash_table_init (&self->keys));
 }
 
@@ -47,17 +49,41 @@
 }
 
 void
-eg_configuration_finish (struct eg_configuration *self)
+eg_configuration_drop_keys (struct eg_configuration *self)
 {
   if (self->keys.buckets)
     eg_hash_table_filter (&self->keys, free_key, NULL);
+}
+
+void
+eg_configuration_finish (struct eg_configuration *self)
+{
+  eg_configuration_drop_keys (self);
   eg_hash_table_finish (&self->keys);
+  eg_hash_table_finish (&self->services_by_name);
   free (self->routes);
   free (self->services);
   free (self->organisations);
+  eg_arena_finish (&self->arena);
   memset (self, 0, sizeof *self);
 }
 
+struct eg_configuration *
+eg_configuration_ref (struct eg_configuration *self)
+{
+  self->references++;
+  return self;
+}
+
+void
+eg_configuration_unref (struct eg_configuration *self)
+{
+  if (!self || self->references-- > 0)
+    return;
+  eg_configuration_finish (self);
+  free (self);
+}
+
 void
 eg_configuration_add_key (struct eg_configuration *self,
                           struct eg_str key,
@@ -91,16 +117,40 @@
   return NULL;
 }
 
+void
+eg_configuration_index_service (struct eg_configuration *self)
+{
+  struct eg_service_config *service = &self->services[self->service_count - 1];
+
+  if (eg_configuration_find_service (self, service->name) == SIZE_MAX)
+    eg_hash_table_insert (&self->services_by_name, &service->by_name,
+                          eg_hash_mix (eg_hash_str (service->name)));
+}
+
 size_t
 eg_configuration_find_service (const struct eg_configuration *self,
                                struct eg_str name)
 {
-  for (size_t i = 0; i < self->service_count; i++)
-    if (eg_str_equal (eg_str_from (self->services[i].name), name))
-      return i;
+  struct eg_hash_node *node = eg_hash_table_find (
+      &self->services_by_name, eg_hash_mix (eg_hash_str (name)));
+
+  for (; node; node = eg_hash_node_next (node))
+    {
+      const struct eg_service_config *service =
+          EG_CONTAINER_OF (node, struct eg_service_config, by_name);
+
+      if (eg_str_equal (service->name, name))
+        return (size_t) (service - self->services);
+    }
   return SIZE_MAX;
 }
 
+static bool
+is_same_host (struct eg_str a, struct eg_str b)
+{
+  return a.len == b.len && strncasecmp (a.data, b.data, a.len) == 0;
+}
+
 const struct eg_route *
 eg_configuration_route (const struct eg_configuration *self,
                         struct eg_str host,
@@ -112,13 +162,13 @@
   for (size_t i = 0; i < self->route_count; i++)
     {
       const struct eg_route *route = &self->routes[i];
-      struct eg_str prefix = eg_str_from (route->path_prefix);
 
-      if (prefix.len > best_len && eg_str_starts_with (path, prefix)
-          && eg_str_equal (eg_str_from (route->host), host))
+      if (route->path_prefix.len > best_len
+          && eg_str_starts_with (path, route->path_prefix)
+          && is_same_host (route->host, host))
         {
           best = route;
-          best_len = prefix.len;
+          best_len = route->path_prefix.len;
         }
     }
   return best;
@@ -129,7 +179,7 @@
 {
   uint64_t point = route->weight_sum ? random % route->weight_sum : 0;
 
-  for (uint32_t i = 0; i < route->target_count; i++)
+  for (size_t i = 0; i < route->target_count; i++)
     {
       if (point < route->targets[i].weight)
         return route->targets[i].service;
@@ -141,8 +191,8 @@
 const struct eg_accelerator *
 eg_engine_accelerator (const struct eg_engine_model *engine, struct eg_str name)
 {
-  for (uint32_t i = 0; i < engine->accelerator_count; i++)
-    if (eg_str_equal (eg_str_from (engine->accelerators[i].name), name))
+  for (size_t i = 0; i < engine->accelerator_count; i++)
+    if (eg_str_equal (engine->accelerators[i].name, name))
       return &engine->accelerators[i];
   return NULL;
 }
--- a/policy/configuration.h
+++ b/policy/configuration.h
@@ -2,7 +2,8 @@
  * @file
  * An accepted configuration: routes, services, engines and organisations.
  *
- * It is immutable once built, and is replaced as a whole.
+ * It is immutable once built, and is replaced as a whole. Its strings have no
+ * maximum length; each is followed by a zero byte and contains none.
  */
 #ifndef EG_POLICY_CONFIGURATION_H
 #define EG_POLICY_CONFIGURATION_H
@@ -10,22 +11,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/arena.h"
 #include "base/decls.h"
 #include "base/hash_table.h"
 #include "base/str.h"
 
 EG_BEGIN_DECLS
 
-/**
- * Maximum size of the name of a service, route or organisation, with its NUL.
- */
-#define EG_CONFIG_NAME_BYTES 64
-/** Maximum size of a host name or path prefix, with its NUL. */
-#define EG_CONFIG_PATH_BYTES 256
-/** Maximum number of services between which a route splits its requests. */
-#define EG_ROUTE_TARGETS_MAX 8
-/** Maximum number of accelerator types of an engine. */
-#define EG_ACCELERATORS_MAX 8
 /** Maximum number of layers of a model. */
 #define EG_MODEL_LAYERS_MAX 256
 
@@ -47,9 +39,9 @@
 /** Routing of the requests for one host and path prefix. */
 struct eg_route
 {
-  char name[EG_CONFIG_NAME_BYTES];
-  char host[EG_CONFIG_PATH_BYTES];
-  char path_prefix[EG_CONFIG_PATH_BYTES];
+  struct eg_str name;
+  struct eg_str host;
+  struct eg_str path_prefix;
   enum eg_route_kind kind;
   bool resumable;          /**< A stream may resume on another server. */
   bool is_public;          /**< Needs no API key. */
@@ -58,15 +50,15 @@
   int64_t event_gap_us;    /**< Maximum gap in a stream that is on time. */
   unsigned servers_max;    /**< Maximum number of servers per request. */
   unsigned priority;       /**< 0 is the highest. */
-  struct eg_route_target targets[EG_ROUTE_TARGETS_MAX];
-  uint32_t target_count;
-  uint32_t weight_sum;
+  struct eg_route_target *targets;
+  size_t target_count;
+  uint64_t weight_sum;
 };
 
 /** An accelerator type. */
 struct eg_accelerator
 {
-  char name[EG_CONFIG_NAME_BYTES];
+  struct eg_str name;
   double memory_mb;
   double step_factor;    /**< Multiplies step times. */
   double prefill_factor; /**< Multiplies prefill times. */
@@ -89,15 +81,16 @@
   uint32_t mean_answer_tokens;
   uint32_t concurrent_loads_max; /**< Further loads slow each other down. */
   int64_t report_lag_us;         /**< Delay of the engine's load reports. */
-  struct eg_accelerator accelerators[EG_ACCELERATORS_MAX];
-  uint32_t accelerator_count;
+  const struct eg_accelerator *accelerators;
+  size_t accelerator_count;
 };
 
 /** Settings of a service. */
 struct eg_service_config
 {
-  char name[EG_CONFIG_NAME_BYTES];
-  char health_path[EG_CONFIG_PATH_BYTES];
+  struct eg_hash_node by_name;
+  struct eg_str name;
+  struct eg_str health_path;
   uint32_t connections_max;
   bool has_engine;
   struct eg_engine_model engine;
@@ -106,7 +99,7 @@
 /** An organisation on whose behalf requests are made. */
 struct eg_organisation
 {
-  char name[EG_CONFIG_NAME_BYTES];
+  struct eg_str name;
   int64_t priority; /**< Of its requests; the route's if negative. */
 };
 
@@ -129,9 +122,12 @@
   size_t service_count;
   struct eg_organisation *organisations;
   size_t organisation_count;
+  struct eg_hash_table services_by_name;
   struct eg_hash_table keys; /**< Maps API keys to organisations. */
   bool has_organisations;
   struct eg_caller_limits limits;
+  struct eg_arena arena; /**< Strings and arrays of the tables. */
+  unsigned references;   /**< Besides the first owner's. */
 };
 
 /**
@@ -146,6 +142,28 @@
 /** Frees the tables. */
 void eg_configuration_finish (struct eg_configuration *self);
 
+/** Takes a reference to a configuration that was allocated by malloc(). */
+struct eg_configuration *eg_configuration_ref (struct eg_configuration *self);
+
+/**
+ * Drops a reference, or the first owner's claim, and frees the configuration
+ * with the last one. Does nothing if @p self is NULL.
+ */
+void eg_configuration_unref (struct eg_configuration *self);
+
+/**
+ * Frees the API keys, by far the largest part of some configurations, when a
+ * newer configuration has replaced this one. Requests that have begun use it
+ * further, but look up no key.
+ */
+void eg_configuration_drop_keys (struct eg_configuration *self);
+
+/**
+ * Makes the service at the end of the table known by its name, which is set.
+ * The first of several services of one name is found.
+ */
+void eg_configuration_index_service (struct eg_configuration *self);
+
 /** Adds an API key of organisation @p index. */
 void eg_configuration_add_key (struct eg_configuration *self,
                                struct eg_str key,
@@ -160,7 +178,10 @@
 size_t eg_configuration_find_service (const struct eg_configuration *self,
                                       struct eg_str name);
 
-/** Returns the route of @p host with the longest prefix of @p path, or NULL. */
+/**
+ * Returns the route of @p host with the longest prefix of @p path, or NULL.
+ * The case of letters of @p host is ignored.
+ */
 const struct eg_route *
 eg_configuration_route (const struct eg_configuration *self,
                         struct eg_str host,
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -53,8 +53,8 @@
                     !needs_key);
 }
 
-void
-streams_publish_configuration (struct streams_fixture *self, int version)
+json_t *
+streams_pack_configuration (int version)
 {
   json_t *route = json_pack (
       "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b, s:b}", "name",
@@ -80,7 +80,14 @@
       "tenants", "name", "organisation", "apiKeys", "key");
 
   EG_INVARIANT (spec);
-  soak_store_put (&self->store, "config", "main", spec);
+  return spec;
+}
+
+void
+streams_publish_configuration (struct streams_fixture *self, int version)
+{
+  soak_store_put (&self->store, "config", "main",
+                  streams_pack_configuration (version));
 }
 
 /* Writes what a server says of itself in all its responses. */
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -6,6 +6,8 @@
 #ifndef EG_TEST_STREAMS_FIXTURE_H
 #define EG_TEST_STREAMS_FIXTURE_H
 
+#include <jansson.h>
+
 #include "base/random.h"
 #include "net/exchange.h"
 #include "policy/event_relay.h"
@@ -160,6 +162,9 @@
 /** Runs the loop for @p ms. */
 void streams_run (struct streams_fixture *self, int64_t ms);
 
+/** Returns a new document with the configuration that is published. */
+json_t *streams_pack_configuration (int version);
+
 /**
  * Writes the configuration. Each version has a route of its own, /vN/, beside
  * those of all versions.
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -384,7 +384,7 @@
       12);
   assert_int_equal (self->limits.idle_timeout_us, 15000000);
   assert_non_null (eg_configuration_find_key (self, EG_STR ("k2")));
-  eg_configuration_free_decoded (self);
+  eg_configuration_unref (self);
 }
 
 static void
@@ -404,6 +404,116 @@
   assert_null (decode ("[]", &error));
 }
 
+/* Fills a configuration with as many short keys as a store object can hold. */
+static json_t *
+pack_many_keys (size_t count)
+{
+  json_t *keys = json_array ();
+  char key[16];
+
+  for (size_t i = 0; i < count; i++)
+    {
+      snprintf (key, sizeof key, "%zx", i);
+      json_array_append_new (keys, json_string (key));
+    }
+  return keys;
+}
+
+/* Names, hosts and prefixes of more than 64 or 256 bytes, and a ninth target or
+ * kind, made the whole configuration invalid. */
+static void
+test_names_and_lists_of_configurations_have_no_fixed_limit (void **state)
+{
+  static char name[400001];
+  const size_t keys = 100000;
+  struct eg_error error = {0};
+  json_t *spec = json_loads (configuration_text, 0, NULL);
+  json_t *route = json_array_get (json_object_get (spec, "routes"), 0);
+  json_t *split = json_object_get (route, "trafficSplit");
+  json_t *tenant = json_array_get (json_object_get (spec, "tenants"), 0);
+  struct eg_configuration *self;
+  struct eg_str text;
+
+  (void) state;
+  memset (name, 'x', sizeof name - 1);
+  text = eg_str_from (name);
+  json_object_set_new (route, "host", json_string (name));
+  json_object_set_new (route, "pathPrefix", json_string (name));
+  for (int i = 0; i < 5000; i++)
+    json_array_append (split, json_array_get (split, 0));
+  json_object_set_new (tenant, "name", json_string (name));
+  json_object_set_new (tenant, "apiKeys", pack_many_keys (keys));
+  self = eg_configuration_decode (spec, &error);
+  json_decref (spec);
+  assert_non_null (self);
+  assert_ptr_equal (eg_configuration_route (self, text, text),
+                    &self->routes[0]);
+  assert_int_equal (self->routes[0].target_count, 5001);
+  assert_int_equal (self->routes[0].weight_sum, 5001 * 90);
+  assert_true (eg_str_equal (self->organisations[0].name, text));
+  assert_ptr_equal (eg_configuration_find_key (self, EG_STR ("1869f")),
+                    &self->organisations[0]);
+  /* A replaced configuration that requests still use keeps no keys. */
+  eg_configuration_ref (self);
+  eg_configuration_drop_keys (self);
+  assert_null (eg_configuration_find_key (self, EG_STR ("1869f")));
+  eg_configuration_unref (self);
+  assert_true (eg_str_equal (self->routes[0].host, text));
+  eg_configuration_unref (self);
+}
+
+/* A configuration that is rejected stops the renewal of keys, so an operator
+ * needs the place, the value and the limit. A misplaced key is not logged. */
+static void
+test_errors_of_configurations_name_place_value_and_limit (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    const char *message;
+  } cases[] = {
+      {"{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\","
+       "\"healthPath\":\"/\",\"maxConnections\":10000001}]}",
+       "services[0] s: maxConnections: expected an integer from 0 to 10000000, "
+       "found 10000001"},
+      {"{\"version\":1,\"services\":[{\"name\":\"s\",\"healthPath\":\"/\"}],"
+       "\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/\","
+       "\"kind\":\"idempotent\",\"trafficSplit\":[{\"service\":\"s\","
+       "\"weight\":1},{\"service\":\"t\",\"weight\":1}]}]}",
+       "routes[0] r trafficSplit[1]: service: expected the name of a service, "
+       "found \"t\" of 1 bytes"},
+      {"{\"version\":1,\"routes\":[],\"services\":[],\"tenants\":[{\"name\":"
+       "\"t\",\"apiKeys\":\"secret\"}]}",
+       "tenants[0] t: apiKeys: expected an array, found another type"},
+      {"{\"version\":1,\"routes\":[],\"services\":[7]}",
+       "services[0]: (document): expected a JSON object, found nothing"},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct eg_error error = {0};
+
+      assert_null (decode (cases[i].text, &error));
+      assert_string_equal (error.message, cases[i].message);
+    }
+}
+
+static void
+test_hosts_differ_in_letters_not_in_case (void **state)
+{
+  struct eg_error error = {0};
+  struct eg_configuration *self = decode (configuration_text, &error);
+
+  (void) state;
+  assert_ptr_equal (
+      eg_configuration_route (self, EG_STR ("H.Example"), EG_STR ("/a/b")),
+      &self->routes[0]);
+  assert_null (
+      eg_configuration_route (self, EG_STR ("h.examples"), EG_STR ("/a/b")));
+  eg_configuration_unref (self);
+}
+
 static bool
 decode_record (const char *text, struct eg_server_record *record)
 {
@@ -434,6 +544,9 @@
   assert_int_equal (record.layers.to, 9);
   assert_false (record.draining);
   assert_true (record.has_engine);
+  assert_true (eg_str_equal (record.service, EG_STR ("s")));
+  assert_true (eg_str_equal (record.accelerator, EG_STR ("l4")));
+  eg_server_record_finish (&record);
   /* Records from other writers may be invalid. */
   assert_false (decode_record (
       "{\"metadata\":{\"name\":\"i-2\"},\"spec\":{\"service\":\"s\","
@@ -545,6 +658,11 @@
       cmocka_unit_test (test_pipelined_requests),
       cmocka_unit_test (test_configuration),
       cmocka_unit_test (test_invalid_configuration_is_reported),
+      cmocka_unit_test (
+          test_names_and_lists_of_configurations_have_no_fixed_limit),
+      cmocka_unit_test (
+          test_errors_of_configurations_name_place_value_and_limit),
+      cmocka_unit_test (test_hosts_differ_in_letters_not_in_case),
       cmocka_unit_test (test_server_records),
       cmocka_unit_test (test_reports_and_orders),
       cmocka_unit_test (test_move_refusal_names_a_server),
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -11,6 +11,7 @@
 
 #include <cmocka.h>
 
+#include "base/arena.h"
 #include "base/buffer.h"
 #include "base/hash.h"
 #include "base/histogram.h"
@@ -239,6 +240,44 @@
   eg_map_finish (&map);
 }
 
+/* Allocations must stay aligned and at their addresses, and must not overlap,
+ * whether they share a block or have one of their own. */
+static void
+test_arena_allocations_are_separate (void **state)
+{
+  struct eg_arena arena = {0};
+  struct eg_random random;
+  struct eg_str copies[300];
+  uint64_t *arrays[300];
+  static char text[6000];
+
+  (void) state;
+  eg_random_init (&random, 5);
+  memset (text, 'a', sizeof text);
+  for (size_t i = 0; i < 300; i++)
+    {
+      size_t len = eg_random_below (&random, i % 10 == 0 ? 6000 : 200);
+
+      text[0] = (char) ('a' + i % 26);
+      copies[i] = eg_arena_copy (&arena, (struct eg_str){text, len});
+      arrays[i] = eg_arena_array (&arena, 3, sizeof *arrays[i]);
+      assert_int_equal ((uintptr_t) arrays[i] % sizeof (uint64_t), 0);
+      assert_int_equal (arrays[i][0] | arrays[i][1] | arrays[i][2], 0);
+      arrays[i][0] = arrays[i][2] = i;
+    }
+  for (size_t i = 0; i < 300; i++)
+    {
+      assert_int_equal (copies[i].data[copies[i].len], 0);
+      assert_int_equal (strlen (copies[i].data), copies[i].len);
+      if (copies[i].len > 0)
+        assert_int_equal (copies[i].data[0], 'a' + i % 26);
+      assert_int_equal (arrays[i][0], i);
+      assert_int_equal (arrays[i][2], i);
+    }
+  eg_arena_finish (&arena);
+  assert_null (arena.newest);
+}
+
 int
 main (void)
 {
@@ -251,6 +290,7 @@
       cmocka_unit_test (test_ring_is_fifo_and_bounded),
       cmocka_unit_test (test_buffer_consume),
       cmocka_unit_test (test_map_against_array),
+      cmocka_unit_test (test_arena_allocations_are_separate),
       cmocka_unit_test (test_random_is_reproducible),
   };
 
--- /dev/null
+++ b/test/test_configuration.c
@@ -0,0 +1,210 @@
+/* Tests of configurations with unusual content, as the store accepts them. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "test/streams_fixture.h"
+
+/* Time in which a change in the store is in force. */
+#define APPLY_MS 2000
+/* Longest age of keys that the fixture's VMs use, with some time to spare. */
+#define REVOKE_MS 6000
+#define LONG_NAME_BYTES 3000
+/* More than the former maximum of 8 targets of a route and 8 accelerators. */
+#define MANY 200
+
+static struct streams_fixture fixture;
+
+static const struct streams_request keyed = {.plain = true,
+                                             .body = "body",
+                                             .path = "/keyed/x"};
+
+static int
+start (void **state)
+{
+  const struct streams_options options = {.retry_ratio = 0.2,
+                                          .retry_extra = 200,
+                                          .retry_window_ms = 10000,
+                                          .engines = 1,
+                                          .plain = 2};
+
+  streams_fixture_init (&fixture, &options);
+  *state = &fixture;
+  return 0;
+}
+
+static int
+stop (void **state)
+{
+  streams_fixture_finish (*state);
+  return 0;
+}
+
+static const char *
+long_name (void)
+{
+  static char name[LONG_NAME_BYTES + 1];
+
+  memset (name, 'n', LONG_NAME_BYTES);
+  return name;
+}
+
+static json_t *
+find_route (json_t *spec, const char *prefix)
+{
+  json_t *routes = json_object_get (spec, "routes");
+  json_t *route;
+  size_t index;
+
+  json_array_foreach (routes, index, route)
+  {
+    const char *text =
+        json_string_value (json_object_get (route, "pathPrefix"));
+
+    if (strcmp (text, prefix) == 0)
+      return route;
+  }
+  fail_msg ("no route for %s", prefix);
+  return NULL;
+}
+
+/* Sends the requests of a route to a service with a long name, as the last of
+ * many targets. */
+static void
+split_route (json_t *route)
+{
+  json_t *split = json_array ();
+
+  for (int i = 0; i < MANY; i++)
+    json_array_append_new (
+        split, json_pack ("{s:s, s:i}", "service", "model", "weight", 0));
+  json_array_append_new (
+      split, json_pack ("{s:s, s:i}", "service", long_name (), "weight", 1));
+  json_object_del (route, "service");
+  json_object_set_new (route, "trafficSplit", split);
+  json_object_set_new (route, "name", json_string (long_name ()));
+}
+
+static json_t *
+pack_long_configuration (int version)
+{
+  json_t *spec = streams_pack_configuration (version);
+  json_t *services = json_object_get (spec, "services");
+  json_t *kinds = json_object_get (
+      json_object_get (json_array_get (services, 0), "engine"), "kinds");
+  json_t *tenants = json_object_get (spec, "tenants");
+
+  for (int i = 0; i < MANY; i++)
+    json_array_insert_new (
+        kinds, 0,
+        json_pack ("{s:s, s:i}", "name", long_name (), "sizeMb", 1000));
+  json_array_append_new (
+      services, json_pack ("{s:s, s:s, s:i}", "name", long_name (),
+                           "healthPath", "/healthz", "maxConnections", 1000));
+  split_route (find_route (spec, "/plain/"));
+  json_array_append_new (tenants, json_pack ("{s:s, s:[s]}", "name",
+                                             long_name (), "apiKeys", "other"));
+  json_array_clear (json_object_get (json_array_get (tenants, 0), "apiKeys"));
+  return spec;
+}
+
+/* Moves a plain server to the service with the long name. */
+static void
+move_server (struct streams_fixture *self)
+{
+  struct streams_engine *server = &self->engines[STREAMS_ENGINES];
+  char address[32];
+
+  soak_format_address (server->server.endpoint, address, sizeof address);
+  soak_store_put (&self->store, "servers", server->id,
+                  json_pack ("{s:s, s:s, s:s, s:i, s:s, s:i, s:I}", "service",
+                             long_name (), "address", address, "zone", "room",
+                             "slots", 64, "state", "ready", "sequence", 1,
+                             "born", server->start_ms));
+}
+
+/* A name of 64 bytes or a ninth target made VMs keep the old configuration and
+ * its keys indefinitely. */
+static void
+test_configuration_with_long_names_is_in_force (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request plain = {.plain = true, .body = "body"};
+
+  assert_int_equal (streams_client_request (self, 0, &keyed), 200);
+  soak_store_put (&self->store, "config", "main", pack_long_configuration (2));
+  move_server (self);
+  streams_run (self, APPLY_MS);
+  assert_int_equal (streams_client_request (self, 0, &keyed), 401);
+  assert_int_equal (streams_client_request (self, 0, &plain), 200);
+  streams_client_start (self, 0);
+  while (!streams_client_has_ended (self, 0))
+    streams_run (self, 100);
+  assert_true (self->clients[0].done);
+}
+
+/* Reads of a configuration that could not be applied renewed the age of the old
+ * one's keys, so that a key taken away was accepted indefinitely. */
+static void
+test_keys_are_outdated_by_a_configuration_that_cannot_be_applied (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request public = {.plain = true, .body = "body"};
+  json_t *spec = streams_pack_configuration (2);
+
+  json_object_set_new (find_route (spec, "/plain/"), "priority",
+                       json_integer (1001));
+  soak_store_put (&self->store, "config", "main", spec);
+  streams_run (self, REVOKE_MS);
+  assert_int_equal (streams_client_request (self, 0, &keyed), 503);
+  assert_int_equal (streams_client_request (self, 0, &public), 200);
+  assert_true (streams_count_log (self, 0,
+                                  "routes[1] /plain/: priority: expected an "
+                                  "integer from 0 to 1000, found 1001")
+               > 0);
+  streams_publish_configuration (self, 3);
+  streams_run (self, APPLY_MS);
+  assert_int_equal (streams_client_request (self, 0, &keyed), 200);
+}
+
+/* Guards against the use of strings of a configuration that was replaced while
+ * a request that needs them is active. */
+static void
+test_stream_outlasts_the_configuration_that_it_began_with (void **state)
+{
+  struct streams_fixture *self = *state;
+
+  streams_client_start (self, 0);
+  for (int version = 2; !streams_client_has_ended (self, 0); version++)
+    {
+      streams_publish_configuration (self, version);
+      streams_run (self, 200);
+    }
+  assert_true (self->clients[0].done);
+  assert_int_equal (
+      streams_count_log (
+          self, 0, "route=stream service=model organisation= outcome=answered"),
+      1);
+}
+
+#define CONFIGURATION_TEST(name)                                               \
+  cmocka_unit_test_setup_teardown (test_##name, start, stop)
+
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+      CONFIGURATION_TEST (configuration_with_long_names_is_in_force),
+      CONFIGURATION_TEST (
+          keys_are_outdated_by_a_configuration_that_cannot_be_applied),
+      CONFIGURATION_TEST (stream_outlasts_the_configuration_that_it_began_with),
+  };
+
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -334,9 +334,8 @@
 static void
 set_route (struct eg_route *route, const char *host, const char *prefix)
 {
-  eg_str_copy (eg_str_from (host), route->host, sizeof route->host);
-  eg_str_copy (eg_str_from (prefix), route->path_prefix,
-               sizeof route->path_prefix);
+  route->host = eg_str_from (host);
+  route->path_prefix = eg_str_from (prefix);
 }
 
 static void
