--- a/base/log.c
+++ b/base/log.c
@@ -1,12 +1,16 @@
 #include "base/log.h"
 
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
 
+#include "base/clock.h"
+
 #define LINE_BYTES 2048
+#define RATE_INTERVAL_US (10 * EG_US_PER_S)
 #define FACILITY_DAEMON (3 << 3)
 
 static const char *log_program = "eelgrasswood";
@@ -102,3 +106,24 @@
   if (write (STDERR_FILENO, line, len) < 0)
     return;
 }
+
+bool
+eg_log_rate_admits (struct eg_log_rate *self, int64_t now_us)
+{
+  if (self->count++ > 0 && now_us - self->logged_us < RATE_INTERVAL_US)
+    return false;
+  self->logged_us = now_us;
+  return true;
+}
+
+void
+eg_log_capacity (struct eg_log_rate *rate,
+                 const char *module,
+                 const char *capacity,
+                 size_t limit)
+{
+  if (eg_log_rate_admits (rate, eg_clock_now_us ()))
+    eg_log (EG_LOG_WARNING, module,
+            "event=capacity-reached capacity=%s limit=%zu times=%" PRIu64,
+            capacity, limit, rate->count);
+}
--- a/base/log.h
+++ b/base/log.h
@@ -7,6 +7,10 @@
 #ifndef EG_BASE_LOG_H
 #define EG_BASE_LOG_H
 
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
 #include "base/decls.h"
 #include "base/str.h"
 
@@ -50,6 +54,32 @@
 eg_log (enum eg_log_level level, const char *module, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
 
+/**
+ * Occurrences of an event of which each line would be one too many;
+ * zero-initialised memory is valid.
+ */
+struct eg_log_rate
+{
+  int64_t logged_us;
+  uint64_t count; /**< Occurrences so far. */
+};
+
+/**
+ * Counts an occurrence.
+ * @return whether it is to be logged: the first one, then one in ten seconds.
+ */
+bool eg_log_rate_admits (struct eg_log_rate *self, int64_t now_us);
+
+/**
+ * Logs, at a limited rate, that input was left out because a fixed capacity is
+ * exhausted.
+ * @param capacity its name in docs/design/platform.md.
+ */
+void eg_log_capacity (struct eg_log_rate *rate,
+                      const char *module,
+                      const char *capacity,
+                      size_t limit);
+
 EG_END_DECLS
 
 #endif
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -401,7 +401,12 @@
     if (strcmp (self->domains[i].name, name) == 0)
       return &self->domains[i];
   if (self->domain_count == EG_FLEET_DOMAINS_MAX)
-    return &self->domains[EG_FLEET_DOMAINS_MAX - 1];
+    {
+      static struct eg_log_rate rate;
+
+      eg_log_capacity (&rate, "fleet", "failure-domains", EG_FLEET_DOMAINS_MAX);
+      return &self->domains[EG_FLEET_DOMAINS_MAX - 1];
+    }
   history = &self->domains[self->domain_count++];
   eg_str_copy (eg_str_from (name), history->name, sizeof history->name);
   return history;
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "entry/entry.h"
 
 /* Time for a token to get from one server to the next in a failure domain:
@@ -188,11 +189,28 @@
     if (strcmp (search->domains[i], name) == 0)
       return i;
   if (search->domain_count == EG_PATH_DOMAINS_MAX)
-    return EG_PATH_DOMAINS_MAX;
+    {
+      static struct eg_log_rate rate;
+
+      eg_log_capacity (&rate, "placement", "path-domains", EG_PATH_DOMAINS_MAX);
+      return EG_PATH_DOMAINS_MAX;
+    }
   search->domains[search->domain_count] = name;
   return search->domain_count++;
 }
 
+static bool
+is_full (const struct search *search)
+{
+  static struct eg_log_rate rate;
+
+  if (search->count < EG_PATH_CANDIDATES_MAX)
+    return false;
+  eg_log_capacity (&rate, "placement", "path-candidates",
+                   EG_PATH_CANDIDATES_MAX);
+  return true;
+}
+
 static void
 collect_candidates (struct eg_entry *entry,
                     const struct eg_placement_request *request,
@@ -211,8 +229,7 @@
       uint32_t domain;
 
       if (!serves (backend, request, now_us) || layers.to <= layers.from
-          || layers.to > request->service->engine.layers
-          || search->count == EG_PATH_CANDIDATES_MAX)
+          || layers.to > request->service->engine.layers || is_full (search))
         continue;
       /* The number of first servers a request may be sent to is limited, and
        * one of them may have asked for a pause or named a limit. */
@@ -413,7 +430,7 @@
           || layers.to > request->service->engine.layers
           || strcmp (backend->record.domain, current->stages[0]->record.domain)
                  != 0
-          || search->count == EG_PATH_CANDIDATES_MAX)
+          || is_full (search))
         continue;
       cost_us = layer_cost_us (entry, backend, request, now_us);
       if (is_stage (current, backend))
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -321,7 +321,12 @@
     if (strcmp (input->domains[i], name) == 0)
       return i;
   if (input->domain_count == EG_PLAN_DOMAINS_MAX)
-    return EG_PLAN_DOMAINS_MAX - 1;
+    {
+      static struct eg_log_rate rate;
+
+      eg_log_capacity (&rate, "planner", "plan-domains", EG_PLAN_DOMAINS_MAX);
+      return EG_PLAN_DOMAINS_MAX - 1;
+    }
   input->domains[input->domain_count] = name;
   return input->domain_count++;
 }
