entry: messages between VMs are accepted from members only

Datagrams were acted on whoever sent them: a stranger's alert took all servers out of use, and a VM that met another system's daemon at the address of a former VM asked it for its version and was answered. Datagrams of senders that the list of entry VMs lacks are now dropped, logged at a limited rate and counted. For a VM that has just joined the list is read again at once, then at growing intervals while the sender stays unknown.

A VM names its address when it reads a peer's mirror or configuration; a VM whose list lacks the address answers 503. Old builds name none and are answered as before.

--- a/entry/configuration_spread.c
+++ b/entry/configuration_spread.c
@@ -44,6 +44,7 @@
   self->entry = entry;
   self->peer.pool = &entry->pool;
   self->peer.is_peer = true;
+  self->peer.caller = entry->settings->listen_peers;
   eg_version_spread_init (&self->versions, entry->settings->first_start,
                           eg_clock_now_us ());
   eg_store_call_init (&self->call, &self->peer, &sink);
--- a/entry/connections.c
+++ b/entry/connections.c
@@ -228,6 +228,35 @@
   return true;
 }
 
+/* Returns whether the sender is a VM that this VM's list lacks. It may belong
+ * to another system and take this VM for a former one of its own, with the same
+ * address: what this VM knows must not reach it. Old builds do not name
+ * themselves, and without a list nothing is known of the sender. */
+static bool
+is_from_stranger (const struct eg_connection *self, int64_t now_us)
+{
+  struct eg_members *members = &self->entry->members;
+  struct eg_endpoint vm;
+
+  return eg_request_vm_decode (&self->reader.head, &vm)
+         && members->lists_read > 0 && !eg_members_admit (members, vm, now_us);
+}
+
+static void
+refuse_stranger (struct eg_connection *self, int64_t now_us)
+{
+  static struct eg_log_rate rate;
+
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_MESSAGES_FOREIGN);
+  if (eg_log_rate_admits (&rate, now_us))
+    eg_log (EG_LOG_WARNING, "callers",
+            "event=peer-foreign cause=\"the sender is not in the list of entry "
+            "VMs\" times=%" PRIu64,
+            rate.count);
+  send_text (self, 503, EG_STR ("text/plain"),
+             EG_STR ("only entry VMs of this system are served here\n"));
+}
+
 static void
 serve_peer (struct eg_connection *self)
 {
@@ -236,6 +265,11 @@
 
   if (serve_hop (self))
     return;
+  if (is_from_stranger (self, now_us))
+    {
+      refuse_stranger (self, now_us);
+      return;
+    }
   if (eg_str_equal (target, EG_STR ("/metrics")))
     serve_metrics (self);
   else if (eg_mirror_is_object_target (target, eg_configuration_kind,
--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -1,5 +1,7 @@
 #include "entry/load_gossip.h"
 
+#include <arpa/inet.h>
+#include <inttypes.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -36,10 +38,23 @@
  * time, and a record in the store replaces the news soon. */
 #define LEAVING_PER_MESSAGE_MAX 32
 
+static bool
+has_room (const json_t *list,
+          const char *capacity,
+          size_t limit,
+          struct eg_log_rate *rate)
+{
+  if (json_array_size (list) < limit)
+    return true;
+  eg_log_capacity (rate, "loads", capacity, limit);
+  return false;
+}
+
 /* A VM that may not reach servers itself has no suspects to tell. */
 static json_t *
 list_suspects (const struct eg_fleet *fleet)
 {
+  static struct eg_log_rate rate;
   json_t *list = json_array ();
   int64_t now_us = eg_clock_now_us ();
 
@@ -54,7 +69,7 @@
 
       if (backend->listed && backend->record.has_engine
           && eg_backend_is_suspect (backend, now_us)
-          && json_array_size (list) < SUSPECTS_PER_MESSAGE_MAX)
+          && has_room (list, "suspects", SUSPECTS_PER_MESSAGE_MAX, &rate))
         json_array_append_new (list, json_string (backend->record.id));
     }
   return list;
@@ -65,6 +80,7 @@
 static json_t *
 list_leaving (const struct eg_fleet *fleet)
 {
+  static struct eg_log_rate rate;
   json_t *list = json_array ();
 
   for (const struct eg_list *at = fleet->all.next; at != &fleet->all;
@@ -74,7 +90,7 @@
           EG_CONTAINER_OF (at, struct eg_backend, all);
 
       if (backend->listed && backend->said_leaving && !backend->record.draining
-          && json_array_size (list) < LEAVING_PER_MESSAGE_MAX)
+          && has_room (list, "leaving", LEAVING_PER_MESSAGE_MAX, &rate))
         json_array_append_new (
             list, json_pack ("[s, I]", backend->record.id,
                              (json_int_t) backend->record.start_ms));
@@ -111,6 +127,12 @@
     }
   if (contact)
     contact->received_us = now_us;
+  else
+    {
+      static struct eg_log_rate rate;
+
+      eg_log_capacity (&rate, "loads", "load-domains", EG_LOAD_DOMAINS_MAX);
+    }
 }
 
 /* Lists the failure domains whose readers are heard from. */
@@ -266,7 +288,12 @@
     if (eg_endpoint_key (self->peers[i].endpoint) == eg_endpoint_key (endpoint))
       return &self->peers[i];
   if (self->peer_count == EG_LOAD_PEERS_MAX)
-    return NULL;
+    {
+      static struct eg_log_rate rate;
+
+      eg_log_capacity (&rate, "loads", "load-peers", EG_LOAD_PEERS_MAX);
+      return NULL;
+    }
   peer = &self->peers[self->peer_count++];
   *peer = (struct eg_load_peer){.endpoint = endpoint};
   return peer;
@@ -404,6 +431,27 @@
   space->len = sizeof bytes;
 }
 
+/* VMs send from the address in their objects. Senders may be VMs of another
+ * system that have the address of a former VM of this one. */
+static bool
+is_from_member (struct eg_load_gossip *self,
+                struct eg_endpoint from,
+                int64_t now_us)
+{
+  char address[INET_ADDRSTRLEN];
+
+  if (eg_members_admit (&self->entry->members, from, now_us))
+    return true;
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_MESSAGES_FOREIGN);
+  inet_ntop (AF_INET, &from.ip, address, sizeof address);
+  if (eg_log_rate_admits (&self->foreign, now_us))
+    eg_log (EG_LOG_WARNING, "loads",
+            "event=message-foreign from=%s:%u lists_read=%u times=%" PRIu64,
+            address, ntohs (from.port), self->entry->members.lists_read,
+            self->foreign.count);
+  return false;
+}
+
 static void
 on_message (uv_udp_t *socket,
             ssize_t len,
@@ -411,16 +459,19 @@
             const struct sockaddr *address,
             unsigned flags)
 {
-  const struct sockaddr_in *from = (const struct sockaddr_in *) address;
+  const struct sockaddr_in *source = (const struct sockaddr_in *) address;
+  struct eg_load_gossip *self = socket->data;
+  struct eg_endpoint from;
   json_t *message;
 
   (void) flags;
   if (len <= 0 || !address)
     return;
+  from = (struct eg_endpoint){source->sin_addr.s_addr, source->sin_port};
+  if (!is_from_member (self, from, eg_clock_now_us ()))
+    return;
   message = json_loadb (space->base, (size_t) len, 0, NULL);
-  handle_message (socket->data,
-                  (struct eg_endpoint){from->sin_addr.s_addr, from->sin_port},
-                  message, eg_clock_now_us ());
+  handle_message (self, from, message, eg_clock_now_us ());
   json_decref (message);
 }
 
--- a/entry/load_gossip.h
+++ b/entry/load_gossip.h
@@ -15,6 +15,7 @@
 #include <jansson.h>
 #include <uv.h>
 
+#include "base/log.h"
 #include "net/socket.h"
 
 struct eg_entry;
@@ -52,6 +53,7 @@
   size_t peer_count;
   struct eg_domain_contact contacts[EG_LOAD_DOMAINS_MAX];
   size_t contact_count;
+  struct eg_log_rate foreign; /**< Messages of senders that are no members. */
   int64_t sent_us;
   int64_t alert_sent_us;
   /** When the last totals arrived from a reader. */
--- a/entry/members.c
+++ b/entry/members.c
@@ -20,6 +20,9 @@
 #define FIRST_LIST_DELAY_US (600 * EG_US_PER_MS)
 #define LIST_INTERVAL_US (10 * EG_US_PER_S)
 #define RETRY_DELAY_US (1 * EG_US_PER_S)
+/* Shortest time between two reads for a sender that the list lacks. VMs that
+ * start ask every 100 ms, for 2 s at most. */
+#define STRANGER_INTERVAL_US (250 * EG_US_PER_MS)
 #define CALL_TIMEOUT_US (1500 * EG_US_PER_MS)
 /* Lists are some seconds old and read at the interval above: a list older than
  * this shows that the store is out of reach, and a VM that joined longer ago is
@@ -155,14 +158,19 @@
 static void
 collect_readers (struct eg_members *self)
 {
+  static struct eg_log_rate rate;
+
   self->all_reader_count = 0;
   for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
     {
       struct eg_member *member = EG_CONTAINER_OF (at, struct eg_member, all);
 
-      if (self->all_reader_count < EG_READERS_MAX
-          && is_reader_of_domain (self, member))
+      if (!is_reader_of_domain (self, member))
+        continue;
+      if (self->all_reader_count < EG_READERS_MAX)
         self->all_readers[self->all_reader_count++] = member->endpoint;
+      else
+        eg_log_capacity (&rate, "members", "readers", EG_READERS_MAX);
     }
 }
 
@@ -458,6 +466,42 @@
   return strcmp (member->domain, self->entry->settings->domain) == 0;
 }
 
+static struct eg_stranger *
+find_stranger (struct eg_members *self, uint64_t endpoint)
+{
+  struct eg_stranger *stranger;
+
+  for (size_t i = 0; i < EG_STRANGERS_MAX; i++)
+    if (self->strangers[i].endpoint == endpoint)
+      return &self->strangers[i];
+  stranger = &self->strangers[self->next_stranger++ % EG_STRANGERS_MAX];
+  *stranger = (struct eg_stranger){endpoint, 0, STRANGER_INTERVAL_US};
+  return stranger;
+}
+
+bool
+eg_members_admit (struct eg_members *self,
+                  struct eg_endpoint sender,
+                  int64_t now_us)
+{
+  int64_t earliest_us = self->list_sent_us + STRANGER_INTERVAL_US;
+  struct eg_stranger *stranger;
+
+  if (eg_members_find_endpoint (self, eg_endpoint_key (sender)))
+    return true;
+  stranger = find_stranger (self, eg_endpoint_key (sender));
+  if (self->lists_read == 0 || now_us < stranger->next_read_us)
+    return false;
+  if (earliest_us < now_us)
+    earliest_us = now_us;
+  if (earliest_us < self->list_due_us)
+    self->list_due_us = earliest_us;
+  stranger->next_read_us = earliest_us + stranger->interval_us;
+  if (stranger->interval_us < LIST_INTERVAL_US)
+    stranger->interval_us *= 2;
+  return false;
+}
+
 const struct eg_member *
 eg_members_find_host (const struct eg_members *self,
                       struct eg_endpoint endpoint)
--- a/entry/members.h
+++ b/entry/members.h
@@ -21,6 +21,17 @@
 /** Maximum number of readers over all failure domains. */
 #define EG_READERS_MAX 32
 
+/** Maximum number of senders outside the list that are remembered. */
+#define EG_STRANGERS_MAX 8
+
+/** A sender that the list lacks; it may have joined since the last read. */
+struct eg_stranger
+{
+  uint64_t endpoint;    /**< Key; 0: none. */
+  int64_t next_read_us; /**< When the list may be read for it again. */
+  int64_t interval_us;  /**< Between reads; doubled with each one. */
+};
+
 /** One entry VM, as described by its object. */
 struct eg_member
 {
@@ -61,6 +72,8 @@
   /** The two best ranked VMs of this failure domain, or NULL. */
   struct eg_member *readers[2];
   struct eg_endpoint own_endpoint;
+  struct eg_stranger strangers[EG_STRANGERS_MAX];
+  size_t next_stranger; /**< Position of the next one to be replaced. */
   /** Peer addresses of the readers of all failure domains. */
   struct eg_endpoint all_readers[EG_READERS_MAX];
   size_t all_reader_count;
@@ -113,6 +126,14 @@
 const struct eg_member *eg_members_find_endpoint (const struct eg_members *self,
                                                   uint64_t key);
 
+/**
+ * Returns whether a message is from a member. Otherwise the list is read soon,
+ * in case the sender has just joined; less often for one that stays unknown.
+ */
+bool eg_members_admit (struct eg_members *self,
+                       struct eg_endpoint sender,
+                       int64_t now_us);
+
 /** Returns the member whose peers' listener has the given IP address, or NULL.
  */
 const struct eg_member *eg_members_find_host (const struct eg_members *self,
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -25,6 +25,7 @@
     [EG_COUNT_HOPS_LOST] = "hops_lost_total",
     [EG_COUNT_FROM_PEERS] = "requests_from_peers_total",
     [EG_COUNT_CONFIGURATIONS_INVALID] = "configurations_invalid_total",
+    [EG_COUNT_MESSAGES_FOREIGN] = "messages_foreign_total",
 };
 
 static const char *const timing_names[] = {
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -33,6 +33,7 @@
   EG_COUNT_HOPS_LOST,       /**< Requests that may have run through a peer. */
   EG_COUNT_FROM_PEERS,      /**< Requests received from peers. */
   EG_COUNT_CONFIGURATIONS_INVALID, /**< Read, but not applicable. */
+  EG_COUNT_MESSAGES_FOREIGN,       /**< Dropped: the sender is no entry VM. */
   EG_COUNTERS,
 };
 
--- a/entry/source_selector.c
+++ b/entry/source_selector.c
@@ -29,6 +29,8 @@
           bool is_proven)
 {
   self->peer.endpoint = endpoint;
+  if (self->entry->settings)
+    self->peer.caller = self->entry->settings->listen_peers;
   self->peer.is_proven = is_proven;
   return &self->peer;
 }
--- a/test/test_configuration.c
+++ b/test/test_configuration.c
@@ -1,9 +1,14 @@
 /* Tests of configurations with unusual content, as the store accepts them. */
+#include <arpa/inet.h>
+#include <inttypes.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -191,6 +196,110 @@
       1);
 }
 
+/* Sends a message to the first VM from an address that its list lacks. */
+static void
+send_as_stranger (struct streams_fixture *self, const char *text)
+{
+  struct sockaddr_in to = {.sin_family = AF_INET,
+                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+                           .sin_port = htons (self->vms[0].peers_port)};
+  int stranger = socket (AF_INET, SOCK_DGRAM, 0);
+
+  assert_true (stranger >= 0);
+  assert_true (sendto (stranger, text, strlen (text), 0,
+                       (struct sockaddr *) &to, sizeof to)
+               > 0);
+  close (stranger);
+}
+
+/* A daemon of another system that had the address of a former VM was heard:
+ * here it says that the servers leave. */
+static void
+test_messages_of_strangers_are_dropped (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request plain = {.plain = true, .body = "body"};
+  char text[256];
+
+  streams_run (self, APPLY_MS);
+  snprintf (text, sizeof text,
+            "{\"kind\":\"alert\",\"leaving\":[[\"%s\",%" PRId64
+            "],[\"%s\",%" PRId64 "]]}",
+            self->engines[STREAMS_ENGINES].id,
+            self->engines[STREAMS_ENGINES].start_ms,
+            self->engines[STREAMS_ENGINES + 1].id,
+            self->engines[STREAMS_ENGINES + 1].start_ms);
+  send_as_stranger (self, text);
+  streams_run (self, 300);
+  assert_int_equal (streams_client_request (self, 0, &plain), 200);
+  assert_int_equal (streams_count_log (self, 0, "event=message-foreign"), 1);
+}
+
+/* A VM that met a daemon of another system at the address of a known VM asked
+ * it for its version, was answered, and took that daemon's configuration. */
+static void
+test_questions_of_strangers_are_not_answered (void **state)
+{
+  const char *question = "{\"kind\":\"version\",\"version\":0,\"asks\":true,"
+                         "\"confirmed\":false}";
+  struct streams_fixture *self = *state;
+  struct sockaddr_in to = {.sin_family = AF_INET,
+                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+                           .sin_port = htons (self->vms[0].peers_port)};
+  int stranger = socket (AF_INET, SOCK_DGRAM, 0);
+  char answer[512];
+
+  streams_run (self, APPLY_MS);
+  assert_int_equal (sendto (stranger, question, strlen (question), 0,
+                            (struct sockaddr *) &to, sizeof to),
+                    strlen (question));
+  streams_run (self, 500);
+  assert_int_equal (recv (stranger, answer, sizeof answer, MSG_DONTWAIT), -1);
+  close (stranger);
+}
+
+/* Asks the first VM for its configuration as the VM with an address, or as an
+ * old build, which names none; returns the status. */
+static unsigned
+fetch_configuration (const struct streams_fixture *self, const char *address)
+{
+  struct sockaddr_in to = {.sin_family = AF_INET,
+                           .sin_port = htons (self->vms[0].peers_port),
+                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  char text[4096];
+  unsigned status = 0;
+  ssize_t len;
+
+  assert_int_equal (connect (fd, (struct sockaddr *) &to, sizeof to), 0);
+  snprintf (text, sizeof text,
+            "GET /eelgrasswood/objects/config/main HTTP/1.1\r\n"
+            "Host: store\r\n%s%s%s\r\n",
+            address ? "Eelgrasswood-Vm: " : "", address ? address : "",
+            address ? "\r\n" : "");
+  assert_int_equal (send (fd, text, strlen (text), 0), strlen (text));
+  len = recv (fd, text, sizeof text - 1, 0);
+  assert_true (len > 0);
+  text[len] = '\0';
+  assert_int_equal (sscanf (text, "HTTP/1.1 %u", &status), 1);
+  close (fd);
+  return status;
+}
+
+static void
+test_configuration_is_fetched_by_members_only (void **state)
+{
+  struct streams_fixture *self = *state;
+  char member[32];
+
+  streams_run (self, APPLY_MS);
+  snprintf (member, sizeof member, "127.0.0.1:%u", self->vms[0].peers_port);
+  assert_int_equal (fetch_configuration (self, member), 200);
+  assert_int_equal (fetch_configuration (self, NULL), 200);
+  assert_int_equal (fetch_configuration (self, "127.0.0.1:9"), 503);
+  assert_int_equal (fetch_configuration (self, "nowhere"), 503);
+}
+
 #define CONFIGURATION_TEST(name)                                               \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -201,6 +310,9 @@
       CONFIGURATION_TEST (configuration_with_long_names_is_in_force),
       CONFIGURATION_TEST (
           keys_are_outdated_by_a_configuration_that_cannot_be_applied),
+      CONFIGURATION_TEST (messages_of_strangers_are_dropped),
+      CONFIGURATION_TEST (questions_of_strangers_are_not_answered),
+      CONFIGURATION_TEST (configuration_is_fetched_by_members_only),
       CONFIGURATION_TEST (stream_outlasts_the_configuration_that_it_began_with),
   };
 
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -171,6 +171,44 @@
                     &entry.store);
 }
 
+/* A VM that has just joined is not in the list yet. Dropping its messages until
+ * the next regular read would keep it unheard for 10 s; reading for each of a
+ * stranger's messages would burden the store. */
+static void
+test_list_is_read_again_for_an_unknown_sender (void **state)
+{
+  static struct eg_members members;
+  struct eg_member known = {.endpoint = {1, 1}};
+  int64_t now_us = 100 * EG_US_PER_S;
+  unsigned reads = 0;
+
+  (void) state;
+  eg_list_init (&members.all);
+  assert_false (
+      eg_members_admit (&members, (struct eg_endpoint){1, 1}, now_us));
+  eg_list_append (&members.all, &known.all);
+  members.lists_read = 1;
+  members.list_sent_us = now_us;
+  members.list_due_us = now_us + 10 * EG_US_PER_S;
+  assert_true (eg_members_admit (&members, (struct eg_endpoint){1, 1}, now_us));
+  assert_int_equal (members.list_due_us, now_us + 10 * EG_US_PER_S);
+  for (int i = 0; i < 200; i++)
+    {
+      now_us += 100 * EG_US_PER_MS;
+      assert_false (
+          eg_members_admit (&members, (struct eg_endpoint){2, 2}, now_us));
+      if (i == 0)
+        assert_true (members.list_due_us <= now_us + 250 * EG_US_PER_MS);
+      if (now_us < members.list_due_us)
+        continue;
+      reads++;
+      members.list_sent_us = now_us;
+      members.list_due_us = now_us + 10 * EG_US_PER_S;
+    }
+  /* In 20 s, 0.25 s apart at first, then twice as long each time. */
+  assert_in_range (reads, 5, 8);
+}
+
 int
 main (void)
 {
@@ -181,6 +219,7 @@
       cmocka_unit_test (test_store_is_used_after_reader_timeout),
       cmocka_unit_test (test_dead_readers_are_not_asked_instead_of_the_store),
       cmocka_unit_test (test_feeds_do_not_send_each_other_to_a_dead_reader),
+      cmocka_unit_test (test_list_is_read_again_for_an_unknown_sender),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
