--- a/entry/entry.c
+++ b/entry/entry.c
@@ -28,23 +28,12 @@
   struct eg_service_state *state =
       EG_CONTAINER_OF (node, struct eg_service_state, by_name);
 
-  if (current
-      && eg_configuration_find_service (current, state->name) != SIZE_MAX)
+  if (eg_configuration_find_service (current, state->name) != SIZE_MAX)
     return false;
   free (state);
   return true;
 }
 
-void
-eg_entry_finish_configuration (struct eg_entry *self)
-{
-  eg_hash_table_filter (&self->services, drop_service, NULL);
-  eg_hash_table_finish (&self->services);
-  eg_configuration_unref (self->configuration.current);
-  json_decref (self->configuration.object);
-  self->configuration = (struct eg_accepted_configuration){0};
-}
-
 struct eg_service_state *
 eg_entry_service (struct eg_entry *self, struct eg_str service)
 {
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -94,9 +94,6 @@
 /** Initialises the states of services and the configuration. */
 void eg_entry_init_configuration (struct eg_entry *self);
 
-/** Frees the states of services and the configuration. */
-void eg_entry_finish_configuration (struct eg_entry *self);
-
 /**
  * Returns the state of a service. It is kept until a configuration without the
  * service is accepted.
