--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -121,7 +121,7 @@
 /** Recent removals and returns of servers in one failure domain. */
 struct eg_domain_history
 {
-  char name[EG_CONFIG_NAME_BYTES];
+  char name[EG_SERVER_DOMAIN_BYTES];
   int64_t reappeared_us; /**< When a server with layers last reappeared. */
   /** Removals without draining first, as a ring buffer. */
   int64_t removed_us[EG_DOMAIN_REMOVALS_MAX];
@@ -176,7 +176,7 @@
   unsigned vms; /**< Entry VMs that share the probes; see eg_fleet_check(). */
   struct eg_server_reach reach; /**< Path of this VM to all of them. */
   /** Service of a server that has refused_us set; empty: there is none. */
-  char questioned_service[EG_CONFIG_NAME_BYTES];
+  struct eg_buffer questioned_service;
 };
 
 /** Initialises an empty fleet. */
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "entry/entry.h"
 
 /* Time for a token to get from one server to the next in a failure domain:
@@ -47,7 +48,7 @@
         const struct eg_placement_request *request,
         int64_t now_us)
 {
-  return strcmp (backend->record.service, request->service->name) == 0
+  return eg_str_equal (backend->record.service, request->service->name)
          && eg_backend_is_usable (backend, now_us);
 }
 
@@ -83,7 +84,7 @@
           double tokens)
 {
   const struct eg_accelerator *accelerator =
-      eg_engine_accelerator (engine, eg_str_from (backend->record.accelerator));
+      eg_engine_accelerator (engine, backend->record.accelerator);
   uint32_t layers = backend->record.layers.to - backend->record.layers.from;
   double capacity = accelerator
                         ? eg_engine_kv_capacity (engine, accelerator, layers)
@@ -158,7 +159,7 @@
 {
   const struct eg_engine_model *engine = &request->service->engine;
   const struct eg_accelerator *accelerator =
-      eg_engine_accelerator (engine, eg_str_from (backend->record.accelerator));
+      eg_engine_accelerator (engine, backend->record.accelerator);
   double tokens = (double) request->prompt_tokens + request->answer_tokens;
   double step = accelerator ? accelerator->step_factor : 1;
   double prefill = accelerator ? accelerator->prefill_factor : 1;
@@ -188,11 +189,28 @@
     if (strcmp (search->domains[i], name) == 0)
       return i;
   if (search->domain_count == EG_PATH_DOMAINS_MAX)
-    return EG_PATH_DOMAINS_MAX;
+    {
+      static struct eg_log_rate rate;
+
+      eg_log_capacity (&rate, "placement", "path-domains", EG_PATH_DOMAINS_MAX);
+      return EG_PATH_DOMAINS_MAX;
+    }
   search->domains[search->domain_count] = name;
   return search->domain_count++;
 }
 
+static bool
+is_full (const struct search *search)
+{
+  static struct eg_log_rate rate;
+
+  if (search->count < EG_PATH_CANDIDATES_MAX)
+    return false;
+  eg_log_capacity (&rate, "placement", "path-candidates",
+                   EG_PATH_CANDIDATES_MAX);
+  return true;
+}
+
 static void
 collect_candidates (struct eg_entry *entry,
                     const struct eg_placement_request *request,
@@ -211,8 +229,7 @@
       uint32_t domain;
 
       if (!serves (backend, request, now_us) || layers.to <= layers.from
-          || layers.to > request->service->engine.layers
-          || search->count == EG_PATH_CANDIDATES_MAX)
+          || layers.to > request->service->engine.layers || is_full (search))
         continue;
       /* The number of first servers a request may be sent to is limited, and
        * one of them may have asked for a pause or named a limit. */
@@ -414,7 +431,7 @@
           || layers.to > request->service->engine.layers
           || strcmp (backend->record.domain, current->stages[0]->record.domain)
                  != 0
-          || search->count == EG_PATH_CANDIDATES_MAX)
+          || is_full (search))
         continue;
       /* It would refuse the move, and the stream would lose its time. */
       if (!is_stage (current, backend)
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -67,8 +67,8 @@
   return limits;
 }
 
-void
-streams_publish_configuration (struct streams_fixture *self, int version)
+json_t *
+streams_pack_configuration (const struct streams_fixture *self, int version)
 {
   json_t *route = json_pack (
       "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b, s:b}", "name",
@@ -95,7 +95,14 @@
       pack_limits (self));
 
   EG_INVARIANT (spec);
-  soak_store_put (&self->store, "config", "main", spec);
+  return spec;
+}
+
+void
+streams_publish_configuration (struct streams_fixture *self, int version)
+{
+  soak_store_put (&self->store, "config", "main",
+                  streams_pack_configuration (self, version));
 }
 
 /* Writes what a server says of itself in all its responses. */
--- a/test/test_uneven_fleet.c
+++ b/test/test_uneven_fleet.c
@@ -33,6 +33,12 @@
 /* Memory utilisation above which the cost of a server no longer rises. */
 #define UTILISATION_MAX 0.95
 
+static struct eg_accelerator accelerators[] = {
+    {{"large", 5}, 72000, 2.4, 3.2},
+    {{"small", 5}, 14400, 5.3, 7.9},
+    {{"slow", 4}, 21600, 16, 8.2},
+};
+
 static const struct eg_engine_model engine = {
     .layers = 80,
     .layer_mb = 1750,
@@ -43,9 +49,7 @@
     .prefill_tokens_per_us = 0.196,
     .mean_prompt_tokens = PROMPT_TOKENS,
     .mean_answer_tokens = ANSWER_TOKENS,
-    .accelerators = {{"large", 72000, 2.4, 3.2},
-                     {"small", 14400, 5.3, 7.9},
-                     {"slow", 21600, 16, 8.2}},
+    .accelerators = accelerators,
     .accelerator_count = 3,
 };
 
