policy: requests without any room hold up no others

A request that no server can take, such as one larger than any free memory, stayed ahead of smaller ones, so that these were delayed or refused by the estimate although there was room for them. A request that another one has passed no longer counts as ahead, and the rate is not used once nothing has been served for a second. test_shedding has the case; the figures of the loads change by less than 0.005.

--- a/policy/shedding.c
+++ b/policy/shedding.c
@@ -37,6 +37,9 @@
 /* The same for a request that was admitted by that estimate and is refused
  * early, because capacity has shrunk since. */
 #define SHRINK_FACTOR 3.0
+/* Without a served request for this long the rate says nothing: those that wait
+ * may need what others do not. */
+#define RATE_VALID_US EG_US_PER_S
 
 static const char *const verdict_names[] = {
     [EG_SHED_WAITS] = "waits",
@@ -340,18 +343,19 @@
 }
 
 /* Returns how long a request has to wait by the present order and rate; 0 while
- * no rate has been observed. */
+ * no rate is known. */
 static double
 estimate_wait_us (const struct eg_wait_queue *self,
-                  const struct eg_shed_place *place)
+                  const struct eg_shed_place *place,
+                  int64_t now_us)
 {
   double rate = eg_service_rate_get (&self->rate);
   double ahead = 0;
 
-  if (rate <= 0)
+  if (rate <= 0 || now_us - self->served_us > RATE_VALID_US)
     return 0;
   for (size_t i = 0; i < self->count; i++)
-    if (goes_before (&self->slots[i].place, place))
+    if (!self->slots[i].passed && goes_before (&self->slots[i].place, place))
       ahead += eg_shed_work (&self->slots[i].request);
   return ahead / rate * EG_US_PER_S;
 }
@@ -406,9 +410,9 @@
     return EG_SHED_LATE;
   update_places (self, now_us);
   place = find_place (self, request, self->sequence, now_us);
-  if (estimate_wait_us (self, &place) > LATE_FACTOR * (double) left_us)
+  if (estimate_wait_us (self, &place, now_us) > LATE_FACTOR * (double) left_us)
     return EG_SHED_LATE;
-  if (self->count == self->capacity)
+  if (self->count >= self->capacity)
     {
       size_t last = find_last (self);
 
@@ -435,7 +439,7 @@
   update_places (self, now_us);
   place = find_place (self, request, self->sequence, now_us);
   for (size_t i = 0; i < self->count; i++)
-    if (goes_before (&self->slots[i].place, &place))
+    if (!self->slots[i].passed && goes_before (&self->slots[i].place, &place))
       return false;
   return true;
 }
@@ -465,7 +469,7 @@
                         const struct eg_shed_request *request,
                         int64_t next_us)
 {
-  if (self->count == self->capacity)
+  if (self->count >= self->capacity)
     return false;
   add_slot (self, request, next_us);
   return true;
@@ -493,7 +497,7 @@
 
   return left_us <= 0
          || (can_return (&slot->request, now_us)
-             && estimate_wait_us (self, &slot->place)
+             && estimate_wait_us (self, &slot->place, now_us)
                     > SHRINK_FACTOR * (double) left_us);
 }
 
@@ -513,6 +517,23 @@
   return false;
 }
 
+/* Counts work that was served while requests waited. */
+static void
+note_rate (struct eg_wait_queue *self,
+           const struct eg_shed_request *request,
+           int64_t now_us)
+{
+  struct eg_shed_place place =
+      find_place (self, request, self->sequence, now_us);
+
+  eg_service_rate_add (&self->rate, (uint64_t) eg_shed_work (request));
+  self->served_us = now_us;
+  update_places (self, now_us);
+  for (size_t i = 0; i < self->count; i++)
+    if (goes_before (&self->slots[i].place, &place))
+      self->slots[i].passed = true;
+}
+
 void
 eg_wait_queue_served (struct eg_wait_queue *self,
                       const struct eg_shed_request *request,
@@ -528,7 +549,7 @@
   if (!waited)
     count_offered (self, request);
   if (waited || self->count > 0)
-    eg_service_rate_add (&self->rate, (uint64_t) work);
+    note_rate (self, request, now_us);
   route = find_route (self, request->route);
   route->all.served++;
   route->classes[find_size_class (route, request)].served++;
--- a/policy/shedding.h
+++ b/policy/shedding.h
@@ -125,6 +125,9 @@
   int64_t next_us;   /**< Not taken before. */
   uint64_t sequence; /**< Order of arrival. */
   struct eg_shed_place place;
+  /** There was room for one that goes after it, so that it holds up no other:
+   *  it needs more, or other servers. */
+  bool passed;
 };
 
 /** The waiting requests of a service. */
@@ -135,6 +138,7 @@
   size_t count;
   uint64_t sequence;
   struct eg_service_rate rate; /**< Work served while requests waited. */
+  int64_t served_us;           /**< When the last one was served meanwhile. */
   int64_t decayed_us;
   struct eg_shed_priority priorities[EG_SHED_PRIORITIES];
   struct eg_shed_route routes[EG_SHED_ROUTES_MAX];
@@ -175,7 +179,8 @@
 
 /**
  * Returns whether no waiting request goes before @p request, which has just
- * arrived and may then be sent without waiting.
+ * arrived and may then be sent without waiting. Those that lack room which
+ * others have do not count.
  */
 bool eg_wait_queue_goes_first (struct eg_wait_queue *self,
                                const struct eg_shed_request *request,
--- a/test/test_shedding.c
+++ b/test/test_shedding.c
@@ -996,11 +996,11 @@
   assert_non_null (self);
   eg_wait_queue_init (self, slots, 8);
   /* 200 tokens of work each 200 ms. */
-  for (unsigned i = 0; i < 20; i++)
+  for (int64_t i = 0; i < 20; i++)
     {
       int64_t at_us = START_US + i * 200 * MS;
 
-      request.id = i;
+      request.id = (uint64_t) i;
       request.arrived_us = at_us;
       assert_int_equal (eg_wait_queue_offer (self, &request, at_us, &taken),
                         EG_SHED_WAITS);
@@ -1035,6 +1035,45 @@
   free (self);
 }
 
+/* Guards against requests for which there is no room at all, and that make
+ * others wait or be refused although there is room for those. */
+static void
+test_request_without_any_room_does_not_hold_up_others (void **state)
+{
+  struct eg_wait_slot slots[8];
+  struct eg_wait_queue *self = calloc (1, sizeof *self);
+  struct eg_shed_request blocked = ordinary;
+  struct eg_shed_request small = ordinary;
+  struct eg_shed_request taken;
+
+  (void) state;
+  assert_non_null (self);
+  eg_wait_queue_init (self, slots, 8);
+  blocked.priority = 0;
+  blocked.goal_us = 100 * EG_US_PER_S;
+  blocked.deadline_us = START_US + 100 * EG_US_PER_S;
+  small.id = 2;
+  assert_int_equal (eg_wait_queue_offer (self, &blocked, START_US, &taken),
+                    EG_SHED_WAITS);
+  assert_int_equal (eg_wait_queue_offer (self, &small, START_US, &taken),
+                    EG_SHED_WAITS);
+  assert_true (eg_wait_queue_take (self, START_US, &taken));
+  assert_int_equal (taken.id, blocked.id);
+  assert_true (eg_wait_queue_put_back (self, &blocked, START_US + 50 * MS));
+  assert_true (eg_wait_queue_take (self, START_US, &taken));
+  assert_int_equal (taken.id, small.id);
+  assert_false (eg_wait_queue_goes_first (self, &small, START_US));
+  eg_wait_queue_served (self, &taken, true, START_US);
+  assert_true (eg_wait_queue_goes_first (self, &small, START_US));
+  /* The rate has fallen to next to nothing. */
+  small.arrived_us = START_US + 20 * EG_US_PER_S;
+  small.deadline_us = START_US + 40 * EG_US_PER_S;
+  assert_int_equal (
+      eg_wait_queue_offer (self, &small, small.arrived_us, &taken),
+      EG_SHED_WAITS);
+  free (self);
+}
+
 /* Guards against a wait queue without places that is used as if it had some. */
 static void
 test_queue_without_places_refuses (void **state)
@@ -1060,6 +1099,7 @@
       cmocka_unit_test (test_full_queue_gives_up_the_least_urgent),
       cmocka_unit_test (
           test_request_that_cannot_be_served_in_time_is_refused_on_arrival),
+      cmocka_unit_test (test_request_without_any_room_does_not_hold_up_others),
       cmocka_unit_test (test_queue_without_places_refuses),
       cmocka_unit_test (
           test_with_half_of_the_capacity_missing_the_urgent_are_served),
