entry: requests wait for room in the order of their service's queue

A request that had not begun was refused at once where no server had room or the retry budget was used up. The table [shedding] sets the mode (auto, on, off) and the bound; auto uses the queue for services whose routes differ in priority, goal or size.

--- a/entry/call.c
+++ b/entry/call.c
@@ -123,6 +123,7 @@
 eg_call_close (struct eg_call *self)
 {
   end_attempt (self);
+  eg_call_wait_leave (self);
   for (size_t i = 0; i < self->first_server_count; i++)
     eg_backend_unref (self->first_servers[i]);
   self->first_server_count = 0;
@@ -187,6 +188,9 @@
       eg_call_send_buffered_response (self);
       return;
     }
+  if (decision == EG_RESEND_REFUSE
+      && eg_call_wait_hold (self, limit, context.now_us))
+    return;
   if (decision != EG_RESEND_LATER)
     {
       eg_call_fail (self, decision, cause);
@@ -260,8 +264,11 @@
   if (!attempt->by_peer)
     note_server (self, head, now_us);
   if (head->status == 200)
-    eg_shortage_served (
-        &eg_entry_service (self->entry, self->service)->shortage, now_us);
+    {
+      eg_shortage_served (
+          &eg_entry_service (self->entry, self->service)->shortage, now_us);
+      eg_call_wait_served (self, now_us);
+    }
   attempt->mode = EG_RESPONSE_BUFFERED;
   if (self->route.kind == EG_ROUTE_STREAM && head->status == 200
       && attempt->headers.has_signature && attempt->headers.has_request_id)
@@ -1222,7 +1229,8 @@
   if (self->is_credited)
     eg_retry_window_request (
         &eg_entry_service (self->entry, self->service)->retries, now_us);
-  begin_attempt (self, now_us);
+  if (!eg_call_wait_arrive (self, now_us))
+    begin_attempt (self, now_us);
 }
 
 void
@@ -1247,6 +1255,7 @@
   self->cause = "";
   self->limit = EG_LIMIT_NONE;
   self->waiting = false;
+  self->wait = (struct eg_call_wait){0};
   self->may_have_run = false;
   self->is_from_peer = hop != NULL;
   self->is_credited = false;
--- a/entry/call.h
+++ b/entry/call.h
@@ -9,6 +9,7 @@
 #include "entry/crash_watch.h"
 #include "entry/fleet.h"
 #include "entry/placement.h"
+#include "entry/wait_queue.h"
 #include "platform/headers.h"
 #include "policy/configuration.h"
 #include "policy/event_relay.h"
@@ -108,6 +109,7 @@
   enum eg_resend_limit limit;
   bool waiting;      /**< Without an attempt until another send is possible. */
   int64_t resume_us; /**< While waiting, when to look for a server again. */
+  struct eg_call_wait wait; /**< For room, before it has begun. */
   bool may_have_run;
   bool is_from_peer;    /**< Another VM has sent it; it goes to no third one. */
   unsigned servers_max; /**< Number of servers that it may be sent to. */
--- a/entry/call_state.h
+++ b/entry/call_state.h
@@ -62,6 +62,10 @@
 void eg_call_write_path (const struct eg_placement *placement,
                          struct eg_buffer *path);
 
+/** Returns after which time the caller comes back at the earliest if the
+ * request is refused for want of a server. */
+int64_t eg_call_shortest_return_us (const struct eg_call *self);
+
 /** Returns the time that is left for the next attempt. */
 int64_t eg_call_timeout_ms (const struct eg_call *self, int64_t now_us);
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -22,6 +22,7 @@
 #include "entry/server_limits.h"
 #include "entry/settings.h"
 #include "entry/source_selector.h"
+#include "entry/wait_queue.h"
 #include "platform/store.h"
 #include "policy/retry_window.h"
 #include "policy/shortage.h"
@@ -38,6 +39,8 @@
   /** When a peer could not serve it either, although this VM reaches servers.
    */
   int64_t peers_refused_us;
+  /** Requests that wait for room; NULL: none has needed to. */
+  struct eg_service_wait *wait;
 };
 
 /** The active configuration and its age. */
@@ -84,6 +87,7 @@
   struct eg_load_gossip load_gossip;
   struct eg_crash_watch crash_watch;
   struct eg_quarantine_store quarantine_store;
+  struct eg_wait_queues wait_queues;
   int64_t started_us;
   int64_t ticked_us;   /**< Time of the last tick. */
   int64_t lateness_us; /**< Of ticks, on average. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -275,6 +275,7 @@
   eg_peer_paths_check (&self->peer_paths, now_us);
   eg_monitor_check (self, now_us);
   eg_connections_check (&self->connections, now_us);
+  eg_wait_queues_check (self, now_us);
   eg_planner_check (&self->planner, now_us);
   eg_members_check (&self->members, now_us);
   eg_configuration_spread_check (&self->configuration_spread, now_us);
@@ -376,6 +377,7 @@
   eg_log_queue_init (&self->log_queue);
   eg_random_init (&self->random, eg_random_system_seed ());
   eg_metrics_init (&self->metrics);
+  eg_wait_queues_init (&self->wait_queues);
   EG_INVARIANT (uv_loop_init (&self->loop) == 0);
   uv_timer_init (&self->loop, &self->deferred);
   self->deferred.data = self;
@@ -507,8 +509,7 @@
   parse_arguments (argc, argv, &arguments);
   if (arguments.exit_code >= 0)
     return arguments.exit_code;
-  if (eg_settings_load (&eg_entry_setting_table, arguments.settings_path,
-                        &settings, &error)
+  if (eg_entry_settings_load (arguments.settings_path, &settings, &error)
       != EG_OK)
     {
       fprintf (stderr, "eelgrass-entry: %s\n", error.message);
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -104,6 +104,7 @@
         eg_reach_state_name ((enum eg_reach_state) i), self->hops[i]);
   for (size_t i = 0; i < EG_TIMINGS; i++)
     print_timing (self, (enum eg_timing) i, out);
+  eg_wait_queues_print (entry, out);
   eg_buffer_printf (
       out,
       "eelgrasswood_store_calls_total %" PRIu64 "\n"
--- a/entry/reload.c
+++ b/entry/reload.c
@@ -101,8 +101,7 @@
   if (stat (self->path, &self->last_stat) != 0)
     eg_log (EG_LOG_WARNING, "reload", "event=file-not-seen file=%s",
             self->path);
-  if (eg_settings_load (&eg_entry_setting_table, self->path, &loaded, &error)
-      != EG_OK)
+  if (eg_entry_settings_load (self->path, &loaded, &error) != EG_OK)
     {
       eg_log (EG_LOG_ERROR, "reload", "event=reload-refused cause=\"%s\"",
               error.message);
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -1,5 +1,9 @@
 #include "entry/settings.h"
 
+#include <string.h>
+
+#include "policy/shedding.h"
+
 #define FIELD(name) offsetof (struct eg_entry_settings, name)
 
 static const struct eg_setting rows[] = {
@@ -50,7 +54,33 @@
     {"engines.fenced", EG_SETTING_BOOLEAN, "", 0, 0, "false",
      FIELD (orders_fenced),
      "Whether engines check the fencing tokens of orders"},
+    {"shedding.mode", EG_SETTING_TEXT, "", 1, 8, "auto", FIELD (shedding_mode),
+     "Whether requests wait for room in the order of their priority and work: "
+     "on, off, or auto: for services whose routes differ"},
+    {"shedding.queue_requests", EG_SETTING_INTEGER, "requests", 1,
+     EG_WAIT_QUEUE_MAX, "32", FIELD (shedding_requests),
+     "Most requests that wait for room on the servers of one service"},
 };
 
 const struct eg_setting_table eg_entry_setting_table = {
     rows, sizeof rows / sizeof rows[0]};
+
+enum eg_status
+eg_entry_settings_load (const char *path,
+                        struct eg_entry_settings *settings,
+                        struct eg_error *error)
+{
+  static const char *const modes[] = {"auto", "on", "off"};
+  enum eg_status status =
+      eg_settings_load (&eg_entry_setting_table, path, settings, error);
+
+  if (status != EG_OK)
+    return status;
+  for (size_t i = 0; i < sizeof modes / sizeof modes[0]; i++)
+    if (strcmp (settings->shedding_mode, modes[i]) == 0)
+      return EG_OK;
+  return eg_error_set (error, EG_INVALID,
+                       "%s: shedding.mode: expected auto, on or off, found "
+                       "\"%s\"",
+                       path, settings->shedding_mode);
+}
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -35,9 +35,20 @@
   int64_t retry_extra;
   int64_t stall_ms;
   bool orders_fenced;
+  char shedding_mode[8];
+  int64_t shedding_requests;
 };
 
 /** All settings of the daemon. */
 extern const struct eg_setting_table eg_entry_setting_table;
 
+/**
+ * Reads the settings from the file at @p path, and checks also what the table
+ * does not describe.
+ * @return EG_OK; otherwise the message names the file, key and expected value.
+ */
+enum eg_status eg_entry_settings_load (const char *path,
+                                       struct eg_entry_settings *settings,
+                                       struct eg_error *error);
+
 #endif
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -17,6 +17,7 @@
 #define STOP_TIMEOUT_MS 5000
 #define REQUEST_TIMEOUT_MS 15000
 #define DEADLINE_MS 12000
+#define STREAM_GOAL_MS 500
 #define MODEL_LAYERS 4
 /* A server ends so long after it has begun to run a deadly request, and is back
  * after the pause. */
@@ -59,8 +60,9 @@
   json_t *route = json_pack (
       "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b, s:b}", "name",
       "stream", "host", "streams.example", "pathPrefix", "/stream/", "kind",
-      "streaming", "timeoutMs", DEADLINE_MS, "goalLatencyMs", 500, "priority",
-      1, "service", "model", "maxAttempts", 2, "public", 1, "resumable", 1);
+      "streaming", "timeoutMs", DEADLINE_MS, "goalLatencyMs",
+      (int) self->stream_goal_ms, "priority", 1, "service", "model",
+      "maxAttempts", 2, "public", 1, "resumable", 1);
   json_t *engine = json_pack (
       "{s:i, s:i, s:i, s:i, s:f, s:i, s:[{s:s, s:i}]}", "layers", MODEL_LAYERS,
       "layerMb", 100, "kvBytes", 1000, "kvCapacityTokens", 100000, "step_ms",
@@ -505,20 +507,21 @@
                        store, sizeof store);
   file = fopen (self->settings_path, "w");
   EG_INVARIANT (file);
-  fprintf (
-      file,
-      "[node]\nname = \"node-%u\"\nfailure_domain = \"%s\"\n"
-      "first_start = %s\n"
-      "[listen]\ncallers = \"127.0.0.1:%u\"\n"
-      "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
-      "[store]\naddress = \"%s\"\n"
-      "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
-      "[stop]\ngrace_ms = 500\n[keys]\nrevocation_ms = 5000\n"
-      "[retry]\nratio = %g\nwindow_ms = %d\nextra = %d\n",
-      self->number, self->number == 0 || options->one_domain ? "room" : "hall",
-      options->first_start ? "true" : "false", self->callers_port,
-      soak_find_free_port (), self->peers_port, store, options->retry_ratio,
-      options->retry_window_ms, options->retry_extra);
+  fprintf (file,
+           "[node]\nname = \"node-%u\"\nfailure_domain = \"%s\"\n"
+           "first_start = %s\n"
+           "[listen]\ncallers = \"127.0.0.1:%u\"\n"
+           "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
+           "[store]\naddress = \"%s\"\n"
+           "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
+           "[stop]\ngrace_ms = 500\n[keys]\nrevocation_ms = 5000\n"
+           "[retry]\nratio = %g\nwindow_ms = %d\nextra = %d\n%s",
+           self->number,
+           self->number == 0 || options->one_domain ? "room" : "hall",
+           options->first_start ? "true" : "false", self->callers_port,
+           soak_find_free_port (), self->peers_port, store,
+           options->retry_ratio, options->retry_window_ms, options->retry_extra,
+           options->settings ? options->settings : "");
   fclose (file);
 }
 
@@ -880,6 +883,8 @@
   uv_timer_start (&self->tick, on_tick, TICK_MS, TICK_MS);
   eg_exchange_pool_init (&self->pool, &self->loop, EG_US_PER_S);
   soak_store_open (&self->store, &self->loop, &self->random);
+  self->stream_goal_ms =
+      options->stream_goal_ms ? options->stream_goal_ms : STREAM_GOAL_MS;
   streams_publish_configuration (self, 1);
   for (unsigned i = 0; i < STREAMS_SERVERS; i++)
     {
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -97,6 +97,9 @@
   bool one_domain;  /**< All entry VMs are in the first one's domain. */
   bool first_start; /**< The whole system starts, so no VM joins later. */
   bool cuts;        /**< streams_cut() is used; not with @c one_domain. */
+  unsigned stream_goal_ms; /**< Of the route of streams; 0: 500. */
+  /** More tables of the settings file; NULL: none. */
+  const char *settings;
 };
 
 /** A request of a client. */
@@ -135,6 +138,7 @@
   struct streams_client clients[STREAMS_CLIENTS];
   struct streams_vm vms[STREAMS_VMS];
   unsigned vm_count;
+  unsigned stream_goal_ms;
   unsigned next_id;
   /** Of the next run on any server; those after it are answered well. */
   enum streams_answer next_answer;
--- a/test/test_reload.c
+++ b/test/test_reload.c
@@ -100,6 +100,32 @@
   write_file (file, "extra = 7\n[log]\nlevel = \"loud\"\n");
   eg_reload_now (&file->reload);
   assert_int_equal (file->settings.retry_extra, 200);
+  write_file (file, "extra = 7\n[shedding]\nmode = \"maybe\"\n");
+  eg_reload_now (&file->reload);
+  assert_int_equal (file->settings.retry_extra, 200);
+  write_file (file, "extra = 7\n[shedding]\nqueue_requests = 0\n");
+  eg_reload_now (&file->reload);
+  assert_int_equal (file->settings.retry_extra, 200);
+}
+
+/* Guards against a mode that is accepted but means none of the three. */
+static void
+test_unknown_mode_of_shedding_is_named (void **state)
+{
+  struct file *file = *state;
+  struct eg_entry_settings settings;
+  struct eg_error error;
+
+  write_file (file, "extra = 7\n[shedding]\nmode = \"maybe\"\n");
+  assert_int_equal (eg_entry_settings_load (file->path, &settings, &error),
+                    EG_INVALID);
+  assert_non_null (strstr (error.message, "shedding.mode"));
+  assert_non_null (strstr (error.message, "maybe"));
+  write_file (file, "extra = 7\n[shedding]\nmode = \"on\"\n");
+  assert_int_equal (eg_entry_settings_load (file->path, &settings, &error),
+                    EG_OK);
+  assert_string_equal (settings.shedding_mode, "on");
+  assert_int_equal (settings.shedding_requests, 32);
 }
 
 static void
@@ -195,6 +221,8 @@
                                        set_up, tear_down),
       cmocka_unit_test_setup_teardown (test_invalid_file_is_ignored, set_up,
                                        tear_down),
+      cmocka_unit_test_setup_teardown (test_unknown_mode_of_shedding_is_named,
+                                       set_up, tear_down),
       cmocka_unit_test_setup_teardown (test_addresses_need_a_restart, set_up,
                                        tear_down),
       cmocka_unit_test_setup_teardown (
