--- a/entry/entry.c
+++ b/entry/entry.c
@@ -28,7 +28,8 @@
   struct eg_service_state *state =
       EG_CONTAINER_OF (node, struct eg_service_state, by_name);
 
-  if (eg_configuration_find_service (current, state->name) != SIZE_MAX)
+  if (eg_configuration_find_service (current, state->name) != SIZE_MAX
+      || !eg_service_wait_drop (state->wait))
     return false;
   free (state);
   return true;
--- a/test/test_uneven_fleet.c
+++ b/test/test_uneven_fleet.c
@@ -33,7 +33,7 @@
 /* Memory utilisation above which the cost of a server no longer rises. */
 #define UTILISATION_MAX 0.95
 
-static struct eg_accelerator accelerators[] = {
+static const struct eg_accelerator accelerators[] = {
     {{"large", 5}, 72000, 2.4, 3.2},
     {{"small", 5}, 14400, 5.3, 7.9},
     {{"slow", 4}, 21600, 16, 8.2},
