settings: a fraction of milliseconds is rejected where seconds can be given

Integers with a fraction are rounded down, so that grace_ms = 7.5000, which a former template makes of 7.5 s, became 7 ms, and planned stops cut responses. Such a value of a key in milliseconds whose field has a key in seconds is rejected, and the message names that key. Keys without one still round down: the template passes fractional bounds to them in milliseconds.

--- a/base/settings.c
+++ b/base/settings.c
@@ -169,6 +169,40 @@
   return NULL;
 }
 
+/* Returns the other key of the same field; NULL if there is none. */
+static const struct eg_setting *
+find_alternative (const struct eg_setting_table *table,
+                  const struct eg_setting *setting)
+{
+  for (size_t i = 0; i < table->count; i++)
+    if (&table->settings[i] != setting
+        && table->settings[i].offset == setting->offset)
+      return &table->settings[i];
+  return NULL;
+}
+
+/* Rejects a number in milliseconds that is written with a fraction if the field
+ * has a key in seconds. Former templates appended "000" to seconds, so that
+ * 7.5 s became 7.5000 ms. */
+static enum eg_status
+check_fraction (const struct eg_setting_table *table,
+                const struct eg_setting *setting,
+                const struct eg_toml_entry *entry,
+                const char *path,
+                struct eg_error *error)
+{
+  const struct eg_setting *seconds = find_alternative (table, setting);
+
+  if (setting->type != EG_SETTING_INTEGER || entry->kind != EG_TOML_NUMBER
+      || strcmp (setting->unit, "ms") != 0 || !seconds)
+    return EG_OK;
+  return eg_error_set (error, EG_INVALID,
+                       "%s:%u: %s: expected an integer, found %g; %s takes "
+                       "seconds with a fraction",
+                       path, entry->line, entry->key, entry->number,
+                       seconds->key);
+}
+
 static enum eg_status
 apply_entry (const struct eg_setting_table *table,
              const struct eg_toml_entry *entry,
@@ -192,6 +226,8 @@
   else if (entry->kind != toml_kinds[setting->type])
     return eg_error_set (error, EG_INVALID, "%s:%u: %s: expected %s", path,
                          entry->line, entry->key, expected);
+  if (check_fraction (table, setting, entry, path, error) != EG_OK)
+    return EG_INVALID;
   if (setting->type == EG_SETTING_INTEGER && entry->kind == EG_TOML_NUMBER)
     stored = is_in_range (setting, floor (number))
              && store (setting, target, entry->text, (int64_t) floor (number),
@@ -225,18 +261,6 @@
   return false;
 }
 
-/* Returns the other key of the same field; NULL if there is none. */
-static const struct eg_setting *
-find_alternative (const struct eg_setting_table *table,
-                  const struct eg_setting *setting)
-{
-  for (size_t i = 0; i < table->count; i++)
-    if (&table->settings[i] != setting
-        && table->settings[i].offset == setting->offset)
-      return &table->settings[i];
-  return NULL;
-}
-
 /* Stores the default of a key that is not in the file, or requires that the
  * file has exactly one of a field's keys. */
 static enum eg_status
--- a/base/settings.h
+++ b/base/settings.h
@@ -19,7 +19,8 @@
 enum eg_setting_type
 {
   /** int64_t, between min and max. A fraction is rounded down: such values are
-   *  bounds, which then hold. */
+   *  bounds, which then hold. A key in ms whose field has a key in seconds
+   *  accepts no fraction. */
   EG_SETTING_INTEGER,
   EG_SETTING_BOOLEAN, /**< bool. */
   EG_SETTING_NUMBER,  /**< double, between min and max. */
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -105,6 +105,9 @@
       {"grace_s = 0.05\na.name = \"x\"\n",
        "expected a number from 0.1 to 60 s, found 0.05"},
       {"grace_s = nan\na.name = \"x\"\n", ":1: grace_s: expected"},
+      {"grace_ms = 750.5000\na.name = \"x\"\n",
+       ":1: grace_ms: expected an integer, found 750.5; grace_s takes"},
+      {"grace_ms = 8000.0\na.name = \"x\"\n", "found 8000; grace_s takes"},
       {"grace_s = 1\ngrace_ms = 500\na.name = \"x\"\n", "given beside grace_"},
   };
   struct sample_settings settings;
