platform: a list that cannot be continued is a failed read

A page that has more pages after it, but no name to ask for them with, counted as the last one: servers and members on later pages were removed. eg_store_page_next() now tells the two apart. Such a read fails; nothing is removed, the mirror is not served, and the list is read again after the usual pause. Only names greater than that of the page before are used, so that paging ends.

test_list_that_cannot_be_continued_is_not_complete and test_members_stay_if_a_list_cannot_be_continued fail when the page counts as the last one, and pass.

--- a/entry/members.c
+++ b/entry/members.c
@@ -213,6 +213,32 @@
     eg_list_append (&self->all, link);
 }
 
+static void
+list_failed (struct eg_members *self, int64_t now_us)
+{
+  self->list_due_us = now_us + RETRY_DELAY_US;
+  *self->after = '\0';
+}
+
+static void
+finish_list (struct eg_members *self, int64_t now_us)
+{
+  *self->after = '\0';
+  drop_expired (self, now_us);
+  self->lists_read++;
+  self->as_of_us = self->list_sent_us;
+  count_members (self);
+  rank_domain (self);
+  collect_readers (self);
+  /* VMs that start at the same moment are not in each other's first list. */
+  self->list_due_us =
+      now_us + (self->lists_read == 1 ? FIRST_LIST_DELAY_US : LIST_INTERVAL_US);
+  eg_log (EG_LOG_INFO, "members",
+          "event=members-read count=%u in_domain=%u "
+          "rank=%u",
+          self->count, self->in_domain, self->own_rank);
+}
+
 static void
 on_list_reply (void *context, enum eg_store_outcome outcome, json_t *document)
 {
@@ -224,8 +250,7 @@
 
   if (outcome != EG_STORE_OK)
     {
-      self->list_due_us = now_us + RETRY_DELAY_US;
-      *self->after = '\0';
+      list_failed (self, now_us);
       return;
     }
   if (!*self->after)
@@ -233,25 +258,18 @@
       EG_CONTAINER_OF (at, struct eg_member, all)->marked = false;
   json_array_foreach (items, index, object)
       update_member (self, object, now_us);
-  if (eg_store_page_next (document, self->after, sizeof self->after))
+  switch (eg_store_page_next (document, self->after, sizeof self->after))
     {
+    case EG_PAGE_MORE:
       self->list_due_us = now_us;
       return;
+    case EG_PAGE_UNREACHABLE:
+      list_failed (self, now_us);
+      return;
+    case EG_PAGE_LAST:
+      finish_list (self, now_us);
+      return;
     }
-  *self->after = '\0';
-  drop_expired (self, now_us);
-  self->lists_read++;
-  self->as_of_us = self->list_sent_us;
-  count_members (self);
-  rank_domain (self);
-  collect_readers (self);
-  /* VMs that start at the same moment are not in each other's first list. */
-  self->list_due_us =
-      now_us + (self->lists_read == 1 ? FIRST_LIST_DELAY_US : LIST_INTERVAL_US);
-  eg_log (EG_LOG_INFO, "members",
-          "event=members-read count=%u in_domain=%u "
-          "rank=%u",
-          self->count, self->in_domain, self->own_rank);
 }
 
 static void
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -10,6 +10,7 @@
 
 #include <cmocka.h>
 
+#include "base/clock.h"
 #include "base/hash.h"
 #include "net/http_reader.h"
 #include "platform/configuration.h"
@@ -679,17 +680,130 @@
   page = json_pack ("{s:[{s:{s:s}}, {s:{s:s}}, {s:i}], s:b}", "items",
                     "metadata", "name", "a b&c=\xc3\xa9", "metadata", "name",
                     long_name, "spec", 1, "hasMore", 1);
-  assert_true (eg_store_page_next (page, after, sizeof after));
+  assert_int_equal (eg_store_page_next (page, after, sizeof after),
+                    EG_PAGE_MORE);
   assert_string_equal (after, "a b&c=\xc3\xa9");
   eg_store_list_path (path, sizeof path, "servers", after, true);
   assert_string_equal (path, "servers?after=a%20b%26c%3D%C3%A9&allowStale=1");
   /* The page does not lead on: a further call would return it again. */
-  assert_false (eg_store_page_next (page, after, sizeof after));
+  assert_int_equal (eg_store_page_next (page, after, sizeof after),
+                    EG_PAGE_UNREACHABLE);
+  /* Nor with names before the last one: pages would come in turn for ever. */
+  eg_str_copy (EG_STR ("b"), after, sizeof after);
+  assert_int_equal (eg_store_page_next (page, after, sizeof after),
+                    EG_PAGE_UNREACHABLE);
   json_object_set_new (page, "hasMore", json_false ());
-  assert_false (eg_store_page_next (page, after, sizeof after));
+  assert_int_equal (eg_store_page_next (page, after, sizeof after),
+                    EG_PAGE_LAST);
   json_decref (page);
 }
 
+/** What a feed has reported. */
+struct reported
+{
+  unsigned lists;
+  unsigned synced;
+  unsigned lost;
+};
+
+static void
+count_list (void *context)
+{
+  ((struct reported *) context)->lists++;
+}
+
+static void
+ignore_object (void *context, json_t *object, bool deleted)
+{
+  (void) context;
+  (void) object;
+  (void) deleted;
+}
+
+static void
+count_synced (void *context, int64_t as_of_us, bool listed)
+{
+  (void) as_of_us;
+  ((struct reported *) context)->synced += listed;
+}
+
+static void
+count_lost (void *context, enum eg_store_outcome outcome)
+{
+  (void) outcome;
+  ((struct reported *) context)->lost++;
+}
+
+static struct eg_store *
+choose_none (void *context, struct eg_store_feed *feed)
+{
+  (void) context;
+  (void) feed;
+  return NULL;
+}
+
+static void
+ignore_outcome (void *context,
+                struct eg_store *store,
+                enum eg_store_outcome outcome)
+{
+  (void) context;
+  (void) store;
+  (void) outcome;
+}
+
+static void
+reply_to_list (struct eg_store_feed *feed, const char *text)
+{
+  json_t *document = json_loads (text, 0, NULL);
+
+  assert_non_null (document);
+  feed->state = EG_FEED_LISTING;
+  feed->call.sink.reply (feed->call.sink.context, EG_STORE_OK, document);
+  json_decref (document);
+}
+
+/* Guards against a list that counts as complete although its later pages could
+ * not be asked for: servers on them were removed. */
+static void
+test_list_that_cannot_be_continued_is_not_complete (void **state)
+{
+  struct reported reported = {0};
+  const struct eg_feed_events events = {.list_begins = count_list,
+                                        .object = ignore_object,
+                                        .synced = count_synced,
+                                        .lost = count_lost,
+                                        .context = &reported};
+  const struct eg_feed_source source = {choose_none, ignore_outcome, NULL};
+  struct eg_store store = {0};
+  struct eg_mirror mirror;
+  struct eg_store_feed feed;
+  struct eg_random random;
+
+  (void) state;
+  eg_random_init (&random, 1);
+  eg_mirror_init (&mirror);
+  eg_store_feed_init (&feed, &source, eg_mirror_add (&mirror, "things"), 800, 0,
+                      &random, &events);
+  feed.call.store = &store;
+  feed.mirror->is_direct = true;
+  reply_to_list (&feed, "{\"items\":[{\"spec\":1}],\"at\":5,"
+                        "\"hasMore\":true}");
+  assert_int_equal (reported.lists, 1);
+  assert_int_equal (reported.synced, 0);
+  assert_int_equal (reported.lost, 1);
+  assert_int_equal (feed.watch_revision, 0);
+  assert_string_equal (feed.after, "");
+  assert_false (feed.mirror->is_direct);
+  assert_int_equal (feed.state, EG_FEED_PAUSED);
+  assert_true (feed.resume_us > eg_clock_now_us ());
+  reply_to_list (&feed, "{\"items\":[],\"at\":6,\"hasMore\":false}");
+  assert_int_equal (reported.synced, 1);
+  assert_int_equal (feed.watch_revision, 6);
+  eg_store_feed_finish (&feed);
+  eg_mirror_finish (&mirror);
+}
+
 static void
 test_move_refusal_names_a_server (void **state)
 {
@@ -768,6 +882,7 @@
       cmocka_unit_test (test_age_of_a_mirrored_answer_is_checked),
       cmocka_unit_test (test_wait_of_a_query_is_limited),
       cmocka_unit_test (test_paging_goes_on_after_any_name),
+      cmocka_unit_test (test_list_that_cannot_be_continued_is_not_complete),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -1,4 +1,5 @@
 /* Tests of the selection of a reader, or of the store, after failures. */
+#include <arpa/inet.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -279,6 +280,54 @@
   assert_in_range (reads, 5, 8);
 }
 
+static void
+reply (struct eg_store_call *call,
+       enum eg_store_outcome outcome,
+       const char *text)
+{
+  json_t *document = json_loads (text, 0, NULL);
+
+  assert_non_null (document);
+  call->sink.reply (call->sink.context, outcome, document);
+  json_decref (document);
+}
+
+#define MEMBER(name, address)                                                  \
+  "{\"metadata\":{\"name\":\"" name "\",\"revision\":7},"                      \
+  "\"spec\":{\"failure_domain\":\"here\",\"address\":\"" address "\"}}"
+
+/* Guards against the loss of members on pages that could not be asked for. */
+static void
+test_members_stay_if_a_list_cannot_be_continued (void **state)
+{
+  static struct eg_entry entry;
+  static struct eg_entry_settings settings = {.domain = "here",
+                                              .listen_peers = "127.0.0.1:9"};
+  struct eg_members *members = &entry.members;
+  int64_t due_us;
+
+  (void) state;
+  entry.settings = &settings;
+  eg_members_init (members, &entry);
+  reply (&members->list_call, EG_STORE_OK,
+         "{\"items\":[" MEMBER ("vm-1", "127.0.0.1:1") "," MEMBER (
+             "vm-2", "127.0.0.1:2") "],\"hasMore\":false}");
+  assert_int_equal (eg_members_count (members), 2);
+  reply (&members->list_call, EG_STORE_OK,
+         "{\"items\":[" MEMBER ("vm-1", "127.0.0.1:1") "],\"hasMore\":true}");
+  assert_string_equal (members->after, "vm-1");
+  reply (&members->list_call, EG_STORE_OK,
+         "{\"items\":[{\"spec\":1}],\"hasMore\":true}");
+  due_us = members->list_due_us - eg_clock_now_us ();
+  assert_in_range (due_us, EG_US_PER_S / 2, EG_US_PER_S);
+  assert_string_equal (members->after, "");
+  assert_int_equal (members->lists_read, 1);
+  assert_non_null (eg_members_find_endpoint (
+      members,
+      eg_endpoint_key ((struct eg_endpoint){htonl (0x7f000001), htons (2)})));
+  eg_members_finish (members);
+}
+
 int
 main (void)
 {
@@ -291,6 +340,7 @@
       cmocka_unit_test (test_dead_readers_are_not_asked_instead_of_the_store),
       cmocka_unit_test (test_feeds_do_not_send_each_other_to_a_dead_reader),
       cmocka_unit_test (test_list_is_read_again_for_an_unknown_sender),
+      cmocka_unit_test (test_members_stay_if_a_list_cannot_be_continued),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
