entry: a VM's own object without a spec is not written in a loop

An answer to a write whose object had no readable spec led to another write at once, and so on for as long as the store answered like that. Only a conflict shows that another writer's object is to be replaced at once; after an accepted write the next one follows after the retry delay of 1 s.

test_own_object_without_spec_is_not_written_in_a_loop failed before and passes.

--- a/entry/members.c
+++ b/entry/members.c
@@ -289,11 +289,14 @@
         self->joined_us = now_us;
       self->is_written = true;
       self->revision = revision;
-      /* One that another writer has made undecodable is replaced at once. */
+      /* One that another writer has made undecodable is replaced at once, but
+       * not in a loop if the store returns none that can be decoded. */
       if (eg_store_object_spec (document))
         self->write_due_us = now_us + WRITE_INTERVAL_US;
-      else
+      else if (outcome == EG_STORE_CONFLICT)
         self->write_due_us = now_us;
+      else
+        self->write_due_us = now_us + RETRY_DELAY_US;
       return;
     }
   if (outcome == EG_STORE_MISSING)
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -328,6 +328,27 @@
   eg_members_finish (members);
 }
 
+/* Guards against a loop of writes to the store while it returns an object
+ * without a spec. Only a conflict shows that another writer's object has to be
+ * replaced at once. */
+static void
+test_own_object_without_spec_is_not_written_in_a_loop (void **state)
+{
+  static struct eg_entry entry;
+  static struct eg_entry_settings settings = {.listen_peers = "127.0.0.1:9"};
+  const char *object = "{\"metadata\":{\"name\":\"vm-1\",\"revision\":7}}";
+  struct eg_members *members = &entry.members;
+
+  (void) state;
+  entry.settings = &settings;
+  eg_members_init (members, &entry);
+  reply (&members->own_call, EG_STORE_OK, object);
+  assert_true (members->write_due_us > eg_clock_now_us () + 900 * EG_US_PER_MS);
+  reply (&members->own_call, EG_STORE_CONFLICT, object);
+  assert_true (members->write_due_us <= eg_clock_now_us ());
+  eg_members_finish (members);
+}
+
 int
 main (void)
 {
@@ -341,6 +362,7 @@
       cmocka_unit_test (test_feeds_do_not_send_each_other_to_a_dead_reader),
       cmocka_unit_test (test_list_is_read_again_for_an_unknown_sender),
       cmocka_unit_test (test_members_stay_if_a_list_cannot_be_continued),
+      cmocka_unit_test (test_own_object_without_spec_is_not_written_in_a_loop),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
