entry: a rejection of an unread request says that it has not run

A VM that rejects a request of another VM before it has read the whole of it (400, 408, 413, 431, 503 for lack of memory for bodies) sent no mark of its own, so that the other VM took the response for the failure of a server: it returned 502 for a 503, and counted servers that had received nothing. The response now has Eelgrasswood-Hop-Refused.

rejection_of_an_unread_request_says_that_it_has_not_run failed before and passes.

--- a/entry/connections.c
+++ b/entry/connections.c
@@ -178,6 +178,9 @@
   eg_buffer_printf (&out, "Content-Length: %zu\r\n", text.len);
   if (eg_connection_will_close (self))
     eg_response_field (&out, EG_STR ("Connection"), EG_STR ("close"));
+  /* Another VM must not take it for the failure of a server. */
+  if (self->kind == EG_LISTEN_PEERS && self->reject_status > 0)
+    eg_response_write_hop_refused (&out);
   eg_buffer_append (&out, EG_STR ("\r\n"));
   eg_buffer_append (&out, text);
   eg_connection_send (self, eg_buffer_view (&out));
--- a/test/test_reach.c
+++ b/test/test_reach.c
@@ -371,38 +371,51 @@
                >= 2 * ROUNDS);
 }
 
-/* Sends a request to the port of a VM's peers from some loopback address, and
- * returns the status. */
-static unsigned
-ask_peers_port (const struct streams_fixture *self,
-                const char *source,
-                const char *path,
-                const char *key)
+/* Sends a head to the port of a VM's peers from some loopback address; @p text
+ * receives the response. */
+static void
+send_to_peers_port (const struct streams_fixture *self,
+                    const char *source,
+                    const char *head,
+                    char *text,
+                    size_t capacity)
 {
   struct sockaddr_in from = {.sin_family = AF_INET};
   struct sockaddr_in to = {.sin_family = AF_INET,
                            .sin_port = htons (self->vms[0].peers_port),
                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
   int fd = socket (AF_INET, SOCK_STREAM, 0);
-  char text[512];
   ssize_t len;
-  unsigned status = 0;
 
   inet_pton (AF_INET, source, &from.sin_addr);
   assert_int_equal (bind (fd, (struct sockaddr *) &from, sizeof from), 0);
   assert_int_equal (connect (fd, (struct sockaddr *) &to, sizeof to), 0);
-  snprintf (text, sizeof text,
+  assert_int_equal (send (fd, head, strlen (head), 0), strlen (head));
+  len = recv (fd, text, capacity - 1, 0);
+  assert_true (len > 0);
+  text[len] = '\0';
+  close (fd);
+}
+
+/* Sends a request to the port of a VM's peers and returns the status. */
+static unsigned
+ask_peers_port (const struct streams_fixture *self,
+                const char *source,
+                const char *path,
+                const char *key)
+{
+  char head[512];
+  char text[512];
+  unsigned status = 0;
+
+  snprintf (head, sizeof head,
             "GET %s HTTP/1.1\r\nHost: streams.example\r\n"
             "X-Attempt-Id: stranger\r\nX-Deadline-Ms: 2000\r\n"
             "X-Tenant: organisation\r\nApi-Key: %s\r\n"
             "Eelgrasswood-Hop: 2,1,0\r\n\r\n",
             path, key);
-  assert_int_equal (send (fd, text, strlen (text), 0), strlen (text));
-  len = recv (fd, text, sizeof text - 1, 0);
-  assert_true (len > 0);
-  text[len] = '\0';
+  send_to_peers_port (self, source, head, text, sizeof text);
   assert_int_equal (sscanf (text, "HTTP/1.1 %u", &status), 1);
-  close (fd);
   return status;
 }
 
@@ -423,6 +436,24 @@
   assert_int_equal (streams_count_runs (self), runs);
 }
 
+/* Guards against a rejection of the peer itself, before it has read the whole
+ * request, that is taken for the failure of a server: the request has not
+ * run. */
+static void
+test_rejection_of_an_unread_request_says_that_it_has_not_run (void **state)
+{
+  struct streams_fixture *self = *state;
+  char text[512];
+
+  send_to_peers_port (self, "127.0.0.1",
+                      "POST /plain/x HTTP/1.1\r\nHost: streams.example\r\n"
+                      "Eelgrasswood-Hop: 2,1,0\r\n"
+                      "Content-Length: 999999999999\r\n\r\n",
+                      text, sizeof text);
+  assert_non_null (strstr (text, "HTTP/1.1 413 "));
+  assert_non_null (strstr (text, "\r\nEelgrasswood-Hop-Refused: 1\r\n"));
+}
+
 /* Guards against a server's failure without a signature that is taken for a
  * refusal of the peer: the request has run, and must not run again. */
 static void
@@ -485,6 +516,8 @@
                   start_two),
       REACH_TEST (vm_that_reaches_some_services_sends_the_rest_through_a_peer,
                   start_two),
+      REACH_TEST (rejection_of_an_unread_request_says_that_it_has_not_run,
+                  start_two),
       REACH_TEST (port_of_the_peers_serves_no_strangers_and_checks_keys,
                   start_two),
       REACH_TEST (failure_of_a_server_behind_a_peer_is_no_refusal, start_two),
