entry: undelivered responses are counted only where the count is used

During a planned stop, each tick asked the kernel once per connection how much it had not yet delivered, although the answer is used only when no request is running and the wait for the balancer is over. It is asked then, up to the first connection that is still delivering; all are counted once, for the log line of a stop that cuts responses.

The tests of planned stops in test_slow_readers and test_reach pass.

--- a/entry/connections.c
+++ b/entry/connections.c
@@ -662,15 +662,12 @@
 eg_connections_check (struct eg_connections *self, int64_t now_us)
 {
   self->running = 0;
-  self->delivering = 0;
   for (struct eg_list *at = self->all.next; at != &self->all;)
     {
       struct eg_connection *connection =
           EG_CONTAINER_OF (at, struct eg_connection, all);
 
       at = at->next;
-      if (self->entry->stop_us > 0)
-        self->delivering += is_delivering (connection);
       if (connection->closing)
         check_closing (connection, now_us);
       else if (connection->call.active)
@@ -711,6 +708,17 @@
     }
 }
 
+size_t
+eg_connections_count_delivering (const struct eg_connections *self, size_t max)
+{
+  size_t count = 0;
+
+  for (const struct eg_list *at = self->all.next;
+       at != &self->all && count < max; at = at->next)
+    count += is_delivering (EG_CONTAINER_OF (at, struct eg_connection, all));
+  return count;
+}
+
 void
 eg_connections_abort_requests (struct eg_connections *self)
 {
--- a/entry/connections.h
+++ b/entry/connections.h
@@ -57,8 +57,6 @@
   struct eg_list all;
   size_t connection_count;
   size_t running;    /**< Requests being processed, as of the last tick. */
-  size_t delivering; /**< During a planned stop: connections whose clients have
-                          not received all of their responses. */
   size_t body_bytes; /**< Total size of buffered request bodies. */
 };
 
@@ -84,6 +82,13 @@
 /** Stops accepting clients and closes their idle connections. */
 void eg_connections_close_idle (struct eg_connections *self);
 
+/**
+ * Counts the connections whose clients have not received all of their
+ * responses, up to @p max: each costs a system call.
+ */
+size_t eg_connections_count_delivering (const struct eg_connections *self,
+                                        size_t max);
+
 /** Aborts all active calls. */
 void eg_connections_abort_requests (struct eg_connections *self);
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -209,30 +209,39 @@
   eg_server_limits_named (context, backend, limit_per_s, eg_clock_now_us ());
 }
 
+/* Exits once all clients have received their responses, or when the grace
+ * period is nearly over. */
+static void
+check_exit (struct eg_entry *self, bool is_overdue)
+{
+  size_t delivering = eg_connections_count_delivering (
+      &self->connections, is_overdue ? SIZE_MAX : 1);
+
+  if (delivering > 0 && !is_overdue)
+    return;
+  if (delivering > 0)
+    eg_log (EG_LOG_WARNING, "main", "event=stop-cuts responses=%zu",
+            delivering);
+  uv_stop (&self->loop);
+}
+
 static void
 check_stop (struct eg_entry *self, int64_t now_us)
 {
   int64_t stopped_us = now_us - self->stop_us;
   int64_t grace_us = self->settings->stop_grace_ms * EG_US_PER_MS;
-  bool delivering = self->connections.delivering > 0;
 
   if (self->stop_us == 0 || stopped_us < BALANCER_REMOVAL_US)
     return;
   eg_connections_close_idle (&self->connections);
-  if (self->connections.running > 0 && stopped_us >= grace_us - STOP_MARGIN_US)
+  if (self->connections.running == 0)
+    check_exit (self, stopped_us >= grace_us - EXIT_MARGIN_US);
+  else if (stopped_us >= grace_us - STOP_MARGIN_US)
     {
       eg_log (EG_LOG_WARNING, "main", "event=stop-cuts requests=%zu",
               self->connections.running);
       eg_connections_abort_requests (&self->connections);
     }
-  else if (self->connections.running == 0
-           && (!delivering || stopped_us >= grace_us - EXIT_MARGIN_US))
-    {
-      if (delivering)
-        eg_log (EG_LOG_WARNING, "main", "event=stop-cuts responses=%zu",
-                self->connections.delivering);
-      uv_stop (&self->loop);
-    }
 }
 
 /* On the first start of the system, VMs first determine which of them read
