policy: event ids that are no numbers must only differ

Ids that are not decimal numbers were refused since ids need not increase by one, so that streams of servers with other ids were cut at their first event. The platform promises increasing ids, and an order is known of numbers only: a number that is not higher than the last one is refused as before; where neither id is a number, they must differ; a change between the two kinds within a stream is refused. The id that a client names to resume may be of either kind.

The cases of test_ids_that_do_not_increase_are_detected hold unchanged: they follow the number 8, so that other ids are now refused as a change of kind; only its comment says so. test_ids_that_are_no_numbers_differ and test_first_id_follows_that_of_the_client failed before and pass.

--- a/policy/event_relay.c
+++ b/policy/event_relay.c
@@ -94,15 +94,21 @@
   return memcmp (number.data, than.data, number.len) > 0;
 }
 
-/* Ids increase within the stream, not always by one: the next attempt continues
- * after the last id, so an id that is not higher is sent twice. An id that a
- * client names to resume its own stream need not be a number. */
+/* Ids that are numbers increase within the stream, not always by one: the next
+ * attempt continues after the last id, so an id that is not higher is sent
+ * twice. Other ids have no order, and must only differ from the last one. A
+ * client may name any id to resume its own stream, but a stream does not change
+ * between numbers and others. */
 static bool
 is_next (const struct eg_event_relay *self, struct eg_str id)
 {
   struct eg_str last = eg_str_from (self->last_id);
 
-  return is_number (id) && (!is_number (last) || is_higher (id, last));
+  if (is_number (id) && is_number (last))
+    return is_higher (id, last);
+  if (is_number (id) != is_number (last) && self->id_received)
+    return false;
+  return !eg_str_equal (id, last);
 }
 
 static enum eg_relay_result
@@ -118,6 +124,7 @@
         return EG_RELAY_OUT_OF_ORDER;
       if (!eg_str_copy (id, self->last_id, sizeof self->last_id))
         return EG_RELAY_TOO_LONG;
+      self->id_received = true;
     }
   self->run_begun = true;
   self->events++;
--- a/policy/event_relay.h
+++ b/policy/event_relay.h
@@ -28,7 +28,8 @@
   struct eg_buffer partial;        /**< Bytes of the incomplete event. */
   char last_id[EG_EVENT_ID_BYTES]; /**< Last forwarded; empty at first. */
   uint64_t events;                 /**< Number forwarded. */
-  bool run_begun; /**< The current attempt delivered an event. */
+  bool id_received; /**< @c last_id is that of an event, not of the client. */
+  bool run_begun;   /**< The current attempt delivered an event. */
 };
 
 /** Result of eg_event_relay_feed(). */
@@ -36,8 +37,9 @@
 {
   EG_RELAY_OK,
   EG_RELAY_TOO_LONG,     /**< An event or its id is too long. */
-  EG_RELAY_OUT_OF_ORDER, /**< An id is not higher than the last one, or is not a
-                              decimal number. */
+  EG_RELAY_OUT_OF_ORDER, /**< A number that is not higher than the last one,
+                              another id that is equal to it, or a change
+                              between the two kinds. */
 };
 
 /** Initialises to resume after @p last_id; empty for a new stream. */
--- a/test/test_relay.c
+++ b/test/test_relay.c
@@ -93,9 +93,73 @@
   eg_event_relay_finish (&relay);
 }
 
+/* Guards against streams that are cut because their ids are no numbers: such
+ * ids have no order, and only the one before can be recognised. */
+static void
+test_ids_that_are_no_numbers_differ (void **state)
+{
+  struct eg_event_relay relay;
+  struct eg_buffer out = {0};
+
+  (void) state;
+  eg_event_relay_init (&relay, EG_STR (""));
+  feed (&relay, "id: b-9\ndata: a\n\nid: b-10\ndata: b\n\n", &out);
+  eg_event_relay_restart (&relay);
+  feed (&relay, "data: without\n\nid: a\ndata: c\n\n", &out);
+  assert_string_equal (relay.last_id, "a");
+  assert_int_equal (relay.events, 4);
+  eg_buffer_clear (&out);
+  eg_event_relay_restart (&relay);
+  assert_int_equal (
+      eg_event_relay_feed (&relay, EG_STR ("id: a\ndata: c\n\n"), &out),
+      EG_RELAY_OUT_OF_ORDER);
+  eg_event_relay_restart (&relay);
+  assert_int_equal (
+      eg_event_relay_feed (&relay, EG_STR ("id: 11\ndata: d\n\n"), &out),
+      EG_RELAY_OUT_OF_ORDER);
+  assert_int_equal (out.len, 0);
+  assert_string_equal (relay.last_id, "a");
+  eg_buffer_finish (&out);
+  eg_event_relay_finish (&relay);
+}
+
+/* A client may name any id to resume its own stream, but the event with that
+ * id is not sent again. */
+static void
+test_first_id_follows_that_of_the_client (void **state)
+{
+  static const struct
+  {
+    const char *named;
+    const char *event;
+    enum eg_relay_result result;
+  } cases[] = {
+      {"x", "id: 1\n\n", EG_RELAY_OK},
+      {"4", "id: x\n\n", EG_RELAY_OK},
+      {"x", "id: y\n\n", EG_RELAY_OK},
+      {"x", "id: x\n\n", EG_RELAY_OUT_OF_ORDER},
+      {"4", "id: 5\n\n", EG_RELAY_OK},
+      {"4", "id: 4\n\n", EG_RELAY_OUT_OF_ORDER},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct eg_event_relay relay;
+      struct eg_buffer out = {0};
+
+      eg_event_relay_init (&relay, eg_str_from (cases[i].named));
+      assert_int_equal (
+          eg_event_relay_feed (&relay, eg_str_from (cases[i].event), &out),
+          cases[i].result);
+      eg_buffer_finish (&out);
+      eg_event_relay_finish (&relay);
+    }
+}
+
 /* Guards against events that are sent twice, because the server that resumes
- * does not continue after the last id, and against ids from which that cannot
- * be told. */
+ * does not continue after the last id, and against a change from numbers to
+ * other ids, from which that cannot be told. */
 static void
 test_ids_that_do_not_increase_are_detected (void **state)
 {
@@ -460,6 +524,8 @@
       cmocka_unit_test (test_events_pass_whole),
       cmocka_unit_test (test_second_attempt_resumes),
       cmocka_unit_test (test_ids_increase_by_any_step),
+      cmocka_unit_test (test_ids_that_are_no_numbers_differ),
+      cmocka_unit_test (test_first_id_follows_that_of_the_client),
       cmocka_unit_test (test_ids_that_do_not_increase_are_detected),
       cmocka_unit_test (test_window_bounds_any_span),
       cmocka_unit_test (test_refund_takes_a_retry_back_where_it_was_spent),
