policy: let more VMs try a part stepwise, three at most

A part that is blamed for crashes at one moment was tried by the first VM in its order alone, however long ago the last crash was. If that VM has ended, gets no requests or has no path, the part stays refused for ten minutes. Other parts were tried by all VMs after 6 s, so that a burst at six VMs made six sends.

The number of VMs grows by one with each 2.5 s without a crash, to three at most, also for doubtful verdicts.

test_crash_blame: the two new tests failed before (1 VM instead of 2 after 3 s, 2 instead of 3 after 5.4 s) and pass, as the 26 others.

--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -27,11 +27,15 @@
 /* Time for a request on trial to show that it is sound, or to be known to have
  * crashed its server. */
 #define TRIAL_US 1000000
-/* Number of VMs that may try requests at the same time: what crashes servers
- * may come to all VMs at once, of which at most three more may be sent. */
+/* Number of VMs that may try requests at the same time, at first. */
 #define TRIAL_VMS 2
-/* After so long without a crash, all VMs may try. */
-#define TRIAL_VMS_US 6000000
+/* Most VMs that may try requests at the same time: what crashes servers may
+ * come to all VMs at once, of which at most three more may be sent. */
+#define TRIAL_VMS_MAX 3
+/* After each such time without a crash one more VM may try, as the others may
+ * have ended or get no requests. The third one can so show by twice
+ * stableWindowMs (6 s at least) that a part is sound. */
+#define TRIAL_STEP_US 2500000
 /* By so much the time of service must be later than another VM knows it to be
  * news for that VM: messages give ages, which differ by their way. */
 #define SERVED_NEWS_US 200000
@@ -832,6 +836,18 @@
   return suspect->crashes[suspect->crash_count - 1].at_us;
 }
 
+/* Returns how many VMs may try a request with a part, of which @p vms may do so
+ * at once. */
+static uint32_t
+count_trial_vms (const struct eg_suspect *suspect, uint32_t vms, int64_t now_us)
+{
+  int64_t reached = 1 + (now_us - last_crash_us (suspect)) / TRIAL_STEP_US;
+
+  if (reached >= TRIAL_VMS_MAX)
+    return TRIAL_VMS_MAX;
+  return reached > vms ? (uint32_t) reached : vms;
+}
+
 /* Judges a request with a part that is blamed, or was at as many crashes. */
 static struct eg_crash_verdict
 judge_part (const struct eg_crash_blame *self,
@@ -842,26 +858,24 @@
   const struct eg_suspect *suspect = &entry->suspect;
   struct eg_crash_verdict verdict = {.subject = suspect->subject};
   bool is_known = suspect->crash_count >= get_crashes_min (self, suspect);
+  bool is_doubtful = false;
   int64_t trial_left_us = entry->tried_us + TRIAL_US - now_us;
 
   if (eg_crash_blame_is_blamed (self, suspect->subject, now_us,
                                 &verdict.retry_after_us))
     {
-      bool is_doubtful = is_known && is_of_one_moment (suspect);
-
+      is_doubtful = is_known && is_of_one_moment (suspect);
       /* Of a verdict from the store the crashes are not known. */
       verdict.ruling = EG_CRASH_REFUSE;
       if (!is_known || (!is_doubtful && !would_tell (self, suspect, subjects)))
         return verdict;
-      verdict.vms_max = is_doubtful ? 1 : TRIAL_VMS;
     }
   else if (!is_known)
     return verdict;
   verdict.ruling = EG_CRASH_TRY;
   verdict.retry_after_us = 0;
-  if (verdict.vms_max != 1)
-    verdict.vms_max =
-        now_us - last_crash_us (suspect) < TRIAL_VMS_US ? TRIAL_VMS : 0;
+  verdict.vms_max =
+      count_trial_vms (suspect, is_doubtful ? 1 : TRIAL_VMS, now_us);
   if (entry->tried_us == 0 || trial_left_us <= 0)
     return verdict;
   verdict.ruling = EG_CRASH_HOLD;
--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -575,6 +575,61 @@
   eg_crash_blame_finish (&self);
 }
 
+/* Returns how many VMs may try a request with two parts. */
+static uint32_t
+count_trial_vms (const struct eg_crash_blame *self,
+                 const uint64_t *parts,
+                 int64_t now_us)
+{
+  const struct eg_crash_subjects subjects = {99, parts, 2};
+  struct eg_crash_verdict verdict =
+      eg_crash_blame_judge (self, &subjects, now_us);
+
+  assert_int_equal (verdict.ruling, EG_CRASH_TRY);
+  return verdict.vms_max;
+}
+
+/* Guards against a sound part that stays refused because the only VM that may
+ * try it has ended or gets no requests. */
+static void
+test_more_vms_may_try_a_doubtful_part_with_time (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 6; i++)
+    crash_prompt (&self, 10 + i, parts, 2, i, 10 * SECOND);
+  eg_crash_blame_check (&self, 11 * SECOND);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 11 * SECOND));
+  assert_int_equal (count_trial_vms (&self, parts, 12 * SECOND), 1);
+  assert_int_equal (count_trial_vms (&self, parts, 13 * SECOND), 2);
+  /* The third VM needs 0.5 s to show by 16 s that the part is sound. */
+  assert_int_equal (count_trial_vms (&self, parts, 15 * SECOND + 400 * MS), 3);
+  assert_int_equal (count_trial_vms (&self, parts, 300 * SECOND), 3);
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against a burst at all VMs, some time after the last crash, of which
+ * each VM sends a request. */
+static void
+test_at_most_three_vms_may_try_after_any_time (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 5; i++)
+    crash_prompt (&self, 10, parts, 2, i, 10 * SECOND + 60 * MS * i);
+  eg_crash_blame_check (&self, 11 * SECOND);
+  assert_int_equal (count_trial_vms (&self, parts, 11 * SECOND), 2);
+  for (int64_t at_us = 16 * SECOND; at_us < 300 * SECOND; at_us += SECOND)
+    assert_int_equal (count_trial_vms (&self, parts, at_us), 3);
+  eg_crash_blame_finish (&self);
+}
+
 /* Older builds do not say where parts stand: then both are blamed, one crash
  * later. */
 static void
@@ -868,6 +923,8 @@
           test_part_on_servers_that_lose_power_together_is_not_blamed),
       cmocka_unit_test (
           test_parts_of_a_request_that_crashes_servers_are_on_trial),
+      cmocka_unit_test (test_more_vms_may_try_a_doubtful_part_with_time),
+      cmocka_unit_test (test_at_most_three_vms_may_try_after_any_time),
       cmocka_unit_test (test_parts_of_unknown_places_are_blamed_together),
       cmocka_unit_test (test_part_in_steady_use_is_not_blamed_for_a_pause),
       cmocka_unit_test (
