entry: a trial that was not run does not hold the request

A request is marked as a trial of its parts when its attempt starts. If the server refused it (503, not run), it found no connection or a peer refused it, its own mark held it until 1 s after its arrival, and it was then refused.

The mark is taken back where nothing has run, so that the request, or another one, is the next trial. An attempt without a connection may be replaced.

--- a/entry/call.c
+++ b/entry/call.c
@@ -465,6 +465,13 @@
     eg_buffer_append (&self->response_body, bytes);
 }
 
+void
+eg_call_undo_trial (struct eg_call *self)
+{
+  eg_crash_watch_not_run (&self->entry->crash_watch, &self->subjects,
+                          self->attempt.started_us);
+}
+
 /* Handles a response that says the request was not executed. */
 static void
 handle_not_executed (struct eg_call *self)
@@ -494,6 +501,7 @@
   /* A server that another one could not use may be down rather than full. */
   if (faulty_server != eg_call_first_server (self))
     eg_backend_probe (faulty_server, now_us);
+  eg_call_undo_trial (self);
   self->may_have_run = attempt->earlier_may_have_run;
   self->refusals++;
   self->refusals_in_row++;
@@ -643,6 +651,7 @@
 {
   struct eg_attempt *attempt = &self->attempt;
 
+  eg_call_undo_trial (self);
   self->sends--;
   self->may_have_run = attempt->earlier_may_have_run;
   if (attempt->charged)
@@ -1041,6 +1050,29 @@
   return !self->needs_key || eg_entry_keys_are_fresh (self->entry, now_us);
 }
 
+/* Chooses where a request is sent in place of an attempt, and takes a retry
+ * from the budget; false if it is not. An attempt without a connection is no
+ * reason to hold the request: it has not been sent. */
+static bool
+choose_replacement (struct eg_call *self,
+                    const char *cause,
+                    int64_t now_us,
+                    struct target *target)
+{
+  bool is_unsent = !eg_exchange_is_connected (&self->attempt.exchange);
+
+  if (is_unsent)
+    eg_call_undo_trial (self);
+  if (judge_crashes (self, now_us) <= EG_CRASH_TRY
+      && choose_target (self, now_us, target)
+      && spend_retry (self, cause, now_us))
+    return true;
+  if (is_unsent)
+    eg_crash_watch_sent (&self->entry->crash_watch, &self->subjects,
+                         self->attempt.started_us);
+  return false;
+}
+
 bool
 eg_call_replace_attempt (struct eg_call *self, const char *cause)
 {
@@ -1050,9 +1082,7 @@
 
   context.in_flight = true;
   if (eg_resend_decide (&context) != EG_RESEND || !may_use_key (self, now_us)
-      || judge_crashes (self, now_us) > EG_CRASH_TRY
-      || !choose_target (self, now_us, &target)
-      || !spend_retry (self, cause, now_us))
+      || !choose_replacement (self, cause, now_us, &target))
     return false;
   if (!eg_exchange_is_connected (&self->attempt.exchange))
     eg_call_undo_send (self);
--- a/entry/call_hop.c
+++ b/entry/call_hop.c
@@ -136,6 +136,7 @@
     eg_call_undo_send (self);
   else
     {
+      eg_call_undo_trial (self);
       self->may_have_run = attempt->earlier_may_have_run;
       self->refusals++;
     }
--- a/entry/call_state.h
+++ b/entry/call_state.h
@@ -83,6 +83,9 @@
                               const struct eg_exchange_events *events,
                               int64_t now_us);
 
+/** Takes back that the attempt is a trial of its parts: it has not run. */
+void eg_call_undo_trial (struct eg_call *self);
+
 /**
  * Takes back what was counted for an attempt whose connection was not
  * established: nothing was sent.
--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -235,6 +235,14 @@
   eg_crash_blame_record_sent (&self->blame, subjects, now_us);
 }
 
+void
+eg_crash_watch_not_run (struct eg_crash_watch *self,
+                        const struct eg_crash_subjects *subjects,
+                        int64_t sent_us)
+{
+  eg_crash_blame_record_not_run (&self->blame, subjects, sent_us);
+}
+
 static void
 watch_run (struct eg_crash_watch *self,
            struct eg_backend *backend,
--- a/entry/crash_watch.h
+++ b/entry/crash_watch.h
@@ -92,6 +92,11 @@
                           const struct eg_crash_subjects *subjects,
                           int64_t now_us);
 
+/** Takes note that a request that was sent at @p sent_us was not run. */
+void eg_crash_watch_not_run (struct eg_crash_watch *self,
+                             const struct eg_crash_subjects *subjects,
+                             int64_t sent_us);
+
 /** Handles a message of another VM. */
 void eg_crash_watch_receive (struct eg_crash_watch *self,
                              const json_t *message,
--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -930,6 +930,22 @@
     }
 }
 
+void
+eg_crash_blame_record_not_run (struct eg_crash_blame *self,
+                               const struct eg_crash_subjects *subjects,
+                               int64_t sent_us)
+{
+  for (size_t i = 0; i < subjects->part_count; i++)
+    {
+      struct entry *entry = find_entry (
+          self, (struct eg_subject){EG_SUBJECT_PART, subjects->parts[i]});
+
+      /* The trial may be that of another request. */
+      if (entry && entry->tried_us == sent_us)
+        entry->tried_us = 0;
+    }
+}
+
 void
 eg_crash_blame_visit_blamed (const struct eg_crash_blame *self,
                              void (*visit) (void *context,
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -233,6 +233,14 @@
                                  const struct eg_crash_subjects *subjects,
                                  int64_t now_us);
 
+/**
+ * Takes back a trial of the parts of a request that was sent at @p sent_us and
+ * was not run.
+ */
+void eg_crash_blame_record_not_run (struct eg_crash_blame *self,
+                                    const struct eg_crash_subjects *subjects,
+                                    int64_t sent_us);
+
 /** Calls @p visit for each subject that is blamed. */
 void eg_crash_blame_visit_blamed (
     const struct eg_crash_blame *self,
--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -630,6 +630,32 @@
   eg_crash_blame_finish (&self);
 }
 
+/* Guards against a trial that no server runs, and that then holds the request
+ * itself until it is refused. */
+static void
+test_trial_that_was_not_run_may_be_sent_again (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  const struct eg_crash_subjects subjects = {11, parts, 2};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 5; i++)
+    crash_prompt (&self, 10, parts, 2, i, 10 * SECOND + 60 * MS * i);
+  record_sent (&self, 11, parts, 2, 14 * SECOND);
+  assert_int_equal (judge (&self, 11, parts, 2, 14 * SECOND + 2 * MS),
+                    EG_CRASH_HOLD);
+  /* That a request sent before was not run says nothing of the trial. */
+  eg_crash_blame_record_not_run (&self, &subjects, 13 * SECOND);
+  assert_int_equal (judge (&self, 11, parts, 2, 14 * SECOND + 2 * MS),
+                    EG_CRASH_HOLD);
+  eg_crash_blame_record_not_run (&self, &subjects, 14 * SECOND);
+  assert_int_equal (judge (&self, 11, parts, 2, 14 * SECOND + 2 * MS),
+                    EG_CRASH_TRY);
+  eg_crash_blame_finish (&self);
+}
+
 /* Older builds do not say where parts stand: then both are blamed, one crash
  * later. */
 static void
@@ -925,6 +951,7 @@
           test_parts_of_a_request_that_crashes_servers_are_on_trial),
       cmocka_unit_test (test_more_vms_may_try_a_doubtful_part_with_time),
       cmocka_unit_test (test_at_most_three_vms_may_try_after_any_time),
+      cmocka_unit_test (test_trial_that_was_not_run_may_be_sent_again),
       cmocka_unit_test (test_parts_of_unknown_places_are_blamed_together),
       cmocka_unit_test (test_part_in_steady_use_is_not_blamed_for_a_pause),
       cmocka_unit_test (
