policy: no trial of a part while a run with it is unconfirmed

A second after a trial was sent the next one followed, though a run with the part had lost its connection and it was not known yet whether its server had ended: that may take up to 6 s. Each such trial may cost another server.

The parts of runs that the crash watch follows are counted, and are held until these runs are confirmed or given up.

test_crash_blame: the new test fails without the rule (tried in place of held) and passes, as the 29 others.

--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -118,6 +118,7 @@
 {
   self->run_count--;
   self->run_part_count -= run->subjects.part_count;
+  eg_crash_blame_record_confirmed (&self->blame, &run->subjects);
   eg_backend_unref (run->backend);
   free (run);
 }
@@ -272,6 +273,7 @@
   run->subjects =
       (struct eg_crash_subjects){subjects->request, run->parts, part_count};
   self->run_part_count += part_count;
+  eg_crash_blame_record_unconfirmed (&self->blame, &run->subjects);
   eg_backend_ref (backend);
   eg_list_append (&self->runs, &run->link);
   self->run_count++;
--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -69,6 +69,7 @@
   if (events)
     self->events = *events;
   eg_map_init (&self->suspects);
+  eg_map_init (&self->unconfirmed);
   eg_list_init (&self->by_change);
   eg_list_init (&self->news);
   eg_list_init (&self->blamed);
@@ -108,6 +109,7 @@
   while (!eg_list_is_empty (&self->by_change))
     remove_entry (self, oldest (self));
   eg_map_finish (&self->suspects);
+  eg_map_finish (&self->unconfirmed);
   eg_quarantine_free (self->quarantine);
   self->quarantine = NULL;
 }
@@ -848,6 +850,12 @@
   return reached > vms ? (uint32_t) reached : vms;
 }
 
+static uintptr_t
+count_unconfirmed (const struct eg_crash_blame *self, uint64_t key)
+{
+  return (uintptr_t) eg_map_get (&self->unconfirmed, key);
+}
+
 /* Judges a request with a part that is blamed, or was at as many crashes. */
 static struct eg_crash_verdict
 judge_part (const struct eg_crash_blame *self,
@@ -876,10 +884,12 @@
   verdict.retry_after_us = 0;
   verdict.vms_max =
       count_trial_vms (suspect, is_doubtful ? 1 : TRIAL_VMS, now_us);
-  if (entry->tried_us == 0 || trial_left_us <= 0)
-    return verdict;
-  verdict.ruling = EG_CRASH_HOLD;
-  verdict.retry_after_us = trial_left_us;
+  if (entry->tried_us > 0 && trial_left_us > 0)
+    verdict.retry_after_us = trial_left_us;
+  else if (count_unconfirmed (self, get_key (suspect->subject)) > 0)
+    verdict.retry_after_us = TRIAL_US;
+  if (verdict.retry_after_us > 0)
+    verdict.ruling = EG_CRASH_HOLD;
   return verdict;
 }
 
@@ -946,6 +956,38 @@
     }
 }
 
+void
+eg_crash_blame_record_unconfirmed (struct eg_crash_blame *self,
+                                   const struct eg_crash_subjects *subjects)
+{
+  for (size_t i = 0; i < subjects->part_count; i++)
+    {
+      uint64_t key =
+          get_key ((struct eg_subject){EG_SUBJECT_PART, subjects->parts[i]});
+
+      /* The map holds the numbers in place of pointers to them. */
+      eg_map_put (&self->unconfirmed, key,
+                  (void *) (count_unconfirmed (self, key) + 1));
+    }
+}
+
+void
+eg_crash_blame_record_confirmed (struct eg_crash_blame *self,
+                                 const struct eg_crash_subjects *subjects)
+{
+  for (size_t i = 0; i < subjects->part_count; i++)
+    {
+      uint64_t key =
+          get_key ((struct eg_subject){EG_SUBJECT_PART, subjects->parts[i]});
+      uintptr_t count = count_unconfirmed (self, key);
+
+      if (count > 1)
+        eg_map_put (&self->unconfirmed, key, (void *) (count - 1));
+      else
+        eg_map_remove (&self->unconfirmed, key);
+    }
+}
+
 void
 eg_crash_blame_visit_blamed (const struct eg_crash_blame *self,
                              void (*visit) (void *context,
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -118,6 +118,8 @@
   struct eg_list by_change; /**< Suspects, the latest news last. */
   struct eg_list news;      /**< Suspects with news for other VMs. */
   struct eg_list blamed;    /**< Suspects that are blamed. */
+  /** Number of unconfirmed runs with a part, by its subject. */
+  struct eg_map unconfirmed;
   struct eg_quarantine *quarantine;
   /** What was served before it is suspected. */
   struct eg_served_slot served[EG_SERVED_SLOTS];
@@ -241,6 +243,18 @@
                                     const struct eg_crash_subjects *subjects,
                                     int64_t sent_us);
 
+/**
+ * Takes note of a run that ended so that its server may have crashed: its parts
+ * are not tried until that is known.
+ */
+void
+eg_crash_blame_record_unconfirmed (struct eg_crash_blame *self,
+                                   const struct eg_crash_subjects *subjects);
+
+/** Takes note that nothing more is to be found out about such a run. */
+void eg_crash_blame_record_confirmed (struct eg_crash_blame *self,
+                                      const struct eg_crash_subjects *subjects);
+
 /** Calls @p visit for each subject that is blamed. */
 void eg_crash_blame_visit_blamed (
     const struct eg_crash_blame *self,
--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -656,6 +656,30 @@
   eg_crash_blame_finish (&self);
 }
 
+/* Guards against one trial after the other while it is not known yet that the
+ * first ones crashed their servers. */
+static void
+test_part_is_not_tried_while_a_run_with_it_is_unconfirmed (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  const struct eg_crash_subjects subjects = {11, parts, 2};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  eg_crash_blame_record_unconfirmed (&self, &subjects);
+  for (unsigned i = 0; i < 5; i++)
+    crash_prompt (&self, 10, parts, 2, i, 10 * SECOND + 60 * MS * i);
+  record_sent (&self, 11, parts, 2, 11 * SECOND);
+  eg_crash_blame_record_unconfirmed (&self, &subjects);
+  assert_int_equal (judge (&self, 12, parts, 2, 14 * SECOND), EG_CRASH_HOLD);
+  eg_crash_blame_record_confirmed (&self, &subjects);
+  assert_int_equal (judge (&self, 12, parts, 2, 14 * SECOND), EG_CRASH_HOLD);
+  eg_crash_blame_record_confirmed (&self, &subjects);
+  assert_int_equal (judge (&self, 12, parts, 2, 14 * SECOND), EG_CRASH_TRY);
+  eg_crash_blame_finish (&self);
+}
+
 /* Older builds do not say where parts stand: then both are blamed, one crash
  * later. */
 static void
@@ -952,6 +976,8 @@
       cmocka_unit_test (test_more_vms_may_try_a_doubtful_part_with_time),
       cmocka_unit_test (test_at_most_three_vms_may_try_after_any_time),
       cmocka_unit_test (test_trial_that_was_not_run_may_be_sent_again),
+      cmocka_unit_test (
+          test_part_is_not_tried_while_a_run_with_it_is_unconfirmed),
       cmocka_unit_test (test_parts_of_unknown_places_are_blamed_together),
       cmocka_unit_test (test_part_in_steady_use_is_not_blamed_for_a_pause),
       cmocka_unit_test (
