policy: judge repeated parts once and compare only repeated suspects

A head that names one blamed part 900 times was judged 900 times, each against all suspects of a VM, also after the first part that is refused.

A decision ends at the first part that is refused and judges each part once. Suspects of two or more crashes are kept in a list of their own, as no others can be blamed or explain what is blamed. Evidence is collected only when a verdict may be due.

--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -36,6 +36,9 @@
  * have ended or get no requests. The third one can so show by twice
  * stableWindowMs (6 s at least) that a part is sound. */
 #define TRIAL_STEP_US 2500000
+/* Suspects of as many crashes are kept in a list of their own: most suspects
+ * were at a single one, and are not compared with those that are to blame. */
+#define REPEATED_MIN 2
 /* By so much the time of service must be later than another VM knows it to be
  * news for that VM: messages give ages, which differ by their way. */
 #define SERVED_NEWS_US 200000
@@ -44,8 +47,10 @@
 {
   struct eg_suspect suspect;
   struct eg_list by_change;
-  struct eg_list news;   /* In eg_crash_blame.news if @c rounds_left > 0. */
-  struct eg_list blamed; /* In eg_crash_blame.blamed if it is blamed. */
+  struct eg_list news;     /* In eg_crash_blame.news if @c rounds_left > 0. */
+  struct eg_list blamed;   /* In eg_crash_blame.blamed if it is blamed. */
+  struct eg_list repeated; /* In eg_crash_blame.repeated if @c is_repeated. */
+  bool is_repeated;        /* It was at REPEATED_MIN crashes or more. */
   unsigned rounds_left;
   int64_t changed_us;
   int64_t tried_us; /* When a request with it was last sent as a trial. */
@@ -64,7 +69,7 @@
   if (self->config.suspects_max < 1)
     self->config.suspects_max = 1;
   for (int kind = 0; kind < EG_SUBJECT_KINDS; kind++)
-    EG_INVARIANT (config->crashes_min[kind] >= 1
+    EG_INVARIANT (config->crashes_min[kind] >= REPEATED_MIN
                   && config->crashes_min[kind] <= EG_SUSPECT_CRASHES_MAX);
   if (events)
     self->events = *events;
@@ -73,6 +78,7 @@
   eg_list_init (&self->by_change);
   eg_list_init (&self->news);
   eg_list_init (&self->blamed);
+  eg_list_init (&self->repeated);
   self->check_due_us = INT64_MAX;
   self->quarantine = eg_quarantine_new (&quarantine);
   return self->quarantine != NULL;
@@ -100,6 +106,8 @@
     eg_list_remove (&entry->news);
   if (entry->suspect.blamed_us > 0)
     eg_list_remove (&entry->blamed);
+  if (entry->is_repeated)
+    eg_list_remove (&entry->repeated);
   free (entry);
 }
 
@@ -114,6 +122,28 @@
   self->quarantine = NULL;
 }
 
+/* Call it when the number of crashes of a suspect has changed. */
+static void
+update_repeated (struct eg_crash_blame *self, struct entry *entry)
+{
+  bool is_repeated = entry->suspect.crash_count >= REPEATED_MIN;
+
+  if (is_repeated == entry->is_repeated)
+    return;
+  entry->is_repeated = is_repeated;
+  if (is_repeated)
+    eg_list_append (&self->repeated, &entry->repeated);
+  else
+    eg_list_remove (&entry->repeated);
+}
+
+/* Returns a link of the list of repeated suspects as an entry. */
+static struct entry *
+repeated_entry (const struct eg_list *link)
+{
+  return EG_CONTAINER_OF (link, struct entry, repeated);
+}
+
 static struct entry *
 find_entry (const struct eg_crash_blame *self, struct eg_subject subject)
 {
@@ -283,6 +313,7 @@
     return false;
   suspect->served_us = at_us;
   drop_crashes_until (suspect, trusted_until (self, suspect));
+  update_repeated (self, entry);
   if (suspect->blamed_us > 0 && suspect->blamed_us <= at_us)
     {
       eg_quarantine_remove (self->quarantine, get_key (suspect->subject));
@@ -414,6 +445,7 @@
   add_uses (&entry->suspect, theirs);
   for (unsigned i = 0; i < theirs->crash_count; i++)
     is_new |= add_crash (self, &entry->suspect, &theirs->crashes[i]);
+  update_repeated (self, entry);
   if (entry->suspect.blamed_us == 0
       && theirs->blamed_us > entry->suspect.served_us)
     {
@@ -644,24 +676,35 @@
            const struct eg_suspect *suspect,
            const struct evidence *evidence)
 {
-  const struct entry *other;
-  size_t cursor = 0;
-
-  while ((other = eg_map_next (&self->suspects, &cursor)))
+  for (const struct eg_list *at = self->repeated.next; at != &self->repeated;
+       at = at->next)
     {
-      bool covers = &other->suspect != suspect
-                    && other->suspect.crash_count >= evidence->crash_count;
+      const struct eg_suspect *other = &repeated_entry (at)->suspect;
+      bool covers =
+          other != suspect && other->crash_count >= evidence->crash_count;
 
       for (unsigned i = 0; covers && i < evidence->crash_count; i++)
-        covers = was_at_crash (&other->suspect, evidence->crashes[i].server);
-      if (covers && is_rival (self, &other->suspect, suspect, evidence->count))
+        covers = was_at_crash (other, evidence->crashes[i].server);
+      if (covers && is_rival (self, other, suspect, evidence->count))
         return true;
     }
   return false;
 }
 
+/* Schedules a check for @p due_us; returns whether that is still to come. */
+static bool
+is_due_later (struct eg_crash_blame *self, int64_t due_us, int64_t now_us)
+{
+  if (now_us >= due_us)
+    return false;
+  if (due_us < self->check_due_us)
+    self->check_due_us = due_us;
+  return true;
+}
+
 /* Returns whether a suspect may be blamed now; if not yet, schedules another
- * look at it. */
+ * look at it. As many crashes as are needed were not all before the moment that
+ * decides, so that nothing is due sooner than with the last of them. */
 static bool
 may_be_blamed (struct eg_crash_blame *self,
                const struct eg_suspect *suspect,
@@ -669,32 +712,34 @@
 {
   struct evidence evidence;
   unsigned crashes_min = get_crashes_min (self, suspect);
-  int64_t due_us;
+  int64_t settle_us = self->config.settle_us;
+  int64_t earliest_us;
 
   if (suspect->blamed_us > 0 || suspect->crash_count < crashes_min)
     return false;
-  collect_evidence (self, suspect, &evidence);
-  if (evidence.count < crashes_min)
+  earliest_us = suspect->crashes[crashes_min - 1].at_us - SAME_MOMENT_US;
+  if (is_due_later (self, earliest_us + settle_us, now_us))
     return false;
-  due_us = evidence.decisive_us + self->config.settle_us;
-  if (now_us >= due_us)
-    return !has_rival (self, suspect, &evidence);
-  if (due_us < self->check_due_us)
-    self->check_due_us = due_us;
-  return false;
+  collect_evidence (self, suspect, &evidence);
+  return evidence.count >= crashes_min
+         && !is_due_later (self, evidence.decisive_us + settle_us, now_us)
+         && !has_rival (self, suspect, &evidence);
 }
 
 static struct entry *
 find_most_likely (struct eg_crash_blame *self, int64_t now_us)
 {
   struct entry *found = NULL;
-  struct entry *entry;
-  size_t cursor = 0;
 
-  while ((entry = eg_map_next (&self->suspects, &cursor)))
-    if ((!found || compare_likelihood (&entry->suspect, &found->suspect) < 0)
-        && may_be_blamed (self, &entry->suspect, now_us))
-      found = entry;
+  for (struct eg_list *at = self->repeated.next; at != &self->repeated;
+       at = at->next)
+    {
+      struct entry *entry = repeated_entry (at);
+
+      if ((!found || compare_likelihood (&entry->suspect, &found->suspect) < 0)
+          && may_be_blamed (self, &entry->suspect, now_us))
+        found = entry;
+    }
   return found;
 }
 
@@ -723,15 +768,17 @@
               const struct eg_suspect *blamed,
               int64_t now_us)
 {
-  struct entry *entry;
-  size_t cursor = 0;
+  for (struct eg_list *at = self->repeated.next; at != &self->repeated;
+       at = at->next)
+    {
+      struct entry *entry = repeated_entry (at);
 
-  while ((entry = eg_map_next (&self->suspects, &cursor)))
-    if (entry->suspect.blamed_us == 0
-        && entry->suspect.subject.kind == blamed->subject.kind
-        && was_at_same_crashes (&entry->suspect, blamed)
-        && compare_likelihood (&entry->suspect, blamed) == 0)
-      decide_blame (self, entry, now_us);
+      if (entry->suspect.blamed_us == 0
+          && entry->suspect.subject.kind == blamed->subject.kind
+          && was_at_same_crashes (&entry->suspect, blamed)
+          && compare_likelihood (&entry->suspect, blamed) == 0)
+        decide_blame (self, entry, now_us);
+    }
 }
 
 static void
@@ -778,15 +825,36 @@
   return entry ? entry->suspect.crash_count : 0;
 }
 
+/* Returns whether a part is among the first @p count ones of a prompt. */
 static bool
-holds (const struct eg_crash_subjects *subjects, uint64_t part)
+is_among (const struct eg_crash_subjects *subjects, size_t count, uint64_t part)
 {
-  for (size_t i = 0; i < subjects->part_count; i++)
+  for (size_t i = 0; i < count; i++)
     if (subjects->parts[i] == part)
       return true;
   return false;
 }
 
+static bool
+holds (const struct eg_crash_subjects *subjects, uint64_t part)
+{
+  return is_among (subjects, subjects->part_count, part);
+}
+
+/* Returns the suspect to judge for the part at a position, or NULL: none, or it
+ * also stands earlier in the prompt. */
+static struct entry *
+find_part (const struct eg_crash_blame *self,
+           const struct eg_crash_subjects *subjects,
+           size_t position)
+{
+  uint64_t part = subjects->parts[position];
+  struct entry *entry =
+      find_entry (self, (struct eg_subject){EG_SUBJECT_PART, part});
+
+  return entry && !is_among (subjects, position, part) ? entry : NULL;
+}
+
 static bool
 is_of_one_request (const struct eg_suspect *part)
 {
@@ -802,7 +870,8 @@
 }
 
 /* Returns whether @p other may be what crashed servers in place of the blamed
- * part. */
+ * part. What was at fewer than REPEATED_MIN crashes misses too many of the four
+ * or more of a blamed part. */
 static bool
 explains_as_well (const struct eg_suspect *other,
                   const struct eg_suspect *blamed)
@@ -822,13 +891,15 @@
             const struct eg_suspect *blamed,
             const struct eg_crash_subjects *subjects)
 {
-  const struct entry *other;
-  size_t cursor = 0;
+  for (const struct eg_list *at = self->repeated.next; at != &self->repeated;
+       at = at->next)
+    {
+      const struct eg_suspect *other = &repeated_entry (at)->suspect;
 
-  while ((other = eg_map_next (&self->suspects, &cursor)))
-    if (explains_as_well (&other->suspect, blamed)
-        && !holds (subjects, other->suspect.subject.id))
-      return true;
+      if (explains_as_well (other, blamed)
+          && !holds (subjects, other->subject.id))
+        return true;
+    }
   return false;
 }
 
@@ -909,13 +980,14 @@
     }
   for (size_t i = 0; i < subjects->part_count; i++)
     {
-      const struct entry *entry = find_entry (
-          self, (struct eg_subject){EG_SUBJECT_PART, subjects->parts[i]});
+      const struct entry *entry = find_part (self, subjects, i);
       struct eg_crash_verdict verdict;
 
       if (!entry)
         continue;
       verdict = judge_part (self, entry, subjects, now_us);
+      if (verdict.ruling == EG_CRASH_REFUSE)
+        return verdict;
       if (verdict.ruling > worst.ruling
           || (verdict.ruling == worst.ruling && verdict.vms_max > 0
               && (worst.vms_max == 0 || verdict.vms_max < worst.vms_max)))
@@ -931,8 +1003,7 @@
 {
   for (size_t i = 0; i < subjects->part_count; i++)
     {
-      struct entry *entry = find_entry (
-          self, (struct eg_subject){EG_SUBJECT_PART, subjects->parts[i]});
+      struct entry *entry = find_part (self, subjects, i);
 
       if (entry
           && judge_part (self, entry, subjects, now_us).ruling == EG_CRASH_TRY)
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -75,7 +75,7 @@
 /** Settings; times in microseconds. */
 struct eg_crash_blame_config
 {
-  /** Crashes for which a subject is blamed, by its kind. */
+  /** Crashes for which a subject is blamed, by its kind; at least 2. */
   unsigned crashes_min[EG_SUBJECT_KINDS];
   /** Time after the last of these for signs that the subject is sound. */
   int64_t settle_us;
@@ -118,6 +118,7 @@
   struct eg_list by_change; /**< Suspects, the latest news last. */
   struct eg_list news;      /**< Suspects with news for other VMs. */
   struct eg_list blamed;    /**< Suspects that are blamed. */
+  struct eg_list repeated;  /**< Suspects that were at several crashes. */
   /** Number of unconfirmed runs with a part, by its subject. */
   struct eg_map unconfirmed;
   struct eg_quarantine *quarantine;
--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 
@@ -680,6 +681,52 @@
   eg_crash_blame_finish (&self);
 }
 
+#define REPEATS 900
+/* Processor time of one decision: 60 ms on a VM of 0.084 cores. */
+#define JUDGE_MAX_CLOCKS (5 * CLOCKS_PER_SEC / 1000)
+
+/* Judges a request within the time that one decision may take. */
+static enum eg_crash_ruling
+judge_in_time (const struct eg_crash_blame *self,
+               const uint64_t *parts,
+               int64_t now_us)
+{
+  clock_t start = clock ();
+  enum eg_crash_ruling ruling = judge (self, 99, parts, REPEATS, now_us);
+
+  assert_true (clock () - start < JUDGE_MAX_CLOCKS);
+  return ruling;
+}
+
+/* Guards against a head that names a blamed part again and again, and so
+ * occupies a VM with many suspects for seconds. */
+static void
+test_repeated_part_is_judged_once (void **state)
+{
+  const uint64_t deadly[] = {DEADLY_PART, LATER_PART};
+  uint64_t parts[REPEATS];
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 4000; i++)
+    for (unsigned round = 0; round < 4; round++)
+      eg_crash_blame_record_crash (
+          &self, PART (1000 + i),
+          &(struct eg_crash){100 + round, 5 * SECOND + round, true},
+          5 * SECOND);
+  for (unsigned i = 0; i < 6; i++)
+    crash_prompt (&self, 10 + i / 2, deadly, 2, i, 10 * SECOND + 200 * MS * i);
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_true (is_blamed (&self, PART (LATER_PART), 12 * SECOND));
+  for (unsigned i = 0; i < REPEATS; i++)
+    parts[i] = LATER_PART;
+  assert_int_equal (judge_in_time (&self, parts, 12 * SECOND), EG_CRASH_TRY);
+  parts[REPEATS - 1] = DEADLY_PART;
+  assert_int_equal (judge_in_time (&self, parts, 12 * SECOND), EG_CRASH_REFUSE);
+  eg_crash_blame_finish (&self);
+}
+
 /* Older builds do not say where parts stand: then both are blamed, one crash
  * later. */
 static void
@@ -978,6 +1025,7 @@
       cmocka_unit_test (test_trial_that_was_not_run_may_be_sent_again),
       cmocka_unit_test (
           test_part_is_not_tried_while_a_run_with_it_is_unconfirmed),
+      cmocka_unit_test (test_repeated_part_is_judged_once),
       cmocka_unit_test (test_parts_of_unknown_places_are_blamed_together),
       cmocka_unit_test (test_part_in_steady_use_is_not_blamed_for_a_pause),
       cmocka_unit_test (
