--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -75,7 +75,7 @@
 /** Settings; times in microseconds. */
 struct eg_crash_blame_config
 {
-  /** Crashes for which a subject is blamed, by its kind. */
+  /** Crashes for which a subject is blamed, by its kind; at least 2. */
   unsigned crashes_min[EG_SUBJECT_KINDS];
   /** Time after the last of these for signs that the subject is sound. */
   int64_t settle_us;
@@ -118,6 +118,9 @@
   struct eg_list by_change; /**< Suspects, the latest news last. */
   struct eg_list news;      /**< Suspects with news for other VMs. */
   struct eg_list blamed;    /**< Suspects that are blamed. */
+  struct eg_list repeated;  /**< Suspects that were at several crashes. */
+  /** Number of unconfirmed runs with a part, by its subject. */
+  struct eg_map unconfirmed;
   struct eg_quarantine *quarantine;
   /** What was served before it is suspected. */
   struct eg_served_slot served[EG_SERVED_SLOTS];
@@ -233,6 +236,26 @@
                                  const struct eg_crash_subjects *subjects,
                                  int64_t now_us);
 
+/**
+ * Takes back a trial of the parts of a request that was sent at @p sent_us and
+ * was not run.
+ */
+void eg_crash_blame_record_not_run (struct eg_crash_blame *self,
+                                    const struct eg_crash_subjects *subjects,
+                                    int64_t sent_us);
+
+/**
+ * Takes note of a run that ended so that its server may have crashed: its parts
+ * are not tried until that is known.
+ */
+void
+eg_crash_blame_record_unconfirmed (struct eg_crash_blame *self,
+                                   const struct eg_crash_subjects *subjects);
+
+/** Takes note that nothing more is to be found out about such a run. */
+void eg_crash_blame_record_confirmed (struct eg_crash_blame *self,
+                                      const struct eg_crash_subjects *subjects);
+
 /** Calls @p visit for each subject that is blamed. */
 void eg_crash_blame_visit_blamed (
     const struct eg_crash_blame *self,
--- a/test/test_crash_blame.c
+++ b/test/test_crash_blame.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 
@@ -575,6 +576,157 @@
   eg_crash_blame_finish (&self);
 }
 
+/* Returns how many VMs may try a request with two parts. */
+static uint32_t
+count_trial_vms (const struct eg_crash_blame *self,
+                 const uint64_t *parts,
+                 int64_t now_us)
+{
+  const struct eg_crash_subjects subjects = {99, parts, 2};
+  struct eg_crash_verdict verdict =
+      eg_crash_blame_judge (self, &subjects, now_us);
+
+  assert_int_equal (verdict.ruling, EG_CRASH_TRY);
+  return verdict.vms_max;
+}
+
+/* Guards against a sound part that stays refused because the only VM that may
+ * try it has ended or gets no requests. */
+static void
+test_more_vms_may_try_a_doubtful_part_with_time (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 6; i++)
+    crash_prompt (&self, 10 + i, parts, 2, i, 10 * SECOND);
+  eg_crash_blame_check (&self, 11 * SECOND);
+  assert_true (is_blamed (&self, PART (DEADLY_PART), 11 * SECOND));
+  assert_int_equal (count_trial_vms (&self, parts, 12 * SECOND), 1);
+  assert_int_equal (count_trial_vms (&self, parts, 13 * SECOND), 2);
+  /* The third VM needs 0.5 s to show by 16 s that the part is sound. */
+  assert_int_equal (count_trial_vms (&self, parts, 15 * SECOND + 400 * MS), 3);
+  assert_int_equal (count_trial_vms (&self, parts, 300 * SECOND), 3);
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against a burst at all VMs, some time after the last crash, of which
+ * each VM sends a request. */
+static void
+test_at_most_three_vms_may_try_after_any_time (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 5; i++)
+    crash_prompt (&self, 10, parts, 2, i, 10 * SECOND + 60 * MS * i);
+  eg_crash_blame_check (&self, 11 * SECOND);
+  assert_int_equal (count_trial_vms (&self, parts, 11 * SECOND), 2);
+  for (int64_t at_us = 16 * SECOND; at_us < 300 * SECOND; at_us += SECOND)
+    assert_int_equal (count_trial_vms (&self, parts, at_us), 3);
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against a trial that no server runs, and that then holds the request
+ * itself until it is refused. */
+static void
+test_trial_that_was_not_run_may_be_sent_again (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  const struct eg_crash_subjects subjects = {11, parts, 2};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 5; i++)
+    crash_prompt (&self, 10, parts, 2, i, 10 * SECOND + 60 * MS * i);
+  record_sent (&self, 11, parts, 2, 14 * SECOND);
+  assert_int_equal (judge (&self, 11, parts, 2, 14 * SECOND + 2 * MS),
+                    EG_CRASH_HOLD);
+  /* That a request sent before was not run says nothing of the trial. */
+  eg_crash_blame_record_not_run (&self, &subjects, 13 * SECOND);
+  assert_int_equal (judge (&self, 11, parts, 2, 14 * SECOND + 2 * MS),
+                    EG_CRASH_HOLD);
+  eg_crash_blame_record_not_run (&self, &subjects, 14 * SECOND);
+  assert_int_equal (judge (&self, 11, parts, 2, 14 * SECOND + 2 * MS),
+                    EG_CRASH_TRY);
+  eg_crash_blame_finish (&self);
+}
+
+/* Guards against one trial after the other while it is not known yet that the
+ * first ones crashed their servers. */
+static void
+test_part_is_not_tried_while_a_run_with_it_is_unconfirmed (void **state)
+{
+  const uint64_t parts[] = {SHARED_PART, DEADLY_PART};
+  const struct eg_crash_subjects subjects = {11, parts, 2};
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  eg_crash_blame_record_unconfirmed (&self, &subjects);
+  for (unsigned i = 0; i < 5; i++)
+    crash_prompt (&self, 10, parts, 2, i, 10 * SECOND + 60 * MS * i);
+  record_sent (&self, 11, parts, 2, 11 * SECOND);
+  eg_crash_blame_record_unconfirmed (&self, &subjects);
+  assert_int_equal (judge (&self, 12, parts, 2, 14 * SECOND), EG_CRASH_HOLD);
+  eg_crash_blame_record_confirmed (&self, &subjects);
+  assert_int_equal (judge (&self, 12, parts, 2, 14 * SECOND), EG_CRASH_HOLD);
+  eg_crash_blame_record_confirmed (&self, &subjects);
+  assert_int_equal (judge (&self, 12, parts, 2, 14 * SECOND), EG_CRASH_TRY);
+  eg_crash_blame_finish (&self);
+}
+
+#define REPEATS 900
+/* Processor time of one decision: 60 ms on a VM of 0.084 cores. */
+#define JUDGE_MAX_CLOCKS (5 * CLOCKS_PER_SEC / 1000)
+
+/* Judges a request within the time that one decision may take. */
+static enum eg_crash_ruling
+judge_in_time (const struct eg_crash_blame *self,
+               const uint64_t *parts,
+               int64_t now_us)
+{
+  clock_t start = clock ();
+  enum eg_crash_ruling ruling = judge (self, 99, parts, REPEATS, now_us);
+
+  assert_true (clock () - start < JUDGE_MAX_CLOCKS);
+  return ruling;
+}
+
+/* Guards against a head that names a blamed part again and again, and so
+ * occupies a VM with many suspects for seconds. */
+static void
+test_repeated_part_is_judged_once (void **state)
+{
+  const uint64_t deadly[] = {DEADLY_PART, LATER_PART};
+  uint64_t parts[REPEATS];
+  struct eg_crash_blame self;
+
+  (void) state;
+  assert_true (eg_crash_blame_init (&self, &config, NULL));
+  for (unsigned i = 0; i < 4000; i++)
+    for (unsigned round = 0; round < 4; round++)
+      eg_crash_blame_record_crash (
+          &self, PART (1000 + i),
+          &(struct eg_crash){100 + round, 5 * SECOND + round, true},
+          5 * SECOND);
+  for (unsigned i = 0; i < 6; i++)
+    crash_prompt (&self, 10 + i / 2, deadly, 2, i, 10 * SECOND + 200 * MS * i);
+  eg_crash_blame_check (&self, 12 * SECOND);
+  assert_true (is_blamed (&self, PART (LATER_PART), 12 * SECOND));
+  for (unsigned i = 0; i < REPEATS; i++)
+    parts[i] = LATER_PART;
+  assert_int_equal (judge_in_time (&self, parts, 12 * SECOND), EG_CRASH_TRY);
+  parts[REPEATS - 1] = DEADLY_PART;
+  assert_int_equal (judge_in_time (&self, parts, 12 * SECOND), EG_CRASH_REFUSE);
+  eg_crash_blame_finish (&self);
+}
+
 /* Older builds do not say where parts stand: then both are blamed, one crash
  * later. */
 static void
@@ -868,6 +1020,12 @@
           test_part_on_servers_that_lose_power_together_is_not_blamed),
       cmocka_unit_test (
           test_parts_of_a_request_that_crashes_servers_are_on_trial),
+      cmocka_unit_test (test_more_vms_may_try_a_doubtful_part_with_time),
+      cmocka_unit_test (test_at_most_three_vms_may_try_after_any_time),
+      cmocka_unit_test (test_trial_that_was_not_run_may_be_sent_again),
+      cmocka_unit_test (
+          test_part_is_not_tried_while_a_run_with_it_is_unconfirmed),
+      cmocka_unit_test (test_repeated_part_is_judged_once),
       cmocka_unit_test (test_parts_of_unknown_places_are_blamed_together),
       cmocka_unit_test (test_part_in_steady_use_is_not_blamed_for_a_pause),
       cmocka_unit_test (
