test: the sender of the undecodable message is a member; stop margins

Requests that a planned stop aborts had no time for their responses, as the process ended 300 ms before the end of the grace period and aborted them 250 ms before it. They are aborted 450 ms before it.

--- a/entry/main.c
+++ b/entry/main.c
@@ -40,7 +40,7 @@
 /* The load balancer removes a VM after two failed probes, one second apart. */
 #define BALANCER_REMOVAL_US (2600 * EG_US_PER_MS)
 /* Remaining part of the grace period when the last requests are aborted. */
-#define STOP_MARGIN_US (250 * EG_US_PER_MS)
+#define STOP_MARGIN_US (450 * EG_US_PER_MS)
 /* Remaining part of the grace period when the process exits, whether or not all
  * clients have received their responses. On a VM with 0.084 cores a tick can be
  * 90 ms late, and the process must end before it is killed. */
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -122,14 +122,23 @@
                     &entry.servers_source.peer);
 }
 
+/* Sends a datagram from an address that becomes that of @p sender. */
 static void
-send_datagram (const struct eg_entry_settings *settings, struct eg_str text)
+send_datagram (const struct eg_entry_settings *settings,
+               struct eg_member *sender,
+               struct eg_str text)
 {
+  struct sockaddr_in from = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
   struct sockaddr_in to = {.sin_family = AF_INET};
+  socklen_t from_len = sizeof from;
   struct eg_endpoint endpoint;
   int fd = socket (AF_INET, SOCK_DGRAM, 0);
 
   assert_true (fd >= 0);
+  assert_int_equal (bind (fd, (struct sockaddr *) &from, sizeof from), 0);
+  assert_int_equal (getsockname (fd, (struct sockaddr *) &from, &from_len), 0);
+  sender->endpoint = (struct eg_endpoint){from.sin_addr.s_addr, from.sin_port};
   assert_true (
       eg_endpoint_parse (eg_str_from (settings->listen_peers), &endpoint));
   to.sin_addr.s_addr = endpoint.ip;
@@ -153,6 +162,7 @@
                               "metadata", "name", "i-1", "revision", 1, "spec",
                               "service", "app", "address", "10.0.0.1:80",
                               "zone", "here", "slots", 4, "state", "ready");
+  static struct eg_member sender;
   struct eg_backend *backend;
 
   (void) state;
@@ -165,8 +175,9 @@
   backend = eg_fleet_find_id (&entry.fleet, EG_STR ("i-1"));
   assert_non_null (backend);
   eg_list_init (&entry.members.all);
+  eg_list_append (&entry.members.all, &sender.all);
   assert_true (eg_load_gossip_open (gossip, &entry));
-  send_datagram (&settings,
+  send_datagram (&settings, &sender,
                  EG_STR ("{\"kind\":\"sum\",\"heard\":[\"room\",\"\xff\","
                          "\"hall\"],\"down\":[\"\\u0000\"],\"loads\":{"
                          "\"i-0\":[1e400,0,0],\"i-1\":[1e300,-7,2]}}"));
