test: a key of test_adapter has room for any index

With the sanitizers, the compiler reports that 16 bytes may truncate a size in hexadecimal, and the build fails. The keys themselves are shorter.

--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -415,7 +415,7 @@
 pack_many_keys (size_t count)
 {
   json_t *keys = json_array ();
-  char key[16];
+  char key[2 * sizeof (size_t) + 1];
 
   for (size_t i = 0; i < count; i++)
     {
