policy: the largest holders of layers are found once for a change of the plan

gain() looked for the server with the most memory of each layer each time that it was called, three times for one change. The callers now pass what they found. The comment on the weights said that they are in proportion to the speed; they are its square root. No plan changes: test_layers passes, and test_uneven_fleet serves the same numbers of streams as before.

--- a/policy/layer_plan.c
+++ b/policy/layer_plan.c
@@ -67,10 +67,8 @@
 struct domain_plan
 {
   const struct eg_engine_model *engine;
-  double target_tokens; /**< Memory that each layer should have. */
-  /** Tokens count in proportion to the speed of the accelerator: a request
-      occupies memory for as long as it runs. */
-  bool weighted;
+  double target_tokens;   /**< Memory that each layer should have. */
+  bool weighted;          /**< Tokens count by speed, see speed_weight(). */
   double step_factor_min; /**< Of the fastest accelerator. */
   double loss_penalty;    /**< LOSS_PENALTY, or 0. */
   struct eg_plan_server **servers;
@@ -242,12 +240,11 @@
 static double
 gain (const struct domain_plan *self,
       const struct eg_plan_server *server,
-      struct eg_layer_range range)
+      struct eg_layer_range range,
+      const double *largest)
 {
-  double largest[EG_MODEL_LAYERS_MAX];
   double gains[EG_MODEL_LAYERS_MAX];
 
-  find_largest (self, server, largest);
   layer_gains (self, tokens_per_layer (self, server, range), largest, gains);
   return range_gain (self, server, range, gains);
 }
@@ -294,10 +291,11 @@
       eg_engine_layers_max (self->engine, server->accelerator);
   uint32_t size_min = smallest_range (self, server, layers_max);
   struct eg_layer_range best = server->held;
-  double best_gain = gain (self, server, best);
   double largest[EG_MODEL_LAYERS_MAX];
+  double best_gain;
 
   find_largest (self, server, largest);
+  best_gain = gain (self, server, best, largest);
   for (uint32_t size = layers_max; size >= size_min && size > 0; size--)
     {
       double gains[EG_MODEL_LAYERS_MAX];
@@ -377,12 +375,15 @@
              struct eg_layer_range *range)
 {
   struct eg_layer_range planned = server->planned;
+  double largest[EG_MODEL_LAYERS_MAX];
   double net_gain;
 
   update_totals (self, server, planned, false);
   *range = best_range (self, server);
-  net_gain = gain (self, server, *range) - move_cost (server, *range)
-             - gain (self, server, planned) + move_cost (server, planned);
+  find_largest (self, server, largest);
+  net_gain = gain (self, server, *range, largest) - move_cost (server, *range)
+             - gain (self, server, planned, largest)
+             + move_cost (server, planned);
   update_totals (self, server, planned, true);
   return net_gain;
 }
