router: a node whose stop was requested does not report itself ready again

Callers: GET /health answered 200 during a planned stop, so that the load balancer kept sending new connections, which were then refused. Seen once, in test_planned_stop_aborts_nothing under the sanitizers.

Cause: eg_decision_stop() cleared the flag of readiness and then queued the stop. The decision thread sets that flag on a load report and in its periodic work until it has handled the stop; in between it set it again, and nothing cleared it afterwards.

Change: the request for a stop has a flag of its own, which nothing clears. It replaces the thread's own flag of draining.

Result: test_periodic_work_does_not_revoke_a_stop puts the periodic work between the request and its handling.

--- a/router/decision.c
+++ b/router/decision.c
@@ -34,6 +34,7 @@
   unsigned stopping; /* Asks the thread to exit. */
   unsigned busy;
   unsigned ready;
+  unsigned stop_requested; /* Not ready again, whatever the thread finds. */
   int64_t started_us;
   struct eg_backend_worker *backend;
   struct eg_platform_worker *platform;
@@ -50,7 +51,6 @@
   int64_t next_vms_us;
   bool vms_read_pending;
   enum eg_status vms_status; /* Result of the last read. */
-  bool draining;
 };
 
 /* Submitting messages. */
@@ -173,7 +173,7 @@
 {
   const struct eg_message message = {.kind = EG_MESSAGE_STOP};
 
-  ck_pr_store_uint (&self->ready, 0);
+  ck_pr_store_uint (&self->stop_requested, 1);
   push_message_waiting (self, &message);
 }
 
@@ -233,7 +233,8 @@
 bool
 eg_decision_is_ready (struct eg_decision *self)
 {
-  return ck_pr_load_uint (&self->ready) != 0;
+  return ck_pr_load_uint (&self->ready) != 0
+         && ck_pr_load_uint (&self->stop_requested) == 0;
 }
 
 /* Message handlers. */
@@ -267,7 +268,7 @@
       eg_fleet_poll_done (&self->fleet, event, eg_clock_now_us ());
 
   eg_dispatcher_servers_changed (self->dispatcher, silent);
-  if (event->kind == EG_BACKEND_LOAD && !self->draining)
+  if (event->kind == EG_BACKEND_LOAD)
     ck_pr_store_uint (&self->ready, 1);
 }
 
@@ -351,7 +352,6 @@
 handle_stop (struct eg_decision *self, struct eg_message *message)
 {
   (void) message;
-  self->draining = true;
   eg_dispatcher_stop (self->dispatcher);
   eg_capacity_controller_stop (self->capacity_controller);
   eg_gossip_leave (self->gossip);
@@ -405,7 +405,7 @@
   /* The node becomes ready even if no poll has succeeded by now, for example
      for lack of a list of VMs: it can still refuse requests and give the
      reason. */
-  if (!self->draining && now_us - self->started_us > READY_WITHOUT_POLL_US)
+  if (now_us - self->started_us > READY_WITHOUT_POLL_US)
     ck_pr_store_uint (&self->ready, 1);
   busy = eg_dispatcher_is_busy (self->dispatcher);
   ck_pr_store_uint (&self->busy, busy);
--- a/test/test_path.c
+++ b/test/test_path.c
@@ -11,14 +11,24 @@
 #include <cmocka.h>
 #include <curl/curl.h>
 #include <pthread.h>
+#include <semaphore.h>
+#include <unistd.h>
 
+#include "base/clock.h"
 #include "standin/token.h"
 #include "test/path_fixture.h"
 
 #define COMPLETIONS CALLERS "/v1/completions"
 #define BOOKINGS CALLERS "/services/app/bookings"
+/* More than the decision thread handles before its periodic work. */
+#define MESSAGES_BEFORE_STOP 1024
+/* Longer than the interval of the periodic work. */
+#define STALL_US (100 * EG_US_PER_MS)
+/* After this time a node is ready whether or not it has polled an engine. */
+#define READY_IN_ANY_CASE_US (6 * EG_US_PER_S)
 
 static struct path_fixture fixture;
+static int64_t started_us;
 static const char *const organisation[] = {"X-Organisation: temple", NULL};
 
 static int
@@ -27,6 +37,7 @@
   (void) state;
   curl_global_init (CURL_GLOBAL_DEFAULT);
   path_fixture_init (&fixture);
+  started_us = eg_clock_now_us ();
   return 0;
 }
 
@@ -512,6 +523,72 @@
     path_clear_faults (engines[i]);
 }
 
+struct stall
+{
+  struct eg_decision *decision;
+  sem_t started;
+  sem_t release;
+};
+
+static void
+stall_decision (void *context, const struct eg_decision_view *view)
+{
+  struct stall *stall = context;
+
+  (void) view;
+  sem_post (&stall->started);
+  while (sem_wait (&stall->release) != 0)
+    ;
+}
+
+static void *
+stall_in_thread (void *context)
+{
+  struct stall *stall = context;
+
+  eg_decision_query (stall->decision, stall_decision, stall);
+  return NULL;
+}
+
+static void
+ignore_view (void *context, const struct eg_decision_view *view)
+{
+  (void) context;
+  (void) view;
+}
+
+/* Guards against a node that reports itself ready for the whole of a planned
+   stop, because the decision thread did its periodic work between the request
+   for the stop and its handling. */
+static void
+test_periodic_work_does_not_revoke_a_stop (void **state)
+{
+  struct stall stall = {.decision = fixture.other.decision};
+  struct eg_call *unknown = eg_call_new (UINT64_MAX);
+  pthread_t thread;
+
+  (void) state;
+  while (eg_clock_now_us () - started_us < READY_IN_ANY_CASE_US)
+    usleep (STALL_US);
+  sem_init (&stall.started, 0, 0);
+  sem_init (&stall.release, 0, 0);
+  pthread_create (&thread, NULL, stall_in_thread, &stall);
+  while (sem_wait (&stall.started) != 0)
+    ;
+  /* The stop is not handled in the pass that follows the stall. */
+  for (size_t i = 0; i < MESSAGES_BEFORE_STOP; i++)
+    eg_decision_abandon (stall.decision, unknown);
+  eg_decision_stop (stall.decision);
+  usleep (STALL_US);
+  sem_post (&stall.release);
+  pthread_join (thread, NULL);
+  assert_true (eg_decision_query (stall.decision, ignore_view, NULL));
+  assert_false (eg_decision_is_ready (stall.decision));
+  sem_destroy (&stall.started);
+  sem_destroy (&stall.release);
+  eg_call_unref (unknown);
+}
+
 static void *
 stream_in_thread (void *context)
 {
@@ -569,6 +646,7 @@
       cmocka_unit_test (test_ticket_whose_reply_is_lost),
       cmocka_unit_test (test_key_with_store_down),
       cmocka_unit_test (test_crashing_request_is_quarantined),
+      cmocka_unit_test (test_periodic_work_does_not_revoke_a_stop),
       cmocka_unit_test (test_planned_stop_aborts_nothing),
   };
 
