entry: a peer that gives up one begun stream is not left out for others

Cause: a VM without a path to servers treated each connection that a peer closed in the middle of a response as a failed peer, and sent nothing through it for 500 ms. A peer does that itself: when a request crashes its servers (quarantined, or six runs), or at the request's deadline, which it reaches 2 ms before the first VM does. With one peer left that reaches servers, as in the soak, all callers of the cut VM were refused for half a second, while the peer served its own.

Only a connection that is not established or is lost before the peer has responded now counts against the peer. One that has ended is noticed by the next request, which finds no connection and has not run.

--- a/entry/call_hop.c
+++ b/entry/call_hop.c
@@ -144,7 +144,10 @@
 }
 
 /* The request may have run through the peer: on as many servers as it says, or
- * as it was allowed. */
+ * as it was allowed. A peer that has begun to respond also ends the connection
+ * itself, at the deadline of the request or as its servers end under it: that
+ * says nothing about other requests. If it has ended, they find no
+ * connection. */
 static void
 handle_loss (struct eg_call *self, const char *cause, int64_t now_us)
 {
@@ -156,7 +159,8 @@
   else
     {
       self->servers_used_by_peers += attempt->peer_servers_max;
-      fail_peer (self, now_us);
+      if (attempt->status == 0)
+        fail_peer (self, now_us);
     }
   eg_call_attempt_failed (self, cause);
 }
--- a/entry/peer_paths.h
+++ b/entry/peer_paths.h
@@ -53,7 +53,8 @@
                             struct eg_endpoint peer,
                             int64_t now_us);
 
-/** Takes note that a request to a peer did not arrive, or was lost. */
+/** Takes note that a request to a peer did not arrive, or was lost before the
+ *  peer responded. */
 void eg_peer_paths_failed (struct eg_peer_paths *self,
                            struct eg_endpoint peer,
                            int64_t now_us);
--- a/policy/peer_choice.h
+++ b/policy/peer_choice.h
@@ -70,7 +70,8 @@
                              uint64_t peer,
                              int64_t now_us);
 
-/** Takes note that a peer was not reached, or lost a request. */
+/** Takes note that a peer was not reached, or lost a request before it
+ *  responded. */
 void eg_peer_choice_failed (struct eg_peer_choice *self,
                             uint64_t peer,
                             int64_t now_us);
--- a/test/test_reach.c
+++ b/test/test_reach.c
@@ -486,6 +486,51 @@
     }
 }
 
+/* Ends the runs of streams in the middle of their responses. */
+static void
+break_runs (struct streams_fixture *self)
+{
+  for (unsigned i = 0; i < STREAMS_ENGINES; i++)
+    {
+      struct eg_list *all = &self->engines[i].server.connections;
+
+      for (struct eg_list *at = all->next; at != all; at = at->next)
+        {
+          struct soak_http_connection *connection =
+              EG_CONTAINER_OF (at, struct soak_http_connection, link);
+
+          if (connection->handling && !connection->closed)
+            soak_http_abort (connection);
+        }
+    }
+}
+
+/* Guards against a peer that is left out because it had to give up one begun
+ * stream, such as one that crashes its servers: the only VM with a path to
+ * servers then served no other caller of this VM for 500 ms. */
+static void
+test_stream_that_a_peer_gives_up_does_not_keep_others_from_it (void **state)
+{
+  struct streams_fixture *self = *state;
+  int64_t end_us;
+
+  cut_and_notice (self, SOAK_CUT_RESET);
+  streams_client_send (self, 0,
+                       &(struct streams_request){.vm = 1, .body = "broken"});
+  assert_true (streams_wait (self, is_first_stream_begun, 1000));
+  end_us = eg_clock_now_us () + 5 * EG_US_PER_S;
+  while (streams_count_log (self, 1, "event=hop-lost") == 0
+         && eg_clock_now_us () < end_us)
+    {
+      break_runs (self);
+      streams_run (self, 10);
+    }
+  assert_int_equal (streams_count_log (self, 1, "event=hop-lost"), 1);
+  for (unsigned i = 0; i < 2; i++)
+    assert_served_promptly (
+        self, &(struct streams_request){.vm = 1, .plain = true, .body = ""});
+}
+
 #define REACH_TEST(name, start)                                                \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -521,6 +566,8 @@
       REACH_TEST (port_of_the_peers_serves_no_strangers_and_checks_keys,
                   start_two),
       REACH_TEST (failure_of_a_server_behind_a_peer_is_no_refusal, start_two),
+      REACH_TEST (stream_that_a_peer_gives_up_does_not_keep_others_from_it,
+                  start_two),
   };
 
   if (argc > 1)
