entry: a VM whose path returns serves VMs without a path

Cause: a VM that has reached a server again, but not yet three (path state "returning"), sends its own callers' requests to that server, and refused those of VMs without a path ("no-path"). It lasts until enough servers accept, however long that takes.

It now serves them, with its reported load raised by 10^6, so that it is chosen only if no VM with a complete path serves. While the path is lost or in doubt it still refuses.

--- a/entry/peer_paths.c
+++ b/entry/peer_paths.c
@@ -13,6 +13,9 @@
 /* Fraction of the file descriptors that connections may use before requests of
  * other VMs are refused; clients may use more. */
 #define CONNECTION_DESCRIPTORS_FRACTION 0.4
+/* Added to the load that a VM reports while its path returns: it reaches few
+ * servers yet, so that it is chosen only if no other VM serves. */
+#define RETURNING_LOAD 1e6
 
 void
 eg_peer_paths_init (struct eg_peer_paths *self, struct eg_entry *entry)
@@ -52,6 +55,7 @@
   const struct eg_entry *entry = self->entry;
   double unit =
       entry->settings->cpu_share > 0 ? 1 / entry->settings->cpu_share : 1;
+  double load = (double) entry->connections.running * unit;
   json_t *message = json_pack ("{s:s, s:b}", "kind", EG_PEER_PATHS_MESSAGE_KIND,
                                "asks", asks);
   char *text;
@@ -61,9 +65,9 @@
       json_object_set_new (
           message, "serves",
           json_boolean (!eg_peer_paths_refusal (self, eg_clock_now_us ())));
-      json_object_set_new (
-          message, "load",
-          json_real ((double) entry->connections.running * unit));
+      if (entry->fleet.reach.state == EG_REACH_RETURNING)
+        load += RETURNING_LOAD;
+      json_object_set_new (message, "load", json_real (load));
       json_object_set_new (message, "load_per_request", json_real (unit));
     }
   text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
--- a/entry/reach_watch.c
+++ b/entry/reach_watch.c
@@ -218,9 +218,12 @@
 {
   const struct eg_server_reach *reach = &self->entry->fleet.reach;
 
-  if (reach->state != EG_REACH_OK)
+  /* While the path returns, this VM sends its own callers' requests to the
+   * servers that it has reached since, and checks servers anyway. */
+  if (reach->state != EG_REACH_OK && reach->state != EG_REACH_RETURNING)
     return false;
-  if (!eg_server_reach_is_proven (reach, now_us - PROOF_AGE_MAX_US / 2))
+  if (reach->state == EG_REACH_OK
+      && !eg_server_reach_is_proven (reach, now_us - PROOF_AGE_MAX_US / 2))
     seek_proof (self, any_service, now_us);
   return eg_server_reach_is_proven (reach, now_us - PROOF_AGE_MAX_US);
 }
--- a/test/test_reach.c
+++ b/test/test_reach.c
@@ -531,6 +531,43 @@
         self, &(struct streams_request){.vm = 1, .plain = true, .body = ""});
 }
 
+static bool
+has_first_vm_lost_its_path (const struct streams_fixture *self)
+{
+  return streams_count_log (self, 0, "event=reach-lost") > 0;
+}
+
+static bool
+does_first_vm_return (const struct streams_fixture *self)
+{
+  return streams_count_log (self, 0, "to=returning") > 0;
+}
+
+/* Guards against a VM that has reached a server again after all had ended, but
+ * not yet enough of them, and then serves its own callers alone. */
+static void
+test_vm_whose_path_returns_serves_those_that_have_none (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct streams_engine *back = &self->engines[STREAMS_ENGINES];
+
+  for (unsigned i = 1; i < STREAMS_SERVERS; i++)
+    if (&self->engines[i] != back)
+      streams_engine_withdraw (&self->engines[i]);
+  cut_and_notice (self, SOAK_CUT_RESET);
+  streams_engine_crash (&self->engines[0]);
+  streams_engine_crash (back);
+  streams_client_request (self, 0,
+                          &(struct streams_request){.plain = true, .body = ""});
+  assert_true (streams_wait (self, has_first_vm_lost_its_path, 5000));
+  back->restart_us = eg_clock_now_us ();
+  assert_true (streams_wait (self, does_first_vm_return, 5000));
+  streams_run (self, 300);
+  for (unsigned i = 0; i < ROUNDS; i++)
+    assert_served_promptly (self, &(struct streams_request){
+                                      .vm = i % 2, .plain = true, .body = ""});
+}
+
 #define REACH_TEST(name, start)                                                \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -568,6 +605,7 @@
       REACH_TEST (failure_of_a_server_behind_a_peer_is_no_refusal, start_two),
       REACH_TEST (stream_that_a_peer_gives_up_does_not_keep_others_from_it,
                   start_two),
+      REACH_TEST (vm_whose_path_returns_serves_those_that_have_none, start_two),
   };
 
   if (argc > 1)
