entry: servers whose records a store has lost are checked for a path

Cause: a VM takes requests of others only if it has connected to a server within the last 500 ms, and connects to two to find out. It chose these among the servers that the store lists. When the store steps back, the servers that the copy lacks get requests for another 1.8 s, mostly over established connections, but were not chosen: the VM served its own callers well and refused all others ("no-path" with path state "ok") until the records were written again.

All servers that may get requests are checked now.

--- a/entry/reach_watch.c
+++ b/entry/reach_watch.c
@@ -95,7 +95,8 @@
 static const struct eg_str any_service = {NULL, 0};
 
 /* Chooses a server, of @p service unless that has no data, that is not being
- * checked and was not checked for longest, or NULL. */
+ * checked and was not checked for longest, or NULL. Servers whose records a
+ * store has lost get requests for a while, and are checked as long. */
 static struct eg_backend *
 choose_server (struct eg_reach_watch *self,
                struct eg_str service,
@@ -109,7 +110,8 @@
     {
       struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
 
-      if (!backend->listed || eg_backend_is_leaving (backend)
+      if (!eg_backend_is_present (backend, now_us)
+          || eg_backend_is_leaving (backend)
           || (service.data && !eg_str_equal (backend->record.service, service))
           || is_checked (self, eg_backend_hash (backend))
           || (chosen && precedes (self, chosen, backend, now_us)))
--- a/test/test_reach.c
+++ b/test/test_reach.c
@@ -25,6 +25,8 @@
 /* From the notice of a cut until another VM has the lease. */
 #define LEASE_TAKEN_MS 300
 #define ROUNDS 10
+/* As long as servers are used whose records a store has lost. */
+#define ROUNDS_AFTER_STEP_BACK 15
 
 static struct streams_fixture fixture;
 
@@ -568,6 +570,29 @@
                                       .vm = i % 2, .plain = true, .body = ""});
 }
 
+/* Guards against a VM that does not serve others although it reaches servers:
+ * it has no new connection to one, and does not try those whose records a
+ * store has lost that was restored from a copy. */
+static void
+test_vm_whose_store_steps_back_serves_those_without_a_path (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct soak_store_copy copy;
+
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+    streams_engine_withdraw (&self->engines[i]);
+  streams_run (self, NOTICED_MS);
+  soak_store_copy (&self->store, &copy);
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+    streams_engine_publish (&self->engines[i], false);
+  streams_run (self, NOTICED_MS);
+  cut_and_notice (self, SOAK_CUT_RESET);
+  soak_store_restore (&self->store, &copy);
+  for (unsigned i = 0; i < ROUNDS_AFTER_STEP_BACK; i++)
+    assert_served_promptly (self, &(struct streams_request){
+                                      .vm = i % 2, .plain = true, .body = ""});
+}
+
 #define REACH_TEST(name, start)                                                \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -606,6 +631,8 @@
       REACH_TEST (stream_that_a_peer_gives_up_does_not_keep_others_from_it,
                   start_two),
       REACH_TEST (vm_whose_path_returns_serves_those_that_have_none, start_two),
+      REACH_TEST (vm_whose_store_steps_back_serves_those_without_a_path,
+                  start_two),
   };
 
   if (argc > 1)
