entry: a short run clears no request while its server refuses connections

Cause: a run that is complete soon after it began shows that its request is sound if its server has not ended 1 s later. When all servers have crashed, a refused connection is proved to be the end of a server only 1 s after the path was lost, or later, and a request that had crashed three servers was cleared first. So were the parts of its prompt.

Such a run is now looked at until the refusals are explained, for 6 s at the most as for lost runs.

--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -316,6 +316,10 @@
     return true;
   if (now_us - run->ended_us < SHORT_RUN_PROOF_US)
     return false;
+  /* Whether a server that refuses connections has ended may show only later,
+   * when a server can be connected to, or when no peer reaches one either. */
+  if (run->backend->refused_us > 0)
+    return now_us - run->ended_us >= CONFIRM_TIMEOUT_US;
   eg_crash_watch_served (self, &run->subjects, now_us);
   return true;
 }
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -711,11 +711,13 @@
             "POST %s HTTP/1.1\r\nHost: streams.example\r\n"
             "X-Attempt-Id: a%u\r\nX-Deadline-Ms: %d\r\n"
             "X-Token-Usage: 100,%d\r\nApi-Key: key\r\n"
-            "%s%s%sContent-Length: %zu\r\n\r\n",
+            "%s%s%s%s%s%sContent-Length: %zu\r\n\r\n",
             get_path (sent), ++self->next_id, DEADLINE_MS, 2 * STREAMS_EVENTS,
             sent->parts ? "X-Prefix-Hash: " : "",
             sent->parts ? sent->parts : "", sent->parts ? "\r\n" : "",
-            request.body.len);
+            sent->last_event_id ? "Last-Event-Id: " : "",
+            sent->last_event_id ? sent->last_event_id : "",
+            sent->last_event_id ? "\r\n" : "", request.body.len);
   request.head = eg_str_from (head);
   eg_exchange_init (&client->exchange, &client_events, client);
   if (!eg_exchange_start (&client->exchange, &self->pool, &request))
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -120,6 +120,8 @@
   const char *body;  /**< If it starts with "deadly", its server ends. */
   const char *parts; /**< Parts of the prompt; NULL: none. */
   const char *path;  /**< NULL: that of its kind. */
+  /** Of the event after which a stream is resumed; NULL: it begins. */
+  const char *last_event_id;
 };
 
 /** An entry VM. */
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -24,6 +24,8 @@
 #define CUT_NOTICED_MS 1500
 /* What was served longer ago is not trusted any more. */
 #define LONG_CUT_MS 2500
+/* Longer than a request waits to be cleared after a short run. */
+#define RESTART_DELAY_MS 2500
 /* Runs are shorter than those that show that a request is sound. */
 #define CRASH_INTERVAL_MS 130
 
@@ -426,6 +428,47 @@
   assert_served (self, &sound);
 }
 
+/* Lets a request crash one server, and waits until that is back. */
+static void
+crash_once (struct streams_fixture *self, const struct streams_request *request)
+{
+  unsigned crashes = self->crashes;
+
+  streams_client_send (self, 0, request);
+  streams_run (self, 200);
+  streams_client_leave (self, 0);
+  assert_int_equal (self->crashes, crashes + 1);
+  streams_run (self, 1000);
+}
+
+/* Guards against a request that crashes its servers and is taken for a sound
+ * one, as one run was complete before its server ended: the end was not proved
+ * yet, as no other server could be connected to. */
+static void
+test_stream_that_ends_just_before_its_server_is_not_cleared (void **state)
+{
+  struct streams_fixture *self = *state;
+  const struct streams_request deadly = {.body = "deadly"};
+  const struct streams_request rest = {.body = "deadly",
+                                       .last_event_id = "149"};
+
+  streams_run (self, MEMBERS_READ_MS);
+  crash_once (self, &deadly);
+  crash_once (self, &deadly);
+  streams_client_send (self, 0, &rest);
+  streams_run (self, 150);
+  assert_int_equal (self->clients[0].relay.events, 1);
+  assert_true (self->clients[0].done);
+  assert_int_equal (self->crashes, 3);
+  /* The record of a new start would tell of the end at once. */
+  self->engines[0].restart_us =
+      eg_clock_now_us () + RESTART_DELAY_MS * EG_US_PER_MS;
+  streams_run (self, RESTART_DELAY_MS + 1500);
+  crash_once (self, &deadly);
+  streams_run (self, SPREAD_MS);
+  assert_refused (self, &deadly);
+}
+
 static void
 test_stream_that_was_reset_soon_after_a_probe_is_served (void **state)
 {
@@ -671,6 +714,8 @@
                   start_one_vm),
       CRASH_TEST (stream_that_was_reset_before_its_servers_ended_is_served,
                   start_one_vm),
+      CRASH_TEST (stream_that_ends_just_before_its_server_is_not_cleared,
+                  start_two_vms_with_one_engine),
       CRASH_TEST (stream_that_was_reset_soon_after_a_probe_is_served,
                   start_two_vms_with_one_engine),
       CRASH_TEST (requests_with_a_part_that_crashed_five_servers_are_not_sent,
