--- a/entry/reach_watch.c
+++ b/entry/reach_watch.c
@@ -95,7 +95,8 @@
 static const struct eg_str any_service = {NULL, 0};
 
 /* Chooses a server, of @p service unless that has no data, that is not being
- * checked and was not checked for longest, or NULL. */
+ * checked and was not checked for longest, or NULL. Servers whose records a
+ * store has lost get requests for a while, and are checked as long. */
 static struct eg_backend *
 choose_server (struct eg_reach_watch *self,
                struct eg_str service,
@@ -109,7 +110,8 @@
     {
       struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
 
-      if (!backend->listed || eg_backend_is_leaving (backend)
+      if (!eg_backend_is_present (backend, now_us)
+          || eg_backend_is_leaving (backend)
           || (service.data && !eg_str_equal (backend->record.service, service))
           || is_checked (self, eg_backend_hash (backend))
           || (chosen && precedes (self, chosen, backend, now_us)))
@@ -218,9 +220,12 @@
 {
   const struct eg_server_reach *reach = &self->entry->fleet.reach;
 
-  if (reach->state != EG_REACH_OK)
+  /* While the path returns, this VM sends its own callers' requests to the
+   * servers that it has reached since, and checks servers anyway. */
+  if (reach->state != EG_REACH_OK && reach->state != EG_REACH_RETURNING)
     return false;
-  if (!eg_server_reach_is_proven (reach, now_us - PROOF_AGE_MAX_US / 2))
+  if (reach->state == EG_REACH_OK
+      && !eg_server_reach_is_proven (reach, now_us - PROOF_AGE_MAX_US / 2))
     seek_proof (self, any_service, now_us);
   return eg_server_reach_is_proven (reach, now_us - PROOF_AGE_MAX_US);
 }
--- a/test/test_reach.c
+++ b/test/test_reach.c
@@ -25,6 +25,8 @@
 /* From the notice of a cut until another VM has the lease. */
 #define LEASE_TAKEN_MS 300
 #define ROUNDS 10
+/* As long as servers are used whose records a store has lost. */
+#define ROUNDS_AFTER_STEP_BACK 15
 
 static struct streams_fixture fixture;
 
@@ -486,6 +488,111 @@
     }
 }
 
+/* Ends the runs of streams in the middle of their responses. */
+static void
+break_runs (struct streams_fixture *self)
+{
+  for (unsigned i = 0; i < STREAMS_ENGINES; i++)
+    {
+      struct eg_list *all = &self->engines[i].server.connections;
+
+      for (struct eg_list *at = all->next; at != all; at = at->next)
+        {
+          struct soak_http_connection *connection =
+              EG_CONTAINER_OF (at, struct soak_http_connection, link);
+
+          if (connection->handling && !connection->closed)
+            soak_http_abort (connection);
+        }
+    }
+}
+
+/* Guards against a peer that is left out because it had to give up one begun
+ * stream, such as one that crashes its servers: the only VM with a path to
+ * servers then served no other caller of this VM for 500 ms. */
+static void
+test_stream_that_a_peer_gives_up_does_not_keep_others_from_it (void **state)
+{
+  struct streams_fixture *self = *state;
+  int64_t end_us;
+
+  cut_and_notice (self, SOAK_CUT_RESET);
+  streams_client_send (self, 0,
+                       &(struct streams_request){.vm = 1, .body = "broken"});
+  assert_true (streams_wait (self, is_first_stream_begun, 1000));
+  end_us = eg_clock_now_us () + 5 * EG_US_PER_S;
+  while (streams_count_log (self, 1, "event=hop-lost") == 0
+         && eg_clock_now_us () < end_us)
+    {
+      break_runs (self);
+      streams_run (self, 10);
+    }
+  assert_int_equal (streams_count_log (self, 1, "event=hop-lost"), 1);
+  for (unsigned i = 0; i < 2; i++)
+    assert_served_promptly (
+        self, &(struct streams_request){.vm = 1, .plain = true, .body = ""});
+}
+
+static bool
+has_first_vm_lost_its_path (const struct streams_fixture *self)
+{
+  return streams_count_log (self, 0, "event=reach-lost") > 0;
+}
+
+static bool
+does_first_vm_return (const struct streams_fixture *self)
+{
+  return streams_count_log (self, 0, "to=returning") > 0;
+}
+
+/* Guards against a VM that has reached a server again after all had ended, but
+ * not yet enough of them, and then serves its own callers alone. */
+static void
+test_vm_whose_path_returns_serves_those_that_have_none (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct streams_engine *back = &self->engines[STREAMS_ENGINES];
+
+  for (unsigned i = 1; i < STREAMS_SERVERS; i++)
+    if (&self->engines[i] != back)
+      streams_engine_withdraw (&self->engines[i]);
+  cut_and_notice (self, SOAK_CUT_RESET);
+  streams_engine_crash (&self->engines[0]);
+  streams_engine_crash (back);
+  streams_client_request (self, 0,
+                          &(struct streams_request){.plain = true, .body = ""});
+  assert_true (streams_wait (self, has_first_vm_lost_its_path, 5000));
+  back->restart_us = eg_clock_now_us ();
+  assert_true (streams_wait (self, does_first_vm_return, 5000));
+  streams_run (self, 300);
+  for (unsigned i = 0; i < ROUNDS; i++)
+    assert_served_promptly (self, &(struct streams_request){
+                                      .vm = i % 2, .plain = true, .body = ""});
+}
+
+/* Guards against a VM that does not serve others although it reaches servers:
+ * it has no new connection to one, and does not try those whose records a
+ * store has lost that was restored from a copy. */
+static void
+test_vm_whose_store_steps_back_serves_those_without_a_path (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct soak_store_copy copy;
+
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+    streams_engine_withdraw (&self->engines[i]);
+  streams_run (self, NOTICED_MS);
+  soak_store_copy (&self->store, &copy);
+  for (unsigned i = 0; i < STREAMS_SERVERS; i++)
+    streams_engine_publish (&self->engines[i], false);
+  streams_run (self, NOTICED_MS);
+  cut_and_notice (self, SOAK_CUT_RESET);
+  soak_store_restore (&self->store, &copy);
+  for (unsigned i = 0; i < ROUNDS_AFTER_STEP_BACK; i++)
+    assert_served_promptly (self, &(struct streams_request){
+                                      .vm = i % 2, .plain = true, .body = ""});
+}
+
 #define REACH_TEST(name, start)                                                \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -521,6 +628,11 @@
       REACH_TEST (port_of_the_peers_serves_no_strangers_and_checks_keys,
                   start_two),
       REACH_TEST (failure_of_a_server_behind_a_peer_is_no_refusal, start_two),
+      REACH_TEST (stream_that_a_peer_gives_up_does_not_keep_others_from_it,
+                  start_two),
+      REACH_TEST (vm_whose_path_returns_serves_those_that_have_none, start_two),
+      REACH_TEST (vm_whose_store_steps_back_serves_those_without_a_path,
+                  start_two),
   };
 
   if (argc > 1)
