entry: members are found by endpoint in a table

eg_members_admit() walked the list of entry VMs for each datagram, and so did the lookups of the VMs that answer questions about versions and paths.

The members are now also in a map by endpoint, which is built again after each page of the list. Of two members with the same endpoint, the first of the list is found, as before. Tests that put a member into the list put it into the table.

--- a/entry/members.c
+++ b/entry/members.c
@@ -193,6 +193,22 @@
     self->in_domain = 1;
 }
 
+/* Of members with the same endpoint, such as a VM and a former one at its
+ * address, the one that has been known longer is found. */
+static void
+index_endpoints (struct eg_members *self)
+{
+  eg_map_finish (&self->by_endpoint);
+  for (struct eg_list *at = self->all.next; at != &self->all; at = at->next)
+    {
+      struct eg_member *member = EG_CONTAINER_OF (at, struct eg_member, all);
+      uint64_t key = eg_endpoint_key (member->endpoint);
+
+      if (!eg_map_get (&self->by_endpoint, key))
+        eg_map_put (&self->by_endpoint, key, member);
+    }
+}
+
 static void
 drop_expired (struct eg_members *self, int64_t now_us)
 {
@@ -211,6 +227,7 @@
     }
   while ((link = eg_list_pop_front (&kept)))
     eg_list_append (&self->all, link);
+  index_endpoints (self);
 }
 
 static void
@@ -258,6 +275,7 @@
       EG_CONTAINER_OF (at, struct eg_member, all)->marked = false;
   json_array_foreach (items, index, object)
       update_member (self, object, now_us);
+  index_endpoints (self);
   switch (eg_store_page_next (document, self->after, sizeof self->after))
     {
     case EG_PAGE_MORE:
@@ -331,6 +349,7 @@
 
   eg_store_call_finish (&self->list_call);
   eg_store_call_finish (&self->own_call);
+  eg_map_finish (&self->by_endpoint);
   while ((link = eg_list_pop_front (&self->all)))
     free (EG_CONTAINER_OF (link, struct eg_member, all));
 }
@@ -460,16 +479,7 @@
 const struct eg_member *
 eg_members_find_endpoint (const struct eg_members *self, uint64_t key)
 {
-  for (const struct eg_list *at = self->all.next; at != &self->all;
-       at = at->next)
-    {
-      const struct eg_member *member =
-          EG_CONTAINER_OF (at, struct eg_member, all);
-
-      if (eg_endpoint_key (member->endpoint) == key)
-        return member;
-    }
-  return NULL;
+  return eg_map_get (&self->by_endpoint, key);
 }
 
 bool
--- a/entry/members.h
+++ b/entry/members.h
@@ -13,6 +13,7 @@
 #define EG_ENTRY_MEMBERS_H
 
 #include "base/list.h"
+#include "base/map.h"
 #include "platform/store.h"
 #include "policy/server_rate.h"
 
@@ -54,6 +55,7 @@
 {
   struct eg_entry *entry;
   struct eg_list all;
+  struct eg_map by_endpoint; /**< All members, by eg_endpoint_key(). */
   struct eg_store_call list_call;
   struct eg_store_call own_call;
   char after[EG_STORE_AFTER_BYTES];
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -181,6 +181,8 @@
                  EG_STR ("{\"kind\":\"sum\",\"heard\":[\"room\",\"\xff\","
                          "\"hall\"],\"down\":[\"\\u0000\"],\"loads\":{"
                          "\"i-0\":[1e400,0,0],\"i-1\":[1e300,-7,2]}}"));
+  eg_map_put (&entry.members.by_endpoint, eg_endpoint_key (sender.endpoint),
+              &sender);
   for (int i = 0; i < 100 && gossip->contact_count == 0; i++)
     {
       uv_run (&entry.loop, UV_RUN_NOWAIT);
@@ -192,6 +194,7 @@
   assert_true (backend->first_others >= 0);
   assert_true (backend->peer_slowness >= 2);
   eg_load_gossip_finish (gossip);
+  eg_map_finish (&entry.members.by_endpoint);
   uv_run (&entry.loop, UV_RUN_NOWAIT);
   uv_loop_close (&entry.loop);
   eg_fleet_finish (&entry.fleet);
@@ -269,6 +272,7 @@
   assert_false (
       eg_members_admit (&members, (struct eg_endpoint){1, 1}, now_us));
   eg_list_append (&members.all, &known.all);
+  eg_map_put (&members.by_endpoint, eg_endpoint_key (known.endpoint), &known);
   members.lists_read = 1;
   members.list_sent_us = now_us;
   members.list_due_us = now_us + 10 * EG_US_PER_S;
@@ -289,6 +293,7 @@
     }
   /* In 20 s, 0.25 s apart at first, then twice as long each time. */
   assert_in_range (reads, 5, 8);
+  eg_map_finish (&members.by_endpoint);
 }
 
 static void
@@ -339,6 +344,79 @@
   eg_members_finish (members);
 }
 
+static bool
+is_found (const struct eg_members *members, uint16_t port)
+{
+  struct eg_endpoint endpoint = {htonl (0x7f000001), htons (port)};
+  const struct eg_member *member =
+      eg_members_find_endpoint (members, eg_endpoint_key (endpoint));
+
+  if (member)
+    assert_int_equal (eg_endpoint_key (member->endpoint),
+                      eg_endpoint_key (endpoint));
+  return member;
+}
+
+/* Guards against a table by endpoint that differs from the list: messages of
+ * members would be dropped, those of former ones accepted, and a lookup could
+ * return freed memory. */
+static void
+test_members_are_found_by_their_present_endpoint (void **state)
+{
+  static struct eg_entry entry;
+  static struct eg_entry_settings settings = {.domain = "here",
+                                              .listen_peers = "127.0.0.1:9"};
+  struct eg_members *members = &entry.members;
+
+  (void) state;
+  entry.settings = &settings;
+  eg_members_init (members, &entry);
+  assert_false (is_found (members, 1));
+  /* Members are found before the last page has been read. */
+  reply (&members->list_call, EG_STORE_OK,
+         "{\"items\":[" MEMBER ("vm-1", "127.0.0.1:1") "," MEMBER (
+             "vm-2", "127.0.0.1:2") "],\"hasMore\":true}");
+  assert_true (is_found (members, 1) && is_found (members, 2));
+  assert_false (is_found (members, 3));
+  reply (&members->list_call, EG_STORE_OK,
+         "{\"items\":[" MEMBER ("vm-3", "127.0.0.1:3") "],\"hasMore\":false}");
+  assert_true (is_found (members, 1) && is_found (members, 3));
+  /* One is gone, one has moved, and one has the address of a former one. */
+  reply (&members->list_call, EG_STORE_OK,
+         "{\"items\":[" MEMBER ("vm-2", "127.0.0.1:4") "," MEMBER (
+             "vm-4", "127.0.0.1:3") "],\"hasMore\":false}");
+  assert_int_equal (eg_members_count (members), 2);
+  assert_false (is_found (members, 1) || is_found (members, 2));
+  assert_true (is_found (members, 3) && is_found (members, 4));
+  assert_true (eg_members_admit (
+      members, (struct eg_endpoint){htonl (0x7f000001), htons (4)}, 1));
+  eg_members_finish (members);
+}
+
+/* Guards against a member that is lost because another one, which is in the
+ * list until it expires, has the same address. */
+static void
+test_member_at_the_address_of_another_one_is_found (void **state)
+{
+  static struct eg_entry entry;
+  static struct eg_entry_settings settings = {.domain = "here",
+                                              .listen_peers = "127.0.0.1:9"};
+  struct eg_members *members = &entry.members;
+
+  (void) state;
+  entry.settings = &settings;
+  eg_members_init (members, &entry);
+  reply (&members->list_call, EG_STORE_OK,
+         "{\"items\":[" MEMBER ("vm-1", "127.0.0.1:1") "," MEMBER (
+             "vm-2", "127.0.0.1:1") "],\"hasMore\":false}");
+  assert_int_equal (eg_members_count (members), 2);
+  assert_true (is_found (members, 1));
+  reply (&members->list_call, EG_STORE_OK,
+         "{\"items\":[" MEMBER ("vm-2", "127.0.0.1:1") "],\"hasMore\":false}");
+  assert_true (is_found (members, 1));
+  eg_members_finish (members);
+}
+
 /* Guards against a loop of writes to the store while it returns an object
  * without a spec. Only a conflict shows that another writer's object has to be
  * replaced at once. */
@@ -373,6 +451,8 @@
       cmocka_unit_test (test_feeds_do_not_send_each_other_to_a_dead_reader),
       cmocka_unit_test (test_list_is_read_again_for_an_unknown_sender),
       cmocka_unit_test (test_members_stay_if_a_list_cannot_be_continued),
+      cmocka_unit_test (test_members_are_found_by_their_present_endpoint),
+      cmocka_unit_test (test_member_at_the_address_of_another_one_is_found),
       cmocka_unit_test (test_own_object_without_spec_is_not_written_in_a_loop),
   };
 
