entry: senders that are no members are counted in one place

Datagrams and reads of senders that are not in the list of entry VMs were counted and logged by two copies of the code, and the one for reads did not name the sender.

eg_members_count_foreign() does both, with one rate of log lines for each of the two. The events keep their names, message-foreign and peer-foreign; peer-foreign now has the address that the sender has named, the number of lists read and the occurrences.

--- a/entry/connections.c
+++ b/entry/connections.c
@@ -293,14 +293,10 @@
 static void
 refuse_stranger (struct eg_connection *self, int64_t now_us)
 {
-  static struct eg_log_rate rate;
-
-  eg_metrics_count (&self->entry->metrics, EG_COUNT_MESSAGES_FOREIGN);
-  if (eg_log_rate_admits (&rate, now_us))
-    eg_log (EG_LOG_WARNING, "callers",
-            "event=peer-foreign cause=\"the sender is not in the list of entry "
-            "VMs\" times=%" PRIu64,
-            rate.count);
+  struct eg_endpoint vm;
+
+  eg_request_vm_decode (&self->reader.head, &vm);
+  eg_members_count_foreign (&self->entry->members, EG_FOREIGN_READ, vm, now_us);
   send_text (self, 503, EG_STR ("text/plain"),
              EG_STR ("only entry VMs of this system are served here\n"));
 }
--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -1,7 +1,6 @@
 #include "entry/load_gossip.h"
 
 #include <arpa/inet.h>
-#include <inttypes.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -447,27 +446,6 @@
   space->len = sizeof bytes;
 }
 
-/* VMs send from the address in their objects. Senders may be VMs of another
- * system that have the address of a former VM of this one. */
-static bool
-is_from_member (struct eg_load_gossip *self,
-                struct eg_endpoint from,
-                int64_t now_us)
-{
-  char address[INET_ADDRSTRLEN];
-
-  if (eg_members_admit (&self->entry->members, from, now_us))
-    return true;
-  eg_metrics_count (&self->entry->metrics, EG_COUNT_MESSAGES_FOREIGN);
-  inet_ntop (AF_INET, &from.ip, address, sizeof address);
-  if (eg_log_rate_admits (&self->foreign, now_us))
-    eg_log (EG_LOG_WARNING, "loads",
-            "event=message-foreign from=%s:%u lists_read=%u times=%" PRIu64,
-            address, ntohs (from.port), self->entry->members.lists_read,
-            self->foreign.count);
-  return false;
-}
-
 static void
 count_undecodable (struct eg_load_gossip *self,
                    struct eg_endpoint from,
@@ -503,8 +481,14 @@
   if (len <= 0 || !address)
     return;
   from = (struct eg_endpoint){source->sin_addr.s_addr, source->sin_port};
-  if (!is_from_member (self, from, eg_clock_now_us ()))
-    return;
+  /* VMs send from the address in their objects. Senders may be VMs of another
+   * system that have the address of a former VM of this one. */
+  if (!eg_members_admit (&self->entry->members, from, eg_clock_now_us ()))
+    {
+      eg_members_count_foreign (&self->entry->members, EG_FOREIGN_MESSAGE, from,
+                                eg_clock_now_us ());
+      return;
+    }
   message = eg_json_parse_decodable ((struct eg_str){space->base, (size_t) len},
                                      MESSAGE_LEVELS, &undecodable);
   count_undecodable (self, from, undecodable, eg_clock_now_us ());
--- a/entry/load_gossip.h
+++ b/entry/load_gossip.h
@@ -53,7 +53,6 @@
   size_t peer_count;
   struct eg_domain_contact contacts[EG_LOAD_DOMAINS_MAX];
   size_t contact_count;
-  struct eg_log_rate foreign; /**< Messages of senders that are no members. */
   int64_t sent_us;
   int64_t alert_sent_us;
   uint64_t undecodable; /**< Values of messages that were left out. */
--- a/entry/members.c
+++ b/entry/members.c
@@ -1,5 +1,6 @@
 #include "entry/members.h"
 
+#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -531,6 +532,26 @@
   return false;
 }
 
+void
+eg_members_count_foreign (struct eg_members *self,
+                          enum eg_foreign_input input,
+                          struct eg_endpoint sender,
+                          int64_t now_us)
+{
+  static const char *const events[] = {
+      [EG_FOREIGN_MESSAGE] = "message-foreign",
+      [EG_FOREIGN_READ] = "peer-foreign",
+  };
+  struct in_addr ip = {sender.ip};
+
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_MESSAGES_FOREIGN);
+  if (eg_log_rate_admits (&self->foreign[input], now_us))
+    eg_log (EG_LOG_WARNING, "members",
+            "event=%s from=%s:%u lists_read=%u times=%" PRIu64, events[input],
+            inet_ntoa (ip), ntohs (sender.port), self->lists_read,
+            self->foreign[input].count);
+}
+
 const struct eg_member *
 eg_members_find_host (const struct eg_members *self,
                       struct eg_endpoint endpoint)
--- a/entry/members.h
+++ b/entry/members.h
@@ -13,6 +13,7 @@
 #define EG_ENTRY_MEMBERS_H
 
 #include "base/list.h"
+#include "base/log.h"
 #include "base/map.h"
 #include "platform/store.h"
 #include "policy/server_rate.h"
@@ -33,6 +34,14 @@
   int64_t interval_us;  /**< Between reads; doubled with each one. */
 };
 
+/** What is not accepted from senders that are no members. */
+enum eg_foreign_input
+{
+  EG_FOREIGN_MESSAGE, /**< A datagram, which is dropped. */
+  EG_FOREIGN_READ,    /**< A read by another VM, which is refused. */
+  EG_FOREIGN_INPUTS,
+};
+
 /** One entry VM, as described by its object. */
 struct eg_member
 {
@@ -76,6 +85,7 @@
   struct eg_endpoint own_endpoint;
   struct eg_stranger strangers[EG_STRANGERS_MAX];
   size_t next_stranger; /**< Position of the next one to be replaced. */
+  struct eg_log_rate foreign[EG_FOREIGN_INPUTS];
   /** Peer addresses of the readers of all failure domains. */
   struct eg_endpoint all_readers[EG_READERS_MAX];
   size_t all_reader_count;
@@ -136,6 +146,12 @@
                        struct eg_endpoint sender,
                        int64_t now_us);
 
+/** Counts and logs what was not accepted, as its sender is no member. */
+void eg_members_count_foreign (struct eg_members *self,
+                               enum eg_foreign_input input,
+                               struct eg_endpoint sender,
+                               int64_t now_us);
+
 /** Returns the member whose peers' listener has the given IP address, or NULL.
  */
 const struct eg_member *eg_members_find_host (const struct eg_members *self,
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -417,6 +417,25 @@
   eg_members_finish (members);
 }
 
+/* Datagrams and reads of senders that are no members were counted and logged by
+ * two copies of the code, of which one did not name the sender. */
+static void
+test_foreign_senders_are_counted_once_each (void **state)
+{
+  static struct eg_entry entry;
+  const struct eg_endpoint sender = {htonl (0x7f000001), htons (1)};
+  struct eg_members *members = &entry.members;
+
+  (void) state;
+  members->entry = &entry;
+  for (int i = 0; i < 3; i++)
+    eg_members_count_foreign (members, EG_FOREIGN_MESSAGE, sender, 1);
+  eg_members_count_foreign (members, EG_FOREIGN_READ, sender, 1);
+  assert_int_equal (entry.metrics.counts[EG_COUNT_MESSAGES_FOREIGN], 4);
+  assert_int_equal (members->foreign[EG_FOREIGN_MESSAGE].count, 3);
+  assert_int_equal (members->foreign[EG_FOREIGN_READ].count, 1);
+}
+
 /* Guards against a loop of writes to the store while it returns an object
  * without a spec. Only a conflict shows that another writer's object has to be
  * replaced at once. */
@@ -453,6 +472,7 @@
       cmocka_unit_test (test_members_stay_if_a_list_cannot_be_continued),
       cmocka_unit_test (test_members_are_found_by_their_present_endpoint),
       cmocka_unit_test (test_member_at_the_address_of_another_one_is_found),
+      cmocka_unit_test (test_foreign_senders_are_counted_once_each),
       cmocka_unit_test (test_own_object_without_spec_is_not_written_in_a_loop),
   };
 
