entry: message types between VMs register themselves

entry/load_gossip.c held the socket of the datagrams between VMs, checked their senders, decoded them, and knew by name the messages and fields of crash suspects, limits of servers, versions, path questions and the lease.

It is split in three. entry/vm_messages has the socket, the check of the sender, the decoding and a table of registered types, each with a period and callbacks with a context pointer; it knows no type. entry/load_gossip keeps the load figures. entry/server_alerts has the suspect and leaving servers and the limits. These and the crash watch, the versions, the paths and the planner register their types when they are initialised; a type registered twice stops the start.

Names, layouts, receivers and intervals stay as they were. In three cases the behaviour differs: - A message of an unknown type is counted (messages_unknown_total) and dropped. It was taken for the load of one VM if it had loads, and its lists of servers were applied.

--- a/entry/configuration_spread.c
+++ b/entry/configuration_spread.c
@@ -10,6 +10,7 @@
 #include "entry/entry.h"
 #include "platform/configuration.h"
 
+#define VERSION_MESSAGE_KIND "version"
 /* A large configuration takes some hundred milliseconds on a small VM. */
 #define FETCH_TIMEOUT_US (700 * EG_US_PER_MS)
 /* Starts of servers in an answer, some 35 bytes each. */
@@ -34,22 +35,6 @@
     eg_entry_accept_configuration (self->entry, document);
 }
 
-void
-eg_configuration_spread_init (struct eg_configuration_spread *self,
-                              struct eg_entry *entry)
-{
-  const struct eg_store_reply_sink sink = {on_fetched, self};
-
-  memset (self, 0, sizeof *self);
-  self->entry = entry;
-  self->peer.pool = &entry->pool;
-  self->peer.is_peer = true;
-  self->peer.caller = entry->settings->listen_peers;
-  eg_version_spread_init (&self->versions, entry->settings->first_start,
-                          eg_clock_now_us ());
-  eg_store_call_init (&self->call, &self->peer, &sink);
-}
-
 void
 eg_configuration_spread_finish (struct eg_configuration_spread *self)
 {
@@ -109,7 +94,7 @@
               bool to_starting_vm)
 {
   json_t *document =
-      json_pack ("{s:s, s:I, s:b, s:b}", "kind", EG_VERSION_MESSAGE_KIND,
+      json_pack ("{s:s, s:I, s:b, s:b}", "kind", VERSION_MESSAGE_KIND,
                  "version", (json_int_t) message->version, "asks",
                  message->asks, "confirmed", message->confirmed);
   char *text;
@@ -122,17 +107,18 @@
           eg_server_limits_list (self->entry, 0, eg_clock_now_us ()));
     }
   text = json_dumps (document, JSON_COMPACT);
-  eg_load_gossip_send (&self->entry->load_gossip, to, text);
+  eg_vm_messages_send (&self->entry->vm_messages, to, eg_str_from (text));
   free (text);
   json_decref (document);
 }
 
-void
-eg_configuration_spread_receive (struct eg_configuration_spread *self,
-                                 struct eg_endpoint from,
-                                 const json_t *message,
-                                 int64_t now_us)
+static void
+on_message (void *context,
+            struct eg_endpoint from,
+            const json_t *message,
+            int64_t now_us)
 {
+  struct eg_configuration_spread *self = context;
   const json_t *version = json_object_get (message, "version");
   const struct eg_version_message received = {
       json_integer_value (version),
@@ -154,6 +140,26 @@
     send_message (self, from, &answer, received.asks);
 }
 
+void
+eg_configuration_spread_init (struct eg_configuration_spread *self,
+                              struct eg_entry *entry)
+{
+  const struct eg_store_reply_sink sink = {on_fetched, self};
+  const struct eg_vm_message_type type = {.name = EG_STR (VERSION_MESSAGE_KIND),
+                                          .receive = on_message,
+                                          .context = self};
+
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  self->peer.pool = &entry->pool;
+  self->peer.is_peer = true;
+  self->peer.caller = entry->settings->listen_peers;
+  eg_version_spread_init (&self->versions, entry->settings->first_start,
+                          eg_clock_now_us ());
+  eg_store_call_init (&self->call, &self->peer, &sink);
+  EG_INVARIANT (eg_vm_messages_register (&entry->vm_messages, &type));
+}
+
 /* Sends to some members, from a random position of the list on. */
 static void
 send_round (struct eg_configuration_spread *self,
--- a/entry/configuration_spread.h
+++ b/entry/configuration_spread.h
@@ -12,9 +12,6 @@
 
 struct eg_entry;
 
-/** Kind of the messages between VMs. */
-#define EG_VERSION_MESSAGE_KIND "version"
-
 /** State of one VM; allocated by the caller. */
 struct eg_configuration_spread
 {
@@ -24,7 +21,7 @@
   struct eg_store_call call;
 };
 
-/** Initialises without a configuration. */
+/** Initialises without a configuration, and registers the message type. */
 void eg_configuration_spread_init (struct eg_configuration_spread *self,
                                    struct eg_entry *entry);
 
@@ -35,12 +32,6 @@
 void eg_configuration_spread_set_version (struct eg_configuration_spread *self,
                                           int64_t version);
 
-/** Handles a message of another VM. */
-void eg_configuration_spread_receive (struct eg_configuration_spread *self,
-                                      struct eg_endpoint from,
-                                      const json_t *message,
-                                      int64_t now_us);
-
 /** Sends messages and starts calls that are due; call it on every tick. */
 void eg_configuration_spread_check (struct eg_configuration_spread *self,
                                     int64_t now_us);
--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -35,6 +35,7 @@
 #define RUN_PARTS_MAX 65536
 /* When a request that another VM may try is to come again. */
 #define TRIAL_WAIT_US (1 * EG_US_PER_S)
+#define CRASH_MESSAGE_KIND "crashes"
 #define NEWS_INTERVAL_US (100 * EG_US_PER_MS)
 #define NEWS_MESSAGES_MAX 3
 #define SUMMARY_INTERVAL_US (500 * EG_US_PER_MS)
@@ -87,25 +88,6 @@
           kind_names[suspect->subject.kind], suspect->subject.id);
 }
 
-void
-eg_crash_watch_init (struct eg_crash_watch *self, struct eg_entry *entry)
-{
-  const struct eg_crash_blame_config config = {
-      .crashes_min = {[EG_SUBJECT_REQUEST] = REQUEST_CRASHES_MIN,
-                      [EG_SUBJECT_PART] = PART_CRASHES_MIN},
-      .settle_us = SETTLE_US,
-      .trust_us = TRUST_US,
-      .window_us = EG_QUARANTINE_US,
-      .duration_us = EG_QUARANTINE_US,
-      .suspects_max = SUSPECTS_MAX};
-  const struct eg_crash_blame_events events = {on_blamed, on_cleared, self};
-
-  memset (self, 0, sizeof *self);
-  self->entry = entry;
-  eg_list_init (&self->runs);
-  EG_INVARIANT (eg_crash_blame_init (&self->blame, &config, &events));
-}
-
 static struct watched_run *
 run_from_link (struct eg_list *link)
 {
@@ -426,15 +408,18 @@
   return true;
 }
 
-void
-eg_crash_watch_receive (struct eg_crash_watch *self,
-                        const json_t *message,
-                        int64_t now_us)
+static void
+on_message (void *context,
+            struct eg_endpoint from,
+            const json_t *message,
+            int64_t now_us)
 {
+  struct eg_crash_watch *self = context;
   const json_t *suspects = json_object_get (message, "suspects");
   const json_t *document;
   size_t index;
 
+  (void) from;
   json_array_foreach (suspects, index, document)
   {
     struct eg_suspect suspect;
@@ -459,7 +444,7 @@
   for (size_t i = 0; i < count; i++)
     json_array_append_new (list, encode_suspect (suspects[i], now_us));
   message =
-      json_pack ("{s:s, s:o}", "kind", EG_CRASH_MESSAGE_KIND, "suspects", list);
+      json_pack ("{s:s, s:o}", "kind", CRASH_MESSAGE_KIND, "suspects", list);
   text = json_dumps (message, JSON_COMPACT);
   json_decref (message);
   return text;
@@ -477,9 +462,9 @@
   if (at != &members->all
       && !eg_members_is_own (
           members, EG_CONTAINER_OF (at, struct eg_member, all)->endpoint))
-    eg_load_gossip_send (&self->entry->load_gossip,
+    eg_vm_messages_send (&self->entry->vm_messages,
                          EG_CONTAINER_OF (at, struct eg_member, all)->endpoint,
-                         text);
+                         eg_str_from (text));
 }
 
 static void
@@ -500,6 +485,20 @@
   free (text);
 }
 
+static bool
+send_due_news (void *context, int64_t now_us)
+{
+  struct eg_crash_watch *self = context;
+  int sent = 0;
+
+  while (sent < NEWS_MESSAGES_MAX && eg_crash_blame_has_news (&self->blame))
+    {
+      send_news (self, now_us);
+      sent++;
+    }
+  return sent > 0;
+}
+
 /* Tells one VM, each in its turn, what it may have missed: one that was cut off
  * or has started again knows it after a few messages. */
 static void
@@ -519,6 +518,31 @@
   free (text);
 }
 
+void
+eg_crash_watch_init (struct eg_crash_watch *self, struct eg_entry *entry)
+{
+  const struct eg_crash_blame_config config = {
+      .crashes_min = {[EG_SUBJECT_REQUEST] = REQUEST_CRASHES_MIN,
+                      [EG_SUBJECT_PART] = PART_CRASHES_MIN},
+      .settle_us = SETTLE_US,
+      .trust_us = TRUST_US,
+      .window_us = EG_QUARANTINE_US,
+      .duration_us = EG_QUARANTINE_US,
+      .suspects_max = SUSPECTS_MAX};
+  const struct eg_crash_blame_events events = {on_blamed, on_cleared, self};
+  const struct eg_vm_message_type type = {.name = EG_STR (CRASH_MESSAGE_KIND),
+                                          .receive = on_message,
+                                          .send = send_due_news,
+                                          .period_us = NEWS_INTERVAL_US,
+                                          .context = self};
+
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  eg_list_init (&self->runs);
+  EG_INVARIANT (eg_crash_blame_init (&self->blame, &config, &events));
+  EG_INVARIANT (eg_vm_messages_register (&entry->vm_messages, &type));
+}
+
 void
 eg_crash_watch_check (struct eg_crash_watch *self, int64_t now_us)
 {
@@ -537,14 +561,6 @@
   eg_crash_blame_check (&self->blame, now_us);
   if (self->entry->members.lists_read == 0)
     return;
-  if (now_us - self->news_sent_us >= NEWS_INTERVAL_US
-      && eg_crash_blame_has_news (&self->blame))
-    {
-      self->news_sent_us = now_us;
-      for (int i = 0;
-           i < NEWS_MESSAGES_MAX && eg_crash_blame_has_news (&self->blame); i++)
-        send_news (self, now_us);
-    }
   if (now_us - self->summary_sent_us >= SUMMARY_INTERVAL_US)
     {
       self->summary_sent_us = now_us;
--- a/entry/crash_watch.h
+++ b/entry/crash_watch.h
@@ -11,8 +11,6 @@
 #ifndef EG_ENTRY_CRASH_WATCH_H
 #define EG_ENTRY_CRASH_WATCH_H
 
-#include <jansson.h>
-
 #include "base/list.h"
 #include "policy/crash_blame.h"
 
@@ -26,9 +24,6 @@
 /** Duration of a quarantine. */
 #define EG_QUARANTINE_US INT64_C (600000000)
 
-/** Kind of the messages between VMs. */
-#define EG_CRASH_MESSAGE_KIND "crashes"
-
 /** State of one VM; allocated by the caller. */
 struct eg_crash_watch
 {
@@ -37,12 +32,11 @@
   struct eg_list runs; /**< Lost or ended early, the oldest first. */
   size_t run_count;
   size_t run_part_count; /**< Of the prompts of all these runs. */
-  int64_t news_sent_us;
   int64_t summary_sent_us;
   size_t summary_member; /**< Position of the member to send it to. */
 };
 
-/** Initialises without suspects. */
+/** Initialises without suspects, and registers the message type. */
 void eg_crash_watch_init (struct eg_crash_watch *self, struct eg_entry *entry);
 
 /** Frees all suspects and lost runs. */
@@ -97,12 +91,10 @@
                              const struct eg_crash_subjects *subjects,
                              int64_t sent_us);
 
-/** Handles a message of another VM. */
-void eg_crash_watch_receive (struct eg_crash_watch *self,
-                             const json_t *message,
-                             int64_t now_us);
-
-/** Confirms crashes and sends messages that are due; call it on every tick. */
+/**
+ * Confirms crashes and sends a summary if one is due; call it on every tick.
+ * News is sent by the exchange of messages.
+ */
 void eg_crash_watch_check (struct eg_crash_watch *self, int64_t now_us);
 
 #endif
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -19,9 +19,11 @@
 #include "entry/quarantine_store.h"
 #include "entry/reach_watch.h"
 #include "entry/reload.h"
+#include "entry/server_alerts.h"
 #include "entry/server_limits.h"
 #include "entry/settings.h"
 #include "entry/source_selector.h"
+#include "entry/vm_messages.h"
 #include "entry/wait_queue.h"
 #include "platform/store.h"
 #include "policy/retry_window.h"
@@ -84,7 +86,9 @@
   struct eg_metrics metrics;
   struct eg_hash_table services; /**< States of services, by name. */
   struct eg_members members;
+  struct eg_vm_messages vm_messages;
   struct eg_load_gossip load_gossip;
+  struct eg_server_alerts server_alerts;
   struct eg_crash_watch crash_watch;
   struct eg_quarantine_store quarantine_store;
   struct eg_wait_queues wait_queues;
--- a/entry/load_gossip.c
+++ b/entry/load_gossip.c
@@ -1,6 +1,5 @@
 #include "entry/load_gossip.h"
 
-#include <arpa/inet.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,7 +7,6 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/entry.h"
-#include "http/json.h"
 
 /* Interval between messages. */
 #define MESSAGE_INTERVAL_US (200 * EG_US_PER_MS)
@@ -17,105 +15,18 @@
 /* A failure domain whose readers are silent for this long (three messages)
  * is considered partitioned. */
 #define DOMAIN_TIMEOUT_US (700 * EG_US_PER_MS)
-/* Maximum message size; larger datagrams are not delivered on every network. */
-#define MESSAGE_BYTES_MAX 8192
 /* Kinds of message: the load of one VM, of a reader's group, of all VMs. */
 #define KIND_OWN "own"
 #define KIND_GROUP "group"
 #define KIND_SUM "sum"
-#define KIND_ALERT "alert" /* Contains suspects only. */
 /* Maximum age of a report whose slowdown is passed on. */
 #define REPORT_AGE_MAX_US (4000 * EG_US_PER_MS)
 /* Minimum slowdown to pass on; smaller values are within the normal
  * variation of forward passes. */
 #define SLOWNESS_MIN 1.2
-/* Minimum interval between alerts about new suspects. */
-#define ALERT_INTERVAL_US (20 * EG_US_PER_MS)
-/* Maximum number of suspects in a message; a larger number points to a fault
- * of this VM's own link. */
-#define SUSPECTS_PER_MESSAGE_MAX 8
-/* Depth of messages down to which a value that cannot be decoded is left out:
- * its members, and the elements of these. */
-#define MESSAGE_LEVELS 2
-/* Minimum interval between log lines about such values; the counter has all. */
-#define UNDECODABLE_LOG_INTERVAL_US (1 * EG_US_PER_S)
 /* Largest load, in tokens times layers, that a VM can have caused. A larger
  * one cannot be added up in integers. */
 #define LOAD_MAX 1e15
-/* Maximum number of leaving servers in a message: a release takes one at a
- * time, and a record in the store replaces the news soon. */
-#define LEAVING_PER_MESSAGE_MAX 32
-
-static bool
-has_room (const json_t *list,
-          const char *capacity,
-          size_t limit,
-          struct eg_log_rate *rate)
-{
-  if (json_array_size (list) < limit)
-    return true;
-  eg_log_capacity (rate, "loads", capacity, limit);
-  return false;
-}
-
-/* A VM that may not reach servers itself has no suspects to tell. */
-static json_t *
-list_suspects (const struct eg_fleet *fleet)
-{
-  static struct eg_log_rate rate;
-  json_t *list = json_array ();
-  int64_t now_us = eg_clock_now_us ();
-
-  if (fleet->reach.state != EG_REACH_OK)
-    return list;
-
-  for (const struct eg_list *at = fleet->all.next; at != &fleet->all;
-       at = at->next)
-    {
-      const struct eg_backend *backend =
-          EG_CONTAINER_OF (at, struct eg_backend, all);
-
-      if (backend->listed && backend->record.has_engine
-          && eg_backend_is_suspect (backend, now_us)
-          && has_room (list, "suspects", SUSPECTS_PER_MESSAGE_MAX, &rate))
-        json_array_append_new (list, json_string (backend->record.id));
-    }
-  return list;
-}
-
-/* Lists the servers that have said they are leaving, by id and start: a record
- * may say so much later, or not at all while the store is down. */
-static json_t *
-list_leaving (const struct eg_fleet *fleet)
-{
-  static struct eg_log_rate rate;
-  json_t *list = json_array ();
-
-  for (const struct eg_list *at = fleet->all.next; at != &fleet->all;
-       at = at->next)
-    {
-      const struct eg_backend *backend =
-          EG_CONTAINER_OF (at, struct eg_backend, all);
-
-      if (backend->listed && backend->said_leaving && !backend->record.draining
-          && has_room (list, "leaving", LEAVING_PER_MESSAGE_MAX, &rate))
-        json_array_append_new (
-            list, json_pack ("[s, I]", backend->record.id,
-                             (json_int_t) backend->record.start_ms));
-    }
-  return list;
-}
-
-static void
-apply_leaving (struct eg_fleet *fleet, const json_t *list, int64_t now_us)
-{
-  json_t *server;
-  size_t index;
-
-  json_array_foreach (list, index, server) eg_fleet_leaving_reported (
-      fleet, eg_str_from (json_string_value (json_array_get (server, 0))),
-      json_integer_value (json_array_get (server, 1)), now_us);
-}
 
 static void
 record_contact (struct eg_load_gossip *self, const char *domain, int64_t now_us)
@@ -166,8 +77,8 @@
   json_t *message = json_pack (
       "{s:s, s:s, s:b, s:o, s:o, s:o, s:O}", "kind", kind, "domain",
       entry->settings->domain, "reads", entry->servers_feed.mirror->is_direct,
-      "down", list_suspects (&entry->fleet), "leaving",
-      list_leaving (&entry->fleet), "heard",
+      "down", eg_server_alerts_list_suspects (entry), "leaving",
+      eg_server_alerts_list_leaving (entry), "heard",
       list_contacts (self, eg_clock_now_us ()), "loads", loads);
   char *text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
 
@@ -175,28 +86,6 @@
   return text;
 }
 
-void
-eg_load_gossip_send (struct eg_load_gossip *self,
-                     struct eg_endpoint endpoint,
-                     const char *text)
-{
-  struct sockaddr_in address = {.sin_family = AF_INET,
-                                .sin_port = endpoint.port,
-                                .sin_addr.s_addr = endpoint.ip};
-  uv_buf_t part;
-
-  if (!self->open)
-    return;
-  if (!text || strlen (text) > MESSAGE_BYTES_MAX)
-    {
-      eg_log (EG_LOG_WARNING, "loads", "event=message-not-sent bytes=%zu",
-              text ? strlen (text) : 0);
-      return;
-    }
-  part = uv_buf_init ((char *) text, (unsigned) strlen (text));
-  uv_udp_try_send (&self->socket, &part, 1, (const struct sockaddr *) &address);
-}
-
 /** Load of one server. */
 struct server_load
 {
@@ -314,214 +203,92 @@
   return peer;
 }
 
-static void
-receive_crashes (struct eg_entry *entry,
-                 struct eg_endpoint from,
-                 const json_t *message,
-                 int64_t now_us)
-{
-  (void) from;
-  eg_crash_watch_receive (&entry->crash_watch, message, now_us);
-}
-
-static void
-receive_version (struct eg_entry *entry,
-                 struct eg_endpoint from,
-                 const json_t *message,
-                 int64_t now_us)
-{
-  eg_configuration_spread_receive (&entry->configuration_spread, from, message,
-                                   now_us);
-}
-
-static void
-receive_path (struct eg_entry *entry,
-              struct eg_endpoint from,
+/* Applies what a message of any of the types says of servers, and returns the
+ * loads in it; NULL if there are none. */
+static json_t *
+read_message (struct eg_load_gossip *self,
               const json_t *message,
               int64_t now_us)
 {
-  eg_peer_paths_receive (&entry->peer_paths, from, message, now_us);
+  json_t *loads = json_object_get (message, "loads");
+
+  eg_server_alerts_apply (self->entry, message, now_us);
+  if (json_is_object (loads))
+    return loads;
+  eg_log (EG_LOG_WARNING, "loads", "event=message-unreadable");
+  return NULL;
 }
 
 static void
-receive_release (struct eg_entry *entry,
-                 struct eg_endpoint from,
-                 const json_t *message,
-                 int64_t now_us)
+receive_sum (void *context,
+             struct eg_endpoint from,
+             const json_t *message,
+             int64_t now_us)
 {
-  (void) from;
-  (void) message;
-  eg_planner_lease_released (&entry->planner, now_us);
-}
-
-/* Passes a message on to the module that it is for; returns whether there is
- * one. */
-static bool
-pass_on (struct eg_entry *entry,
-         const char *kind,
-         struct eg_endpoint from,
-         const json_t *message,
-         int64_t now_us)
-{
-  static const struct
-  {
-    const char *kind;
-    void (*receive) (struct eg_entry *entry,
-                     struct eg_endpoint from,
-                     const json_t *message,
-                     int64_t now_us);
-  } receivers[] = {
-      {EG_CRASH_MESSAGE_KIND, receive_crashes},
-      {EG_VERSION_MESSAGE_KIND, receive_version},
-      {EG_PEER_PATHS_MESSAGE_KIND, receive_path},
-      {EG_LEASE_MESSAGE_KIND, receive_release},
-  };
+  struct eg_load_gossip *self = context;
+  json_t *loads = read_message (self, message, now_us);
+  json_t *heard = json_object_get (message, "heard");
+  json_t *domain;
+  size_t index;
 
-  for (size_t i = 0; i < sizeof receivers / sizeof receivers[0]; i++)
-    if (strcmp (kind, receivers[i].kind) == 0)
-      {
-        receivers[i].receive (entry, from, message, now_us);
-        return true;
-      }
-  return false;
+  (void) from;
+  if (!loads)
+    return;
+  json_array_foreach (heard, index, domain)
+      record_contact (self, json_string_value (domain), now_us);
+  apply_totals (self, loads, now_us);
+  self->totals_received_us = now_us;
 }
 
-static void
-handle_message (struct eg_load_gossip *self,
-                struct eg_endpoint from,
-                const json_t *message,
-                int64_t now_us)
+/* Takes the load of a VM, or of the group of a reader. */
+static struct eg_load_peer *
+receive_part (struct eg_load_gossip *self,
+              struct eg_endpoint from,
+              const json_t *message,
+              int64_t now_us)
 {
-  const char *kind = json_string_value (json_object_get (message, "kind"));
-  json_t *loads = json_object_get (message, "loads");
-  json_t *down = json_object_get (message, "down");
-  struct eg_load_peer *peer;
-  json_t *id;
-  size_t index;
+  json_t *loads = read_message (self, message, now_us);
+  struct eg_load_peer *peer = loads ? find_peer (self, from) : NULL;
 
-  if (kind && pass_on (self->entry, kind, from, message, now_us))
-    return;
-  json_array_foreach (down, index, id) eg_fleet_suspect_reported (
-      &self->entry->fleet, eg_str_from (json_string_value (id)), now_us);
-  apply_leaving (&self->entry->fleet, json_object_get (message, "leaving"),
-                 now_us);
-  eg_server_limits_apply (self->entry, json_object_get (message, "limits"),
-                          now_us);
-  if (kind && strcmp (kind, KIND_ALERT) == 0)
-    return;
-  if (!kind || !json_is_object (loads))
-    {
-      eg_log (EG_LOG_WARNING, "loads", "event=message-unreadable");
-      return;
-    }
-  if (strcmp (kind, KIND_SUM) == 0)
-    {
-      json_array_foreach (json_object_get (message, "heard"), index, id)
-          record_contact (self, json_string_value (id), now_us);
-      apply_totals (self, loads, now_us);
-      self->totals_received_us = now_us;
-      return;
-    }
-  peer = find_peer (self, from);
   if (!peer)
-    return;
+    return NULL;
   json_decref (peer->loads);
   peer->loads = json_incref (loads);
-  peer->is_reader = strcmp (kind, KIND_GROUP) == 0;
-  if (peer->is_reader)
-    record_contact (
-        self, json_string_value (json_object_get (message, "domain")), now_us);
   peer->store_reachable = json_is_true (json_object_get (message, "reads"));
   peer->received_us = now_us;
+  return peer;
 }
 
 static void
-on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *space)
+receive_own (void *context,
+             struct eg_endpoint from,
+             const json_t *message,
+             int64_t now_us)
 {
-  static char bytes[65536];
+  struct eg_load_peer *peer = receive_part (context, from, message, now_us);
 
-  (void) handle;
-  (void) suggested;
-  space->base = bytes;
-  space->len = sizeof bytes;
+  if (peer)
+    peer->is_reader = false;
 }
 
 static void
-count_undecodable (struct eg_load_gossip *self,
-                   struct eg_endpoint from,
-                   size_t values,
-                   int64_t now_us)
+receive_group (void *context,
+               struct eg_endpoint from,
+               const json_t *message,
+               int64_t now_us)
 {
-  struct in_addr ip = {from.ip};
+  struct eg_load_peer *peer = receive_part (context, from, message, now_us);
 
-  self->undecodable += values;
-  if (values == 0
-      || now_us - self->undecodable_logged_us < UNDECODABLE_LOG_INTERVAL_US)
-    return;
-  self->undecodable_logged_us = now_us;
-  eg_log (EG_LOG_WARNING, "loads",
-          "event=message-partly-undecodable from=%s:%u values=%zu",
-          inet_ntoa (ip), ntohs (from.port), values);
-}
-
-static void
-on_message (uv_udp_t *socket,
-            ssize_t len,
-            const uv_buf_t *space,
-            const struct sockaddr *address,
-            unsigned flags)
-{
-  const struct sockaddr_in *source = (const struct sockaddr_in *) address;
-  struct eg_load_gossip *self = socket->data;
-  struct eg_endpoint from;
-  size_t undecodable = 0;
-  json_t *message;
-
-  (void) flags;
-  if (len <= 0 || !address)
+  if (!peer)
     return;
-  from = (struct eg_endpoint){source->sin_addr.s_addr, source->sin_port};
-  /* VMs send from the address in their objects. Senders may be VMs of another
-   * system that have the address of a former VM of this one. */
-  if (!eg_members_admit (&self->entry->members, from, eg_clock_now_us ()))
-    {
-      eg_members_count_foreign (&self->entry->members, EG_FOREIGN_MESSAGE, from,
-                                eg_clock_now_us ());
-      return;
-    }
-  message = eg_json_parse_decodable ((struct eg_str){space->base, (size_t) len},
-                                     MESSAGE_LEVELS, &undecodable);
-  count_undecodable (self, from, undecodable, eg_clock_now_us ());
-  handle_message (self, from, message, eg_clock_now_us ());
-  json_decref (message);
-}
-
-bool
-eg_load_gossip_open (struct eg_load_gossip *self, struct eg_entry *entry)
-{
-  struct sockaddr_in bound = {.sin_family = AF_INET};
-  struct eg_endpoint endpoint;
-
-  memset (self, 0, sizeof *self);
-  self->entry = entry;
-  EG_INVARIANT (eg_endpoint_parse (eg_str_from (entry->settings->listen_peers),
-                                   &endpoint));
-  bound.sin_addr.s_addr = endpoint.ip;
-  bound.sin_port = endpoint.port;
-  self->open = uv_udp_init (&entry->loop, &self->socket) == 0;
-  self->socket.data = self;
-  return self->open
-         && uv_udp_bind (&self->socket, (const struct sockaddr *) &bound, 0)
-                == 0
-         && uv_udp_recv_start (&self->socket, on_alloc, on_message) == 0;
+  peer->is_reader = true;
+  record_contact (
+      context, json_string_value (json_object_get (message, "domain")), now_us);
 }
 
 void
 eg_load_gossip_finish (struct eg_load_gossip *self)
 {
-  if (self->open)
-    uv_close ((uv_handle_t *) &self->socket, NULL);
-  self->open = false;
   for (size_t i = 0; i < self->peer_count; i++)
     json_decref (self->peers[i].loads);
   self->peer_count = 0;
@@ -544,52 +311,33 @@
 
 /* Sends one message to the other readers and another to the VMs that report
  * to this one. */
-void
-eg_load_gossip_send_to_readers (struct eg_load_gossip *self, const char *text)
-{
-  const struct eg_members *members = &self->entry->members;
-
-  for (size_t i = 0; i < members->all_reader_count; i++)
-    if (!eg_members_is_own (members, members->all_readers[i]))
-      eg_load_gossip_send (self, members->all_readers[i], text);
-}
-
 static void
 send_to_all (struct eg_load_gossip *self,
-             const char *to_readers,
-             const char *to_others)
+             struct eg_str to_readers,
+             struct eg_str to_others)
 {
-  eg_load_gossip_send_to_readers (self, to_readers);
+  struct eg_vm_messages *messages = &self->entry->vm_messages;
+
+  eg_vm_messages_send_to_readers (messages, to_readers);
   for (size_t i = 0; i < self->peer_count; i++)
     if (!self->peers[i].is_reader)
-      eg_load_gossip_send (self, self->peers[i].endpoint, to_others);
+      eg_vm_messages_send (messages, self->peers[i].endpoint, to_others);
 }
 
-/* Sends the limits that servers name, in as many messages as they need. */
-static void
-send_limits (struct eg_load_gossip *self,
-             void (*send) (struct eg_load_gossip *self, const char *text),
-             int64_t now_us)
+/* Returns whether other VMs report to this one, or may do so. */
+static bool
+takes_reports (const struct eg_load_gossip *self)
 {
-  size_t total = eg_server_limits_count (self->entry);
-
-  for (size_t sent = 0; sent < total; sent += EG_LIMITS_PER_MESSAGE_MAX)
-    {
-      json_t *message =
-          json_pack ("{s:s, s:o}", "kind", KIND_ALERT, "limits",
-                     eg_server_limits_list (self->entry, sent, now_us));
-      char *text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
-
-      send (self, text);
-      free (text);
-      json_decref (message);
-    }
+  return eg_members_is_reader (&self->entry->members) || self->peer_count > 0;
 }
 
-static void
-send_text_to_all (struct eg_load_gossip *self, const char *text)
+bool
+eg_load_gossip_send_down (struct eg_load_gossip *self, struct eg_str text)
 {
+  if (!takes_reports (self))
+    return false;
   send_to_all (self, text, text);
+  return true;
 }
 
 /* Aggregates the loads received and sends the totals to the VMs and to the
@@ -609,8 +357,7 @@
   apply_totals (self, sum, now_us);
   group_text = format_message (self, KIND_GROUP, group);
   sum_text = format_message (self, KIND_SUM, sum);
-  send_to_all (self, group_text, sum_text);
-  send_limits (self, send_text_to_all, now_us);
+  send_to_all (self, eg_str_from (group_text), eg_str_from (sum_text));
   free (group_text);
   free (sum_text);
   json_decref (group);
@@ -634,70 +381,58 @@
                           % 2];
 }
 
-static void
-send_to_reader (struct eg_load_gossip *self, const char *text)
+void
+eg_load_gossip_send_up (struct eg_load_gossip *self,
+                        struct eg_str text,
+                        int64_t now_us)
 {
-  const struct eg_member *reader = choose_reader (self, eg_clock_now_us ());
+  const struct eg_member *reader;
 
+  if (eg_members_is_reader (&self->entry->members))
+    return;
+  reader = choose_reader (self, now_us);
   if (reader)
-    eg_load_gossip_send (self, reader->endpoint, text);
+    eg_vm_messages_send (&self->entry->vm_messages, reader->endpoint, text);
 }
 
-void
-eg_load_gossip_check (struct eg_load_gossip *self, int64_t now_us)
+static bool
+send_loads (void *context, int64_t now_us)
 {
-  struct eg_members *members = &self->entry->members;
-  const struct eg_member *reader;
+  struct eg_load_gossip *self = context;
   json_t *own;
   char *text;
 
-  if (!self->open || members->lists_read == 0
-      || now_us - self->sent_us < MESSAGE_INTERVAL_US)
-    return;
-  self->sent_us = now_us;
   drop_expired (self, now_us);
-  if (eg_members_is_reader (&self->entry->members) || self->peer_count > 0)
+  if (takes_reports (self))
     send_totals (self, now_us);
   if (eg_members_is_reader (&self->entry->members))
-    return;
-  reader = choose_reader (self, now_us);
-  if (!reader)
-    return;
+    return true;
   own = json_object ();
   add_own_loads (self, own);
   text = format_message (self, KIND_OWN, own);
-  eg_load_gossip_send (self, reader->endpoint, text);
-  send_limits (self, send_to_reader, now_us);
+  eg_load_gossip_send_up (self, eg_str_from (text), now_us);
   free (text);
   json_decref (own);
+  return true;
 }
 
-/* Suspects go to the reader, and from readers to everyone. Loads are left
- * out, because they would saturate a small VM's link if alerts follow each
- * other closely. */
 void
-eg_load_gossip_alert (struct eg_load_gossip *self, int64_t now_us)
-{
-  const struct eg_members *members = &self->entry->members;
-  const struct eg_member *reader;
-  json_t *message;
-  char *text;
+eg_load_gossip_init (struct eg_load_gossip *self, struct eg_entry *entry)
+{
+  const struct eg_vm_message_type types[] = {
+      {.name = EG_STR (KIND_OWN),
+       .receive = receive_own,
+       .send = send_loads,
+       .period_us = MESSAGE_INTERVAL_US,
+       .context = self},
+      {.name = EG_STR (KIND_GROUP), .receive = receive_group, .context = self},
+      {.name = EG_STR (KIND_SUM), .receive = receive_sum, .context = self},
+  };
 
-  if (!self->open || members->lists_read == 0
-      || now_us - self->alert_sent_us < ALERT_INTERVAL_US)
-    return;
-  self->alert_sent_us = now_us;
-  message = json_pack ("{s:s, s:o, s:o, s:o}", "kind", KIND_ALERT, "down",
-                       list_suspects (&self->entry->fleet), "leaving",
-                       list_leaving (&self->entry->fleet), "limits",
-                       eg_server_limits_list (self->entry, 0, now_us));
-  text = json_dumps (message, JSON_COMPACT);
-  if (eg_members_is_reader (&self->entry->members) || self->peer_count > 0)
-    send_to_all (self, text, text);
-  else if ((reader = choose_reader (self, now_us)))
-    eg_load_gossip_send (self, reader->endpoint, text);
-  free (text);
-  json_decref (message);
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  for (size_t i = 0; i < sizeof types / sizeof types[0]; i++)
+    EG_INVARIANT (eg_vm_messages_register (&entry->vm_messages, &types[i]));
 }
 
 static bool
--- a/entry/load_gossip.h
+++ b/entry/load_gossip.h
@@ -6,16 +6,14 @@
  * It is meant for many entry VMs with few requests each in front of servers
  * whose memory holds a few tens of streams. Each VM sends its load to the
  * reader of its failure domain; readers exchange their group totals and return
- * the overall sums. Messages are UDP datagrams: the next one replaces a lost
- * one, and stale figures are ignored.
+ * the overall sums. The next message replaces a lost one, and stale figures are
+ * ignored.
  */
 #ifndef EG_ENTRY_LOAD_GOSSIP_H
 #define EG_ENTRY_LOAD_GOSSIP_H
 
 #include <jansson.h>
-#include <uv.h>
 
-#include "base/log.h"
 #include "net/socket.h"
 
 struct eg_entry;
@@ -47,31 +45,20 @@
 struct eg_load_gossip
 {
   struct eg_entry *entry;
-  uv_udp_t socket;
-  bool open;
   struct eg_load_peer peers[EG_LOAD_PEERS_MAX];
   size_t peer_count;
   struct eg_domain_contact contacts[EG_LOAD_DOMAINS_MAX];
   size_t contact_count;
-  int64_t sent_us;
-  int64_t alert_sent_us;
-  uint64_t undecodable; /**< Values of messages that were left out. */
-  int64_t undecodable_logged_us;
   /** When the last totals arrived from a reader. */
   int64_t totals_received_us;
   /** Report to the second reader of the failure domain. */
   bool use_second_reader;
 };
 
-/**
- * Binds the UDP socket to the address of the peers' listener.
- * @return false if the socket cannot be opened.
- */
-bool eg_load_gossip_open (struct eg_load_gossip *self, struct eg_entry *entry);
+/** Registers the message types; see vm_messages.h. */
+void eg_load_gossip_init (struct eg_load_gossip *self, struct eg_entry *entry);
 
-/**
- * Closes the socket. Run the event loop once more before freeing the memory.
- */
+/** Frees the loads received. */
 void eg_load_gossip_finish (struct eg_load_gossip *self);
 
 /**
@@ -106,19 +93,18 @@
 bool eg_load_gossip_hears_all_domains (const struct eg_load_gossip *self,
                                        int64_t now_us);
 
-/** Sends a message to another VM; drops it if that would block. */
-void eg_load_gossip_send (struct eg_load_gossip *self,
-                          struct eg_endpoint endpoint,
-                          const char *text);
-
-/** Sends a message to the readers of all failure domains. */
-void eg_load_gossip_send_to_readers (struct eg_load_gossip *self,
-                                     const char *text);
-
-/** Broadcasts new suspects immediately. */
-void eg_load_gossip_alert (struct eg_load_gossip *self, int64_t now_us);
+/**
+ * Sends a message to the readers and to the VMs that report to this one.
+ * @return false if this VM is no reader and none report to it.
+ */
+bool eg_load_gossip_send_down (struct eg_load_gossip *self, struct eg_str text);
 
-/** Exchanges load figures; call it on every tick. */
-void eg_load_gossip_check (struct eg_load_gossip *self, int64_t now_us);
+/**
+ * Sends a message to the reader that this VM reports to, if it is no reader
+ * itself.
+ */
+void eg_load_gossip_send_up (struct eg_load_gossip *self,
+                             struct eg_str text,
+                             int64_t now_us);
 
 #endif
--- a/entry/main.c
+++ b/entry/main.c
@@ -182,7 +182,7 @@
   struct eg_entry *self = timer->data;
 
   eg_connections_servers_changed (&self->connections, eg_clock_now_us ());
-  eg_load_gossip_alert (&self->load_gossip, eg_clock_now_us ());
+  eg_server_alerts_raise (&self->server_alerts, eg_clock_now_us ());
 }
 
 static void
@@ -297,8 +297,8 @@
   eg_planner_check (&self->planner, now_us);
   eg_members_check (&self->members, now_us);
   eg_configuration_spread_check (&self->configuration_spread, now_us);
-  eg_load_gossip_check (&self->load_gossip, now_us);
   eg_crash_watch_check (&self->crash_watch, now_us);
+  eg_vm_messages_check (&self->vm_messages, now_us);
   eg_quarantine_store_check (&self->quarantine_store, now_us);
   eg_exchange_pool_trim (&self->pool, now_us);
   eg_reload_check (&self->reload, now_us);
@@ -410,6 +410,9 @@
   EG_INVARIANT (eg_endpoint_parse (eg_str_from (self->settings->store_address),
                                    &self->store.endpoint));
   eg_fleet_init (&self->fleet, &self->pool, &fleet_events);
+  eg_vm_messages_init (&self->vm_messages, &self->members);
+  eg_load_gossip_init (&self->load_gossip, self);
+  eg_server_alerts_init (&self->server_alerts, self);
   eg_reach_watch_init (&self->reach_watch, self);
   eg_peer_paths_init (&self->peer_paths, self);
   eg_source_selector_init (&self->configuration_source, self);
@@ -423,7 +426,8 @@
   eg_crash_watch_init (&self->crash_watch, self);
   eg_quarantine_store_init (&self->quarantine_store, self);
   opened = eg_connections_open (&self->connections, self, &error);
-  if (!eg_load_gossip_open (&self->load_gossip, self))
+  if (!eg_vm_messages_open (&self->vm_messages, &self->loop,
+                            self->members.own_endpoint))
     eg_log (EG_LOG_WARNING, "main", "event=loads-not-open address=%s",
             self->settings->listen_peers);
   if (opened)
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -115,6 +115,7 @@
       "eelgrasswood_undecodable_total{from=\"mirror\"} %" PRIu64 "\n"
       "eelgrasswood_undecodable_total{from=\"report\"} %" PRIu64 "\n"
       "eelgrasswood_undecodable_total{from=\"message\"} %" PRIu64 "\n"
+      "eelgrasswood_messages_unknown_total %" PRIu64 "\n"
       "eelgrasswood_probes_total %" PRIu64 "\n"
       "eelgrasswood_server_pauses_total %" PRIu64 "\n"
       "eelgrasswood_server_connections_total %" PRIu64 "\n"
@@ -131,11 +132,12 @@
       entry->configuration_source.peer.undecodable
           + entry->servers_source.peer.undecodable
           + entry->configuration_spread.peer.undecodable,
-      entry->fleet.undecodable, entry->load_gossip.undecodable,
-      entry->fleet.probes, entry->fleet.pauses, entry->pool.opened,
-      entry->pool.reused, entry->fleet.count,
-      eg_server_reach_is_lost (&entry->fleet.reach), entry->reach_watch.losses,
-      eg_server_limits_count (entry), entry->connections.running,
+      entry->fleet.undecodable, entry->vm_messages.undecodable,
+      entry->vm_messages.unknown.count, entry->fleet.probes,
+      entry->fleet.pauses, entry->pool.opened, entry->pool.reused,
+      entry->fleet.count, eg_server_reach_is_lost (&entry->fleet.reach),
+      entry->reach_watch.losses, eg_server_limits_count (entry),
+      entry->connections.running,
       entry->configuration.current ? entry->configuration.current->version : -1,
       (double) (now_us - entry->configuration.as_of_us) / EG_US_PER_S,
       eg_entry_is_ready (entry, now_us));
--- a/entry/peer_paths.c
+++ b/entry/peer_paths.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "entry/entry.h"
 
+#define PATH_MESSAGE_KIND "path"
 /* A VM whose ticks are later than this on average has no time for the requests
  * of others: its own callers' events would be late, too. */
 #define LATENESS_MAX_US (50 * EG_US_PER_MS)
@@ -14,13 +15,6 @@
  * other VMs are refused; clients may use more. */
 #define CONNECTION_DESCRIPTORS_FRACTION 0.4
 
-void
-eg_peer_paths_init (struct eg_peer_paths *self, struct eg_entry *entry)
-{
-  memset (self, 0, sizeof *self);
-  self->entry = entry;
-}
-
 static const struct eg_member *
 member_from_link (const struct eg_list *link)
 {
@@ -52,8 +46,8 @@
   const struct eg_entry *entry = self->entry;
   double unit =
       entry->settings->cpu_share > 0 ? 1 / entry->settings->cpu_share : 1;
-  json_t *message = json_pack ("{s:s, s:b}", "kind", EG_PEER_PATHS_MESSAGE_KIND,
-                               "asks", asks);
+  json_t *message =
+      json_pack ("{s:s, s:b}", "kind", PATH_MESSAGE_KIND, "asks", asks);
   char *text;
 
   if (!asks)
@@ -67,17 +61,19 @@
       json_object_set_new (message, "load_per_request", json_real (unit));
     }
   text = json_dumps (message, JSON_COMPACT | JSON_REAL_PRECISION (4));
-  eg_load_gossip_send (&self->entry->load_gossip, to, text);
+  eg_vm_messages_send (&self->entry->vm_messages, to, eg_str_from (text));
   free (text);
   json_decref (message);
 }
 
-void
-eg_peer_paths_receive (struct eg_peer_paths *self,
-                       struct eg_endpoint from,
-                       const json_t *message,
-                       int64_t now_us)
+/* Answers a question, or takes note of an answer. */
+static void
+on_message (void *context,
+            struct eg_endpoint from,
+            const json_t *message,
+            int64_t now_us)
 {
+  struct eg_peer_paths *self = context;
   uint64_t key = eg_endpoint_key (from);
   const struct eg_member *member =
       eg_members_find_endpoint (&self->entry->members, key);
@@ -100,6 +96,18 @@
   eg_peer_choice_answered (&self->choice, &answer, now_us);
 }
 
+void
+eg_peer_paths_init (struct eg_peer_paths *self, struct eg_entry *entry)
+{
+  const struct eg_vm_message_type type = {.name = EG_STR (PATH_MESSAGE_KIND),
+                                          .receive = on_message,
+                                          .context = self};
+
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  EG_INVARIANT (eg_vm_messages_register (&entry->vm_messages, &type));
+}
+
 /* Asks random members of this VM's failure domain, or of the others. */
 static void
 ask_members (struct eg_peer_paths *self, bool same_domain, size_t count)
--- a/entry/peer_paths.h
+++ b/entry/peer_paths.h
@@ -7,17 +7,12 @@
 #ifndef EG_ENTRY_PEER_PATHS_H
 #define EG_ENTRY_PEER_PATHS_H
 
-#include <jansson.h>
-
 #include "net/socket.h"
 #include "policy/peer_choice.h"
 
 struct eg_entry;
 struct eg_member;
 
-/** Kind of the datagrams; see load_gossip.h. */
-#define EG_PEER_PATHS_MESSAGE_KIND "path"
-
 /** What a VM keeps of the paths through its peers; allocated by the caller. */
 struct eg_peer_paths
 {
@@ -25,18 +20,12 @@
   struct eg_peer_choice choice;
 };
 
-/** Starts without knowledge of any peer. */
+/** Starts without knowledge of any peer, and registers the message type. */
 void eg_peer_paths_init (struct eg_peer_paths *self, struct eg_entry *entry);
 
 /** Asks peers if that is due; call it on every tick. */
 void eg_peer_paths_check (struct eg_peer_paths *self, int64_t now_us);
 
-/** Handles a datagram: answers a question, or takes note of an answer. */
-void eg_peer_paths_receive (struct eg_peer_paths *self,
-                            struct eg_endpoint from,
-                            const json_t *message,
-                            int64_t now_us);
-
 /**
  * Chooses a peer for a request.
  * @param tried keys of the endpoints of peers already tried.
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -13,6 +13,8 @@
 #include "policy/layer_moves.h"
 #include "policy/layer_plan.h"
 
+/* By this message a holder tells that it has released the lease. */
+#define LEASE_MESSAGE_KIND "lease-released"
 /* Key of the lease in the store. */
 #define LEASE_KIND "eelgrasswood-leases"
 #define LEASE_NAME "layer-planner"
@@ -140,8 +142,9 @@
 {
   eg_log (EG_LOG_NOTICE, "planner", "event=lease-released revision=%" PRIu64,
           self->lease.version);
-  eg_load_gossip_send_to_readers (&self->entry->load_gossip,
-                                  "{\"kind\":\"" EG_LEASE_MESSAGE_KIND "\"}");
+  eg_vm_messages_send_to_readers (
+      &self->entry->vm_messages,
+      EG_STR ("{\"kind\":\"" LEASE_MESSAGE_KIND "\"}"));
 }
 
 static void
@@ -178,26 +181,6 @@
     }
 }
 
-void
-eg_planner_init (struct eg_planner *self, struct eg_entry *entry)
-{
-  struct eg_store_reply_sink sink = {on_lease_reply, self};
-
-  memset (self, 0, sizeof *self);
-  self->entry = entry;
-  self->config = (struct eg_lease_config){
-      .duration_us = LEASE_US,
-      .drift_us = LEASE_DRIFT_US,
-      .pause_us = LEASE_PAUSE_US,
-      .renew_us = LEASE_RENEW_US,
-      .watch_us = LEASE_WATCH_US,
-      .retry_us = LEASE_RETRY_US,
-  };
-  eg_lease_init (&self->lease, &self->config, eg_random_next (&entry->random),
-                 eg_str_from (entry->settings->name));
-  eg_store_call_init (&self->call, &entry->store, &sink);
-}
-
 void
 eg_planner_finish (struct eg_planner *self)
 {
@@ -550,13 +533,44 @@
          || self->entry->stop_us > 0;
 }
 
-void
-eg_planner_lease_released (struct eg_planner *self, int64_t now_us)
+static void
+on_lease_released (void *context,
+                   struct eg_endpoint from,
+                   const json_t *message,
+                   int64_t now_us)
 {
+  struct eg_planner *self = context;
+
+  (void) from;
+  (void) message;
   if (may_hold (self) && may_compete (self))
     eg_lease_look (&self->lease, now_us);
 }
 
+void
+eg_planner_init (struct eg_planner *self, struct eg_entry *entry)
+{
+  struct eg_store_reply_sink sink = {on_lease_reply, self};
+  const struct eg_vm_message_type type = {.name = EG_STR (LEASE_MESSAGE_KIND),
+                                          .receive = on_lease_released,
+                                          .context = self};
+
+  memset (self, 0, sizeof *self);
+  self->entry = entry;
+  self->config = (struct eg_lease_config){
+      .duration_us = LEASE_US,
+      .drift_us = LEASE_DRIFT_US,
+      .pause_us = LEASE_PAUSE_US,
+      .renew_us = LEASE_RENEW_US,
+      .watch_us = LEASE_WATCH_US,
+      .retry_us = LEASE_RETRY_US,
+  };
+  eg_lease_init (&self->lease, &self->config, eg_random_next (&entry->random),
+                 eg_str_from (entry->settings->name));
+  eg_store_call_init (&self->call, &entry->store, &sink);
+  EG_INVARIANT (eg_vm_messages_register (&entry->vm_messages, &type));
+}
+
 void
 eg_planner_check (struct eg_planner *self, int64_t now_us)
 {
--- a/entry/planner.h
+++ b/entry/planner.h
@@ -17,10 +17,6 @@
 
 struct eg_entry;
 
-/** Kind of the message by which a holder tells that it has released the lease.
- */
-#define EG_LEASE_MESSAGE_KIND "lease-released"
-
 /** Planner of one entry VM; allocated by the caller. */
 struct eg_planner
 {
@@ -42,9 +38,6 @@
 /** Cancels pending calls. */
 void eg_planner_finish (struct eg_planner *self);
 
-/** Reads the lease, as its holder has told that it has released it. */
-void eg_planner_lease_released (struct eg_planner *self, int64_t now_us);
-
 /** Renews the lease and updates the plan; call it on every tick. */
 void eg_planner_check (struct eg_planner *self, int64_t now_us);
 
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -164,6 +164,7 @@
                               "zone", "here", "slots", 4, "state", "ready");
   static struct eg_member sender;
   struct eg_backend *backend;
+  struct eg_endpoint endpoint;
 
   (void) state;
   snprintf (settings.listen_peers, sizeof settings.listen_peers, "127.0.0.1:%u",
@@ -176,7 +177,11 @@
   assert_non_null (backend);
   eg_list_init (&entry.members.all);
   eg_list_append (&entry.members.all, &sender.all);
-  assert_true (eg_load_gossip_open (gossip, &entry));
+  assert_true (
+      eg_endpoint_parse (eg_str_from (settings.listen_peers), &endpoint));
+  eg_vm_messages_init (&entry.vm_messages, &entry.members);
+  eg_load_gossip_init (gossip, &entry);
+  assert_true (eg_vm_messages_open (&entry.vm_messages, &entry.loop, endpoint));
   send_datagram (&settings, &sender,
                  EG_STR ("{\"kind\":\"sum\",\"heard\":[\"room\",\"\xff\","
                          "\"hall\"],\"down\":[\"\\u0000\"],\"loads\":{"
@@ -189,11 +194,12 @@
       usleep (10000);
     }
   assert_int_equal (gossip->contact_count, 2);
-  assert_int_equal (gossip->undecodable, 3);
+  assert_int_equal (entry.vm_messages.undecodable, 3);
   assert_true (backend->kv_others > 0 && backend->kv_others <= 1e15);
   assert_true (backend->first_others >= 0);
   assert_true (backend->peer_slowness >= 2);
   eg_load_gossip_finish (gossip);
+  eg_vm_messages_finish (&entry.vm_messages);
   eg_map_finish (&entry.members.by_endpoint);
   uv_run (&entry.loop, UV_RUN_NOWAIT);
   uv_loop_close (&entry.loop);
