entry: decisions on a request are functions without effects

An explanation of where a request would be sent has to come from the functions that decide on real requests, but these also acted: they started attempts, queued requests and counted.

Change: begin_attempt() acts on the result of eg_call_decide(); the start of a call is split into its route, organisation and the rest; a queue is asked in admit() and has_to_wait(), which eg_wait_preview_*() call on a copy; the choice of peers and the shortage are passed in. Reasons against a server have names (eg_backend_find_obstacle()), and a search for servers can have an observer. The penalty for faults is now the last factor of a layer's cost, so that the rest is an expected time.

--- a/entry/call.c
+++ b/entry/call.c
@@ -34,9 +34,6 @@
 /* A repeatable request that has run for this multiple of its latency goal is
  * sent to another server. */
 #define SLOW_LATENCY_GOALS 4
-/* Retry-After sent until a configuration has arrived and other VMs have been
- * asked for a newer one. */
-#define RETRY_AFTER_CONFIGURATION_MS 500
 /* Fraction of the engines' stall time-out from which a refusal is attributed
  * to a dead server. Refusals for lack of capacity are immediate. */
 #define STALL_REFUSAL_FRACTION 0.5
@@ -198,6 +195,16 @@
   };
 }
 
+enum eg_resend_decision
+eg_call_give_up (const struct eg_call *self,
+                 enum eg_resend_limit limit,
+                 int64_t now_us)
+{
+  struct eg_resend_context context = get_resend_context (self, now_us);
+
+  return eg_resend_give_up (&context, limit);
+}
+
 /* Handles a request that cannot be sent now: it waits, if it may, or ends. */
 static void
 cannot_send (struct eg_call *self,
@@ -919,37 +926,33 @@
          == EG_PLACED;
 }
 
-/** Where a request is sent next. */
-struct target
-{
-  struct eg_placement placement;
-  const struct eg_member *peer; /**< NULL: @c placement. */
-};
-
 /* Chooses a server, or a peer if this VM may not reach servers; false if there
  * is neither. */
 static bool
-choose_target (struct eg_call *self, int64_t now_us, struct target *target)
+choose_target (struct eg_call *self,
+               struct eg_peer_paths *peers,
+               int64_t now_us,
+               struct eg_call_target *target)
 {
   const struct eg_server_reach *reach = &self->entry->fleet.reach;
 
   target->peer = NULL;
   if (reach->state != EG_REACH_OK)
-    target->peer = eg_call_choose_peer (self, now_us);
+    target->peer = eg_call_choose_peer (self, peers, now_us);
   if (target->peer)
     return true;
   if (choose_placement (self, now_us, &target->placement)
       && can_add_first_server (self, target->placement.stages[0]))
     return true;
   if (reach->state == EG_REACH_OK)
-    target->peer = eg_call_choose_peer (self, now_us);
+    target->peer = eg_call_choose_peer (self, peers, now_us);
   return target->peer != NULL;
 }
 
 /* Starts an attempt; @p charged: a retry was taken from the budget for it. */
 static void
 start_on_target (struct eg_call *self,
-                 const struct target *target,
+                 const struct eg_call_target *target,
                  bool charged,
                  int64_t now_us)
 {
@@ -1032,27 +1035,10 @@
       .ruling;
 }
 
-static void
-refuse_crashing (struct eg_call *self)
-{
-  eg_metrics_count (&self->entry->metrics, EG_COUNT_QUARANTINED);
-  cannot_send (self, "quarantined", EG_LIMIT_QUARANTINED);
-}
-
-/* Waits for the outcome of a trial, though not for long. */
-static void
-hold_for_trial (struct eg_call *self, int64_t now_us)
-{
-  if (self->head_sent || now_us - self->arrived_us >= TRIAL_WAIT_MAX_US)
-    cannot_send (self, "trial", EG_LIMIT_TRIAL);
-  else
-    self->resume_us = now_us + WAIT_INTERVAL_US;
-}
-
 /* API keys are checked again for each attempt, because the configuration may
  * have become too old in the meantime. */
-static bool
-may_use_key (const struct eg_call *self, int64_t now_us)
+bool
+eg_call_may_use_key (const struct eg_call *self, int64_t now_us)
 {
   return !self->needs_key || eg_entry_keys_are_fresh (self->entry, now_us);
 }
@@ -1064,14 +1050,14 @@
 choose_replacement (struct eg_call *self,
                     const char *cause,
                     int64_t now_us,
-                    struct target *target)
+                    struct eg_call_target *target)
 {
   bool is_unsent = !eg_exchange_is_connected (&self->attempt.exchange);
 
   if (is_unsent)
     eg_call_undo_trial (self);
   if (judge_crashes (self, now_us) <= EG_CRASH_TRY
-      && choose_target (self, now_us, target)
+      && choose_target (self, &self->entry->peer_paths, now_us, target)
       && spend_retry (self, cause, now_us))
     return true;
   if (is_unsent)
@@ -1085,10 +1071,11 @@
 {
   int64_t now_us = eg_clock_now_us ();
   struct eg_resend_context context = get_resend_context (self, now_us);
-  struct target target;
+  struct eg_call_target target;
 
   context.in_flight = true;
-  if (eg_resend_decide (&context) != EG_RESEND || !may_use_key (self, now_us)
+  if (eg_resend_decide (&context) != EG_RESEND
+      || !eg_call_may_use_key (self, now_us)
       || !choose_replacement (self, cause, now_us, &target))
     return false;
   if (!eg_exchange_is_connected (&self->attempt.exchange))
@@ -1118,52 +1105,92 @@
 
 /* A request that finds neither a server nor a peer waits a moment if this VM
  * has only just begun to need peers, also for this request. */
-static void
-handle_no_target (struct eg_call *self, int64_t now_us)
+static bool
+may_ask_peers (const struct eg_call *self,
+               const struct eg_peer_choice *peers,
+               int64_t now_us)
+{
+  return !self->is_from_peer && !self->head_sent && peers->needed_us == now_us
+         && eg_peer_choice_may_learn (peers, now_us);
+}
+
+/* Returns the step of a request that cannot be sent. */
+static struct eg_call_step
+give_up_step (const char *cause, enum eg_resend_limit limit)
+{
+  return (struct eg_call_step){
+      .action = EG_CALL_GIVES_UP, .cause = cause, .limit = limit};
+}
+
+struct eg_call_step
+eg_call_decide (struct eg_call *self,
+                struct eg_peer_paths *peers,
+                int64_t now_us)
 {
-  const struct eg_peer_choice *peers = &self->entry->peer_paths.choice;
+  struct eg_call_step step = {.action = EG_CALL_SENDS};
+  enum eg_crash_ruling ruling = judge_crashes (self, now_us);
 
-  if (!self->is_from_peer && !self->head_sent && peers->needed_us == now_us
-      && eg_peer_choice_may_learn (peers, now_us))
+  if (!eg_call_service (self))
+    return give_up_step ("service-removed", EG_LIMIT_NO_SERVICE);
+  if (!eg_call_may_use_key (self, now_us))
+    return give_up_step ("keys-too-old", EG_LIMIT_KEYS);
+  if (ruling == EG_CRASH_REFUSE)
+    return give_up_step ("quarantined", EG_LIMIT_QUARANTINED);
+  if (ruling == EG_CRASH_HOLD)
     {
-      self->tried_peer_count = 0;
-      self->resume_us = now_us + PEER_WAIT_US;
-      return;
+      /* The outcome of a trial is not waited for long. */
+      if (self->head_sent || now_us - self->arrived_us >= TRIAL_WAIT_MAX_US)
+        return give_up_step ("trial", EG_LIMIT_TRIAL);
+      step.action = EG_CALL_HOLDS;
+      step.cause = "trial";
+    }
+  else if (!choose_target (self, peers, now_us, &step.target))
+    {
+      if (!may_ask_peers (self, &peers->choice, now_us))
+        return give_up_step ("no-server", find_missing_room (self, now_us));
+      step.action = EG_CALL_ASKS_PEERS;
+      step.cause = "asks-peers";
     }
-  cannot_send (self, "no-server", find_missing_room (self, now_us));
+  return step;
 }
 
 static void
 begin_attempt (struct eg_call *self, int64_t now_us)
 {
-  const struct eg_service_config *service = eg_call_service (self);
-  enum eg_crash_ruling ruling = judge_crashes (self, now_us);
+  struct eg_call_step step =
+      eg_call_decide (self, &self->entry->peer_paths, now_us);
   bool is_retry = self->sends > 0;
-  struct target target;
 
-  if (!service)
-    cannot_send (self, "service-removed", EG_LIMIT_NO_SERVICE);
-  else if (!may_use_key (self, now_us))
-    cannot_send (self, "keys-too-old", EG_LIMIT_KEYS);
-  else if (ruling == EG_CRASH_REFUSE)
-    refuse_crashing (self);
-  else if (ruling == EG_CRASH_HOLD)
-    hold_for_trial (self, now_us);
-  else if (!choose_target (self, now_us, &target))
-    handle_no_target (self, now_us);
-  else if (is_retry && !spend_retry (self, self->cause, now_us))
-    cannot_send (self, self->cause, EG_LIMIT_RETRY_BUDGET);
-  else
+  switch (step.action)
     {
-      if (self->tries > 0)
-        log_retry (self, self->cause, self->attempt.by_peer ? "peer" : "server",
-                   now_us);
-      start_on_target (self, &target, is_retry, now_us);
+    case EG_CALL_GIVES_UP:
+      if (step.limit == EG_LIMIT_QUARANTINED)
+        eg_metrics_count (&self->entry->metrics, EG_COUNT_QUARANTINED);
+      cannot_send (self, step.cause, step.limit);
+      return;
+    case EG_CALL_HOLDS:
+      self->resume_us = now_us + WAIT_INTERVAL_US;
+      return;
+    case EG_CALL_ASKS_PEERS:
+      self->tried_peer_count = 0;
+      self->resume_us = now_us + PEER_WAIT_US;
+      return;
+    case EG_CALL_SENDS:
+      break;
+    }
+  if (is_retry && !spend_retry (self, self->cause, now_us))
+    {
+      cannot_send (self, self->cause, EG_LIMIT_RETRY_BUDGET);
+      return;
     }
+  if (self->tries > 0)
+    log_retry (self, self->cause, self->attempt.by_peer ? "peer" : "server",
+               now_us);
+  start_on_target (self, &step.target, is_retry, now_us);
 }
 
-static const struct eg_route *
-find_route (const struct eg_call *self)
+const struct eg_route *
+eg_call_find_route (const struct eg_call *self)
 {
   struct eg_str path = eg_http_head_target (self->head);
 
@@ -1171,6 +1198,24 @@
   return eg_configuration_route (self->configuration, self->headers.host, path);
 }
 
+void
+eg_call_set_route (struct eg_call *self, const struct eg_route *route)
+{
+  self->route = *route;
+  self->servers_max = route->servers_max;
+  self->needs_key = self->configuration->has_organisations && !route->is_public;
+  self->priority = route->priority;
+}
+
+void
+eg_call_set_organisation (struct eg_call *self,
+                          const struct eg_organisation *organisation)
+{
+  self->organisation = organisation->name;
+  if (organisation->priority >= 0)
+    self->priority = (unsigned) organisation->priority;
+}
+
 /* Determines the organisation; false if the request was answered with an
  * error. */
 static bool
@@ -1179,13 +1224,11 @@
   const struct eg_configuration *configuration = self->configuration;
   const struct eg_organisation *organisation;
 
-  self->needs_key = configuration->has_organisations && !self->route.is_public;
-  self->priority = self->route.priority;
   if (!self->needs_key)
     return true;
-  if (!eg_entry_keys_are_fresh (self->entry, now_us))
+  if (!eg_call_may_use_key (self, now_us))
     {
-      eg_call_refuse (self, "keys-too-old", RETRY_AFTER_CONFIGURATION_MS);
+      eg_call_refuse (self, "keys-too-old", EG_RETRY_AFTER_CONFIGURATION_MS);
       return false;
     }
   organisation =
@@ -1197,9 +1240,7 @@
       eg_call_reject (self, 401, "key-unknown");
       return false;
     }
-  self->organisation = organisation->name;
-  if (organisation->priority >= 0)
-    self->priority = (unsigned) organisation->priority;
+  eg_call_set_organisation (self, organisation);
   return true;
 }
 
@@ -1248,6 +1289,20 @@
   self->deadline_us = self->arrived_us + timeout_us;
 }
 
+void
+eg_call_prepare (struct eg_call *self)
+{
+  uint32_t service;
+
+  set_subjects (self);
+  set_deadline (self);
+  if (self->priority > PRIORITY_CLASS_MAX)
+    self->priority = PRIORITY_CLASS_MAX;
+  service =
+      eg_route_choose (&self->route, eg_random_next (&self->entry->random));
+  self->service = self->configuration->services[service].name;
+}
+
 /* Returns why this VM does not take a request that another one has sent, or
  * NULL. A request is not served by an older configuration than its first VM
  * has. */
@@ -1271,7 +1326,6 @@
 {
   const struct eg_route *route;
   const char *refusal = hop ? find_hop_refusal (self, hop, now_us) : NULL;
-  uint32_t service;
 
   if (refusal)
     {
@@ -1280,7 +1334,8 @@
     }
   if (!eg_entry_has_configuration (self->entry))
     {
-      eg_call_refuse (self, "no-configuration", RETRY_AFTER_CONFIGURATION_MS);
+      eg_call_refuse (self, "no-configuration",
+                      EG_RETRY_AFTER_CONFIGURATION_MS);
       return;
     }
   if (self->headers.id.len == 0 || self->headers.host.len == 0)
@@ -1290,24 +1345,18 @@
     }
   self->configuration =
       eg_configuration_ref (self->entry->configuration.current);
-  route = find_route (self);
+  route = eg_call_find_route (self);
   if (!route)
     {
       eg_call_reject (self, 404, "no-route");
       return;
     }
-  self->route = *route;
-  self->servers_max = route->servers_max;
+  eg_call_set_route (self, route);
   if (hop && hop->servers_max < self->servers_max)
     self->servers_max = hop->servers_max;
   if (!identify (self, now_us))
     return;
-  set_subjects (self);
-  set_deadline (self);
-  if (self->priority > PRIORITY_CLASS_MAX)
-    self->priority = PRIORITY_CLASS_MAX;
-  service = eg_route_choose (route, eg_random_next (&self->entry->random));
-  self->service = self->configuration->services[service].name;
+  eg_call_prepare (self);
   self->is_credited = !hop || hop->is_credited;
   if (self->is_credited)
     eg_retry_window_request (
--- a/entry/call_answer.c
+++ b/entry/call_answer.c
@@ -139,12 +139,13 @@
 }
 
 static int64_t
-shortage_wait_ms (struct eg_call *self, int64_t now_us)
+shortage_wait_ms (const struct eg_call *self,
+                  struct eg_shortage *shortage,
+                  struct eg_service_wait *wait,
+                  int64_t now_us)
 {
-  struct eg_shortage *shortage =
-      &eg_entry_service (self->entry, self->service)->shortage;
-  int64_t shortest_us =
-      eg_call_wait_return_us (self, eg_call_shortest_return_us (self), now_us);
+  int64_t shortest_us = eg_call_wait_return_us (
+      self, wait, eg_call_shortest_return_us (self), now_us);
 
   eg_shortage_refused (shortage, now_us);
   return eg_shortage_wait_us (shortage, shortest_us, self->deadline_us - now_us,
@@ -152,11 +153,12 @@
          / EG_US_PER_MS;
 }
 
-/* Returns when the client is to come back. */
-static int64_t
-retry_after_ms (struct eg_call *self)
+int64_t
+eg_call_find_retry_after_ms (const struct eg_call *self,
+                             struct eg_shortage *shortage,
+                             struct eg_service_wait *wait,
+                             int64_t now_us)
 {
-  int64_t now_us = eg_clock_now_us ();
   bool limited;
   int64_t wait_us =
       eg_server_limits_wait_us (self->entry, self->service, now_us, &limited);
@@ -169,7 +171,18 @@
     return wait_us / EG_US_PER_MS + 1;
   if (self->peer_retry_after_us > 0)
     return self->peer_retry_after_us / EG_US_PER_MS + 1;
-  return shortage_wait_ms (self, now_us);
+  return shortage_wait_ms (self, shortage, wait, now_us);
+}
+
+/* Returns when the client is to come back. */
+static int64_t
+retry_after_ms (const struct eg_call *self)
+{
+  struct eg_service_state *service =
+      eg_entry_service (self->entry, self->service);
+
+  return eg_call_find_retry_after_ms (self, &service->shortage, service->wait,
+                                      eg_clock_now_us ());
 }
 
 void
--- a/entry/call_hop.c
+++ b/entry/call_hop.c
@@ -53,7 +53,9 @@
 }
 
 const struct eg_member *
-eg_call_choose_peer (struct eg_call *self, int64_t now_us)
+eg_call_choose_peer (struct eg_call *self,
+                     struct eg_peer_paths *peers,
+                     int64_t now_us)
 {
   const struct eg_service_state *service =
       eg_entry_service (self->entry, self->service);
@@ -66,8 +68,8 @@
       && (!has_suspect_server (self, now_us)
           || now_us - service->peers_refused_us < PEERS_REFUSED_US))
     return NULL;
-  return eg_peer_paths_choose (&self->entry->peer_paths, self->tried_peers,
-                               self->tried_peer_count, now_us);
+  return eg_peer_paths_choose (peers, self->tried_peers, self->tried_peer_count,
+                               now_us);
 }
 
 /* Moves the credit that a request gives to the retry budget to the peer, unless
--- a/entry/call_state.h
+++ b/entry/call_state.h
@@ -8,8 +8,10 @@
 #define EG_ENTRY_CALL_STATE_H
 
 #include "entry/call.h"
+#include "policy/shortage.h"
 
 struct eg_member;
+struct eg_peer_paths;
 
 /**
  * Retry-After sent for requests to plain servers, which recover quickly or not
@@ -17,6 +19,77 @@
  */
 #define EG_RETRY_AFTER_SERVER_MS 250
 
+/**
+ * Retry-After sent until a configuration has arrived and other VMs have been
+ * asked for a newer one.
+ */
+#define EG_RETRY_AFTER_CONFIGURATION_MS 500
+
+/** Where a request is sent next. */
+struct eg_call_target
+{
+  struct eg_placement placement;
+  const struct eg_member *peer; /**< NULL: @c placement. */
+};
+
+/** What is to be done with a request that no attempt runs for. */
+enum eg_call_action
+{
+  EG_CALL_SENDS,
+  EG_CALL_HOLDS,      /**< Until the outcome of another one is known. */
+  EG_CALL_ASKS_PEERS, /**< Waits a moment for the answers of peers. */
+  EG_CALL_GIVES_UP,   /**< See eg_call_give_up() and eg_call_wait_hold(). */
+};
+
+/** The next step of a request. */
+struct eg_call_step
+{
+  enum eg_call_action action;
+  struct eg_call_target target; /**< Of EG_CALL_SENDS. */
+  const char *cause;            /**< Of the other actions. */
+  enum eg_resend_limit limit;   /**< Of EG_CALL_GIVES_UP. */
+};
+
+/**
+ * Decides on the next attempt. Nothing of the call is changed, and of the
+ * daemon only its random numbers and @p peers.
+ */
+struct eg_call_step eg_call_decide (struct eg_call *self,
+                                    struct eg_peer_paths *peers,
+                                    int64_t now_us);
+
+/** Decides what the caller is told if @p limit rules out a send. */
+enum eg_resend_decision eg_call_give_up (const struct eg_call *self,
+                                         enum eg_resend_limit limit,
+                                         int64_t now_us);
+
+/** Returns the route of the request in its configuration, or NULL. */
+const struct eg_route *eg_call_find_route (const struct eg_call *self);
+
+/** Sets the route, and what follows from it alone. */
+void eg_call_set_route (struct eg_call *self, const struct eg_route *route);
+
+/** Sets the organisation of a request whose route needs one. */
+void eg_call_set_organisation (struct eg_call *self,
+                               const struct eg_organisation *organisation);
+
+/** Returns whether the route needs no API key, or keys may be used now. */
+bool eg_call_may_use_key (const struct eg_call *self, int64_t now_us);
+
+/** Sets the rest of what the first attempt needs; chooses the service. */
+void eg_call_prepare (struct eg_call *self);
+
+/**
+ * Returns when the client of a refused request is to come back.
+ * @param shortage of its service; takes note of the refusal.
+ * @param wait the queue of its service, or a copy; see
+ *   eg_call_wait_return_us().
+ */
+int64_t eg_call_find_retry_after_ms (const struct eg_call *self,
+                                     struct eg_shortage *shortage,
+                                     struct eg_service_wait *wait,
+                                     int64_t now_us);
+
 /**
  * Returns the service of the request in the current configuration, or NULL if
  * it was removed.
@@ -112,9 +185,10 @@
 
 /**
  * Returns the peer to send the request through, or NULL if there is none or
- * this VM itself reaches as much.
+ * this VM itself reaches as much. Counts the request in @p peers.
  */
 const struct eg_member *eg_call_choose_peer (struct eg_call *self,
+                                             struct eg_peer_paths *peers,
                                              int64_t now_us);
 
 /** Starts an attempt through a peer. */
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -859,16 +859,28 @@
   return self->listed || now_us < self->grace_until_us;
 }
 
-bool
-eg_backend_is_usable (const struct eg_backend *self, int64_t now_us)
+const char *
+eg_backend_find_obstacle (const struct eg_backend *self, int64_t now_us)
 {
   const struct eg_server_reach *reach = &self->fleet->reach;
 
-  return eg_backend_is_present (self, now_us) && !eg_backend_is_leaving (self)
-         && !eg_backend_is_suspect (self, now_us)
-         && eg_server_room_is_open (&self->room, now_us)
-         && (!eg_server_reach_is_lost (reach)
-             || self->connected_us >= reach->lost_us);
+  if (!eg_backend_is_present (self, now_us))
+    return "withdrawn";
+  if (eg_backend_is_leaving (self))
+    return "leaving";
+  if (eg_backend_is_suspect (self, now_us))
+    return "suspect";
+  if (!eg_server_room_is_open (&self->room, now_us))
+    return "no-room";
+  if (eg_server_reach_is_lost (reach) && self->connected_us < reach->lost_us)
+    return "not-reached";
+  return NULL;
+}
+
+bool
+eg_backend_is_usable (const struct eg_backend *self, int64_t now_us)
+{
+  return !eg_backend_find_obstacle (self, now_us);
 }
 
 void
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -273,6 +273,10 @@
 /** Returns whether a server's record is in the store, or may reappear there. */
 bool eg_backend_is_present (const struct eg_backend *self, int64_t now_us);
 
+/** Returns why a server may not receive new requests; NULL: it may. */
+const char *eg_backend_find_obstacle (const struct eg_backend *self,
+                                      int64_t now_us);
+
 /** Returns whether a server may receive new requests. */
 bool eg_backend_is_usable (const struct eg_backend *self, int64_t now_us);
 
--- a/entry/placement.c
+++ b/entry/placement.c
@@ -141,6 +141,43 @@
   return 1 - eg_server_limits_left (entry, backend, now_us);
 }
 
+/* Tells the observer of a search about a server. */
+static void
+observe_server (const struct eg_placement_request *request,
+                const struct eg_backend *backend,
+                const char *obstacle)
+{
+  if (request->observer
+      && eg_str_equal (backend->record.service, request->service->name))
+    request->observer->server (request->observer->context, backend, obstacle);
+}
+
+static void
+observe_option (const struct eg_placement_request *request,
+                const struct eg_placement_option *option)
+{
+  if (request->observer)
+    request->observer->option (request->observer->context, option);
+}
+
+/* Returns why a server may not be the only or the first one of a request; NULL:
+ * it may. The number of first servers that a request may be sent to is limited,
+ * and one of them may have asked for a pause or named a limit. */
+static const char *
+find_first_obstacle (struct eg_entry *entry,
+                     struct eg_backend *backend,
+                     const struct eg_placement_request *request,
+                     int64_t now_us)
+{
+  if (request->only_used && !was_used (backend, request))
+    return "servers-used-up";
+  if (eg_server_room_is_paused (&backend->room, now_us))
+    return "paused";
+  if (!may_send (entry, backend, request, now_us))
+    return "server-limit";
+  return NULL;
+}
+
 /* Forward passes take longer, and preemption becomes more likely, as a
  * server fills up. */
 static double
@@ -151,10 +188,12 @@
   return 1 / (left * left);
 }
 
+/* Expected time in a layer until @p answer_tokens of the answer are ready. */
 static double
-layer_cost_us (const struct eg_entry *entry,
+layer_time_us (const struct eg_entry *entry,
                const struct eg_backend *backend,
                const struct eg_placement_request *request,
+               uint32_t answer_tokens,
                int64_t now_us)
 {
   const struct eg_engine_model *engine = &request->service->engine;
@@ -163,15 +202,24 @@
   double tokens = (double) request->prompt_tokens + request->answer_tokens;
   double step = accelerator ? accelerator->step_factor : 1;
   double prefill = accelerator ? accelerator->prefill_factor : 1;
-  double work_us = request->answer_tokens * engine->step_us * step;
+  double work_us = answer_tokens * engine->step_us * step;
 
   if (engine->prefill_tokens_per_us > 0)
     work_us += request->prompt_tokens / engine->prefill_tokens_per_us * prefill;
   return work_us / engine->layers * eg_backend_slowness (backend, now_us)
-         * (1 + eg_backend_penalty (backend, now_us))
          * load_cost_factor (kv_share (entry, backend, engine, tokens));
 }
 
+static double
+layer_cost_us (const struct eg_entry *entry,
+               const struct eg_backend *backend,
+               const struct eg_placement_request *request,
+               int64_t now_us)
+{
+  return layer_time_us (entry, backend, request, request->answer_tokens, now_us)
+         * (1 + eg_backend_penalty (backend, now_us));
+}
+
 /** Candidates of one search, with the failure domains numbered. */
 struct search
 {
@@ -211,6 +259,25 @@
   return true;
 }
 
+/* Returns why a server is no candidate for a path; NULL: it is one. */
+static const char *
+find_path_obstacle (struct eg_entry *entry,
+                    struct eg_backend *backend,
+                    const struct eg_placement_request *request,
+                    int64_t now_us)
+{
+  struct eg_layer_range layers = backend->record.layers;
+  const char *obstacle = eg_backend_find_obstacle (backend, now_us);
+
+  if (obstacle)
+    return obstacle;
+  if (layers.to <= layers.from || layers.to > request->service->engine.layers)
+    return "no-layers";
+  return layers.from == 0
+             ? find_first_obstacle (entry, backend, request, now_us)
+             : NULL;
+}
+
 static void
 collect_candidates (struct eg_entry *entry,
                     const struct eg_placement_request *request,
@@ -226,19 +293,20 @@
     {
       struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
       struct eg_layer_range layers = backend->record.layers;
-      uint32_t domain;
+      const char *obstacle;
+      uint32_t domain = 0;
 
-      if (!serves (backend, request, now_us) || layers.to <= layers.from
-          || layers.to > request->service->engine.layers || is_full (search))
-        continue;
-      /* The number of first servers a request may be sent to is limited, and
-       * one of them may have asked for a pause or named a limit. */
-      if (layers.from == 0
-          && ((request->only_used && !was_used (backend, request))
-              || !may_send (entry, backend, request, now_us)))
+      if (!eg_str_equal (backend->record.service, request->service->name))
         continue;
-      domain = domain_number (search, backend->record.domain);
+      obstacle = find_path_obstacle (entry, backend, request, now_us);
+      if (!obstacle && is_full (search))
+        obstacle = "path-candidates";
+      if (!obstacle)
+        domain = domain_number (search, backend->record.domain);
       if (domain == EG_PATH_DOMAINS_MAX)
+        obstacle = "path-domains";
+      observe_server (request, backend, obstacle);
+      if (obstacle)
         continue;
       search->backends[search->count] = backend;
       search->candidates[search->count] = (struct eg_path_candidate){
@@ -275,6 +343,85 @@
                              &costs, path);
 }
 
+/* Returns the first layers that no candidate of a failure domain holds. */
+static struct eg_layer_range
+find_missing_layers (const struct search *search,
+                     const struct eg_placement_request *request,
+                     uint32_t domain)
+{
+  uint32_t layers = request->service->engine.layers;
+  struct eg_layer_range missing = {0, 0};
+
+  for (uint32_t layer = 0; layer < layers; layer++)
+    {
+      bool held = false;
+
+      for (size_t i = 0; i < search->count && !held; i++)
+        held = search->candidates[i].domain == domain
+               && search->candidates[i].from <= layer
+               && layer < search->candidates[i].to;
+      if (held && missing.to > missing.from)
+        break;
+      if (held)
+        continue;
+      if (missing.to == missing.from)
+        missing.from = layer;
+      missing.to = layer + 1;
+    }
+  return missing;
+}
+
+/* Sets @p placement to a path that was found. */
+static void
+place_on_path (const struct eg_entry *entry,
+               const struct eg_placement_request *request,
+               const struct search *search,
+               const struct eg_layer_path *path,
+               struct eg_placement *placement)
+{
+  double tokens = (double) request->prompt_tokens + request->answer_tokens;
+
+  placement->count = path->count;
+  placement->load = 0;
+  for (uint32_t i = 0; i < path->count; i++)
+    {
+      struct eg_backend *backend = search->backends[path->stages[i].server];
+      double share =
+          kv_share (entry, backend, &request->service->engine, tokens);
+
+      placement->stages[i] = backend;
+      placement->layers[i] =
+          (struct eg_layer_range){path->stages[i].from, path->stages[i].to};
+      if (share > placement->load)
+        placement->load = share;
+    }
+}
+
+/* Tells the observer of a search about a failure domain.
+ * @p path is NULL if it has no complete one. */
+static void
+observe_domain (const struct eg_entry *entry,
+                const struct eg_placement_request *request,
+                const struct search *search,
+                uint32_t domain,
+                const struct eg_layer_path *path)
+{
+  struct eg_placement_option option = {.domain = search->domains[domain]};
+  struct eg_placement placement;
+
+  if (!request->observer)
+    return;
+  if (path)
+    {
+      place_on_path (entry, request, search, path, &placement);
+      option.placement = &placement;
+      option.cost = path->cost_us;
+    }
+  else
+    option.missing = find_missing_layers (search, request, domain);
+  observe_option (request, &option);
+}
+
 static enum eg_placement_result
 choose_path (struct eg_entry *entry,
              const struct eg_placement_request *request,
@@ -283,7 +430,6 @@
 {
   static struct search search;
   struct eg_layer_path best = {.cost_us = INFINITY};
-  double tokens = (double) request->prompt_tokens + request->answer_tokens;
 
   collect_candidates (entry, request, now_us, &search);
   for (uint32_t domain = 0; domain < search.domain_count; domain++)
@@ -291,28 +437,19 @@
       struct eg_layer_path path;
 
       if (!find_in_domain (&search, request, domain, &path))
-        continue;
+        {
+          observe_domain (entry, request, &search, domain, NULL);
+          continue;
+        }
       if (domain > 0)
         path.cost_us *= REMOTE_DOMAIN_FACTOR;
+      observe_domain (entry, request, &search, domain, &path);
       if (path.cost_us < best.cost_us)
         best = path;
     }
   if (best.count == 0)
     return EG_PLACE_NONE;
-  placement->count = best.count;
-  placement->load = 0;
-  for (uint32_t i = 0; i < best.count; i++)
-    {
-      struct eg_backend *backend = search.backends[best.stages[i].server];
-      double share =
-          kv_share (entry, backend, &request->service->engine, tokens);
-
-      placement->stages[i] = backend;
-      placement->layers[i] =
-          (struct eg_layer_range){best.stages[i].from, best.stages[i].to};
-      if (share > placement->load)
-        placement->load = share;
-    }
+  place_on_path (entry, request, &search, &best, placement);
   return EG_PLACED;
 }
 
@@ -333,6 +470,18 @@
   return (load + 1) / slots + eg_backend_penalty (backend, now_us);
 }
 
+/* Sets @p placement to a plain server. */
+static void
+place_on_server (struct eg_backend *backend,
+                 double load,
+                 struct eg_placement *placement)
+{
+  placement->count = 1;
+  placement->stages[0] = backend;
+  placement->layers[0] = (struct eg_layer_range){0, 0};
+  placement->load = load;
+}
+
 static enum eg_placement_result
 choose_server (struct eg_entry *entry,
                const struct eg_placement_request *request,
@@ -347,17 +496,28 @@
     {
       struct eg_backend *backend = EG_CONTAINER_OF (at, struct eg_backend, all);
       const double used_penalty = 1000;
+      struct eg_placement option;
+      const char *obstacle;
       double load;
 
-      if (!serves (backend, request, now_us)
-          || (request->only_used && !was_used (backend, request))
-          || !may_send (entry, backend, request, now_us))
+      if (!eg_str_equal (backend->record.service, request->service->name))
+        continue;
+      obstacle = eg_backend_find_obstacle (backend, now_us);
+      if (!obstacle)
+        obstacle = find_first_obstacle (entry, backend, request, now_us);
+      observe_server (request, backend, obstacle);
+      if (obstacle)
         continue;
       load = plain_load (entry, backend, now_us)
              + LIMITED_LOAD * limit_used (entry, backend, request, now_us)
              + eg_random_double (&entry->random) * LOAD_JITTER;
       if (request->avoid_used && was_used (backend, request))
         load += used_penalty;
+      place_on_server (backend, load, &option);
+      observe_option (request, &(struct eg_placement_option){
+                                   .domain = backend->record.domain,
+                                   .placement = &option,
+                                   .cost = load});
       if (load < best_load)
         {
           best = backend;
@@ -366,10 +526,7 @@
     }
   if (!best)
     return EG_PLACE_NONE;
-  placement->count = 1;
-  placement->stages[0] = best;
-  placement->layers[0] = (struct eg_layer_range){0, 0};
-  placement->load = best_load;
+  place_on_server (best, best_load, placement);
   return EG_PLACED;
 }
 
@@ -384,6 +541,49 @@
   return choose_server (entry, request, now_us, placement);
 }
 
+static int64_t
+age_us (int64_t since_us, int64_t now_us)
+{
+  return since_us > 0 ? now_us - since_us : -1;
+}
+
+struct eg_stage_figures
+eg_placement_stage_figures (const struct eg_entry *entry,
+                            const struct eg_placement_request *request,
+                            const struct eg_placement *placement,
+                            uint32_t index,
+                            int64_t now_us)
+{
+  const struct eg_backend *backend = placement->stages[index];
+  const struct eg_engine_model *engine = &request->service->engine;
+  struct eg_layer_range layers = placement->layers[index];
+  double tokens = (double) request->prompt_tokens + request->answer_tokens;
+  struct eg_stage_figures figures = {.others_age_us =
+                                         age_us (backend->others_us, now_us)};
+
+  if (layers.to == layers.from)
+    {
+      figures.running = backend->running;
+      if (backend->has_load && now_us - backend->load_us < LOAD_AGE_MAX_US
+          && backend->load > figures.running)
+        figures.running = backend->load;
+      figures.report_age_us =
+          backend->has_load ? age_us (backend->load_us, now_us) : -1;
+      return figures;
+    }
+  figures.report_age_us = age_us (backend->report_us, now_us);
+  figures.memory_used = kv_share (entry, backend, engine, tokens);
+  figures.running = add_peer_load (entry, backend, backend->first_running,
+                                   backend->first_others);
+  figures.first_event_us = layer_time_us (entry, backend, request, 1, now_us)
+                           * (layers.to - layers.from);
+  if (index == 0)
+    figures.first_event_us += slot_wait_us (entry, backend, request);
+  if (index + 1 < placement->count)
+    figures.first_event_us += HOP_LATENCY_US;
+  return figures;
+}
+
 static bool
 is_stage (const struct eg_placement *placement,
           const struct eg_backend *backend)
--- a/entry/wait_queue.c
+++ b/entry/wait_queue.c
@@ -65,6 +65,17 @@
   eg_list_init (&self->services);
 }
 
+static struct eg_service_wait *
+new_service_wait (void)
+{
+  struct eg_service_wait *self = calloc (1, sizeof *self);
+
+  EG_INVARIANT (self);
+  self->version = -1;
+  eg_wait_queue_init (&self->queue, self->slots, EG_WAIT_QUEUE_MAX);
+  return self;
+}
+
 /* Returns the queue of a call's service. Memory is taken for services that get
  * requests, unless shedding is off; a new configuration may have dropped a
  * service that calls still refer to. */
@@ -76,12 +87,8 @@
 
   if (state->wait)
     return state->wait;
-  state->wait = calloc (1, sizeof *state->wait);
-  EG_INVARIANT (state->wait);
+  state->wait = new_service_wait ();
   eg_list_append (&call->entry->wait_queues.services, &state->wait->all);
-  state->wait->version = -1;
-  eg_wait_queue_init (&state->wait->queue, state->wait->slots,
-                      EG_WAIT_QUEUE_MAX);
   return state->wait;
 }
 
@@ -224,13 +231,14 @@
 
 static void
 set_request (struct eg_call *call,
+             uint64_t id,
              const struct eg_service_config *service,
              int64_t now_us)
 {
   struct eg_shed_request *request = &call->wait.request;
 
   *request = (struct eg_shed_request){
-      .id = ++call->entry->wait_queues.next_id,
+      .id = id,
       .route = eg_hash_str (call->route.name),
       .organisation = eg_hash_str (call->organisation),
       .priority = call->priority,
@@ -359,23 +367,31 @@
           (eg_shed_latest_us (&call->wait.request) - now_us) / EG_US_PER_MS);
 }
 
+/* Adds a request to a queue, or not. */
+static enum eg_shed_verdict
+admit (struct eg_call *call,
+       struct eg_service_wait *self,
+       int64_t now_us,
+       struct eg_shed_request *victim)
+{
+  self->queue.capacity = (size_t) call->entry->settings->shedding_requests;
+  if (call->wait.offered)
+    return put_back (call, &self->queue, now_us);
+  if (is_limited_too_long (call, now_us))
+    return EG_SHED_LATE;
+  call->wait.offered = true;
+  return eg_wait_queue_offer (&self->queue, &call->wait.request, now_us,
+                              victim);
+}
+
 /* Offers a request to its queue; false if it is refused. */
 static bool
 offer (struct eg_call *call, struct eg_service_wait *self, int64_t now_us)
 {
   struct eg_shed_request victim;
-  enum eg_shed_verdict verdict = EG_SHED_LATE;
   bool first = !call->wait.offered;
+  enum eg_shed_verdict verdict = admit (call, self, now_us, &victim);
 
-  self->queue.capacity = (size_t) call->entry->settings->shedding_requests;
-  if (!first)
-    verdict = put_back (call, &self->queue, now_us);
-  else if (!is_limited_too_long (call, now_us))
-    {
-      call->wait.offered = true;
-      verdict = eg_wait_queue_offer (&self->queue, &call->wait.request, now_us,
-                                     &victim);
-    }
   if (verdict == EG_SHED_LATE || verdict == EG_SHED_FULL)
     {
       note_event (call, verdict == EG_SHED_FULL ? EG_WAIT_FULL : EG_WAIT_LATE,
@@ -393,25 +409,43 @@
   return true;
 }
 
+/* Returns whether a request may be queued at all. */
+static bool
+uses_queue (const struct eg_call *call)
+{
+  return !call->is_from_peer && eg_call_service (call)
+         && strcmp (call->entry->settings->shedding_mode, "off") != 0;
+}
+
+/* Takes a request that has just arrived; returns whether others that wait go
+ * before it. */
+static bool
+has_to_wait (struct eg_call *call,
+             struct eg_service_wait *self,
+             uint64_t id,
+             int64_t now_us)
+{
+  set_request (call, id, eg_call_service (call), now_us);
+  note_size (self, &call->wait.request);
+  call->wait.known = is_on (call, self);
+  return call->wait.known
+         && eg_crash_watch_judge (&call->entry->crash_watch, &call->subjects,
+                                  now_us)
+                    .ruling
+                <= EG_CRASH_TRY
+         && !eg_wait_queue_goes_first (&self->queue, &call->wait.request,
+                                       now_us);
+}
+
 bool
 eg_call_wait_arrive (struct eg_call *call, int64_t now_us)
 {
-  const struct eg_service_config *service = eg_call_service (call);
   struct eg_service_wait *self;
 
-  if (call->is_from_peer || !service
-      || strcmp (call->entry->settings->shedding_mode, "off") == 0)
+  if (!uses_queue (call))
     return false;
   self = service_wait (call);
-  set_request (call, service, now_us);
-  note_size (self, &call->wait.request);
-  call->wait.known = is_on (call, self);
-  if (!call->wait.known
-      || eg_crash_watch_judge (&call->entry->crash_watch, &call->subjects,
-                               now_us)
-                 .ruling
-             > EG_CRASH_TRY
-      || eg_wait_queue_goes_first (&self->queue, &call->wait.request, now_us))
+  if (!has_to_wait (call, self, ++call->entry->wait_queues.next_id, now_us))
     return false;
   call->limit = EG_LIMIT_NO_SERVER;
   if (!offer (call, self, now_us))
@@ -419,16 +453,72 @@
   return true;
 }
 
+/* Returns whether a request for which @p limit rules out a send may wait. */
+static bool
+may_hold (const struct eg_call *call, enum eg_resend_limit limit)
+{
+  bool may_pass = limit == EG_LIMIT_NO_SERVER || limit == EG_LIMIT_SERVER_LIMITS
+                  || limit == EG_LIMIT_RETRY_BUDGET;
+
+  return may_pass && call->wait.known && !call->may_have_run
+         && !call->head_sent;
+}
+
 bool
 eg_call_wait_hold (struct eg_call *call,
                    enum eg_resend_limit limit,
                    int64_t now_us)
 {
-  bool may_pass = limit == EG_LIMIT_NO_SERVER || limit == EG_LIMIT_SERVER_LIMITS
-                  || limit == EG_LIMIT_RETRY_BUDGET;
+  return may_hold (call, limit) && offer (call, service_wait (call), now_us);
+}
 
-  return may_pass && call->wait.known && !call->may_have_run && !call->head_sent
-         && offer (call, service_wait (call), now_us);
+void
+eg_wait_preview_init (struct eg_wait_preview *self,
+                      struct eg_call *call,
+                      int64_t now_us)
+{
+  const struct eg_service_state *state =
+      eg_entry_service (call->entry, call->service);
+  uint64_t id = call->entry->wait_queues.next_id + 1;
+
+  *self = (struct eg_wait_preview){0};
+  if (!uses_queue (call))
+    return;
+  self->wait = new_service_wait ();
+  if (state->wait)
+    {
+      *self->wait = *state->wait;
+      self->wait->queue.slots = self->wait->slots;
+    }
+  self->queues = has_to_wait (call, self->wait, id, now_us);
+  self->enabled = call->wait.known;
+  self->waiting = self->wait->queue.count;
+  self->capacity = (size_t) call->entry->settings->shedding_requests;
+  self->ahead = eg_wait_queue_count_ahead (&self->wait->queue,
+                                           &call->wait.request, now_us);
+}
+
+void
+eg_wait_preview_finish (struct eg_wait_preview *self)
+{
+  free (self->wait);
+  self->wait = NULL;
+}
+
+bool
+eg_wait_preview_offer (struct eg_wait_preview *self,
+                       struct eg_call *call,
+                       enum eg_resend_limit limit,
+                       int64_t now_us)
+{
+  struct eg_shed_request victim;
+  enum eg_shed_verdict verdict;
+
+  if (!self->wait || (limit != EG_LIMIT_NONE && !may_hold (call, limit)))
+    return false;
+  verdict = admit (call, self->wait, now_us, &victim);
+  call->wait.verdict = eg_shed_verdict_name (verdict);
+  return verdict == EG_SHED_WAITS || verdict == EG_SHED_REPLACES;
 }
 
 void
@@ -457,7 +547,8 @@
 }
 
 int64_t
-eg_call_wait_return_us (struct eg_call *call,
+eg_call_wait_return_us (const struct eg_call *call,
+                        struct eg_service_wait *self,
                         int64_t shortest_us,
                         int64_t now_us)
 {
@@ -465,8 +556,11 @@
 
   if (!call->wait.known)
     return shortest_us;
-  wait_us = eg_wait_queue_retry_after_us (&service_wait (call)->queue,
-                                          &call->wait.request, now_us);
+  /* A configuration that lacked the service may have dropped its queue. */
+  if (!self)
+    self = service_wait (call);
+  wait_us =
+      eg_wait_queue_retry_after_us (&self->queue, &call->wait.request, now_us);
   return wait_us > shortest_us ? wait_us : shortest_us;
 }
 
--- a/entry/wait_queue.h
+++ b/entry/wait_queue.h
@@ -108,13 +108,48 @@
 void eg_call_wait_leave (struct eg_call *call);
 
 /**
- * Returns after which time a refused caller finds the queue served.
+ * Returns after which time a refused caller finds the queue @p self served;
+ * NULL: the one of its service.
  * @param shortest_us the least time to return.
  */
-int64_t eg_call_wait_return_us (struct eg_call *call,
+int64_t eg_call_wait_return_us (const struct eg_call *call,
+                                struct eg_service_wait *self,
                                 int64_t shortest_us,
                                 int64_t now_us);
 
+/** What would become of a request that has just arrived. */
+struct eg_wait_preview
+{
+  /** A copy of the queue of its service; NULL: it would not be queued. */
+  struct eg_service_wait *wait;
+  bool enabled; /**< Shedding is on for its service. */
+  bool queues;  /**< Others go before it, so that it would be queued at once. */
+  size_t waiting;
+  size_t capacity;
+  size_t ahead; /**< Waiting requests that go before it. */
+};
+
+/**
+ * Finds out as eg_call_wait_arrive() does, on a copy of the queue. Sets
+ * eg_call::wait of @p call.
+ */
+void eg_wait_preview_init (struct eg_wait_preview *self,
+                           struct eg_call *call,
+                           int64_t now_us);
+
+/** Frees the copy. */
+void eg_wait_preview_finish (struct eg_wait_preview *self);
+
+/**
+ * Returns what becomes of the request if it is offered to the copy.
+ * @param limit what rules out a send; EG_LIMIT_NONE: others go before it.
+ * @return false if it would be refused.
+ */
+bool eg_wait_preview_offer (struct eg_wait_preview *self,
+                            struct eg_call *call,
+                            enum eg_resend_limit limit,
+                            int64_t now_us);
+
 /** Appends the inputs and the verdict to the log line of a request. */
 void eg_call_wait_write (const struct eg_call *call, struct eg_buffer *out);
 
--- a/policy/shedding.c
+++ b/policy/shedding.c
@@ -429,23 +429,31 @@
   return verdict;
 }
 
-bool
-eg_wait_queue_goes_first (struct eg_wait_queue *self,
-                          const struct eg_shed_request *request,
-                          int64_t now_us)
+size_t
+eg_wait_queue_count_ahead (struct eg_wait_queue *self,
+                           const struct eg_shed_request *request,
+                           int64_t now_us)
 {
   struct eg_shed_place place;
+  size_t count = 0;
 
   if (self->count == 0)
-    return true;
+    return 0;
   advance (self, now_us);
   update_places (self, now_us);
   place = find_place (self, request, self->sequence, now_us);
   for (size_t i = 0; i < self->count; i++)
-    if (!self->slots[i].request.passed
-        && goes_before (&self->slots[i].place, &place))
-      return false;
-  return true;
+    count += !self->slots[i].request.passed
+             && goes_before (&self->slots[i].place, &place);
+  return count;
+}
+
+bool
+eg_wait_queue_goes_first (struct eg_wait_queue *self,
+                          const struct eg_shed_request *request,
+                          int64_t now_us)
+{
+  return eg_wait_queue_count_ahead (self, request, now_us) == 0;
 }
 
 /* Returns the first request that holds up others; SIZE_MAX: none. */
--- a/policy/shedding.h
+++ b/policy/shedding.h
@@ -187,6 +187,14 @@
                                const struct eg_shed_request *request,
                                int64_t now_us);
 
+/**
+ * Returns how many waiting requests go before @p request, which is about to
+ * arrive. Those that lack room which others have do not count.
+ */
+size_t eg_wait_queue_count_ahead (struct eg_wait_queue *self,
+                                  const struct eg_shed_request *request,
+                                  int64_t now_us);
+
 /**
  * Removes the request to be sent next; false if there is none. The first one is
  * taken again at each later time, so that no other gets the room that returns
