entry: GET /explain answers where a request would be sent

An operator could find out from logs where a request was sent, but not where one would be sent now, or why it would be refused.

Change: the port for other VMs and metrics answers GET /explain with the route, the queue, the candidates with their figures, the reasons against the other servers, and the decision. It is made on a call that is never started, with copies of what would change; the random numbers are set back. The answer is bounded, whatever the number of servers.

--- a/entry/connections.c
+++ b/entry/connections.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "entry/explain.h"
 #include "net/response_writer.h"
 #include "platform/configuration.h"
 
@@ -249,6 +250,17 @@
   free (text);
 }
 
+static void
+serve_explanation (struct eg_connection *self, struct eg_str target)
+{
+  struct eg_buffer text = {0};
+  unsigned status = eg_explain_answer (self->entry, target, &text);
+
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_EXPLANATIONS);
+  send_text (self, status, EG_STR ("application/json"), eg_buffer_view (&text));
+  eg_buffer_finish (&text);
+}
+
 /* Serves a request of a client that another VM cannot send to servers; false if
  * it is no such request. Addresses of VMs are those in their objects. */
 static bool
@@ -320,6 +332,8 @@
     }
   if (eg_str_equal (target, EG_STR ("/metrics")))
     serve_metrics (self);
+  else if (eg_explain_is_target (target))
+    serve_explanation (self, target);
   else if (eg_mirror_is_object_target (target, eg_configuration_kind,
                                        eg_configuration_name))
     serve_configuration (self);
