test: an explained request goes after those that wait, and takes no place

Guards against an explanation that leaves out the waiting requests, or that is queued itself: with one stream that waits, a less urgent request is explained three times, then the stream is served as the only run.

--- a/test/test_explained.c
+++ b/test/test_explained.c
@@ -21,6 +21,10 @@
 #define OUTPUT_BYTES 65536
 #define METRICS_BYTES 65536
 #define ROUNDS 20
+/* A stream waits for half of it, long enough for several explanations. */
+#define GOAL_MS 8000
+#define WAIT_MS (GOAL_MS / 2)
+#define STREAM_TIMEOUT_MS 12000
 /* The command gives up after 2 s. */
 #define ANSWER_MAX_US (3 * EG_US_PER_S)
 
@@ -34,6 +38,8 @@
                                           .retry_window_ms = 60000,
                                           .engines = 2,
                                           .plain = 2,
+                                          .stream_goal_ms = GOAL_MS,
+                                          .bulk_route = true,
                                           .settings =
                                               "[shedding]\nmode = \"on\"\n"};
 
@@ -272,6 +278,63 @@
   json_decref (answer);
 }
 
+/* The start of the fixture sends requests, too. */
+static unsigned queued_before;
+
+static bool
+is_queued (const struct streams_fixture *self)
+{
+  return streams_count_log (self, 0, "event=request-queued") > queued_before;
+}
+
+static bool
+first_has_ended (const struct streams_fixture *self)
+{
+  return streams_client_has_ended (self, 0);
+}
+
+static int64_t
+queue_of (const json_t *answer, const char *member)
+{
+  return json_integer_value (
+      json_object_get (json_object_get (answer, "queue"), member));
+}
+
+/* An explanation must count those that wait, and take the place of none. There
+ * is no server at first: one that is full would be asked now and then, and the
+ * request would not wait meanwhile. */
+static void
+test_explained_request_goes_after_those_that_wait (void **state)
+{
+  struct streams_fixture *self = *state;
+  const int rounds = 3;
+
+  queued_before = streams_count_log (self, 0, "event=request-queued");
+  streams_engine_publish (&self->engines[0], true);
+  streams_engine_publish (&self->engines[1], true);
+  streams_run (self, SETTLE_MS);
+  streams_client_start (self, 0);
+  assert_true (streams_wait (self, is_queued, WAIT_MS));
+  for (int round = 0; round < rounds; round++)
+    {
+      json_t *urgent = explain (self, "/stream/x");
+      json_t *bulk = explain (self, "/bulk/x");
+
+      assert_int_equal (queue_of (urgent, "waiting"), 1);
+      assert_int_equal (queue_of (bulk, "waiting"), 1);
+      assert_int_equal (queue_of (bulk, "ahead"), 1);
+      assert_string_equal (decision_of (bulk, "action"), "wait");
+      assert_string_equal (decision_of (bulk, "cause"), "others-first");
+      json_decref (urgent);
+      json_decref (bulk);
+    }
+  assert_false (streams_client_has_ended (self, 0));
+  streams_engine_publish (&self->engines[2], false);
+  assert_true (streams_wait (self, first_has_ended, STREAM_TIMEOUT_MS));
+  assert_int_equal (self->clients[0].status, 200);
+  assert_int_equal (streams_count_runs (self), 1);
+}
+
 static void
 test_errors_of_explanations_are_clear (void **state)
 {
@@ -311,6 +374,7 @@
   const struct CMUnitTest tests[] = {
       TEST (explanation_reaches_no_server_and_counts_no_request),
       TEST (request_goes_where_the_explanation_says),
+      TEST (explained_request_goes_after_those_that_wait),
       TEST (errors_of_explanations_are_clear),
   };
 
