http: an element with an unclosed array does not hide the ones after it

Cause: where an array that is a member of an element itself is not closed, the bracket that ends the array of elements closes it, and the rest of the document, with its last brace, completes the element. The splitter returned it as intact, with all following elements in it; the end of the array was then missing, and the document was unreadable. An array one level deeper was found out, as a brace was missing.

An element is now intact only if a comma or the closing bracket follows it, or if nothing in it looks like the beginning of another element.

--- a/http/json_splitter.c
+++ b/http/json_splitter.c
@@ -276,6 +276,18 @@
   return text.len;
 }
 
+/* Returns whether an element extends over the ones after it: an array in it is
+ * not closed, so that the closing bracket of the array of elements was taken
+ * for its own, and nothing of that array follows. */
+static bool
+extends_too_far (const struct eg_json_splitter *self, struct eg_str element)
+{
+  if (begins_with (self->rest, ',') || begins_with (self->rest, self->close))
+    return false;
+  advance (&element, 1);
+  return find_element (self, element) < element.len;
+}
+
 /* Skips an element with an invalid structure. */
 static void
 skip_to_element (struct eg_json_splitter *self,
@@ -316,7 +328,16 @@
    * other elements. */
   if (next == EG_JSON_SPLIT_ITEM && !begins_with (self->rest, '"')
       && !begins_with (self->rest, '['))
-    *intact = eg_json_splitter_take (self, element);
+    {
+      const struct eg_str text = self->rest;
+
+      *intact = eg_json_splitter_take (self, element);
+      if (*intact && extends_too_far (self, *element))
+        {
+          *intact = false;
+          self->rest = text;
+        }
+    }
   if (!*intact)
     skip_to_element (self, next != EG_JSON_SPLIT_FAULT, element);
   return true;
