net: a request body is held once while it is sent to a server

Cause: an exchange copied the body into the buffer of its connection, whose capacity is the next power of two and which the connection kept while idle, and the socket copied what the kernel did not take at once. A body of 4 MB took up to 8 MB for the request, 8 MB for the connection and 4 MB for the write queue.

Change: a body that the caller holds until the exchange ends is not copied; it is written in pieces of 64 KB as the kernel takes them. Bodies up to 16 KB are sent with the head as before. A connection whose server answers before it has read the body is not used again.

--- a/base/buffer.c
+++ b/base/buffer.c
@@ -37,6 +37,16 @@
   *self = (struct eg_buffer){0};
 }
 
+void
+eg_buffer_reserve (struct eg_buffer *self, size_t capacity)
+{
+  if (capacity <= self->capacity)
+    return;
+  self->data = realloc (self->data, capacity);
+  EG_INVARIANT (self->data != NULL);
+  self->capacity = capacity;
+}
+
 void
 eg_buffer_clear (struct eg_buffer *self)
 {
--- a/base/buffer.h
+++ b/base/buffer.h
@@ -24,6 +24,12 @@
 /** Frees the memory and leaves the buffer empty. */
 void eg_buffer_finish (struct eg_buffer *self);
 
+/**
+ * Makes room for @p capacity bytes in all, and no more; text appended within
+ * it, but for the last byte, causes no allocation.
+ */
+void eg_buffer_reserve (struct eg_buffer *self, size_t capacity);
+
 /** Sets the length to 0 and keeps the allocated memory. */
 void eg_buffer_clear (struct eg_buffer *self);
 
--- a/entry/call.c
+++ b/entry/call.c
@@ -28,6 +28,8 @@
 /* Responses up to this size are buffered until complete, so that a broken
  * one can be replaced by a retry. */
 #define RESPONSE_BUFFER_MAX (256U << 10)
+/* An idle connection keeps no larger buffer. */
+#define KEPT_BUFFER_BYTES 4096
 /* Assumed number of tokens of a response if neither the request nor the
  * configuration states one. */
 #define ANSWER_TOKENS_DEFAULT 150
@@ -158,9 +160,19 @@
   self->active = false;
   drop_configuration (self);
   eg_buffer_clear (&self->response_head);
+  if (self->response_body.capacity > KEPT_BUFFER_BYTES)
+    eg_buffer_finish (&self->response_body);
   eg_buffer_clear (&self->response_body);
 }
 
+size_t
+eg_call_memory (const struct eg_call *self)
+{
+  return self->response_head.capacity + self->response_body.capacity
+         + self->attempt.move_body.capacity
+         + self->subjects.part_count * sizeof *self->parts;
+}
+
 void
 eg_call_cancel (struct eg_call *self)
 {
@@ -813,7 +825,8 @@
   struct eg_attempt *attempt = &self->attempt;
   struct eg_backend *first = placement->stages[0];
   struct eg_exchange_request request = {.endpoint = first->record.endpoint,
-                                        .body = self->body};
+                                        .body = self->body,
+                                        .body_is_held = true};
   struct eg_buffer path = {0};
   struct eg_buffer text = {0};
   struct eg_forward_headers headers = {
--- a/entry/call.h
+++ b/entry/call.h
@@ -158,6 +158,9 @@
                     struct eg_str body,
                     const struct eg_hop_headers *hop);
 
+/** Returns the memory that the call holds besides its own structure. */
+size_t eg_call_memory (const struct eg_call *self);
+
 /** Cancels the call because the client has disconnected. */
 void eg_call_cancel (struct eg_call *self);
 
--- a/entry/call_hop.c
+++ b/entry/call_hop.c
@@ -277,8 +277,8 @@
 {
   struct eg_attempt *attempt = &self->attempt;
   enum eg_reach_state reach = self->entry->fleet.reach.state;
-  struct eg_exchange_request request = {.endpoint = peer->endpoint,
-                                        .body = self->body};
+  struct eg_exchange_request request = {
+      .endpoint = peer->endpoint, .body = self->body, .body_is_held = true};
   struct eg_hop_headers headers = {
       .timeout_ms = eg_call_timeout_ms (self, now_us),
       .last_event_id = eg_str_from (self->relay.last_id),
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -14,6 +14,13 @@
 /* Connections are closed this long before the server's keep-alive timeout, so
    that no request is sent on a connection that the server is closing. */
 #define KEEP_ALIVE_MARGIN_US EG_US_PER_S
+/* Bodies up to this size are sent together with the head. */
+#define JOINED_BODY_MAX_BYTES 16384
+/* Part of a longer body that is passed to the socket at once, which copies what
+ * the kernel does not take. */
+#define BODY_PIECE_BYTES 65536
+/* An idle connection keeps no larger buffer. */
+#define KEPT_BUFFER_BYTES 4096
 /* Longer times that servers state are taken for this one, which exceeds any
  * pool's own limit. */
 #define KEEP_ALIVE_MAX_S 86400
@@ -35,6 +42,7 @@
   struct eg_exchange *exchange;
   struct eg_endpoint endpoint;
   struct eg_buffer unsent; /**< Request to send once connected. */
+  struct eg_str body; /**< Rest to be sent after @c unsent; of the exchange. */
   int64_t idle_until_us;
   int64_t keep_alive_us; /**< Longest idle time the server allows. */
   bool connected;
@@ -78,6 +86,7 @@
   if (self->exchange)
     self->exchange->connection = NULL;
   self->exchange = NULL;
+  self->body = EG_STR ("");
   eg_socket_close (&self->socket);
 }
 
@@ -91,11 +100,30 @@
     exchange->events->failed (exchange->context, fault);
 }
 
+/* Sends as much of the body as the kernel takes, and one piece more. */
+static void
+send_body (struct eg_http_connection *self)
+{
+  while (self->body.len > 0 && eg_socket_queued (&self->socket) == 0)
+    {
+      struct eg_str piece = self->body;
+
+      if (piece.len > BODY_PIECE_BYTES)
+        piece.len = BODY_PIECE_BYTES;
+      self->body.data += piece.len;
+      self->body.len -= piece.len;
+      eg_socket_write (&self->socket, piece);
+    }
+}
+
 static void
 send_request (struct eg_http_connection *self)
 {
   eg_socket_write (&self->socket, eg_buffer_view (&self->unsent));
+  if (self->unsent.capacity > KEPT_BUFFER_BYTES)
+    eg_buffer_finish (&self->unsent);
   eg_buffer_clear (&self->unsent);
+  send_body (self);
 }
 
 static void complete_exchange (struct eg_http_connection *self, bool reusable);
@@ -194,7 +222,7 @@
 
   self->exchange = NULL;
   exchange->connection = NULL;
-  release_connection (self, reusable);
+  release_connection (self, reusable && self->body.len == 0);
   exchange->events->done (exchange->context);
 }
 
@@ -280,7 +308,7 @@
 static void
 on_drained (void *context)
 {
-  (void) context;
+  send_body (context);
 }
 
 static void
@@ -449,7 +477,10 @@
   connection->connect_only = request->connect_only;
   self->connection = connection;
   eg_buffer_append (&connection->unsent, request->head);
-  eg_buffer_append (&connection->unsent, request->body);
+  if (request->body_is_held && request->body.len > JOINED_BODY_MAX_BYTES)
+    connection->body = request->body;
+  else
+    eg_buffer_append (&connection->unsent, request->body);
   if (connection->connected)
     send_request (connection);
   return true;
--- a/net/exchange.h
+++ b/net/exchange.h
@@ -81,6 +81,8 @@
   struct eg_endpoint endpoint;
   struct eg_str head; /**< Request line and fields, including the empty line. */
   struct eg_str body;
+  /** The body remains valid until the exchange ends; it is not copied. */
+  bool body_is_held;
   bool fresh;        /**< Always open a new connection. */
   bool connect_only; /**< Send nothing; done once a connection is open. */
   bool no_body;      /**< The response has no body, as for a HEAD request. */
@@ -107,7 +109,8 @@
                        void *context);
 
 /**
- * Sends a request; its head and body are copied.
+ * Sends a request; its head and body are copied, except for a body that is
+ * held by the caller.
  * @return false if no socket could be opened; no callback follows then.
  */
 bool eg_exchange_start (struct eg_exchange *self,
--- a/net/socket.c
+++ b/net/socket.c
@@ -159,6 +159,20 @@
   return uv_read_start ((uv_stream_t *) &self->tcp, on_alloc, on_read);
 }
 
+void
+eg_socket_set_kernel_buffers (struct eg_socket *self,
+                              size_t receive_bytes,
+                              size_t send_bytes)
+{
+  int value = (int) receive_bytes;
+
+  if (receive_bytes > 0)
+    uv_recv_buffer_size ((uv_handle_t *) &self->tcp, &value);
+  value = (int) send_bytes;
+  if (send_bytes > 0)
+    uv_send_buffer_size ((uv_handle_t *) &self->tcp, &value);
+}
+
 void
 eg_socket_pause (struct eg_socket *self)
 {
@@ -190,6 +204,7 @@
 
   if (self->closing || bytes.len == 0)
     return;
+  self->written += bytes.len;
   if (self->queued == 0)
     written = uv_try_write ((uv_stream_t *) &self->tcp, &buffer, 1);
   if (written == (int) bytes.len)
--- a/net/socket.h
+++ b/net/socket.h
@@ -45,7 +45,8 @@
   uv_connect_t connecting;
   const struct eg_socket_events *events;
   void *context;
-  size_t queued; /**< Bytes in the write queue. */
+  size_t queued;    /**< Bytes in the write queue. */
+  uint64_t written; /**< Bytes passed to eg_socket_write(). */
   bool closing;
 };
 
@@ -71,6 +72,14 @@
 /** Starts or resumes reading. @return 0 or a libuv error. */
 int eg_socket_read (struct eg_socket *self);
 
+/**
+ * Bounds the bytes that the kernel holds for this socket, in place of its own
+ * adjustment to the connection; 0: leaves it as it is.
+ */
+void eg_socket_set_kernel_buffers (struct eg_socket *self,
+                                   size_t receive_bytes,
+                                   size_t send_bytes);
+
 /** Pauses reading, so that TCP flow control slows the sender down. */
 void eg_socket_pause (struct eg_socket *self);
 
--- a/test/test_exchange.c
+++ b/test/test_exchange.c
@@ -21,6 +21,8 @@
 #define REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 /* Time limit for an exchange. */
 #define TEST_TIMEOUT_US (5 * EG_US_PER_S)
+/* More than the kernel takes for a connection that is not read. */
+#define LONG_BODY_BYTES ((size_t) 32 << 20)
 /* Delay before reading, so that data and the reset both arrive first. */
 #define RESET_DELAY_US 100000
 
@@ -40,6 +42,8 @@
   const char *response;
   const char *repeated; /**< Sent after it until the client closes; or NULL. */
   enum close_mode close_mode;
+  size_t request_bytes; /**< Read before the response; 0: any. */
+  uint64_t request_sum; /**< Of their values, each with its position. */
   pthread_t thread;
   int open_connections[8];
   int open_count;
@@ -51,11 +55,23 @@
   const struct linger reset_on_close = {1, 0};
   char request[1024];
 
-  if (recv (connection, request, sizeof request, 0) <= 0)
+  size_t received = 0;
+
+  do
     {
-      close (connection);
-      return;
+      ssize_t len = recv (connection, request, sizeof request, 0);
+
+      if (len <= 0)
+        {
+          close (connection);
+          return;
+        }
+      for (ssize_t i = 0; i < len; i++)
+        self->request_sum +=
+            (received + (size_t) i) * (unsigned char) request[i];
+      received += (size_t) len;
     }
+  while (received < self->request_bytes);
   send (connection, self->response, strlen (self->response), MSG_NOSIGNAL);
   while (self->repeated
          && send (connection, self->repeated, strlen (self->repeated),
@@ -213,6 +229,90 @@
   assert_true (result->done || result->failed);
 }
 
+/* Sends a request with a body that is not copied. */
+static void
+run_long_request (struct client *client,
+                  struct eg_endpoint endpoint,
+                  struct eg_str body,
+                  struct result *result)
+{
+  struct eg_exchange_request request = {.endpoint = endpoint,
+                                        .head = EG_STR (REQUEST),
+                                        .body = body,
+                                        .body_is_held = true};
+  int64_t deadline_us = eg_clock_now_us () + TEST_TIMEOUT_US;
+  struct eg_exchange exchange;
+
+  memset (result, 0, sizeof *result);
+  eg_exchange_init (&exchange, &events, result);
+  assert_true (eg_exchange_start (&exchange, &client->pool, &request));
+  while (!result->done && !result->failed && eg_clock_now_us () < deadline_us)
+    uv_run (&client->loop, UV_RUN_ONCE);
+  assert_true (result->done);
+}
+
+static char *
+make_long_body (void)
+{
+  char *body = malloc (LONG_BODY_BYTES);
+
+  assert_non_null (body);
+  for (size_t i = 0; i < LONG_BODY_BYTES; i++)
+    body[i] = (char) (i * 31 >> 5);
+  return body;
+}
+
+/* Guards against a body that is sent in pieces and loses or repeats one. */
+static void
+test_long_body_is_sent_whole (void **state)
+{
+  char *body = make_long_body ();
+  uint64_t sum = 0;
+  struct client client;
+  struct test_server server;
+  struct result result;
+
+  (void) state;
+  client_init (&client);
+  server_init (&server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+               KEEP_OPEN);
+  server.request_bytes = strlen (REQUEST) + LONG_BODY_BYTES;
+  for (size_t i = 0; i < strlen (REQUEST); i++)
+    sum += i * (unsigned char) REQUEST[i];
+  for (size_t i = 0; i < LONG_BODY_BYTES; i++)
+    sum += (strlen (REQUEST) + i) * (unsigned char) body[i];
+  run_long_request (&client, server.endpoint,
+                    (struct eg_str){body, LONG_BODY_BYTES}, &result);
+  assert_int_equal (server.request_sum, sum);
+  client_finish (&client);
+  server_finish (&server);
+  free (body);
+}
+
+/* Guards against the next request on a connection whose server has answered
+ * without reading the body, and against sending a body that was freed. */
+static void
+test_connection_with_an_unsent_body_is_not_reused (void **state)
+{
+  char *body = make_long_body ();
+  struct client client;
+  struct test_server server;
+  struct result result;
+
+  (void) state;
+  client_init (&client);
+  server_init (&server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+               KEEP_OPEN);
+  run_long_request (&client, server.endpoint,
+                    (struct eg_str){body, LONG_BODY_BYTES}, &result);
+  free (body);
+  run_exchange (&client, server.endpoint, &result);
+  assert_true (result.done);
+  assert_int_equal (client.pool.opened, 2);
+  client_finish (&client);
+  server_finish (&server);
+}
+
 static void
 request_from_server (const char *response,
                      enum close_mode close_mode,
@@ -479,6 +579,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+      cmocka_unit_test (test_long_body_is_sent_whole),
+      cmocka_unit_test (test_connection_with_an_unsent_body_is_not_reused),
       cmocka_unit_test (test_response_ended_by_close),
       cmocka_unit_test (test_reset_does_not_complete_response),
       cmocka_unit_test (test_truncated_responses),
