net: the limit of a head does not depend on how it is split

Cause: a head that arrived in one piece was measured by its fields, one that arrived in several by its bytes, and up to 64 KB beyond the limit were stored before it was checked. Trailers were appended to the fields of the head, and were forwarded with them. Chunk extensions were not limited in total.

Change: no more bytes are parsed than the head may still have; its limit counts the bytes received. Trailers are not kept. The framing of a request's chunks may take 16 times the bytes of its body and twice the limit of heads, so that bodies in chunks of one byte pass. On excess the fault is that of a head too large (431).

--- a/net/http_reader.c
+++ b/net/http_reader.c
@@ -43,6 +43,8 @@
   struct eg_http_head *head = &self->head;
   struct eg_http_field *field;
 
+  if (self->head_done)
+    return 0;
   if (self->in_value || head->field_count == 0)
     {
       if (head->field_count == EG_HTTP_FIELDS_MAX)
@@ -67,6 +69,8 @@
   struct eg_http_head *head = &self->head;
   struct eg_http_field *field;
 
+  if (self->head_done)
+    return 0;
   if (head->field_count == 0)
     return set_fault (self, EG_HTTP_MALFORMED);
   field = &head->fields[head->field_count - 1];
@@ -132,7 +136,13 @@
 on_body (http_parser *parser, const char *at, size_t len)
 {
   struct eg_http_reader *self = reader_of (parser);
+  uint64_t framing =
+      self->read + (uint64_t) (at - self->slice) - self->body_read;
 
+  if (parser->type == HTTP_REQUEST
+      && framing > 2 * self->head_max + EG_HTTP_FRAMING_RATIO * self->body_read)
+    return set_fault (self, EG_HTTP_HEAD_TOO_LARGE);
+  self->body_read += len;
   self->events->body (self->context, (struct eg_str){at, len});
   return 0;
 }
@@ -180,29 +190,42 @@
   eg_http_head_finish (&self->head);
 }
 
-size_t
-eg_http_reader_feed (struct eg_http_reader *self, struct eg_str bytes)
+/* Parses at most as many bytes as the head may still have, so that it makes no
+ * difference how it is split. */
+static size_t
+feed_slice (struct eg_http_reader *self, struct eg_str bytes)
 {
   size_t consumed;
   enum http_errno error;
 
-  if (self->fault != EG_HTTP_NO_FAULT || self->complete || bytes.len == 0)
-    return 0;
+  if (!self->head_done && bytes.len > self->head_max - self->head_bytes)
+    bytes.len = self->head_max - self->head_bytes;
+  self->slice = bytes.data;
   consumed = http_parser_execute (&self->parser, &parser_settings, bytes.data,
                                   bytes.len);
   error = HTTP_PARSER_ERRNO (&self->parser);
+  self->read += consumed;
   if (!self->head_done)
-    {
-      self->head_bytes += consumed;
-      if (self->fault == EG_HTTP_NO_FAULT && self->head_bytes > self->head_max)
-        self->fault = EG_HTTP_HEAD_TOO_LARGE;
-    }
-  else if (self->fault == EG_HTTP_NO_FAULT
-           && self->head.text.len > self->head_max)
-    self->fault = EG_HTTP_HEAD_TOO_LARGE;
-  if (self->fault == EG_HTTP_NO_FAULT && !self->complete && error != HPE_OK)
+    self->head_bytes += consumed;
+  if (self->fault != EG_HTTP_NO_FAULT || self->complete)
+    return consumed;
+  if (error != HPE_OK)
     self->fault = error == HPE_HEADER_OVERFLOW ? EG_HTTP_HEAD_TOO_LARGE
                                                : EG_HTTP_MALFORMED;
+  else if (!self->head_done && self->head_bytes >= self->head_max)
+    self->fault = EG_HTTP_HEAD_TOO_LARGE;
+  return consumed;
+}
+
+size_t
+eg_http_reader_feed (struct eg_http_reader *self, struct eg_str bytes)
+{
+  size_t consumed = 0;
+
+  while (consumed < bytes.len && self->fault == EG_HTTP_NO_FAULT
+         && !self->complete)
+    consumed += feed_slice (
+        self, (struct eg_str){bytes.data + consumed, bytes.len - consumed});
   return consumed;
 }
 
@@ -224,4 +247,6 @@
   self->head_done = false;
   self->in_value = false;
   self->head_bytes = 0;
+  self->read = 0;
+  self->body_read = 0;
 }
--- a/net/http_reader.h
+++ b/net/http_reader.h
@@ -10,6 +10,10 @@
 
 #include "net/http_head.h"
 
+/** A chunk of one byte has five bytes of framing, or some more with leading
+ *  zeros; more is a flood of chunk extensions. */
+#define EG_HTTP_FRAMING_RATIO 16
+
 /** Kinds of HTTP messages. */
 enum eg_http_kind
 {
@@ -41,8 +45,11 @@
   const struct eg_http_reader_events *events;
   void *context;
   struct eg_http_head head;
-  size_t head_max;   /**< Limit for a head, in bytes. */
-  size_t head_bytes; /**< Bytes read of the current head. */
+  size_t head_max;    /**< Limit for a head, in bytes. */
+  size_t head_bytes;  /**< Bytes read of the current head. */
+  uint64_t read;      /**< Bytes of the message before @c slice. */
+  uint64_t body_read; /**< Bytes of the body. */
+  const char *slice;  /**< Bytes being parsed. */
   enum eg_http_fault fault;
   bool in_value;  /**< Whether the parser is inside a field value. */
   bool begun;     /**< Whether the current message has started. */
@@ -63,7 +70,9 @@
 
 /**
  * Parses bytes until the message is complete, the bytes end or an error occurs.
- * Sets @c fault on an error.
+ * Sets @c fault on an error. How the message is split does not matter. Trailers
+ * are not kept. Chunk headers of a request may take EG_HTTP_FRAMING_RATIO times
+ * the bytes of its body, and twice @c head_max.
  * @return the number of bytes consumed.
  */
 size_t eg_http_reader_feed (struct eg_http_reader *self, struct eg_str bytes);
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -20,6 +20,8 @@
 #include "platform/servers.h"
 #include "policy/server_room.h"
 
+#define READER_HEAD_MAX ((size_t) 16384)
+
 static void
 ignore_head (void *context)
 {
@@ -327,6 +329,103 @@
     }
 }
 
+/* Reads a request in pieces of up to @p piece bytes. */
+static void
+read_in_pieces (struct eg_http_reader *reader, struct eg_str text, size_t piece)
+{
+  eg_http_reader_init (reader, EG_HTTP_REQUEST, READER_HEAD_MAX, &events, NULL);
+  while (text.len > 0 && !reader->complete && reader->fault == EG_HTTP_NO_FAULT)
+    {
+      size_t len = text.len < piece ? text.len : piece;
+
+      assert_true (eg_http_reader_feed (reader, (struct eg_str){text.data, len})
+                   <= len);
+      text.data += len;
+      text.len -= len;
+    }
+}
+
+/* Guards against a limit of heads that depends on how the bytes arrive. */
+static void
+test_limit_of_heads_holds_for_any_split (void **state)
+{
+  static const size_t pieces[] = {1, 7, READER_HEAD_MAX, SIZE_MAX};
+
+  (void) state;
+  for (size_t over = 0; over < 2; over++)
+    {
+      struct eg_buffer text = {0};
+
+      eg_buffer_append (&text, EG_STR ("GET / HTTP/1.1\r\nHost: "));
+      while (text.len < READER_HEAD_MAX + over - strlen ("\r\n\r\n"))
+        eg_buffer_append (&text, EG_STR ("h"));
+      eg_buffer_append (&text, EG_STR ("\r\n\r\n"));
+      for (size_t i = 0; i < sizeof pieces / sizeof pieces[0]; i++)
+        {
+          struct eg_http_reader reader;
+
+          read_in_pieces (&reader, eg_buffer_view (&text), pieces[i]);
+          assert_int_equal (reader.complete, over == 0);
+          assert_int_equal (reader.fault, over == 0 ? EG_HTTP_NO_FAULT
+                                                    : EG_HTTP_HEAD_TOO_LARGE);
+          eg_http_reader_finish (&reader);
+        }
+      eg_buffer_finish (&text);
+    }
+}
+
+/* Guards against chunk extensions that keep the parser busy without a body,
+ * and against rejecting a body in the smallest chunks. */
+static void
+test_chunk_extensions_are_bounded (void **state)
+{
+  static const size_t pieces[] = {1, 1000, SIZE_MAX};
+  static const char *const chunks[] = {"1;extension=000000000000000\r\na\r\n",
+                                       "1\r\na\r\n"};
+
+  (void) state;
+  for (size_t kind = 0; kind < 2; kind++)
+    {
+      struct eg_buffer text = {0};
+
+      eg_buffer_append (&text, EG_STR ("POST / HTTP/1.1\r\nHost: h\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n"));
+      for (int i = 0; i < 20000; i++)
+        eg_buffer_append (&text, eg_str_from (chunks[kind]));
+      eg_buffer_append (&text, EG_STR ("0\r\n\r\n"));
+      for (size_t i = 0; i < sizeof pieces / sizeof pieces[0]; i++)
+        {
+          struct eg_http_reader reader;
+
+          read_in_pieces (&reader, eg_buffer_view (&text), pieces[i]);
+          assert_int_equal (reader.complete, kind == 1);
+          assert_int_equal (reader.fault, kind == 1 ? EG_HTTP_NO_FAULT
+                                                    : EG_HTTP_HEAD_TOO_LARGE);
+          assert_true (reader.head.text.capacity <= 2 * READER_HEAD_MAX);
+          eg_http_reader_finish (&reader);
+        }
+      eg_buffer_finish (&text);
+    }
+}
+
+/* Guards against trailers that are taken for fields of the head, and against
+ * memory for them. */
+static void
+test_trailers_are_not_kept (void **state)
+{
+  const char *text = "POST / HTTP/1.1\r\nHost: h\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+                     "Api-Key: forged\r\nX-Other: 1\r\n\r\n";
+  struct eg_http_reader reader;
+
+  (void) state;
+  read_in_pieces (&reader, eg_str_from (text), 5);
+  assert_true (reader.complete);
+  assert_null (eg_http_head_find (&reader.head, "api-key").data);
+  assert_int_equal (reader.head.field_count, 2);
+  eg_http_reader_finish (&reader);
+}
+
 static void
 test_pipelined_requests (void **state)
 {
@@ -866,6 +965,9 @@
       cmocka_unit_test (test_pause_is_a_decimal_number_of_seconds),
       cmocka_unit_test (test_server_says_that_it_is_leaving),
       cmocka_unit_test (test_ambiguous_framing_is_rejected),
+      cmocka_unit_test (test_limit_of_heads_holds_for_any_split),
+      cmocka_unit_test (test_chunk_extensions_are_bounded),
+      cmocka_unit_test (test_trailers_are_not_kept),
       cmocka_unit_test (test_pipelined_requests),
       cmocka_unit_test (test_configuration),
       cmocka_unit_test (test_invalid_configuration_is_reported),
