entry: what clients can take from a VM is bounded

Cause: the bodies of all requests were limited together by their lengths, to a quarter of the memory, beyond which every request got 503 while stalled bodies stayed. Heads, pipelined bytes (64 KB), send queues and allocated capacities were not counted. At the limit of connections the newest one was closed. A client that pipelined requests without reading was served without pause. A body had to be complete idleTimeoutMs after its first byte, whatever its size.

Change: inbound connections are charged with what they hold, within one budget (half of limits.memory_mb). A connection that is of less use is closed for one that needs memory or a slot; a new connection has 100 ms to send its request, and others wait in the kernel's queue meanwhile. The readiness port and that for VMs have limits of their own. Bodies and the reading of responses have a minimum rate of 1,024 bytes/s over idleTimeoutMs. A connection gives way to others after four pipelined requests or a full read, and serves none while 16 KB of responses wait. The kernel's buffers are bounded. Settings [clients], event client-rejected, metrics clients_rejected_total, client_connections and client_memory_bytes.

--- a/entry/call.c
+++ b/entry/call.c
@@ -169,7 +169,7 @@
 eg_call_memory (const struct eg_call *self)
 {
   return self->response_head.capacity + self->response_body.capacity
-         + self->attempt.move_body.capacity
+         + self->relay.partial.capacity + self->attempt.move_body.capacity
          + self->subjects.part_count * sizeof *self->parts;
 }
 
--- a/entry/connections.c
+++ b/entry/connections.c
@@ -15,17 +15,36 @@
 /* Maximum size of a request head until a configuration sets one. */
 #define HEAD_BYTES_DEFAULT 16384
 /* What a VM may add to the head of a request that it sends to another one. */
-#define HOP_HEAD_BYTES 256
+#define HOP_HEAD_BYTES 512
 /* Pipelined bytes to buffer before reading from the connection is paused. */
-#define PIPELINED_BYTES_MAX 65536
+#define PIPELINED_BYTES_MAX 8192
+/* Size of the send queue at which no further pipelined request is served. */
+#define UNREAD_BYTES_MAX 16384
+/* An idle connection keeps no larger buffer. */
+#define KEPT_BUFFER_BYTES 4096
+/* Longest body of a sender that is no entry VM, to a port that is not for
+ * callers. */
+#define UNKNOWN_BODY_BYTES_MAX 16384
+/* Time for a new connection to send a request before it is closed for another
+ * one. */
+#define NEW_CONNECTION_US (100 * EG_US_PER_MS)
+/* Smallest allocation for a body. */
+#define BODY_BYTES_MIN 1024
+/* Interval at which it is checked how much of a response a client has read;
+ * each check is a system call. */
+#define DELIVERY_CHECK_US (250 * EG_US_PER_MS)
+/* Pipelined requests served, and bytes read, before other connections have
+ * their turn: a VM has 0.084 cores, and its probes are answered within 1 s. */
+#define TURN_REQUESTS 4
+#define TURN_BYTES 65536
+/* Least size of the kernel's queue for sending: one event of a stream. */
+#define SEND_BUFFER_MIN_BYTES 16384
+/* Retry-After of a request that is rejected for want of memory. */
+#define MEMORY_RETRY_AFTER_S 1
+/* Connections closed per tick for want of memory; each one takes a search. */
+#define EXCESS_PER_TICK 64
 /* Size of the send queue at which reading from the server is paused. */
 #define SEND_QUEUE_BYTES_MAX 262144
-/* Fraction of the file descriptors available to client connections; each
- * request needs one more to a server. */
-#define CONNECTION_DESCRIPTORS_FRACTION 0.45
-/* Request bodies may use 1/BODY_MEMORY_DIVISOR of the memory limit. */
-#define BODY_MEMORY_DIVISOR 4
-#define BYTES_PER_MB (1U << 20)
 /* Time-outs of idle connections and of request heads until a configuration
  * sets them. */
 #define IDLE_DEFAULT_US (15 * EG_US_PER_S)
@@ -68,7 +87,85 @@
 bool
 eg_connection_is_congested (const struct eg_connection *self)
 {
-  return eg_socket_queued (&self->socket) > SEND_QUEUE_BYTES_MAX;
+  return eg_socket_queue_memory (&self->socket) > SEND_QUEUE_BYTES_MAX;
+}
+
+static struct eg_connection *
+connection_of (struct eg_client_holder *holder)
+{
+  return EG_CONTAINER_OF (holder, struct eg_connection, holder);
+}
+
+/* Counts a connection that was closed, or a request that was rejected, because
+ * of its client. */
+static void
+note_cause (struct eg_connections *self,
+            enum eg_client_cause cause,
+            size_t held,
+            int64_t now_us)
+{
+  struct eg_log_rate *rate = &self->log_rates[cause];
+
+  self->entry->metrics.clients[cause]++;
+  if (eg_log_rate_admits (rate, now_us))
+    eg_log (EG_LOG_NOTICE, "callers",
+            "event=client-rejected cause=%s times=%" PRIu64
+            " held=%zu held_by_all=%zu budget=%zu callers=%zu peers=%zu",
+            eg_client_cause_name (cause), rate->count, held, self->memory.held,
+            self->memory.budget, self->counts[EG_LISTEN_CALLERS],
+            self->counts[EG_LISTEN_PEERS]);
+}
+
+static size_t
+count_held (const struct eg_connection *self)
+{
+  return sizeof *self + self->reader.head.text.capacity + self->body.capacity
+         + self->pipelined.capacity + eg_socket_queue_memory (&self->socket)
+         + eg_call_memory (&self->call);
+}
+
+static bool
+is_busy (const struct eg_connection *self)
+{
+  return self->call.active || self->query_pending;
+}
+
+static enum eg_client_stage
+find_stage (const struct eg_connection *self)
+{
+  if (self->closing || eg_socket_queued (&self->socket) > 0)
+    return EG_CLIENT_READING;
+  if (is_busy (self))
+    return self->call.active && self->call.attempt.active ? EG_CLIENT_SENT
+                                                          : EG_CLIENT_WAITING;
+  return self->idle ? EG_CLIENT_IDLE : EG_CLIENT_RECEIVING;
+}
+
+/* Records what the connection holds and waits for. */
+static void
+account (struct eg_connection *self)
+{
+  if (!self->counted)
+    return;
+  self->holder.stage = find_stage (self);
+  self->holder.in_call = self->call.active;
+  eg_client_memory_hold (&self->entry->connections.memory, &self->holder,
+                         count_held (self));
+}
+
+static void
+uncount (struct eg_connection *self)
+{
+  struct eg_connections *connections = &self->entry->connections;
+
+  if (!self->counted)
+    return;
+  self->counted = false;
+  if (self->has_turn)
+    eg_list_remove (&self->in_turns);
+  self->has_turn = false;
+  connections->counts[self->kind]--;
+  eg_client_memory_remove (&connections->memory, &self->holder);
 }
 
 /* Closes a connection that delivers nothing any more. */
@@ -76,6 +173,7 @@
 drop_connection (struct eg_connection *self)
 {
   self->closing = true;
+  uncount (self);
   eg_socket_close (&self->socket);
 }
 
@@ -87,7 +185,9 @@
     return;
   self->closing = true;
   self->last_activity_us = eg_clock_now_us ();
+  eg_client_pace_start (&self->holder.pace, self->last_activity_us);
   self->undelivered = SIZE_MAX;
+  account (self);
   if (self->read_ended)
     {
       eg_socket_close_after_writes (&self->socket);
@@ -107,27 +207,41 @@
   return !self->socket.closing && eg_socket_undelivered (&self->socket) > ends;
 }
 
-/* Restarts the connection's time-out if its client has received bytes of a
- * response since the last check. */
+/* Moves the connection's time-out on by what its client has received of a
+ * response since the last check, at the minimum rate. */
 static void
 note_delivery (struct eg_connection *self, int64_t now_us)
 {
   size_t undelivered = eg_socket_undelivered (&self->socket);
+  struct eg_client_pace *pace = &self->holder.pace;
 
   if (undelivered > 0 && undelivered < self->undelivered)
-    self->last_activity_us = now_us;
+    {
+      eg_client_pace_moved (pace, self->undelivered - undelivered,
+                            self->entry->settings->client_read_rate, now_us);
+      self->last_activity_us = pace->paid_us;
+    }
   self->undelivered = undelivered;
 }
 
-static void process (struct eg_connection *self, struct eg_str bytes);
+static void process_pipelined (struct eg_connection *self);
+
+static void
+clear_buffer (struct eg_buffer *buffer)
+{
+  if (buffer->capacity > KEPT_BUFFER_BYTES)
+    eg_buffer_finish (buffer);
+  eg_buffer_clear (buffer);
+}
 
+/* Frees what is not needed until the next request. */
 static void
-clear_body (struct eg_connection *self)
+clear_request (struct eg_connection *self)
 {
-  self->entry->connections.body_bytes -= self->body.len;
-  if (self->body.capacity > PIPELINED_BYTES_MAX)
-    eg_buffer_finish (&self->body);
-  eg_buffer_clear (&self->body);
+  clear_buffer (&self->body);
+  clear_buffer (&self->reader.head.text);
+  self->reader.head.field_count = 0;
+  self->reader.head.target_len = 0;
 }
 
 void
@@ -135,8 +249,9 @@
 {
   bool close = eg_connection_will_close (self);
 
-  clear_body (self);
+  clear_request (self);
   self->last_activity_us = eg_clock_now_us ();
+  eg_client_pace_start (&self->holder.pace, self->last_activity_us);
   self->undelivered = SIZE_MAX;
   self->idle = true;
   if (close)
@@ -145,25 +260,85 @@
       return;
     }
   eg_http_reader_next (&self->reader);
-  if (!self->processing && self->pipelined.len > 0)
-    {
-      struct eg_buffer pipelined = self->pipelined;
-
-      eg_buffer_init (&self->pipelined);
-      process (self, eg_buffer_view (&pipelined));
-      eg_buffer_finish (&pipelined);
-      if (!self->closing)
-        eg_socket_read (&self->socket);
-    }
+  account (self);
+  if (!self->processing)
+    process_pipelined (self);
 }
 
 void
 eg_connection_abort (struct eg_connection *self)
 {
-  clear_body (self);
+  clear_request (self);
   finish_connection (self);
 }
 
+/* Appends the head of a response generated by this daemon. */
+static void
+write_own_head (const struct eg_connection *self,
+                unsigned status,
+                struct eg_str type,
+                size_t len,
+                struct eg_buffer *out)
+{
+  eg_response_begin (out, status);
+  eg_response_field (out, EG_STR ("Content-Type"), type);
+  eg_buffer_printf (out, "Content-Length: %zu\r\n", len);
+  if (eg_connection_will_close (self))
+    eg_response_field (out, EG_STR ("Connection"), EG_STR ("close"));
+  if (self->reject_status == 503)
+    eg_buffer_printf (out, "Retry-After: %d\r\n", MEMORY_RETRY_AFTER_S);
+  /* Another VM must not take it for the failure of a server. */
+  if (self->kind == EG_LISTEN_PEERS && self->reject_status > 0)
+    eg_response_write_hop_refused (out);
+  eg_buffer_append (out, EG_STR ("\r\n"));
+}
+
+/* Closes a connection at once for the sake of others, and frees its memory. */
+static void
+evict (struct eg_connection *self, enum eg_client_cause cause, int64_t now_us)
+{
+  bool is_incomplete = !self->closing && !is_busy (self) && !self->idle;
+  struct eg_buffer out = {0};
+
+  note_cause (&self->entry->connections, cause, self->holder.held, now_us);
+  if (self->call.active)
+    eg_call_cancel (&self->call);
+  self->query_pending = false;
+  if (is_incomplete)
+    {
+      self->reject_status = 503;
+      write_own_head (self, 503, EG_STR ("text/plain"), 0, &out);
+      eg_connection_send (self, eg_buffer_view (&out));
+      eg_buffer_finish (&out);
+    }
+  drop_connection (self);
+  clear_request (self);
+  eg_buffer_finish (&self->pipelined);
+  self->pipelined_at = 0;
+}
+
+/* Makes room for more bytes of an incomplete request, if need be by closing
+ * other connections; false if the request is to be rejected. */
+static bool
+make_room (struct eg_connection *self, size_t extra)
+{
+  struct eg_client_memory *memory = &self->entry->connections.memory;
+  struct eg_client_holder *victim;
+  int64_t now_us;
+
+  if (memory->held + extra <= memory->budget)
+    return true;
+  now_us = eg_clock_now_us ();
+  while (
+      !eg_client_memory_admit (memory, &self->holder, extra, now_us, &victim))
+    {
+      if (victim == &self->holder)
+        return false;
+      evict (connection_of (victim), EG_CLIENT_MEMORY, now_us);
+    }
+  return true;
+}
+
 /* Sends a response generated by this daemon. */
 static void
 send_text (struct eg_connection *self,
@@ -173,15 +348,7 @@
 {
   struct eg_buffer out = {0};
 
-  eg_response_begin (&out, status);
-  eg_response_field (&out, EG_STR ("Content-Type"), type);
-  eg_buffer_printf (&out, "Content-Length: %zu\r\n", text.len);
-  if (eg_connection_will_close (self))
-    eg_response_field (&out, EG_STR ("Connection"), EG_STR ("close"));
-  /* Another VM must not take it for the failure of a server. */
-  if (self->kind == EG_LISTEN_PEERS && self->reject_status > 0)
-    eg_response_write_hop_refused (&out);
-  eg_buffer_append (&out, EG_STR ("\r\n"));
+  write_own_head (self, status, type, text.len, &out);
   eg_buffer_append (&out, text);
   eg_connection_send (self, eg_buffer_view (&out));
   eg_buffer_finish (&out);
@@ -343,10 +510,30 @@
     }
 }
 
+static enum eg_client_cause
+find_cause (unsigned status)
+{
+  switch (status)
+    {
+    case 408:
+      return EG_CLIENT_SLOW_SENDER;
+    case 413:
+      return EG_CLIENT_BODY_TOO_LARGE;
+    case 431:
+      return EG_CLIENT_HEAD_TOO_LARGE;
+    case 503:
+      return EG_CLIENT_MEMORY_REJECTED;
+    default:
+      return EG_CLIENT_MALFORMED;
+    }
+}
+
 static void
 reject (struct eg_connection *self)
 {
-  eg_log (EG_LOG_INFO, "callers", "event=request-rejected status=%u fault=%d",
+  note_cause (&self->entry->connections, find_cause (self->reject_status),
+              self->holder.held, eg_clock_now_us ());
+  eg_log (EG_LOG_DEBUG, "callers", "event=request-rejected status=%u fault=%d",
           self->reject_status, (int) self->reader.fault);
   send_text (self, self->reject_status, EG_STR ("text/plain"),
              EG_STR ("the request cannot be read\n"));
@@ -355,6 +542,10 @@
 static void
 serve (struct eg_connection *self)
 {
+  eg_client_pace_start (&self->holder.pace, eg_clock_now_us ());
+  /* Other connections' events must not close it meanwhile. */
+  self->holder.stage = EG_CLIENT_WAITING;
+  self->holder.in_call = true;
   switch (self->kind)
     {
     case EG_LISTEN_READINESS:
@@ -370,53 +561,201 @@
     }
 }
 
-/* Returns whether a request is being served, so that the next one has to
- * wait. */
+/* Returns whether the next request has to wait: until the present one is
+ * served, until the client has read the responses, or until other connections
+ * have been served. */
 static bool
-is_busy (const struct eg_connection *self)
+is_blocked (const struct eg_connection *self)
 {
-  return self->call.active || self->query_pending;
+  return is_busy (self) || self->has_turn
+         || eg_socket_queue_memory (&self->socket) > UNREAD_BYTES_MAX;
+}
+
+static void on_next_turns (uv_idle_t *handle);
+
+/* Goes on with the connection once others have had their turn. */
+static void
+wait_for_turn (struct eg_connection *self)
+{
+  struct eg_connections *connections = &self->entry->connections;
+
+  if (self->has_turn || !self->counted)
+    return;
+  self->has_turn = true;
+  eg_list_append (&connections->in_turns, &self->in_turns);
+  uv_idle_start (&connections->next_turns, on_next_turns);
 }
 
 static void
+begin_request (struct eg_connection *self)
+{
+  self->idle = false;
+  self->last_activity_us = eg_clock_now_us ();
+  eg_client_pace_start (&self->holder.pace, self->last_activity_us);
+  self->body_len = SIZE_MAX;
+  self->holder.missing = 0;
+  /* The configuration may have changed since the last request. */
+  self->reader.head_max = head_bytes_max (self);
+}
+
+/* Serves the requests in @p bytes, one after another.
+ * @return the number of bytes consumed. */
+static size_t
 process (struct eg_connection *self, struct eg_str bytes)
 {
+  size_t consumed = 0;
+  unsigned served = 0;
+
   self->processing = true;
-  while (bytes.len > 0 && !self->closing && !is_busy (self))
+  while (consumed < bytes.len && !self->closing && !is_blocked (self))
     {
-      size_t taken;
-
       if (self->idle)
-        {
-          self->last_activity_us = eg_clock_now_us ();
-          /* The configuration may have changed since the last request. */
-          self->reader.head_max = head_bytes_max (self);
-        }
-      self->idle = false;
-      taken = eg_http_reader_feed (&self->reader, bytes);
-      bytes.data += taken;
-      bytes.len -= taken;
+        begin_request (self);
+      consumed += eg_http_reader_feed (
+          &self->reader,
+          (struct eg_str){bytes.data + consumed, bytes.len - consumed});
       if (self->reader.fault != EG_HTTP_NO_FAULT && self->reject_status == 0)
         self->reject_status =
             self->reader.fault == EG_HTTP_HEAD_TOO_LARGE ? 431 : 400;
       if (self->reject_status > 0)
         reject (self);
       else if (self->reader.complete)
-        serve (self);
+        {
+          serve (self);
+          if (++served == TURN_REQUESTS && consumed < bytes.len)
+            wait_for_turn (self);
+        }
     }
-  if (bytes.len > 0 && is_busy (self))
+  self->processing = false;
+  account (self);
+  return consumed;
+}
+
+/* Serves the requests that were received before their turn. The buffer does not
+ * change meanwhile: the socket is read in other events. */
+static void
+process_pipelined (struct eg_connection *self)
+{
+  struct eg_str bytes = eg_buffer_view (&self->pipelined);
+
+  if (bytes.len == 0 || self->closing || is_blocked (self))
+    return;
+  bytes.data += self->pipelined_at;
+  bytes.len -= self->pipelined_at;
+  self->pipelined_at += process (self, bytes);
+  if (!self->closing && self->pipelined_at < self->pipelined.len)
+    return;
+  clear_buffer (&self->pipelined);
+  self->pipelined_at = 0;
+  account (self);
+  if (!self->closing)
+    eg_socket_read (&self->socket);
+}
+
+static void
+keep_pipelined (struct eg_connection *self, struct eg_str bytes)
+{
+  /* Moves as many bytes as have been consumed since the last time at most. */
+  if (self->pipelined_at * 2 >= self->pipelined.len)
     {
-      eg_buffer_append (&self->pipelined, bytes);
-      if (self->pipelined.len > PIPELINED_BYTES_MAX)
-        eg_socket_pause (&self->socket);
+      eg_buffer_consume (&self->pipelined, self->pipelined_at);
+      self->pipelined_at = 0;
     }
-  self->processing = false;
+  eg_buffer_reserve (&self->pipelined, self->pipelined.len + bytes.len + 1);
+  eg_buffer_append (&self->pipelined, bytes);
+  if (self->pipelined.len - self->pipelined_at > PIPELINED_BYTES_MAX)
+    eg_socket_pause (&self->socket);
+  account (self);
+}
+
+/* Rejects a request that was not complete with the bytes just received, if
+ * there is no memory for it. */
+static void
+check_room (struct eg_connection *self)
+{
+  if (self->holder.stage != EG_CLIENT_RECEIVING || make_room (self, 0))
+    return;
+  self->reject_status = 503;
+  reject (self);
+}
+
+static void
+on_next_turns (uv_idle_t *handle)
+{
+  struct eg_connections *connections = handle->data;
+  struct eg_list due;
+  struct eg_list *link;
+
+  eg_list_init (&due);
+  while ((link = eg_list_pop_front (&connections->in_turns)))
+    eg_list_append (&due, link);
+  while ((link = eg_list_pop_front (&due)))
+    {
+      struct eg_connection *self =
+          EG_CONTAINER_OF (link, struct eg_connection, in_turns);
+
+      self->has_turn = false;
+      process_pipelined (self);
+      if (!self->socket.closing && !self->read_ended
+          && (self->closing
+              || self->pipelined.len - self->pipelined_at
+                     <= PIPELINED_BYTES_MAX))
+        eg_socket_read (&self->socket);
+    }
+  if (eg_list_is_empty (&connections->in_turns))
+    uv_idle_stop (handle);
+}
+
+static void
+receive (struct eg_connection *self, struct eg_str bytes)
+{
+  size_t consumed;
+
+  if (self->pipelined.len > 0)
+    {
+      keep_pipelined (self, bytes);
+      return;
+    }
+  if (!self->idle && !is_busy (self))
+    eg_client_pace_moved (&self->holder.pace, bytes.len,
+                          self->entry->settings->client_send_rate,
+                          eg_clock_now_us ());
+  consumed = process (self, bytes);
+  if (self->closing)
+    return;
+  if (consumed < bytes.len)
+    keep_pipelined (
+        self, (struct eg_str){bytes.data + consumed, bytes.len - consumed});
+  else
+    check_room (self);
 }
 
 static void
 on_bytes (void *context, struct eg_str bytes)
 {
-  process (context, bytes);
+  struct eg_connection *self = context;
+
+  if (!self->closing)
+    receive (self, bytes);
+  if (self->socket.closing || bytes.len < TURN_BYTES)
+    return;
+  eg_socket_pause (&self->socket);
+  wait_for_turn (self);
+}
+
+/* Only other VMs send bodies to the port for them, and nobody to that for
+ * probes. */
+static size_t
+find_body_max (const struct eg_connection *self)
+{
+  size_t max = limits_of (self)->body_bytes_max;
+  struct eg_endpoint from;
+  bool is_known = self->kind == EG_LISTEN_CALLERS;
+
+  if (self->kind == EG_LISTEN_PEERS && eg_socket_peer (&self->socket, &from))
+    is_known = eg_members_find_host (&self->entry->members, from) != NULL;
+  return is_known || max < UNKNOWN_BODY_BYTES_MAX ? max
+                                                  : UNKNOWN_BODY_BYTES_MAX;
 }
 
 static void
@@ -427,8 +766,12 @@
   struct eg_str length = eg_http_head_find (head, "content-length");
   int64_t bytes;
 
-  if (eg_str_to_int64 (length, &bytes)
-      && (uint64_t) bytes > limits_of (self)->body_bytes_max)
+  if (eg_str_to_int64 (length, &bytes) && bytes >= 0)
+    self->body_len = (size_t) bytes;
+  if (head->has_body)
+    self->body_max = find_body_max (self);
+  if (head->has_body && self->body_len < SIZE_MAX
+      && self->body_len > self->body_max)
     self->reject_status = 413;
   else if (eg_http_same_name (eg_http_head_find (head, "expect"),
                               "100-continue")
@@ -436,25 +779,45 @@
     eg_connection_send (self, EG_STR ("HTTP/1.1 100 Continue\r\n\r\n"));
 }
 
+/* Allocates memory for a body of @p len bytes so far. A body of stated length
+ * gets no more than that; others grow by half, so that the bytes copied remain
+ * in proportion to the length. */
+static bool
+reserve_body (struct eg_connection *self, size_t len)
+{
+  size_t max = self->body_len < SIZE_MAX ? self->body_len : self->body_max;
+  size_t capacity = self->body.capacity + self->body.capacity / 2;
+
+  /* One byte more than the body, which is what eg_buffer_append() asks for. */
+  if (len + 1 <= self->body.capacity)
+    return true;
+  if (capacity < BODY_BYTES_MIN)
+    capacity = BODY_BYTES_MIN;
+  if (capacity > max + 1)
+    capacity = max + 1;
+  if (capacity < len + 1)
+    capacity = len + 1;
+  self->holder.missing = max > len ? max - len : 0;
+  if (!make_room (self, capacity - self->body.capacity))
+    return false;
+  eg_buffer_reserve (&self->body, capacity);
+  account (self);
+  return true;
+}
+
 static void
 on_body (void *context, struct eg_str bytes)
 {
   struct eg_connection *self = context;
-  size_t *total = &self->entry->connections.body_bytes;
-  size_t total_max = (size_t) self->entry->settings->memory_mb * BYTES_PER_MB
-                     / BODY_MEMORY_DIVISOR;
 
   if (self->reject_status > 0)
     return;
-  if (self->body.len + bytes.len > limits_of (self)->body_bytes_max)
+  if (self->body.len + bytes.len > self->body_max)
     self->reject_status = 413;
-  else if (*total + bytes.len > total_max)
+  else if (!reserve_body (self, self->body.len + bytes.len))
     self->reject_status = 503;
   else
-    {
-      eg_buffer_append (&self->body, bytes);
-      *total += bytes.len;
-    }
+    eg_buffer_append (&self->body, bytes);
 }
 
 static void
@@ -466,7 +829,7 @@
   if (self->call.active)
     eg_call_cancel (&self->call);
   self->query_pending = false;
-  clear_body (self);
+  clear_request (self);
   /* A client that has ended its side may still read. */
   if (uv_error == UV_EOF && eg_socket_queued (&self->socket) > 0)
     finish_connection (self);
@@ -483,6 +846,9 @@
     drop_connection (self);
   else if (self->call.active)
     eg_call_resume_reading (&self->call);
+  else
+    process_pipelined (self);
+  account (self);
 }
 
 static void
@@ -490,7 +856,7 @@
 {
   struct eg_connection *self = context;
 
-  self->entry->connections.connection_count--;
+  uncount (self);
   eg_list_remove (&self->all);
   eg_call_finish (&self->call);
   eg_http_reader_finish (&self->reader);
@@ -504,22 +870,104 @@
 static const struct eg_http_reader_events reader_events = {on_head, on_body};
 
 static void
-on_connection (uv_stream_t *listener, int status)
+log_accept_failure (int status)
 {
-  struct eg_connections *connections = listener->data;
-  struct eg_connection *self;
+  static struct eg_log_rate rate;
+
+  if (eg_log_rate_admits (&rate, eg_clock_now_us ()))
+    eg_log (EG_LOG_WARNING, "callers",
+            "event=accept-failed cause=\"%s\" times=%" PRIu64,
+            uv_strerror (status), rate.count);
+}
+
+/** Whether there is room for one more connection. */
+enum slot
+{
+  SLOT_FREE,
+  SLOT_LATER, /**< A connection may be closed soon. */
+  SLOT_NONE,
+};
+
+/* Closes the least useful connection of a kind. */
+static enum slot
+free_slot (struct eg_connections *self,
+           enum eg_listener_kind kind,
+           int64_t now_us)
+{
+  struct eg_client_holder *victim =
+      eg_client_memory_find_slot (&self->memory, kind, now_us);
+
+  if (!victim)
+    return SLOT_NONE;
+  if (eg_client_pace_lag_us (&victim->pace, now_us) < NEW_CONNECTION_US)
+    return SLOT_LATER;
+  evict (connection_of (victim), EG_CLIENT_CONNECTIONS, now_us);
+  return SLOT_FREE;
+}
+
+size_t
+eg_connections_count (const struct eg_connections *self)
+{
+  size_t all = 0;
+
+  for (size_t i = 0; i < EG_LISTENERS; i++)
+    all += self->counts[i];
+  return all;
+}
+
+/* Makes room for one more connection. */
+static enum slot
+make_slot (struct eg_connections *self,
+           enum eg_listener_kind kind,
+           int64_t now_us)
+{
+  const struct eg_entry_settings *settings = self->entry->settings;
+  size_t peers = self->counts[EG_LISTEN_PEERS];
+  enum slot slot = SLOT_FREE;
+
+  if (self->counts[kind] >= eg_client_port_max (settings, kind, peers))
+    slot = free_slot (self, kind, now_us);
+  /* The callers give way to the other ports. */
+  if (slot == SLOT_FREE && kind == EG_LISTEN_PEERS
+      && eg_connections_count (self) >= eg_client_connections_max (settings))
+    slot = free_slot (self, EG_LISTEN_CALLERS, now_us);
+  return slot;
+}
+
+static void
+count_connection (struct eg_connection *self)
+{
+  struct eg_connections *connections = &self->entry->connections;
+  struct eg_endpoint peer;
+  size_t kernel_bytes = eg_client_kernel_bytes (
+      self->entry->settings, connections->counts[EG_LISTEN_CALLERS]);
+
+  connections->counts[self->kind]++;
+  self->holder.group = self->kind;
+  if (eg_socket_peer (&self->socket, &peer))
+    self->holder.address = peer.ip;
+  eg_client_pace_start (&self->holder.pace, self->last_activity_us);
+  eg_client_memory_add (&connections->memory, &self->holder);
+  self->counted = true;
+  account (self);
+  eg_socket_set_kernel_buffers (&self->socket, kernel_bytes,
+                                kernel_bytes > 0
+                                        && kernel_bytes < SEND_BUFFER_MIN_BYTES
+                                    ? SEND_BUFFER_MIN_BYTES
+                                    : kernel_bytes);
+}
+
+static void
+accept_connection (struct eg_connections *connections,
+                   enum eg_listener_kind kind,
+                   enum slot slot)
+{
+  struct eg_connection *self = calloc (1, sizeof *self);
+  int status;
 
-  if (status != 0)
-    {
-      eg_log (EG_LOG_WARNING, "callers", "event=accept-failed cause=\"%s\"",
-              uv_strerror (status));
-      return;
-    }
-  self = calloc (1, sizeof *self);
   EG_INVARIANT (self);
   self->entry = connections->entry;
-  self->kind =
-      (enum eg_listener_kind) ((uv_tcp_t *) listener - connections->listeners);
+  self->kind = kind;
   self->idle = true;
   self->last_activity_us = eg_clock_now_us ();
   eg_buffer_init (&self->body);
@@ -528,28 +976,60 @@
   eg_http_reader_init (&self->reader, EG_HTTP_REQUEST, head_bytes_max (self),
                        &reader_events, self);
   eg_list_append (&connections->all, &self->all);
-  connections->connection_count++;
-  if (self->kind == EG_LISTEN_CALLERS)
+  if (kind == EG_LISTEN_CALLERS)
     eg_metrics_count (&connections->entry->metrics, EG_COUNT_CONNECTIONS);
   status = eg_socket_init (&self->socket, &connections->entry->loop,
                            &socket_events, self);
   EG_INVARIANT (status == 0);
-  status = eg_socket_accept (&self->socket, listener);
+  status = eg_socket_accept (&self->socket,
+                             (uv_stream_t *) &connections->listeners[kind]);
+  if (status == 0 && slot == SLOT_NONE)
+    {
+      note_cause (connections, EG_CLIENT_CONNECTION_REJECTED, sizeof *self,
+                  self->last_activity_us);
+      drop_connection (self);
+      return;
+    }
   if (status == 0)
-    status = eg_socket_read (&self->socket);
-  if (status == 0 && self->kind == EG_LISTEN_CALLERS
-      && (double) connections->connection_count
-             > CONNECTION_DESCRIPTORS_FRACTION
-                   * (double) connections->entry->settings->descriptors)
-    status = UV_EMFILE;
+    {
+      count_connection (self);
+      status = eg_socket_read (&self->socket);
+    }
   if (status != 0)
     {
-      eg_log (EG_LOG_WARNING, "callers", "event=accept-failed cause=\"%s\"",
-              uv_strerror (status));
+      log_accept_failure (status);
       drop_connection (self);
     }
 }
 
+/* Accepts a connection that has arrived, or leaves it, and those behind it, to
+ * the next tick. */
+static void
+handle_arrival (struct eg_connections *self,
+                enum eg_listener_kind kind,
+                int64_t now_us)
+{
+  enum slot slot = make_slot (self, kind, now_us);
+
+  self->accept_later[kind] = slot == SLOT_LATER;
+  if (slot != SLOT_LATER)
+    accept_connection (self, kind, slot);
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct eg_connections *connections = listener->data;
+
+  if (status != 0)
+    log_accept_failure (status);
+  else
+    handle_arrival (connections,
+                    (enum eg_listener_kind) ((uv_tcp_t *) listener
+                                             - connections->listeners),
+                    eg_clock_now_us ());
+}
+
 static int
 open_listener (struct eg_connections *self,
                enum eg_listener_kind kind,
@@ -574,6 +1054,16 @@
   return uv_listen ((uv_stream_t *) listener, LISTEN_BACKLOG, on_connection);
 }
 
+/* The settings may have changed. */
+static void
+set_budget (struct eg_connections *self)
+{
+  const struct eg_entry_settings *settings = self->entry->settings;
+
+  eg_client_memory_set_budget (&self->memory, eg_client_budget (settings),
+                               eg_client_alone_max (settings));
+}
+
 bool
 eg_connections_open (struct eg_connections *self,
                      struct eg_entry *entry,
@@ -589,6 +1079,11 @@
   memset (self, 0, sizeof *self);
   self->entry = entry;
   eg_list_init (&self->all);
+  eg_client_memory_init (&self->memory);
+  eg_list_init (&self->in_turns);
+  uv_idle_init (&entry->loop, &self->next_turns);
+  self->next_turns.data = self;
+  set_budget (self);
   for (int kind = 0; kind < EG_LISTENERS; kind++)
     {
       int status =
@@ -604,6 +1099,33 @@
   return true;
 }
 
+/* Ends a call whose client does not read its response. */
+static void
+check_delivery (struct eg_connection *self, int64_t now_us)
+{
+  struct eg_client_pace *pace = &self->holder.pace;
+  uint64_t delivered;
+
+  if (eg_socket_queued (&self->socket) == 0)
+    {
+      eg_client_pace_start (pace, now_us);
+      self->delivery_check_us = 0;
+      return;
+    }
+  if (now_us < self->delivery_check_us)
+    return;
+  delivered = self->socket.written - eg_socket_undelivered (&self->socket);
+  if (self->delivery_check_us > 0)
+    eg_client_pace_moved (pace, delivered - self->delivered,
+                          self->entry->settings->client_read_rate, now_us);
+  self->delivered = delivered;
+  self->delivery_check_us = now_us + DELIVERY_CHECK_US;
+  if (eg_client_pace_lag_us (pace, now_us) < limits_of (self)->idle_timeout_us)
+    return;
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_RESPONSES_CUT);
+  evict (self, EG_CLIENT_SLOW_READER, now_us);
+}
+
 /* A client that still receives a response is not idle. */
 static void
 check_idle (struct eg_connection *self, int64_t now_us)
@@ -633,6 +1155,8 @@
     return;
   if (delivering)
     {
+      note_cause (&self->entry->connections, EG_CLIENT_SLOW_READER,
+                  self->holder.held, now_us);
       eg_metrics_count (&self->entry->metrics, EG_COUNT_RESPONSES_CUT);
       eg_log (EG_LOG_NOTICE, "callers",
               "event=response-cut cause=not-read bytes=%zu", self->undelivered);
@@ -644,23 +1168,47 @@
 check_reading (struct eg_connection *self, int64_t now_us)
 {
   const struct eg_caller_limits *limits = limits_of (self);
-  int64_t waited_us = now_us - self->last_activity_us;
+  bool is_late;
 
   if (self->idle)
     {
       check_idle (self, now_us);
       return;
     }
-  if (waited_us < (self->reader.head_done ? limits->idle_timeout_us
-                                          : limits->head_timeout_us))
+  if (self->reader.head_done)
+    is_late = eg_client_pace_lag_us (&self->holder.pace, now_us)
+              >= limits->idle_timeout_us;
+  else
+    is_late = now_us - self->last_activity_us >= limits->head_timeout_us;
+  if (!is_late)
     return;
   self->reject_status = 408;
   reject (self);
 }
 
+/* Responses and queues grow without asking for memory first. */
+static void
+free_excess (struct eg_connections *self, int64_t now_us)
+{
+  for (int i = 0; i < EXCESS_PER_TICK; i++)
+    {
+      struct eg_client_holder *victim =
+          eg_client_memory_find_excess (&self->memory, now_us);
+
+      if (!victim)
+        return;
+      evict (connection_of (victim), EG_CLIENT_MEMORY, now_us);
+    }
+}
+
 void
 eg_connections_check (struct eg_connections *self, int64_t now_us)
 {
+  set_budget (self);
+  free_excess (self, now_us);
+  for (int kind = 0; kind < EG_LISTENERS; kind++)
+    if (self->listening[kind] && self->accept_later[kind])
+      handle_arrival (self, (enum eg_listener_kind) kind, now_us);
   self->running = 0;
   for (struct eg_list *at = self->all.next; at != &self->all;)
     {
@@ -673,7 +1221,10 @@
       else if (connection->call.active)
         {
           self->running++;
-          eg_call_check (&connection->call, now_us);
+          check_delivery (connection, now_us);
+          if (connection->call.active)
+            eg_call_check (&connection->call, now_us);
+          account (connection);
         }
       else if (connection->query_pending)
         {
--- a/entry/connections.h
+++ b/entry/connections.h
@@ -6,32 +6,32 @@
 #ifndef EG_ENTRY_CONNECTIONS_H
 #define EG_ENTRY_CONNECTIONS_H
 
+#include "base/log.h"
 #include "entry/call.h"
+#include "entry/client_limits.h"
 #include "net/http_reader.h"
 #include "net/socket.h"
 #include "platform/mirror.h"
-
-/** Purpose of a listener. */
-enum eg_listener_kind
-{
-  EG_LISTEN_CALLERS,
-  EG_LISTEN_READINESS,
-  EG_LISTEN_PEERS, /**< Also serves metrics. */
-  EG_LISTENERS,
-};
+#include "policy/client_memory.h"
 
 /** One inbound connection. */
 struct eg_connection
 {
   struct eg_list all;
+  struct eg_list in_turns; /**< In eg_connections.in_turns if @c has_turn. */
   struct eg_entry *entry;
   enum eg_listener_kind kind;
   struct eg_socket socket;
   struct eg_http_reader reader;
   struct eg_call call;
   struct eg_buffer body;
-  /** Bytes received after the request being served. */
+  /** Length of the body that the head states; SIZE_MAX: it states none. */
+  size_t body_len;
+  size_t body_max; /**< Limit for the body. */
+  /** Bytes received after the request being served, from @c pipelined_at. */
   struct eg_buffer pipelined;
+  size_t pipelined_at;
+  struct eg_client_holder holder;
   /** Error status found while reading the request; 0: none. */
   unsigned reject_status;
   /** Time of the last response, of the request's first byte, or of closing;
@@ -39,6 +39,9 @@
   int64_t last_activity_us;
   /** Bytes that the client had not acknowledged at the last check. */
   size_t undelivered;
+  /** Bytes that it had acknowledged, and when it is checked next. */
+  uint64_t delivered;
+  int64_t delivery_check_us;
   /** A peer's mirror query; pending if @c query_pending. */
   struct eg_mirror_query query;
   bool query_pending;
@@ -46,6 +49,8 @@
   bool processing;
   bool read_ended; /**< The client sends no more. */
   bool closing;    /**< No more requests are served. */
+  bool has_turn;   /**< It goes on in its next turn. */
+  bool counted;    /**< In eg_connections.memory and eg_connections.counts. */
 };
 
 /** All inbound connections; allocated by the caller. */
@@ -55,9 +60,15 @@
   uv_tcp_t listeners[EG_LISTENERS];
   bool listening[EG_LISTENERS];
   struct eg_list all;
-  size_t connection_count;
-  size_t running;    /**< Requests being processed, as of the last tick. */
-  size_t body_bytes; /**< Total size of buffered request bodies. */
+  size_t counts[EG_LISTENERS];
+  size_t running; /**< Requests being processed, as of the last tick. */
+  struct eg_client_memory memory;
+  /** Connections that sent more than is handled at once. */
+  struct eg_list in_turns;
+  uv_idle_t next_turns;
+  /** A connection has arrived for which there will soon be room. */
+  bool accept_later[EG_LISTENERS];
+  struct eg_log_rate log_rates[EG_CLIENT_CAUSES];
 };
 
 /**
@@ -68,6 +79,9 @@
                           struct eg_entry *entry,
                           struct eg_error *error);
 
+/** Returns the number of connections of all ports. */
+size_t eg_connections_count (const struct eg_connections *self);
+
 /** Handles timeouts on all connections; call it on every tick. */
 void eg_connections_check (struct eg_connections *self, int64_t now_us);
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -1,6 +1,7 @@
 /* Entry daemon: a single event loop that owns all state. */
 #include <argtable2.h>
 #include <inttypes.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -46,6 +47,11 @@
  * 90 ms late, and the process must end before it is killed. */
 #define EXIT_MARGIN_US (300 * EG_US_PER_MS)
 
+/* Larger allocations, such as bodies, are returned to the system when they are
+ * freed, and grow without being copied. By default the C library raises this
+ * threshold up to 32 MB, and freed bodies remain in the heap in pieces. */
+#define MAPPED_BYTES_MIN 131072
+
 static const int handled_signals[] = {SIGTERM, SIGINT, SIGHUP};
 #define HANDLED_SIGNALS (sizeof handled_signals / sizeof handled_signals[0])
 
@@ -524,6 +530,7 @@
   struct eg_error error;
   int level;
 
+  mallopt (M_MMAP_THRESHOLD, MAPPED_BYTES_MIN);
   set_signals_blocked (true);
   parse_arguments (argc, argv, &arguments);
   if (arguments.exit_code >= 0)
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -80,6 +80,31 @@
                     name, times->count);
 }
 
+static void
+print_clients (const struct eg_entry *entry, struct eg_buffer *out)
+{
+  static const char *const ports[] = {[EG_LISTEN_CALLERS] = "callers",
+                                      [EG_LISTEN_READINESS] = "readiness",
+                                      [EG_LISTEN_PEERS] = "peers"};
+  const struct eg_connections *connections = &entry->connections;
+
+  for (size_t i = 0; i < EG_CLIENT_CAUSES; i++)
+    eg_buffer_printf (out,
+                      "eelgrasswood_clients_rejected_total{cause=\"%s\"}"
+                      " %" PRIu64 "\n",
+                      eg_client_cause_name ((enum eg_client_cause) i),
+                      entry->metrics.clients[i]);
+  for (size_t i = 0; i < EG_LISTENERS; i++)
+    eg_buffer_printf (out, "eelgrasswood_client_connections{port=\"%s\"} %zu\n",
+                      ports[i], connections->counts[i]);
+  eg_buffer_printf (out,
+                    "eelgrasswood_client_memory_bytes %zu\n"
+                    "eelgrasswood_client_memory_bytes_max %zu\n"
+                    "eelgrasswood_client_memory_budget_bytes %zu\n",
+                    connections->memory.held, connections->memory.held_max,
+                    connections->memory.budget);
+}
+
 void
 eg_metrics_print (const struct eg_entry *entry, struct eg_buffer *out)
 {
@@ -107,6 +132,7 @@
         eg_reach_state_name ((enum eg_reach_state) i), self->hops[i]);
   for (size_t i = 0; i < EG_TIMINGS; i++)
     print_timing (self, (enum eg_timing) i, out);
+  print_clients (entry, out);
   eg_wait_queues_print (entry, out);
   eg_buffer_printf (
       out,
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -7,6 +7,7 @@
 
 #include "base/buffer.h"
 #include "base/histogram.h"
+#include "entry/client_limits.h"
 #include "policy/resend.h"
 #include "policy/server_reach.h"
 
@@ -57,6 +58,8 @@
   uint64_t refused[EG_RESEND_LIMITS];
   /** Requests sent through peers, by what was known of this VM's own path. */
   uint64_t hops[EG_REACH_STATES];
+  /** Connections closed and requests rejected because of the client. */
+  uint64_t clients[EG_CLIENT_CAUSES];
   struct eg_histogram times[EG_TIMINGS];
 };
 
--- a/entry/peer_paths.c
+++ b/entry/peer_paths.c
@@ -39,7 +39,7 @@
   if (!eg_reach_watch_prove (&entry->reach_watch, now_us))
     return "no-path";
   if (entry->lateness_us > LATENESS_MAX_US
-      || (double) entry->connections.connection_count
+      || (double) eg_connections_count (&entry->connections)
              > CONNECTION_DESCRIPTORS_FRACTION
                    * (double) entry->settings->descriptors)
     return "no-room";
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -1,5 +1,6 @@
 #include "entry/settings.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "policy/shedding.h"
@@ -64,11 +65,91 @@
     {"shedding.queue_requests", EG_SETTING_INTEGER, "requests", 1,
      EG_WAIT_QUEUE_MAX, "32", FIELD (shedding_requests),
      "Most requests that wait for room on the servers of one service"},
+    {"clients.memory_mb", EG_SETTING_INTEGER, "MB", 0, 1048576, "0",
+     FIELD (client_memory_mb),
+     "Memory for what inbound connections hold, at most 3/4 of "
+     "limits.memory_mb; 0: half of it"},
+    {"clients.connections", EG_SETTING_INTEGER, "connections", 0, 10000000, "0",
+     FIELD (client_connections),
+     "Most inbound connections of all ports, at most 0.9 of "
+     "limits.descriptors; 0: 0.45 of them"},
+    {"clients.readiness_connections", EG_SETTING_INTEGER, "connections", 0,
+     1024, "0", FIELD (client_readiness_connections),
+     "Most connections of the readiness port, which are reserved for it; 0: "
+     "1/32 of limits.descriptors, from 4 to 64"},
+    {"clients.peer_connections", EG_SETTING_INTEGER, "connections", 0, 10000000,
+     "0", FIELD (client_peer_connections),
+     "Most connections of the port for other entry VMs, at most 0.9 of "
+     "limits.descriptors; 0: 0.2 of them"},
+    {"clients.min_send_bytes_per_s", EG_SETTING_INTEGER, "bytes/s", 0, 16384,
+     "1024", FIELD (client_send_rate),
+     "Rate that a client must not stay below for idleTimeoutMs while it sends "
+     "a body; 0: one byte within that time suffices"},
+    {"clients.min_read_bytes_per_s", EG_SETTING_INTEGER, "bytes/s", 0, 16384,
+     "1024", FIELD (client_read_rate),
+     "Rate that a client must not stay below for idleTimeoutMs while it reads "
+     "a response; 0: one byte within that time suffices"},
 };
 
 const struct eg_setting_table eg_entry_setting_table = {
     rows, sizeof rows / sizeof rows[0]};
 
+/* Returns the line of a key of the section [clients]; 0: not found. */
+static unsigned
+find_client_line (const char *path, const char *key)
+{
+  FILE *file = fopen (path, "r");
+  bool in_section = false;
+  unsigned found = 0;
+  char line[256];
+
+  for (unsigned number = 1;
+       file && found == 0 && fgets (line, sizeof line, file); number++)
+    {
+      const char *text = line + strspn (line, " \t");
+
+      if (*text == '[')
+        in_section = strncmp (text, "[clients]", strlen ("[clients]")) == 0;
+      else if (in_section && strncmp (text, key, strlen (key)) == 0)
+        found = number;
+    }
+  if (file)
+    fclose (file);
+  return found;
+}
+
+/* Checks the bounds that other settings give. */
+static enum eg_status
+check_clients (const char *path,
+               const struct eg_entry_settings *settings,
+               struct eg_error *error)
+{
+  const struct
+  {
+    const char *key;
+    int64_t value;
+    int64_t max;
+    const char *of;
+  } bounds[] = {
+      {"memory_mb", settings->client_memory_mb, settings->memory_mb * 3 / 4,
+       "3/4 of limits.memory_mb"},
+      {"connections", settings->client_connections,
+       settings->descriptors * 9 / 10, "0.9 of limits.descriptors"},
+      {"peer_connections", settings->client_peer_connections,
+       settings->descriptors * 9 / 10, "0.9 of limits.descriptors"},
+  };
+
+  for (size_t i = 0; i < sizeof bounds / sizeof bounds[0]; i++)
+    if (bounds[i].value > bounds[i].max)
+      return eg_error_set (error, EG_INVALID,
+                           "%s:%u: clients.%s: expected at most %" PRId64
+                           " (%s), found %" PRId64,
+                           path, find_client_line (path, bounds[i].key),
+                           bounds[i].key, bounds[i].max, bounds[i].of,
+                           bounds[i].value);
+  return EG_OK;
+}
+
 enum eg_status
 eg_entry_settings_load (const char *path,
                         struct eg_entry_settings *settings,
@@ -78,6 +159,9 @@
   enum eg_status status =
       eg_settings_load (&eg_entry_setting_table, path, settings, error);
 
+  if (status != EG_OK)
+    return status;
+  status = check_clients (path, settings, error);
   if (status != EG_OK)
     return status;
   for (size_t i = 0; i < sizeof modes / sizeof modes[0]; i++)
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -37,6 +37,12 @@
   bool orders_fenced;
   char shedding_mode[8];
   int64_t shedding_requests;
+  int64_t client_memory_mb;             /**< 0: derived from memory_mb. */
+  int64_t client_connections;           /**< 0: derived from descriptors. */
+  int64_t client_readiness_connections; /**< 0: derived from descriptors. */
+  int64_t client_peer_connections;      /**< 0: derived from descriptors. */
+  int64_t client_send_rate;
+  int64_t client_read_rate;
 };
 
 /** All settings of the daemon. */
--- a/net/socket.c
+++ b/net/socket.c
@@ -186,6 +186,7 @@
   struct eg_socket *self = write->socket;
 
   self->queued -= write->len;
+  self->queued_writes--;
   free (write);
   if (self->closing)
     return;
@@ -228,6 +229,7 @@
       return;
     }
   self->queued += bytes.len;
+  self->queued_writes++;
 }
 
 size_t
@@ -236,6 +238,12 @@
   return self->queued;
 }
 
+size_t
+eg_socket_queue_memory (const struct eg_socket *self)
+{
+  return self->queued + self->queued_writes * sizeof (struct pending_write);
+}
+
 size_t
 eg_socket_undelivered (const struct eg_socket *self)
 {
--- a/net/socket.h
+++ b/net/socket.h
@@ -45,8 +45,9 @@
   uv_connect_t connecting;
   const struct eg_socket_events *events;
   void *context;
-  size_t queued;    /**< Bytes in the write queue. */
-  uint64_t written; /**< Bytes passed to eg_socket_write(). */
+  size_t queued;        /**< Bytes in the write queue. */
+  size_t queued_writes; /**< Their pieces. */
+  uint64_t written;     /**< Bytes passed to eg_socket_write(). */
   bool closing;
 };
 
@@ -89,6 +90,9 @@
 /** Returns the number of bytes in the write queue. */
 size_t eg_socket_queued (const struct eg_socket *self);
 
+/** Returns the memory that the write queue takes, including its pieces. */
+size_t eg_socket_queue_memory (const struct eg_socket *self);
+
 /**
  * Returns the number of bytes that the other end has not acknowledged: those of
  * the write queue and those in the kernel. The end of sending counts as one.
--- a/test/test_reload.c
+++ b/test/test_reload.c
@@ -15,6 +15,7 @@
 #include <cmocka.h>
 
 #include "base/clock.h"
+#include "entry/client_limits.h"
 #include "entry/reload.h"
 #include "test/soak/ports.h"
 
@@ -108,6 +109,39 @@
   assert_int_equal (file->settings.retry_extra, 200);
 }
 
+/* Guards against limits of clients beyond those of the VM, and against messages
+ * that do not say where and why. */
+static void
+test_limits_of_clients_are_checked (void **state)
+{
+  struct file *file = *state;
+  struct eg_entry_settings settings;
+  struct eg_error error;
+
+  write_file (file, "extra = 7\n");
+  assert_int_equal (eg_entry_settings_load (file->path, &settings, &error),
+                    EG_OK);
+  assert_int_equal (eg_client_budget (&settings),
+                    (size_t) settings.memory_mb << 19);
+  assert_int_equal (eg_client_connections_max (&settings),
+                    settings.descriptors * 45 / 100);
+  write_file (file, "extra = 7\n[clients]\nmemory_mb = 1000000\n");
+  assert_int_equal (eg_entry_settings_load (file->path, &settings, &error),
+                    EG_INVALID);
+  assert_non_null (strstr (error.message, "clients.memory_mb"));
+  assert_non_null (strstr (error.message, "1000000"));
+  assert_non_null (strstr (error.message, "limits.memory_mb"));
+  assert_null (strstr (error.message, ":0: "));
+  write_file (file, "extra = 7\n[clients]\nconnections = 9999999\n");
+  assert_int_equal (eg_entry_settings_load (file->path, &settings, &error),
+                    EG_INVALID);
+  assert_non_null (strstr (error.message, "clients.connections"));
+  write_file (file, "extra = 7\n[clients]\nmin_send_bytes_per_s = 99999\n");
+  assert_int_equal (eg_entry_settings_load (file->path, &settings, &error),
+                    EG_INVALID);
+  assert_non_null (strstr (error.message, "clients.min_send_bytes_per_s"));
+}
+
 /* Guards against a mode that is accepted but means none of the three. */
 static void
 test_unknown_mode_of_shedding_is_named (void **state)
@@ -291,6 +325,8 @@
                                        set_up, tear_down),
       cmocka_unit_test_setup_teardown (test_invalid_file_is_ignored, set_up,
                                        tear_down),
+      cmocka_unit_test_setup_teardown (test_limits_of_clients_are_checked,
+                                       set_up, tear_down),
       cmocka_unit_test_setup_teardown (test_unknown_mode_of_shedding_is_named,
                                        set_up, tear_down),
       cmocka_unit_test_setup_teardown (test_addresses_need_a_restart, set_up,
--- a/test/test_slow_readers.c
+++ b/test/test_slow_readers.c
@@ -30,6 +30,8 @@
 #define SEGMENT_BYTES 1400
 #define RECEIVE_BUFFER_BYTES 4096
 #define STEP_MS 50
+/* Takes 2.4 s at 25 KB/s, more than the idle time-out. */
+#define SLOW_BODY_BYTES 60000
 #define GRACE_MS INT64_C (10000)
 #define IDLE_TIMEOUT_MS INT64_C (1000)
 #define CONFIGURED_MS 1500
@@ -367,6 +369,67 @@
   assert_int_equal (request_with_long_head (self, 12000), 431);
 }
 
+/* Sends a request whose body comes in pieces, one each @c STEP_MS, until it is
+ * complete or has been answered; returns the status. */
+static unsigned
+send_body_in_pieces (struct streams_fixture *self, size_t bytes, size_t piece)
+{
+  static const char zeros[SLOW_BODY_BYTES];
+  int64_t end_us = eg_clock_now_us () + 8 * EG_US_PER_S;
+  struct reader *reader = &readers[0];
+  struct eg_buffer text = {0};
+  unsigned status = 0;
+
+  reader_connect (reader, self);
+  eg_buffer_printf (&text,
+                    "POST /once/x HTTP/1.1\r\nHost: streams.example\r\n"
+                    "X-Attempt-Id: slow-body\r\nX-Deadline-Ms: 10000\r\n"
+                    "Content-Length: %zu\r\n\r\n",
+                    bytes);
+  assert_int_equal (send (reader->socket, text.data, text.len, MSG_NOSIGNAL),
+                    text.len);
+  eg_buffer_finish (&text);
+  while (!is_whole (reader) && !reader->ended && eg_clock_now_us () < end_us)
+    {
+      size_t len = bytes < piece ? bytes : piece;
+
+      if (len > 0 && send (reader->socket, zeros, len, MSG_NOSIGNAL) > 0)
+        bytes -= len;
+      streams_run (self, STEP_MS);
+      reader_read (reader, ANSWER_BYTES);
+    }
+  sscanf (reader->head, "HTTP/1.1 %u", &status);
+  return status;
+}
+
+/* Guards against a time limit for a body that does not consider whether its
+ * client is still sending it. */
+static void
+test_body_on_a_slow_link_is_served (void **state)
+{
+  struct streams_fixture *self = *state;
+
+  self->plain_bytes = 0;
+  publish_idle_timeout (self);
+  assert_int_equal (
+      send_body_in_pieces (self, SLOW_BODY_BYTES, 25000 * STEP_MS / 1000), 200);
+}
+
+/* Guards against a byte from time to time that restarts the time-out. */
+static void
+test_trickled_body_is_refused_in_time (void **state)
+{
+  struct streams_fixture *self = *state;
+  int64_t begun_us;
+
+  self->plain_bytes = 0;
+  publish_idle_timeout (self);
+  begun_us = eg_clock_now_us ();
+  assert_int_equal (send_body_in_pieces (self, SLOW_BODY_BYTES, 1), 408);
+  assert_true (eg_clock_now_us () - begun_us
+               < 2 * IDLE_TIMEOUT_MS * EG_US_PER_MS);
+}
+
 #define SLOW_TEST(name)                                                        \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -382,6 +445,8 @@
       SLOW_TEST (client_that_does_not_read_its_answer_is_dropped),
       SLOW_TEST (planned_stop_does_not_wait_for_what_was_received),
       SLOW_TEST (changed_limit_of_heads_holds_for_open_connections),
+      SLOW_TEST (body_on_a_slow_link_is_served),
+      SLOW_TEST (trickled_body_is_refused_in_time),
   };
 
   if (argc > 1)
