--- a/net/socket.h
+++ b/net/socket.h
@@ -45,7 +45,9 @@
   uv_connect_t connecting;
   const struct eg_socket_events *events;
   void *context;
-  size_t queued; /**< Bytes in the write queue. */
+  size_t queued;        /**< Bytes in the write queue. */
+  size_t queued_writes; /**< Their pieces. */
+  uint64_t written;     /**< Bytes passed to eg_socket_write(). */
   bool closing;
 };
 
@@ -71,6 +73,14 @@
 /** Starts or resumes reading. @return 0 or a libuv error. */
 int eg_socket_read (struct eg_socket *self);
 
+/**
+ * Bounds the bytes that the kernel holds for this socket, in place of its own
+ * adjustment to the connection; 0: leaves it as it is.
+ */
+void eg_socket_set_kernel_buffers (struct eg_socket *self,
+                                   size_t receive_bytes,
+                                   size_t send_bytes);
+
 /** Pauses reading, so that TCP flow control slows the sender down. */
 void eg_socket_pause (struct eg_socket *self);
 
@@ -80,6 +90,9 @@
 /** Returns the number of bytes in the write queue. */
 size_t eg_socket_queued (const struct eg_socket *self);
 
+/** Returns the memory that the write queue takes, including its pieces. */
+size_t eg_socket_queue_memory (const struct eg_socket *self);
+
 /**
  * Returns the number of bytes that the other end has not acknowledged: those of
  * the write queue and those in the kernel. The end of sending counts as one.
