entry: the kernel's buffers are bounded before connections are established

Cause: the buffer for receiving was made smaller after a connection had been accepted. Its sender had seen a larger window and waited until half of that was free again, up to the probe timer of TCP. Beside 64 other connections a body of 4 MB was not received within 10 s on the loopback interface.

Change: the buffer is set on the listener for the connections that follow; that of an accepted connection is only made smaller if it is larger, as for those that were in the listener's queue when the bound changed.

--- a/entry/client_limits.c
+++ b/entry/client_limits.c
@@ -24,10 +24,8 @@
 /* Connections up to this number share the kernel's part among so many. A link
  * of 14 Mbit/s with a round trip of 50 ms needs 88 KB. */
 #define FEW_CONNECTIONS 64
-/* Sizes of the kernel's buffers. Larger ones are left to the kernel, which has
- * 208 KB as its limit by default. */
+/* Least size of the kernel's buffers. */
 #define KERNEL_BYTES_MIN 8192
-#define KERNEL_BYTES_MAX 212992
 
 const char *
 eg_client_cause_name (enum eg_client_cause cause)
@@ -126,5 +124,5 @@
 
   if (bytes < KERNEL_BYTES_MIN)
     return KERNEL_BYTES_MIN;
-  return bytes > KERNEL_BYTES_MAX ? 0 : bytes;
+  return bytes > EG_CLIENT_KERNEL_BYTES_MAX ? 0 : bytes;
 }
--- a/entry/client_limits.h
+++ b/entry/client_limits.h
@@ -18,6 +18,10 @@
   EG_LISTENERS,
 };
 
+/** Larger sizes of buffers are left to the kernel, which has this limit by
+ *  default. */
+#define EG_CLIENT_KERNEL_BYTES_MAX 212992
+
 /** Why a connection was closed or a request rejected. */
 enum eg_client_cause
 {
--- a/entry/connections.c
+++ b/entry/connections.c
@@ -934,6 +934,22 @@
   return slot;
 }
 
+/* Sets the kernel's buffer for the connections that follow. */
+static void
+set_receive_buffer (struct eg_connections *self, enum eg_listener_kind kind)
+{
+  size_t bytes = eg_client_kernel_bytes (self->entry->settings,
+                                         self->counts[EG_LISTEN_CALLERS]);
+
+  /* Once it has been set, the kernel no longer decides. */
+  if (bytes == 0 && self->receive_bytes[kind] > 0)
+    bytes = EG_CLIENT_KERNEL_BYTES_MAX;
+  if (bytes == self->receive_bytes[kind])
+    return;
+  self->receive_bytes[kind] = bytes;
+  eg_listener_set_receive_buffer (&self->listeners[kind], bytes);
+}
+
 static void
 count_connection (struct eg_connection *self)
 {
@@ -950,11 +966,12 @@
   eg_client_memory_add (&connections->memory, &self->holder);
   self->counted = true;
   account (self);
-  eg_socket_set_kernel_buffers (&self->socket, kernel_bytes,
-                                kernel_bytes > 0
-                                        && kernel_bytes < SEND_BUFFER_MIN_BYTES
-                                    ? SEND_BUFFER_MIN_BYTES
-                                    : kernel_bytes);
+  if (kernel_bytes > 0)
+    eg_socket_bound_kernel_buffers (&self->socket, kernel_bytes,
+                                    kernel_bytes < SEND_BUFFER_MIN_BYTES
+                                        ? SEND_BUFFER_MIN_BYTES
+                                        : kernel_bytes);
+  set_receive_buffer (connections, self->kind);
 }
 
 static void
@@ -1051,6 +1068,7 @@
   status = uv_tcp_bind (listener, (const struct sockaddr *) &bound, 0);
   if (status != 0)
     return status;
+  set_receive_buffer (self, kind);
   return uv_listen ((uv_stream_t *) listener, LISTEN_BACKLOG, on_connection);
 }
 
--- a/entry/connections.h
+++ b/entry/connections.h
@@ -59,6 +59,8 @@
   struct eg_entry *entry;
   uv_tcp_t listeners[EG_LISTENERS];
   bool listening[EG_LISTENERS];
+  /** Size of the kernel's buffer of their next connections; 0: not set. */
+  size_t receive_bytes[EG_LISTENERS];
   struct eg_list all;
   size_t counts[EG_LISTENERS];
   size_t running; /**< Requests being processed, as of the last tick. */
--- a/net/socket.c
+++ b/net/socket.c
@@ -160,17 +160,30 @@
 }
 
 void
-eg_socket_set_kernel_buffers (struct eg_socket *self,
-                              size_t receive_bytes,
-                              size_t send_bytes)
+eg_socket_bound_kernel_buffers (struct eg_socket *self,
+                                size_t receive_bytes,
+                                size_t send_bytes)
 {
-  int value = (int) receive_bytes;
+  uv_handle_t *handle = (uv_handle_t *) &self->tcp;
+  int bytes = 0;
 
-  if (receive_bytes > 0)
-    uv_recv_buffer_size ((uv_handle_t *) &self->tcp, &value);
-  value = (int) send_bytes;
-  if (send_bytes > 0)
-    uv_send_buffer_size ((uv_handle_t *) &self->tcp, &value);
+  /* The kernel doubles what is set, and reports that. */
+  if (uv_recv_buffer_size (handle, &bytes) == 0
+      && (size_t) bytes > 2 * receive_bytes)
+    {
+      bytes = (int) receive_bytes;
+      uv_recv_buffer_size (handle, &bytes);
+    }
+  bytes = (int) send_bytes;
+  uv_send_buffer_size (handle, &bytes);
+}
+
+void
+eg_listener_set_receive_buffer (uv_tcp_t *listener, size_t bytes)
+{
+  int value = (int) bytes;
+
+  uv_recv_buffer_size ((uv_handle_t *) listener, &value);
 }
 
 void
--- a/net/socket.h
+++ b/net/socket.h
@@ -74,12 +74,19 @@
 int eg_socket_read (struct eg_socket *self);
 
 /**
- * Bounds the bytes that the kernel holds for this socket, in place of its own
- * adjustment to the connection; 0: leaves it as it is.
+ * Bounds the bytes that the kernel holds for a connection, in place of its own
+ * adjustment; larger bounds than those in force change nothing.
  */
-void eg_socket_set_kernel_buffers (struct eg_socket *self,
-                                   size_t receive_bytes,
-                                   size_t send_bytes);
+void eg_socket_bound_kernel_buffers (struct eg_socket *self,
+                                     size_t receive_bytes,
+                                     size_t send_bytes);
+
+/**
+ * Sets the bytes that the kernel receives for connections of a listener from
+ * now on. A bound that is set only after the connection has been established
+ * makes its sender wait for a window as large as the first one.
+ */
+void eg_listener_set_receive_buffer (uv_tcp_t *listener, size_t bytes);
 
 /** Pauses reading, so that TCP flow control slows the sender down. */
 void eg_socket_pause (struct eg_socket *self);
