--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -18,6 +18,7 @@
 #define REQUEST_TIMEOUT_MS 15000
 #define DEADLINE_MS 12000
 #define STREAM_GOAL_MS 500
+#define PLAIN_GOAL_MS 2000
 #define MODEL_LAYERS 4
 /* A server ends so long after it has begun to run a deadly request, and is back
  * after the pause. */
@@ -42,16 +43,18 @@
 };
 
 static json_t *
-pack_plain_route (const char *prefix, bool needs_key)
+pack_plain_route (const struct streams_fixture *self,
+                  const char *prefix,
+                  bool needs_key)
 {
   bool once = strcmp (prefix, "/once/") == 0;
 
   return json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}",
                     "name", prefix, "host", "streams.example", "pathPrefix",
                     prefix, "kind", once ? "non_idempotent" : "idempotent",
-                    "timeoutMs", DEADLINE_MS, "goalLatencyMs", 2000, "priority",
-                    2, "service", "app", "maxAttempts", 2, "public",
-                    !needs_key);
+                    "timeoutMs", DEADLINE_MS, "goalLatencyMs",
+                    (int) self->plain_goal_ms, "priority", 2, "service", "app",
+                    "maxAttempts", 2, "public", !needs_key);
 }
 
 static json_t *
@@ -98,12 +101,14 @@
       "s:[{s:s, s:[s]}], s:o}",
       "version", version, "routes",
       pack_stream_route (self, "stream", "/stream/", 1),
-      pack_plain_route ("/plain/", false), pack_plain_route (prefix, false),
-      pack_plain_route ("/keyed/", true), pack_plain_route ("/once/", false),
-      "services", "name", "model", "healthPath", "/healthz", "maxConnections",
-      1000, "engine", engine, "name", "app", "healthPath", "/healthz",
-      "maxConnections", 1000, "tenants", "name", "organisation", "apiKeys",
-      self->key, "limits", pack_limits (self));
+      pack_plain_route (self, "/plain/", false),
+      pack_plain_route (self, prefix, false),
+      pack_plain_route (self, "/keyed/", true),
+      pack_plain_route (self, "/once/", false), "services", "name", "model",
+      "healthPath", "/healthz", "maxConnections", 1000, "engine", engine,
+      "name", "app", "healthPath", "/healthz", "maxConnections", 1000,
+      "tenants", "name", "organisation", "apiKeys", self->key, "limits",
+      pack_limits (self));
 
   EG_INVARIANT (spec);
   if (self->bulk_route)
@@ -312,11 +317,25 @@
          || answer == STREAMS_ANSWER_UNSIGNED_UNAVAILABLE;
 }
 
+static size_t
+plain_bytes_for (const struct streams_fixture *self,
+                 const struct soak_http_connection *connection)
+{
+  const char *prefix = self->plain_bytes_prefix;
+
+  return !prefix
+                 || eg_str_starts_with (
+                     eg_http_head_target (&connection->reader.head),
+                     eg_str_from (prefix))
+             ? self->plain_bytes
+             : 0;
+}
+
 static void
 respond_plain (struct soak_http_connection *connection)
 {
   struct engine_stream *stream = connection->state;
-  size_t body_len = stream->engine->fixture->plain_bytes;
+  size_t body_len = plain_bytes_for (stream->engine->fixture, connection);
   char notice[NOTICE_BYTES];
   char fields[160];
   char *body;
@@ -427,6 +446,7 @@
       return;
     }
   self->runs++;
+  self->once_runs += eg_str_starts_with (target, EG_STR ("/once/"));
   if (is_deadly (self->fixture, connection))
     {
       self->fixture->deadly_arrivals++;
@@ -445,7 +465,7 @@
   else if (stream->answer == STREAMS_ANSWER_ENDLESS)
     respond_endless (connection);
   else if (self->plain)
-    soak_http_schedule (connection, PLAIN_MS, respond_plain);
+    soak_http_schedule (connection, self->fixture->plain_ms, respond_plain);
   else
     begin_stream (connection);
 }
@@ -584,13 +604,15 @@
            "[listen]\ncallers = \"127.0.0.1:%u\"\n"
            "readiness = \"127.0.0.1:%u\"\npeers = \"127.0.0.1:%u\"\n"
            "[store]\naddress = \"%s\"\n"
-           "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
+           "[limits]\n%s"
            "[stop]\ngrace_ms = %d\n[keys]\nrevocation_ms = 5000\n"
            "[retry]\nratio = %g\nwindow_ms = %d\nextra = %d\n%s",
            self->number,
            self->number == 0 || options->one_domain ? "room" : "hall",
            options->first_start ? "true" : "false", self->callers_port,
-           soak_find_free_port (), self->peers_port, store,
+           self->readiness_port, self->peers_port, store,
+           options->limits ? options->limits
+                           : "memory_mb = 260\ndescriptors = 4100\n",
            options->grace_ms > 0 ? options->grace_ms : 500,
            options->retry_ratio, options->retry_window_ms, options->retry_extra,
            options->settings ? options->settings : "");
@@ -898,6 +920,7 @@
       vm->fixture = self;
       vm->number = i;
       vm->callers_port = soak_find_free_port ();
+      vm->readiness_port = soak_find_free_port ();
       vm->peers_port = soak_find_free_port ();
       /* In the working directory, which tests that run beside this one use. */
       snprintf (vm->settings_path, sizeof vm->settings_path, "streams-%u.toml",
@@ -957,6 +980,9 @@
   soak_store_open (&self->store, &self->loop, &self->random);
   self->stream_goal_ms =
       options->stream_goal_ms ? options->stream_goal_ms : STREAM_GOAL_MS;
+  self->plain_goal_ms =
+      options->plain_goal_ms ? options->plain_goal_ms : PLAIN_GOAL_MS;
+  self->plain_ms = options->plain_ms ? options->plain_ms : PLAIN_MS;
   self->bulk_route = options->bulk_route;
   self->key = "key";
   streams_publish_configuration (self, 1);
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -76,6 +76,7 @@
   unsigned requests;     /**< All requests received, also for reports. */
   unsigned arrivals;     /**< Stream requests received. */
   unsigned runs;         /**< Stream requests not refused. */
+  unsigned once_runs;    /**< Those that must not be repeated. */
 };
 
 /** A client with one stream. */
@@ -109,6 +110,10 @@
   bool bulk_route;
   /** More tables of the settings file; NULL: none. */
   const char *settings;
+  /** Lines of its table [limits]; NULL: those of a VM with 260 MB. */
+  const char *limits;
+  unsigned plain_goal_ms; /**< Of the plain routes; 0: 2000. */
+  unsigned plain_ms;      /**< That plain servers take; 0: 80. */
 };
 
 /** A request of a client. */
@@ -130,6 +135,7 @@
   bool running;
   unsigned number;
   uint16_t callers_port;
+  uint16_t readiness_port;
   uint16_t peers_port;
   char settings_path[32];
   char log_path[32];
@@ -148,6 +154,8 @@
   struct streams_vm vms[STREAMS_VMS];
   unsigned vm_count;
   unsigned stream_goal_ms;
+  unsigned plain_goal_ms;
+  unsigned plain_ms;
   bool bulk_route;
   /** Of the organisation in the configuration. Clients send "key". */
   const char *key;
@@ -158,6 +166,8 @@
   const char *deadly_part;
   int64_t id_step;    /**< Between the ids of events; 0: one. */
   size_t plain_bytes; /**< Length of plain servers' answers; 0: a few. */
+  /** Prefix of the paths that get answers of this length; NULL: all. */
+  const char *plain_bytes_prefix;
   /** Limits that published configurations set for clients; 0: the default. */
   int header_bytes_max;
   int idle_timeout_ms;
