entry: a leaving server that refuses connections still completes its runs

stream_is_not_cut_off_a_leaving_server_that_stops_listening failed beside other load: client->done was false after 10 s. The daemon's log of a failing run shows the cause: a probe found the leaving server's port closed (cause=unreachable draining=1), which made the server suspect; at the next gap of the stream the daemon ended the run itself (cause=stage-suspect ended_by=vm silent_ms=110) and then waited for the other server, which was full.

The server had done what a leaving server does: it stopped listening and went on with its streams. After that, any pause over 100 ms (or three average intervals) ended a sound run. The test's server pauses for 80 ms, so that 20 ms of delay by the machine were enough; callers of the customers' routes accept pauses of 250 ms.

A refused connection to a leaving first server no longer counts against its run: the connection of the run ends with the process. Later servers of a path are judged as before, since the daemon has no connection to their part of the run.

Two tests are new; none is changed.

--- a/entry/call_move.c
+++ b/entry/call_move.c
@@ -57,6 +57,16 @@
   attempt->moving = false;
 }
 
+/* Returns whether stage @p i of a path is suspect for its run. The connection
+ * to the first server ends with its process, so that its refusal of new
+ * connections while it leaves says nothing about the run. */
+static bool
+is_stage_suspect (const struct eg_backend *backend, uint32_t i, int64_t now_us)
+{
+  return eg_backend_is_suspect (backend, now_us)
+         && (i > 0 || !eg_backend_refuses_while_leaving (backend, now_us));
+}
+
 static struct path_check
 check_path (const struct eg_call *self, int64_t now_us)
 {
@@ -67,7 +77,7 @@
       const struct eg_backend *backend = self->attempt.placement.stages[i];
       enum path_state found = PATH_HEALTHY;
 
-      if (eg_backend_is_suspect (backend, now_us))
+      if (is_stage_suspect (backend, i, now_us))
         found = i == 0 ? FIRST_SUSPECT : PATH_SUSPECT;
       else if (backend->draining_us > 0)
         found = i == 0 ? FIRST_DRAINING : PATH_DRAINING;
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -846,6 +846,13 @@
          && self->fleet->reach.state == EG_REACH_OK;
 }
 
+bool
+eg_backend_refuses_while_leaving (const struct eg_backend *self, int64_t now_us)
+{
+  return eg_backend_is_suspect (self, now_us) && self->refused_connection
+         && eg_backend_is_leaving (self);
+}
+
 bool
 eg_backend_is_cut_off (const struct eg_backend *self, int64_t now_us)
 {
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -290,6 +290,13 @@
  */
 bool eg_backend_has_ended (const struct eg_backend *self, int64_t now_us);
 
+/**
+ * Returns whether a suspect is leaving and refuses connections, as it does
+ * while it completes its requests.
+ */
+bool eg_backend_refuses_while_leaving (const struct eg_backend *self,
+                                       int64_t now_us);
+
 /** Returns whether a suspect is out of reach of a VM that reaches no server. */
 bool eg_backend_is_cut_off (const struct eg_backend *self, int64_t now_us);
 
--- a/test/test_streams.c
+++ b/test/test_streams.c
@@ -124,6 +124,61 @@
   assert_int_equal (other->arrivals, 0);
 }
 
+static bool
+is_connection_refused (const struct streams_fixture *self)
+{
+  return streams_count_log (self, 0, "cause=unreachable") > 0;
+}
+
+/* Guards against a run that is abandoned for a short pause because its server,
+ * which leaves, refuses new connections. */
+static void
+test_pause_of_a_leaving_server_that_refuses_connections_is_waited_for (
+    void **state)
+{
+  struct streams_fixture *self = *state;
+  struct streams_engine *leaving;
+  struct streams_engine *other;
+
+  leaving = &self->engines[begin_stream (self)];
+  other = &self->engines[1 - (leaving - self->engines)];
+  other->full = true;
+  streams_engine_publish (leaving, true);
+  streams_run (self, 200);
+  streams_engine_stop_listening (leaving);
+  leaving->silent = true;
+  /* Silence makes the daemon connect again. */
+  assert_true (streams_wait (self, is_connection_refused, 1000));
+  streams_run (self, 100);
+  leaving->silent = false;
+  streams_wait (self, first_has_ended, STREAM_TIMEOUT_MS);
+  assert_complete (&self->clients[0]);
+  assert_int_equal (other->arrivals, 0);
+}
+
+/* Guards against a run that is never replaced because its server, which hangs,
+ * was leaving. */
+static void
+test_silent_stream_of_a_server_that_stopped_listening_goes_on_elsewhere (
+    void **state)
+{
+  struct streams_fixture *self = *state;
+  struct streams_engine *leaving;
+  struct streams_engine *other;
+
+  leaving = &self->engines[begin_stream (self)];
+  other = &self->engines[1 - (leaving - self->engines)];
+  streams_engine_publish (leaving, true);
+  streams_run (self, 200);
+  streams_engine_stop_listening (leaving);
+  leaving->silent = true;
+  /* Clients give up after 2 s. */
+  streams_run (self, 1800);
+  assert_int_equal (other->runs, 1);
+  streams_wait (self, first_has_ended, STREAM_TIMEOUT_MS);
+  assert_complete (&self->clients[0]);
+}
+
 static void
 test_begun_stream_is_not_closed_after_some_refusals (void **state)
 {
@@ -451,6 +506,10 @@
   const struct CMUnitTest tests[] = {
       STREAMS_TEST (
           test_stream_is_not_cut_off_a_leaving_server_that_stops_listening),
+      STREAMS_TEST (
+          test_pause_of_a_leaving_server_that_refuses_connections_is_waited_for),
+      STREAMS_TEST (
+          test_silent_stream_of_a_server_that_stopped_listening_goes_on_elsewhere),
       STREAMS_TEST (test_begun_stream_is_not_closed_after_some_refusals),
       cmocka_unit_test_setup_teardown (
           test_begun_stream_is_not_closed_for_a_spent_retry_budget,
