test: paths that can be cut keep their ports during a cut

callers_of_vms_whose_connections_to_servers_are_reset_are_served aborted once, as uv_listen failed (test/soak/proxy.c:188). The proxy that stands for a path had an ephemeral port, closed its listener for the time of a cut, and listened on the same port again afterwards. In between, the kernel could give the port to an outgoing connection of any process; libuv reports the conflict only from uv_listen. The fault is in the test support, not in the daemon; the abort of the test itself was not reproduced.

Proxies now draw their ports as the daemons do (soak_find_free_port): below the range of ephemeral ports, and reserved against other tests until soak_release_ports(). No check is changed.

The stand-ins of servers that end and start again have ephemeral ports as before.

--- a/test/soak/ports.h
+++ b/test/soak/ports.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Ports that the daemons of the soak test listen on.
+ * Ports that the daemons and proxies of the soak test listen on.
  */
 #ifndef EG_SOAK_PORTS_H
 #define EG_SOAK_PORTS_H
@@ -10,7 +10,7 @@
 
 /** Number of ports to draw from. They are below the range of ephemeral ports:
  *  an outgoing connection could take an ephemeral port before the daemon
- *  listens on it. */
+ *  listens on it, or while a proxy does not listen. */
 #define SOAK_PORT_COUNT 19400U
 
 /** Returns port number @p index, below SOAK_PORT_COUNT. No port is one of the
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "base/status.h"
+#include "test/soak/ports.h"
 
 #define BACKLOG 64
 
@@ -175,9 +176,8 @@
 start_listening (struct soak_proxy *self)
 {
   struct sockaddr_in address = {.sin_family = AF_INET,
-                                .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+                                .sin_addr.s_addr = self->endpoint.ip,
                                 .sin_port = self->endpoint.port};
-  int len = sizeof address;
 
   self->listener = malloc (sizeof *self->listener);
   EG_INVARIANT (self->listener);
@@ -187,9 +187,6 @@
                 == 0);
   EG_INVARIANT (
       uv_listen ((uv_stream_t *) self->listener, BACKLOG, on_connection) == 0);
-  uv_tcp_getsockname (self->listener, (struct sockaddr *) &address, &len);
-  self->endpoint =
-      (struct eg_endpoint){address.sin_addr.s_addr, address.sin_port};
 }
 
 static void
@@ -267,6 +264,8 @@
 {
   memset (self, 0, sizeof *self);
   self->loop = loop;
+  self->endpoint = (struct eg_endpoint){htonl (INADDR_LOOPBACK),
+                                        htons (soak_find_free_port ())};
   self->target = target;
   eg_list_init (&self->connections);
   memset (self->blocked_fds, -1, sizeof self->blocked_fds);
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -35,7 +35,8 @@
   int64_t fault_until_us; /**< Of these three; kept by the caller. */
 };
 
-/** Listens on a free port and forwards connections to @p target. */
+/** Listens on a port that is reserved until soak_release_ports(), also during
+ *  cuts, and forwards connections to @p target. */
 void soak_proxy_open (struct soak_proxy *self,
                       uv_loop_t *loop,
                       struct eg_endpoint target);
