entry: a crowd on the readiness port does not keep out probes

Callers: the load balancer took a working VM out of rotation while clients held the places of the readiness port.

Cause: a place was freed only if the least useful connection had made no progress for 100 ms. Clients that sent on kept their places, and the fastest sender was examined again and again though others were older. Also, the reader called a head with more than 96 fields malformed or too large depending on how it was split into packets, as the parser reports the name of a field at its end.

Change: on the readiness port the oldest connection is closed, whatever it has sent, once it is 50 ms old; that is the age for the other ports too. The number of fields is judged at the end of the head, whose size is bounded anyway.

--- a/entry/connections.c
+++ b/entry/connections.c
@@ -28,7 +28,7 @@
 #define UNKNOWN_BODY_BYTES_MAX 16384
 /* Time for a new connection to send a request before it is closed for another
  * one. */
-#define NEW_CONNECTION_US (100 * EG_US_PER_MS)
+#define NEW_CONNECTION_US (50 * EG_US_PER_MS)
 /* Smallest allocation for a body. */
 #define BODY_BYTES_MIN 1024
 /* Interval at which it is checked how much of a response a client has read;
@@ -899,13 +899,32 @@
 };
 
 /* Closes the least useful connection of a kind. */
+/* Frees the place of the oldest connection of the readiness port: a client that
+ * goes on sending must not keep the places of probes. */
+static enum slot
+free_probe_slot (struct eg_connections *self, int64_t now_us)
+{
+  struct eg_client_holder *oldest =
+      eg_client_memory_find_oldest (&self->memory, EG_LISTEN_READINESS);
+
+  if (!oldest)
+    return SLOT_NONE;
+  if (now_us - connection_of (oldest)->accepted_us < NEW_CONNECTION_US)
+    return SLOT_LATER;
+  evict (connection_of (oldest), EG_CLIENT_CONNECTIONS, now_us);
+  return SLOT_FREE;
+}
+
 static enum slot
 free_slot (struct eg_connections *self,
            enum eg_listener_kind kind,
            int64_t now_us)
 {
-  struct eg_client_holder *victim =
-      eg_client_memory_find_slot (&self->memory, kind, now_us);
+  struct eg_client_holder *victim;
+
+  if (kind == EG_LISTEN_READINESS)
+    return free_probe_slot (self, now_us);
+  victim = eg_client_memory_find_slot (&self->memory, kind, now_us);
 
   if (!victim)
     return SLOT_NONE;
@@ -996,7 +1015,8 @@
   self->entry = connections->entry;
   self->kind = kind;
   self->idle = true;
-  self->last_activity_us = eg_clock_now_us ();
+  self->accepted_us = eg_clock_now_us ();
+  self->last_activity_us = self->accepted_us;
   eg_buffer_init (&self->body);
   eg_buffer_init (&self->pipelined);
   eg_call_init (&self->call, connections->entry, self);
--- a/entry/connections.h
+++ b/entry/connections.h
@@ -37,6 +37,7 @@
   /** Time of the last response, of the request's first byte, or of closing;
    *  later, when the client was last seen to receive bytes. */
   int64_t last_activity_us;
+  int64_t accepted_us;
   /** Bytes that the client had not acknowledged at the last check. */
   size_t undelivered;
   /** Bytes that it had acknowledged, and when it is checked next. */
--- a/net/http_reader.c
+++ b/net/http_reader.c
@@ -48,7 +48,10 @@
   if (self->in_value || head->field_count == 0)
     {
       if (head->field_count == EG_HTTP_FIELDS_MAX)
-        return set_fault (self, EG_HTTP_HEAD_TOO_LARGE);
+        {
+          self->too_many_fields = true;
+          return 0;
+        }
       field = &head->fields[head->field_count++];
       field->name_at = (uint32_t) head->text.len;
       field->name_len = 0;
@@ -69,7 +72,7 @@
   struct eg_http_head *head = &self->head;
   struct eg_http_field *field;
 
-  if (self->head_done)
+  if (self->head_done || self->too_many_fields)
     return 0;
   if (head->field_count == 0)
     return set_fault (self, EG_HTTP_MALFORMED);
@@ -111,6 +114,10 @@
   struct eg_http_reader *self = reader_of (parser);
   struct eg_http_head *head = &self->head;
 
+  /* Not before the end of the head: the parser reports a name only once it is
+     complete, or at the end of a packet. */
+  if (self->too_many_fields)
+    return set_fault (self, EG_HTTP_HEAD_TOO_LARGE);
   if (!is_framing_unambiguous (head))
     return set_fault (self, EG_HTTP_MALFORMED);
   head->status = parser->status_code;
@@ -246,6 +253,7 @@
   self->begun = false;
   self->head_done = false;
   self->in_value = false;
+  self->too_many_fields = false;
   self->head_bytes = 0;
   self->read = 0;
   self->body_read = 0;
--- a/net/http_reader.h
+++ b/net/http_reader.h
@@ -51,11 +51,12 @@
   uint64_t body_read; /**< Bytes of the body. */
   const char *slice;  /**< Bytes being parsed. */
   enum eg_http_fault fault;
-  bool in_value;  /**< Whether the parser is inside a field value. */
-  bool begun;     /**< Whether the current message has started. */
-  bool head_done; /**< Whether the head is complete. */
-  bool complete;  /**< Whether the message is complete. */
-  bool no_body;   /**< Whether the response is to a HEAD request. */
+  bool in_value;        /**< Whether the parser is inside a field value. */
+  bool too_many_fields; /**< More fields than a head may have. */
+  bool begun;           /**< Whether the current message has started. */
+  bool head_done;       /**< Whether the head is complete. */
+  bool complete;        /**< Whether the message is complete. */
+  bool no_body;         /**< Whether the response is to a HEAD request. */
 };
 
 /** Initialises a parser at the start of a message. */
--- a/policy/client_memory.c
+++ b/policy/client_memory.c
@@ -241,3 +241,14 @@
     }
   return of_majority.holder ? of_majority.holder : first.holder;
 }
+
+struct eg_client_holder *
+eg_client_memory_find_oldest (const struct eg_client_memory *self,
+                              unsigned group)
+{
+  for (const struct eg_list *at = self->all.next; at != &self->all;
+       at = at->next)
+    if (holder_at (at)->group == group && !holder_at (at)->in_call)
+      return holder_at (at);
+  return NULL;
+}
--- a/policy/client_memory.h
+++ b/policy/client_memory.h
@@ -129,6 +129,16 @@
                             unsigned group,
                             int64_t now_us);
 
+/**
+ * Finds the connection of a group that was added first. For a port on which
+ * each client sends a short request at once: whatever it sends after that, it
+ * has had its time.
+ * @return NULL if there is none.
+ */
+struct eg_client_holder *
+eg_client_memory_find_oldest (const struct eg_client_memory *self,
+                              unsigned group);
+
 EG_END_DECLS
 
 #endif
--- a/test/test_client_memory.c
+++ b/test/test_client_memory.c
@@ -317,6 +317,34 @@
   return 0;
 }
 
+/* Guards against clients of the readiness port that keep their places by
+ * sending one request after another, so that probes find none. */
+static void
+test_oldest_connection_gives_way_whatever_it_sends (void **state)
+{
+  static struct crowd crowd_memory;
+  struct crowd *crowd = &crowd_memory;
+
+  (void) state;
+  init_crowd (crowd);
+  assert_null (eg_client_memory_find_oldest (&crowd->memory, 0));
+  for (size_t i = 0; i < 4; i++)
+    {
+      open_client (crowd, i, EG_CLIENT_RECEIVING, 1);
+      crowd->now_us += MS;
+    }
+  for (size_t i = 0; i < 4; i++)
+    {
+      /* The oldest is the one that has made progress last. */
+      eg_client_pace_moved (&crowd->clients[i].holder.pace, PIECE_BYTES, RATE,
+                            crowd->now_us);
+      assert_ptr_equal (eg_client_memory_find_oldest (&crowd->memory, 0),
+                        &crowd->clients[i].holder);
+      close_client (crowd, &crowd->clients[i]);
+    }
+  assert_null (eg_client_memory_find_oldest (&crowd->memory, 0));
+}
+
 int
 main (void)
 {
@@ -331,6 +359,7 @@
       cmocka_unit_test_setup (test_crowd_gives_way_to_new_connections, set_up),
       cmocka_unit_test_setup (test_no_address_displaces_all_others, set_up),
       cmocka_unit_test_setup (test_ports_are_separate, set_up),
+      cmocka_unit_test (test_oldest_connection_gives_way_whatever_it_sends),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
