entry: connections of probes are kept for six ticks in a crowd

Cause: a connection of the readiness port was closed for another one when it was 50 ms old, also if its request came later than that, or if the process took longer for one turn. Under the sanitizers one probe was missed in four of the five tests at that port, when the crowd arrived.

Change: the age is counted in ticks, between which all connections are read, and is six of them (150 ms): 300 clients at once then delay a probe by 0.8 s at most.

--- a/entry/connections.c
+++ b/entry/connections.c
@@ -29,6 +29,10 @@
 /* Time for a new connection to send a request before it is closed for another
  * one. */
 #define NEW_CONNECTION_US (50 * EG_US_PER_MS)
+/* Ticks until the same may happen to a connection of the readiness port. The
+ * requests of all connections are read between two ticks, however long the
+ * process takes for them. */
+#define PROBE_TICKS 6
 /* Smallest allocation for a body. */
 #define BODY_BYTES_MIN 1024
 /* Interval at which it is checked how much of a response a client has read;
@@ -909,7 +913,7 @@
 
   if (!oldest)
     return SLOT_NONE;
-  if (now_us - connection_of (oldest)->accepted_us < NEW_CONNECTION_US)
+  if (self->ticks - connection_of (oldest)->accepted_tick < PROBE_TICKS)
     return SLOT_LATER;
   evict (connection_of (oldest), EG_CLIENT_CONNECTIONS, now_us);
   return SLOT_FREE;
@@ -1015,8 +1019,8 @@
   self->entry = connections->entry;
   self->kind = kind;
   self->idle = true;
-  self->accepted_us = eg_clock_now_us ();
-  self->last_activity_us = self->accepted_us;
+  self->accepted_tick = connections->ticks;
+  self->last_activity_us = eg_clock_now_us ();
   eg_buffer_init (&self->body);
   eg_buffer_init (&self->pipelined);
   eg_call_init (&self->call, connections->entry, self);
@@ -1258,6 +1262,7 @@
     if (self->listening[kind] && self->accept_later[kind])
       handle_arrival (self, (enum eg_listener_kind) kind, now_us);
   self->running = 0;
+  self->ticks++;
   for (struct eg_list *at = self->all.next; at != &self->all;)
     {
       struct eg_connection *connection =
--- a/entry/connections.h
+++ b/entry/connections.h
@@ -37,7 +37,7 @@
   /** Time of the last response, of the request's first byte, or of closing;
    *  later, when the client was last seen to receive bytes. */
   int64_t last_activity_us;
-  int64_t accepted_us;
+  uint64_t accepted_tick; /**< Value of eg_connections::ticks at that time. */
   /** Bytes that the client had not acknowledged at the last check. */
   size_t undelivered;
   /** Bytes that it had acknowledged, and when it is checked next. */
@@ -66,6 +66,7 @@
   size_t counts[EG_LISTENERS];
   size_t running; /**< Requests being processed, as of the last tick. */
   struct eg_client_memory memory;
+  uint64_t ticks; /**< Calls of eg_connections_check(). */
   /** Connections that sent more than is handled at once. */
   struct eg_list in_turns;
   uv_idle_t next_turns;
