--- a/entry/connections.c
+++ b/entry/connections.c
@@ -902,7 +902,6 @@
   SLOT_NONE,
 };
 
-/* Closes the least useful connection of a kind. */
 /* Frees the place of the oldest connection of the readiness port: a client that
  * goes on sending must not keep the places of probes. */
 static enum slot
@@ -919,6 +918,7 @@
   return SLOT_FREE;
 }
 
+/* Closes the least useful connection of a kind. */
 static enum slot
 free_slot (struct eg_connections *self,
            enum eg_listener_kind kind,
@@ -929,7 +929,6 @@
   if (kind == EG_LISTEN_READINESS)
     return free_probe_slot (self, now_us);
   victim = eg_client_memory_find_slot (&self->memory, kind, now_us);
-
   if (!victim)
     return SLOT_NONE;
   if (eg_client_pace_lag_us (&victim->pace, now_us) < NEW_CONNECTION_US)
