--- a/test/test_streams.c
+++ b/test/test_streams.c
@@ -106,19 +106,29 @@
   assert_true (streams_wait (self, all_have_begun, STREAM_TIMEOUT_MS));
 }
 
+/* Begins a stream of a server that then leaves and stops listening, beside a
+ * full one. */
+static struct streams_engine *
+begin_stream_of_leaving_server (struct streams_fixture *self,
+                                struct streams_engine **other)
+{
+  struct streams_engine *leaving = &self->engines[begin_stream (self)];
+
+  *other = &self->engines[1 - (leaving - self->engines)];
+  (*other)->full = true;
+  streams_engine_publish (leaving, true);
+  streams_run (self, 200);
+  streams_engine_stop_listening (leaving);
+  return leaving;
+}
+
 static void
 test_stream_is_not_cut_off_a_leaving_server_that_stops_listening (void **state)
 {
   struct streams_fixture *self = *state;
-  struct streams_engine *leaving;
   struct streams_engine *other;
 
-  leaving = &self->engines[begin_stream (self)];
-  other = &self->engines[1 - (leaving - self->engines)];
-  other->full = true;
-  streams_engine_publish (leaving, true);
-  streams_run (self, 200);
-  streams_engine_stop_listening (leaving);
+  begin_stream_of_leaving_server (self, &other);
   streams_wait (self, first_has_ended, STREAM_TIMEOUT_MS);
   assert_complete (&self->clients[0]);
   assert_int_equal (other->arrivals, 0);
@@ -140,12 +150,7 @@
   struct streams_engine *leaving;
   struct streams_engine *other;
 
-  leaving = &self->engines[begin_stream (self)];
-  other = &self->engines[1 - (leaving - self->engines)];
-  other->full = true;
-  streams_engine_publish (leaving, true);
-  streams_run (self, 200);
-  streams_engine_stop_listening (leaving);
+  leaving = begin_stream_of_leaving_server (self, &other);
   leaving->silent = true;
   /* Silence makes the daemon connect again. */
   assert_true (streams_wait (self, is_connection_refused, 1000));
