configuration: a value that nothing reads does not make it unusable

A configuration with a value that the JSON decoder refuses (an integer beyond 64 bits, 1e400, \u0000, bytes that are not UTF-8) was unusable as a whole, also if the value is in a member that no part of the daemon reads. A key that the version took away still worked until the revocation bound, and from then on requests with any key got 503 for as long as the configuration held the value.

Cause: eg_store_document_decode() decodes an object whole or not at all. That is right for the objects of other writers, of which one must not hide the others, but nothing can stand for the configuration.

The configuration is decoded value by value once the decoder has refused it: a number beyond its range becomes the nearest real, which is out of range where it is read, any other undecodable value a string of U+0000, which no reader accepts. Keys of members may have escapes. Records of servers are decoded as before: one that cannot be read names no server.

unread_value_does_not_affect_the_configuration passes with four kinds of values, as do test_json_splitter and its fuzz test with the new function, and 18 tests of test_configuration, test_adapter and the members.

--- a/entry/configuration_spread.c
+++ b/entry/configuration_spread.c
@@ -157,6 +157,7 @@
   eg_version_spread_init (&self->versions, entry->settings->first_start,
                           eg_clock_now_us ());
   eg_store_call_init (&self->call, &self->peer, &sink);
+  self->call.by_value = true;
   EG_INVARIANT (eg_vm_messages_register (&entry->vm_messages, &type));
 }
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -379,6 +379,7 @@
   eg_store_feed_init (&self->configuration_feed, &configuration_source,
                       eg_mirror_add (&self->mirror, eg_configuration_kind),
                       WATCH_WAIT_MS, 0, &self->random, &configuration_events);
+  self->configuration_feed.call.by_value = true;
   eg_store_feed_init (&self->servers_feed, &servers_source,
                       eg_mirror_add (&self->mirror, eg_servers_kind),
                       WATCH_WAIT_MS, SERVERS_BATCH_START_US, &self->random,
--- a/http/json.c
+++ b/http/json.c
@@ -1,5 +1,7 @@
 #include "http/json.h"
 
+#include <float.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,22 +21,92 @@
   return value;
 }
 
-/* Adds a value, if there is one, under a key without escapes. */
+static json_t *
+decode (struct eg_str text, json_error_t *error)
+{
+  return json_loadb (text.data ? text.data : "", text.len, JSON_DECODE_ANY,
+                     error);
+}
+
+/** Parses text in which some values cannot be decoded. */
+struct salvage
+{
+  /** Returns what stands for a scalar, or a container below all levels; NULL:
+   *  it is left out. */
+  json_t *(*replace) (struct eg_str text, const json_error_t *error);
+  size_t undecodable; /**< Number of values replaced or left out. */
+};
+
+static json_t *
+leave_out (struct eg_str text, const json_error_t *error)
+{
+  (void) text;
+  (void) error;
+  return NULL;
+}
+
+static json_t *
+nearest_real (struct eg_str text)
+{
+  struct eg_buffer copy = {0};
+  double number;
+
+  eg_buffer_append (&copy, text);
+  number = strtod (eg_buffer_text (&copy), NULL);
+  eg_buffer_finish (&copy);
+  if (isinf (number))
+    number = copysign (DBL_MAX, number);
+  return json_real (number);
+}
+
+static json_t *
+substitute (struct eg_str text, const json_error_t *error)
+{
+  return json_error_code (error) == json_error_numeric_overflow
+             ? nearest_real (text)
+             : json_stringn ("", 1);
+}
+
+/* Decodes the key of a member, which may have escapes; NULL if it cannot be
+ * decoded. */
+static json_t *
+decode_key (struct eg_str key)
+{
+  struct eg_buffer text = {0};
+  json_t *decoded;
+
+  eg_buffer_append (&text, EG_STR ("\""));
+  eg_buffer_append (&text, key);
+  eg_buffer_append (&text, EG_STR ("\""));
+  decoded = decode (eg_buffer_view (&text), NULL);
+  eg_buffer_finish (&text);
+  return decoded;
+}
+
+/* Adds a value, if there is one; false if it is left out. */
 static bool
 add_value (json_t *container, struct eg_str key, json_t *value)
 {
-  char name[128];
+  json_t *name;
+  bool added;
 
   if (json_is_array (container))
     return json_array_append_new (container, value) == 0;
-  if (!memchr (key.data, '\\', key.len) && eg_str_copy (key, name, sizeof name))
-    return json_object_set_new (container, name, value) == 0;
+  name = decode_key (key);
+  added =
+      name && json_object_set (container, json_string_value (name), value) == 0;
+  json_decref (name);
   json_decref (value);
-  return false;
+  return added;
 }
 
 static json_t *
-parse_items (struct eg_json_splitter *items, unsigned levels, size_t *dropped)
+salvage_value (struct salvage *self, struct eg_str text, unsigned levels);
+
+static json_t *
+salvage_items (struct salvage *self,
+               struct eg_json_splitter *items,
+               unsigned levels)
 {
   json_t *container = items->close == '}' ? json_object () : json_array ();
   struct eg_str key;
@@ -43,32 +115,62 @@
   while (eg_json_splitter_next (items, &key) == EG_JSON_SPLIT_ITEM
          && eg_json_splitter_take (items, &text))
     {
-      size_t before = *dropped;
-      json_t *value = eg_json_parse_decodable (text, levels - 1, dropped);
+      size_t before = self->undecodable;
+      json_t *value = salvage_value (self, text, levels - 1);
 
-      if (!add_value (container, key, value) && *dropped == before)
-        (*dropped)++;
+      if (!add_value (container, key, value) && self->undecodable == before)
+        self->undecodable++;
     }
   if (items->complete)
     return container;
-  (*dropped)++;
+  self->undecodable++;
   json_decref (container);
   return NULL;
 }
 
-json_t *
-eg_json_parse_decodable (struct eg_str text, unsigned levels, size_t *dropped)
+static json_t *
+salvage_value (struct salvage *self, struct eg_str text, unsigned levels)
 {
   struct eg_json_splitter items;
-  json_t *value =
-      json_loadb (text.data ? text.data : "", text.len, JSON_DECODE_ANY, NULL);
+  json_error_t error;
+  json_t *value = decode (text, &error);
 
   if (value)
     return value;
   if (levels > 0 && eg_json_splitter_open (&items, text))
-    return parse_items (&items, levels, dropped);
-  (*dropped)++;
-  return NULL;
+    return salvage_items (self, &items, levels);
+  self->undecodable++;
+  return self->replace (text, &error);
+}
+
+json_t *
+eg_json_parse_decodable (struct eg_str text, unsigned levels, size_t *dropped)
+{
+  struct salvage salvage = {.replace = leave_out};
+  json_t *value = salvage_value (&salvage, text, levels);
+
+  *dropped += salvage.undecodable;
+  return value;
+}
+
+json_t *
+eg_json_parse_replacing (struct eg_str text, size_t *replaced)
+{
+  struct salvage salvage = {.replace = substitute};
+  struct eg_json_splitter items;
+  json_t *value = decode (text, NULL);
+
+  if (!value && eg_json_splitter_open (&items, text))
+    {
+      value = salvage_items (&salvage, &items, EG_JSON_SPLITTER_DEPTH_MAX);
+      if (value && eg_str_trim (items.rest).len > 0)
+        {
+          json_decref (value);
+          value = NULL;
+        }
+    }
+  *replaced += salvage.undecodable;
+  return value;
 }
 
 static const struct eg_json_member *
--- a/http/json.h
+++ b/http/json.h
@@ -47,6 +47,16 @@
 json_t *
 eg_json_parse_decodable (struct eg_str text, unsigned levels, size_t *dropped);
 
+/**
+ * Parses @p text, at any depth with substitutes for the values that cannot be
+ * decoded: for a number the nearest finite real, for anything else a string of
+ * one zero byte, which no reader takes for a value.
+ * @param replaced is increased by the number of such values, and of members
+ *                 left out because their keys cannot be decoded.
+ * @return NULL if the structure is invalid.
+ */
+json_t *eg_json_parse_replacing (struct eg_str text, size_t *replaced);
+
 /**
  * Reads the members of @p object into their targets; any other member is an
  * error.
--- a/test/test_configuration.c
+++ b/test/test_configuration.c
@@ -42,6 +42,23 @@
   return 0;
 }
 
+/* The second VM reads from the first one. */
+static int
+start_two_vms (void **state)
+{
+  const struct streams_options options = {.retry_ratio = 0.2,
+                                          .retry_extra = 200,
+                                          .retry_window_ms = 10000,
+                                          .engines = 1,
+                                          .plain = 2,
+                                          .vms = 2,
+                                          .one_domain = true};
+
+  streams_fixture_init (&fixture, &options);
+  *state = &fixture;
+  return 0;
+}
+
 static int
 stop (void **state)
 {
@@ -177,6 +194,64 @@
   assert_int_equal (streams_client_request (self, 0, &keyed), 200);
 }
 
+/* Adds a member that no part of the daemon reads to some objects. */
+static void
+add_unread_members (json_t *spec)
+{
+  static const char *const tables[] = {"routes", "services", "tenants"};
+
+  json_object_set_new (spec, "unread", json_string ("undecodable"));
+  json_object_set_new (json_object_get (spec, "limits"), "unread",
+                       json_pack ("[s]", "undecodable"));
+  for (size_t i = 0; i < sizeof tables / sizeof tables[0]; i++)
+    json_object_set_new (json_array_get (json_object_get (spec, tables[i]), 0),
+                         "unread", json_pack ("{s:s}", "in", "undecodable"));
+}
+
+/* Publishes a configuration with such members, in which @p key is the only key;
+ * they hold @p value on the wire. Each VM has to answer as it says in time. */
+static void
+check_unread (struct streams_fixture *self,
+              int version,
+              const char *key,
+              const char *value,
+              unsigned status)
+{
+  json_t *spec;
+
+  self->key = key;
+  spec = streams_pack_configuration (self, version);
+  add_unread_members (spec);
+  self->store.undecodable = value;
+  soak_store_put (&self->store, "config", "main", spec);
+  streams_run (self, APPLY_MS);
+  for (unsigned vm = 0; vm < 2; vm++)
+    {
+      struct streams_request request = keyed;
+
+      request.vm = vm;
+      assert_int_equal (streams_client_request (self, 0, &request), status);
+    }
+}
+
+/* One value that cannot be decoded, in a member that nothing reads, made the
+ * whole configuration unusable: requests with any key were refused. */
+static void
+test_unread_value_does_not_affect_the_configuration (void **state)
+{
+  static const char *const values[] = {"18446744073709551615", "-1e400",
+                                       "\"\\u0000\"", "\"\xff\""};
+  struct streams_fixture *self = *state;
+  int version = 2;
+
+  for (size_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    {
+      check_unread (self, version++, "other", values[i], 401);
+      check_unread (self, version++, "key", values[i], 200);
+    }
+  assert_true (streams_count_log (self, 0, "event=values-undecodable") > 0);
+}
+
 /* Guards against the use of strings of a configuration that was replaced while
  * a request that needs them is active. */
 static void
@@ -311,6 +386,9 @@
       CONFIGURATION_TEST (configuration_with_long_names_is_in_force),
       CONFIGURATION_TEST (
           keys_are_outdated_by_a_configuration_that_cannot_be_applied),
+      cmocka_unit_test_setup_teardown (
+          test_unread_value_does_not_affect_the_configuration, start_two_vms,
+          stop),
       CONFIGURATION_TEST (messages_of_strangers_are_dropped),
       CONFIGURATION_TEST (questions_of_strangers_are_not_answered),
       CONFIGURATION_TEST (configuration_is_fetched_by_members_only),
--- a/test/test_json_splitter.c
+++ b/test/test_json_splitter.c
@@ -28,7 +28,8 @@
 decode (const char *text, uint64_t *undecodable)
 {
   *undecodable = 0;
-  return eg_store_document_decode (eg_str_from (text), "test", undecodable);
+  return eg_store_document_decode (eg_str_from (text), "test", false,
+                                   undecodable);
 }
 
 static void
@@ -187,7 +188,7 @@
     {
       undecodable = 0;
       document = eg_store_document_decode ((struct eg_str){text, len}, "test",
-                                           &undecodable);
+                                           false, &undecodable);
       if (json_object_get (document, "at"))
         fail_msg ("accepted: %.*s", (int) len, text);
       json_decref (document);
@@ -255,6 +256,64 @@
   json_decref (value);
 }
 
+/* Writes "*" for each escaped U+0000 of a text. */
+static char *
+replace_zero (char *text)
+{
+  char *at;
+
+  assert_non_null (text);
+  while ((at = strstr (text, "\\u0000")))
+    {
+      *at = '*';
+      memmove (at + 1, at + 6, strlen (at + 6) + 1);
+    }
+  return text;
+}
+
+/* A value that no part of the program reads made the configuration undecodable.
+ */
+static void
+test_undecodable_values_are_replaced (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    const char *expected; /* With U+0000 as "*"; NULL: it is no JSON. */
+    size_t replaced;
+  } cases[] = {
+      {"{\"a\":[1,{\"b\":18446744073709551615}],\"c\":true}",
+       "{\"a\":[1,{\"b\":1.84467e19}],\"c\":true}", 1},
+      {" [ 1e400 , -1e400 , 3 ] ", "[1.79769e308,-1.79769e308,3]", 2},
+      {"{\"a\":\"\\u0000\",\"b\":[\"\\ud800\"],\"c\":\"\xff\",\"d\":tru}",
+       "{\"a\":\"*\",\"b\":[\"*\"],\"c\":\"*\",\"d\":\"*\"}", 4},
+      {"{\"\\u0061\":1e400,\"\\u0000\":2,\"\\u0062\":3}",
+       "{\"a\":1.79769e308,\"b\":3}", 2},
+      {"{\"a\":1e400,\"b\":{}", NULL, 2},
+      {"{\"a\":1e400}x", NULL, 1},
+      {"1e400", NULL, 0},
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      size_t replaced = 0;
+      json_t *value =
+          eg_json_parse_replacing (eg_str_from (cases[i].text), &replaced);
+      char *dumped = value ? json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS
+                                                    | JSON_REAL_PRECISION (6))
+                           : NULL;
+
+      assert_int_equal (replaced, cases[i].replaced);
+      if (cases[i].expected)
+        assert_string_equal (replace_zero (dumped), cases[i].expected);
+      else
+        assert_null (value);
+      free (dumped);
+      json_decref (value);
+    }
+}
+
 /* Appends a random value that the decoder accepts, without nested objects that
  * begin like an element. */
 static void
@@ -380,8 +439,8 @@
   unsigned whole = append_list (
       random, (unsigned) eg_random_below (random, OBJECTS_MAX + 1), &text);
   uint64_t undecodable = 0;
-  json_t *document =
-      eg_store_document_decode (eg_buffer_view (&text), "test", &undecodable);
+  json_t *document = eg_store_document_decode (eg_buffer_view (&text), "test",
+                                               false, &undecodable);
 
   if (!document || find_whole (document) != whole
       || json_integer_value (json_object_get (document, "at")) != 31)
@@ -439,9 +498,10 @@
     text[eg_random_below (random, len)] =
         bytes[eg_random_below (random, sizeof bytes)];
   json_decref (eg_store_document_decode ((struct eg_str){text, len}, "test",
-                                         &undecodable));
+                                         false, &undecodable));
   json_decref (
       eg_json_parse_decodable ((struct eg_str){text, len}, 2, &dropped));
+  json_decref (eg_json_parse_replacing ((struct eg_str){text, len}, &dropped));
   for (size_t i = 0; i < len; i++)
     if (text[i] == '[')
       check_slices ((struct eg_str){text + i, len - i});
@@ -477,6 +537,7 @@
       cmocka_unit_test (test_single_object_keeps_its_revision),
       cmocka_unit_test (test_depth_is_limited),
       cmocka_unit_test (test_undecodable_values_are_dropped_down_to_a_level),
+      cmocka_unit_test (test_undecodable_values_are_replaced),
       cmocka_unit_test (test_random_lists),
   };
 
