configuration: accept fractions, and limit numbers above the daemon's range

Times are read with their fraction and kept in microseconds, weights are scaled to integers, means rounded, and 3.0 is an integer. A number above its range counts as the largest one, and is reported (configuration-defect). A negative number, or a fraction of what is counted, is still an error. The range of the performance model keeps conversions defined: a card of 1e300 MB overflowed one. A version that is in force is not decoded again.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -139,24 +139,32 @@
                                        decoded->version);
 }
 
+static void
+log_defect (void *context, const char *description)
+{
+  const json_t *spec = context;
+
+  eg_log (EG_LOG_WARNING, "configuration",
+          "event=configuration-defect version=%" PRId64 " cause=\"%s\"",
+          eg_configuration_read_version (spec), description);
+}
+
 void
 eg_entry_accept_configuration (struct eg_entry *self, json_t *object)
 {
-  const json_t *spec = eg_store_object_spec (object);
+  json_t *spec = eg_store_object_spec (object);
+  const struct eg_configuration_sink sink = {log_defect, spec};
+  const struct eg_configuration *current = self->configuration.current;
+  int64_t version = eg_configuration_read_version (spec);
   struct eg_configuration *decoded;
   struct eg_error error;
 
-  decoded = eg_configuration_decode (spec, &error);
+  if (current && version >= 0 && version <= current->version)
+    return;
+  decoded = eg_configuration_decode (spec, &sink, &error);
   if (!decoded)
     {
-      eg_entry_configuration_unusable (
-          self, eg_configuration_read_version (spec), error.message);
-      return;
-    }
-  if (self->configuration.current
-      && decoded->version <= self->configuration.current->version)
-    {
-      eg_configuration_unref (decoded);
+      eg_entry_configuration_unusable (self, version, error.message);
       return;
     }
   eg_log (EG_LOG_NOTICE, "configuration",
--- a/policy/configuration.c
+++ b/policy/configuration.c
@@ -201,9 +201,9 @@
 eg_engine_layers_max (const struct eg_engine_model *engine,
                       const struct eg_accelerator *accelerator)
 {
-  uint32_t layers_max = (uint32_t) (accelerator->memory_mb / engine->layer_mb);
+  double layers_max = accelerator->memory_mb / engine->layer_mb;
 
-  return layers_max < engine->layers ? layers_max : engine->layers;
+  return layers_max < engine->layers ? (uint32_t) layers_max : engine->layers;
 }
 
 double
