--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -616,6 +616,28 @@
   eg_buffer_printf (context, "%s\n", description);
 }
 
+/* With tenants that are no array all routes counted as public. */
+static void
+test_tenants_of_another_type_are_an_error (void **state)
+{
+  static const char *const values[] = {"{}", "7", "\"t\"", "false"};
+
+  (void) state;
+  for (size_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    {
+      struct eg_error error = {0};
+      char text[128];
+
+      snprintf (text, sizeof text,
+                "{\"version\":1,\"routes\":[],\"services\":[],"
+                "\"tenants\":%s}",
+                values[i]);
+      assert_null (decode (text, &error));
+      assert_string_equal (error.message, "configuration: tenants: expected an "
+                                          "array, found another type");
+    }
+}
+
 /* A time of 1000.5 ms, a mean of 812.5 tokens or a weight of 0.9 made the whole
  * configuration unusable. */
 static void
@@ -1079,6 +1101,7 @@
           test_names_and_lists_of_configurations_have_no_fixed_limit),
       cmocka_unit_test (
           test_errors_of_configurations_name_place_value_and_limit),
+      cmocka_unit_test (test_tenants_of_another_type_are_an_error),
       cmocka_unit_test (test_fractions_in_configurations_are_exact),
       cmocka_unit_test (test_large_numbers_in_configurations_are_limited),
       cmocka_unit_test (test_hosts_differ_in_letters_not_in_case),
