configuration: an invalid element leaves the rest in force

One route of an unknown kind, a service with a number that the daemon cannot use, or an organisation whose name is no string made the whole configuration unusable: routes that it added got 404, and requests with any key 503 for as long as it held the element.

Requests of an invalid route are refused (503), as no configuration says how to serve them; invalid targets and services are left out. Keys of an organisation without a readable name are refused with 503, as are unknown keys while some keys cannot be read: 401 is final for clients. The version is still not applied, and keys are outdated in time, if it is not known which requests a route is for, or a table is missing.

--- a/entry/call.c
+++ b/entry/call.c
@@ -1229,12 +1229,32 @@
     self->priority = (unsigned) organisation->priority;
 }
 
+bool
+eg_call_check_key (struct eg_call *self,
+                   const struct eg_configuration *configuration,
+                   const struct eg_organisation **organisation)
+{
+  struct eg_str key =
+      self->headers.key_repeated ? EG_STR ("") : self->headers.key;
+
+  switch (eg_configuration_rule_on_key (configuration, key, organisation))
+    {
+    case EG_KEY_UNKNOWN:
+      eg_call_reject (self, 401, "key-unknown");
+      return false;
+    case EG_KEY_UNDECIDED:
+      eg_call_refuse (self, "key-undecided", EG_RETRY_AFTER_CONFIGURATION_MS);
+      return false;
+    default:
+      return true;
+    }
+}
+
 /* Determines the organisation; false if the request was answered with an
  * error. */
 static bool
 identify (struct eg_call *self, int64_t now_us)
 {
-  const struct eg_configuration *configuration = self->configuration;
   const struct eg_organisation *organisation;
 
   if (!self->needs_key)
@@ -1244,15 +1264,8 @@
       eg_call_refuse (self, "keys-too-old", EG_RETRY_AFTER_CONFIGURATION_MS);
       return false;
     }
-  organisation =
-      self->headers.key.len > 0 && !self->headers.key_repeated
-          ? eg_configuration_find_key (configuration, self->headers.key)
-          : NULL;
-  if (!organisation)
-    {
-      eg_call_reject (self, 401, "key-unknown");
-      return false;
-    }
+  if (!eg_call_check_key (self, self->configuration, &organisation))
+    return false;
   eg_call_set_organisation (self, organisation);
   return true;
 }
@@ -1365,6 +1378,11 @@
       return;
     }
   eg_call_set_route (self, route);
+  if (route->unusable)
+    {
+      eg_call_refuse (self, "route-unusable", EG_RETRY_AFTER_CONFIGURATION_MS);
+      return;
+    }
   if (hop && hop->servers_max < self->servers_max)
     self->servers_max = hop->servers_max;
   if (!identify (self, now_us))
--- a/entry/call_state.h
+++ b/entry/call_state.h
@@ -69,6 +69,15 @@
 /** Sets the route, and what follows from it alone. */
 void eg_call_set_route (struct eg_call *self, const struct eg_route *route);
 
+/**
+ * Checks the key of a request against a configuration.
+ * @param[out] organisation that owns the key.
+ * @return false if the request was answered with an error.
+ */
+bool eg_call_check_key (struct eg_call *self,
+                        const struct eg_configuration *configuration,
+                        const struct eg_organisation **organisation);
+
 /** Sets the organisation of a request whose route needs one. */
 void eg_call_set_organisation (struct eg_call *self,
                                const struct eg_organisation *organisation);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -139,23 +139,32 @@
                                        decoded->version);
 }
 
+/** A configuration that is being decoded. */
+struct decoded_version
+{
+  struct eg_entry *entry;
+  int64_t version;
+};
+
 static void
-log_defect (void *context, const char *description)
+on_defect (void *context, const char *description)
 {
-  const json_t *spec = context;
+  const struct decoded_version *self = context;
 
+  eg_metrics_count (&self->entry->metrics, EG_COUNT_CONFIGURATION_DEFECTS);
   eg_log (EG_LOG_WARNING, "configuration",
           "event=configuration-defect version=%" PRId64 " cause=\"%s\"",
-          eg_configuration_read_version (spec), description);
+          self->version, description);
 }
 
 void
 eg_entry_accept_configuration (struct eg_entry *self, json_t *object)
 {
-  json_t *spec = eg_store_object_spec (object);
-  const struct eg_configuration_sink sink = {log_defect, spec};
+  const json_t *spec = eg_store_object_spec (object);
   const struct eg_configuration *current = self->configuration.current;
   int64_t version = eg_configuration_read_version (spec);
+  struct decoded_version context = {self, version};
+  const struct eg_configuration_sink sink = {on_defect, &context};
   struct eg_configuration *decoded;
   struct eg_error error;
 
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -549,6 +549,8 @@
 
   if (!route)
     return find_route_fault (call);
+  if (route->unusable)
+    return "the route has errors; the log names them in configuration-defect";
   if (self->query->organisation.len > 0)
     {
       organisation =
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -26,6 +26,7 @@
     [EG_COUNT_FROM_PEERS] = "requests_from_peers_total",
     [EG_COUNT_RESPONSES_CUT] = "responses_cut_total",
     [EG_COUNT_CONFIGURATIONS_INVALID] = "configurations_invalid_total",
+    [EG_COUNT_CONFIGURATION_DEFECTS] = "configuration_defects_total",
     [EG_COUNT_EXPLANATIONS] = "explanations_total",
     [EG_COUNT_MESSAGES_FOREIGN] = "messages_foreign_total",
 };
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -35,6 +35,7 @@
   EG_COUNT_FROM_PEERS,      /**< Requests received from peers. */
   EG_COUNT_RESPONSES_CUT,   /**< Their client stopped reading, or a stop. */
   EG_COUNT_CONFIGURATIONS_INVALID, /**< Read, but not applicable. */
+  EG_COUNT_CONFIGURATION_DEFECTS,  /**< Reported for those in force. */
   EG_COUNT_EXPLANATIONS,           /**< Answers of entry/explain. */
   EG_COUNT_MESSAGES_FOREIGN,       /**< Dropped: the sender is no entry VM. */
   EG_COUNTERS,
--- a/entry/wait_queue.c
+++ b/entry/wait_queue.c
@@ -586,13 +586,16 @@
                       request->rejections);
 }
 
-/* The configuration may have removed the key since the request arrived. */
+/* The configuration may have removed the key since the request arrived; false
+ * if the request was answered with an error. */
 static bool
-has_valid_key (const struct eg_call *call)
+check_key_again (struct eg_call *call)
 {
+  const struct eg_organisation *organisation;
+
   return !call->needs_key
-         || eg_configuration_find_key (call->entry->configuration.current,
-                                       call->headers.key);
+         || eg_call_check_key (call, call->entry->configuration.current,
+                               &organisation);
 }
 
 /* Tries to send a request that was taken from its queue; false if it waits
@@ -601,11 +604,8 @@
 try_again (struct eg_call *call, int64_t now_us)
 {
   unlink_call (call, now_us);
-  if (!has_valid_key (call))
-    {
-      eg_call_reject (call, 401, "key-unknown");
-      return true;
-    }
+  if (!check_key_again (call))
+    return true;
   call->resume_us = now_us;
   eg_call_check (call, now_us);
   return !call->wait.queued;
--- a/policy/configuration.c
+++ b/policy/configuration.c
@@ -117,6 +117,24 @@
   return NULL;
 }
 
+enum eg_key_ruling
+eg_configuration_rule_on_key (const struct eg_configuration *self,
+                              struct eg_str key,
+                              const struct eg_organisation **organisation)
+{
+  const struct eg_organisation *owner =
+      key.len > 0 ? eg_configuration_find_key (self, key) : NULL;
+
+  *organisation = NULL;
+  if (!owner)
+    return key.len > 0 && self->keys_incomplete ? EG_KEY_UNDECIDED
+                                                : EG_KEY_UNKNOWN;
+  if (owner->unusable)
+    return EG_KEY_UNDECIDED;
+  *organisation = owner;
+  return EG_KEY_VALID;
+}
+
 void
 eg_configuration_index_service (struct eg_configuration *self)
 {
--- a/policy/configuration.h
+++ b/policy/configuration.h
@@ -43,6 +43,7 @@
   struct eg_str host;
   struct eg_str path_prefix;
   enum eg_route_kind kind;
+  bool unusable;           /**< It has errors; its requests are refused. */
   bool resumable;          /**< A stream may resume on another server. */
   bool is_public;          /**< Needs no API key. */
   int64_t timeout_us;      /**< Maximum time of a request. */
@@ -100,6 +101,7 @@
 struct eg_organisation
 {
   struct eg_str name;
+  bool unusable;    /**< Its name is not known; its requests are refused. */
   int64_t priority; /**< Of its requests; the route's if negative. */
 };
 
@@ -125,6 +127,7 @@
   struct eg_hash_table services_by_name;
   struct eg_hash_table keys; /**< Maps API keys to organisations. */
   bool has_organisations;
+  bool keys_incomplete; /**< There are keys that could not be read. */
   struct eg_caller_limits limits;
   struct eg_arena arena; /**< Strings and arrays of the tables. */
   unsigned references;   /**< Besides the first owner's. */
@@ -174,6 +177,24 @@
 eg_configuration_find_key (const struct eg_configuration *self,
                            struct eg_str key);
 
+/** What a configuration says of an API key. */
+enum eg_key_ruling
+{
+  EG_KEY_VALID,
+  EG_KEY_UNKNOWN,
+  EG_KEY_UNDECIDED, /**< It belongs to what could not be read. */
+};
+
+/**
+ * Decides on the key of a request.
+ * @param key empty if the request has none.
+ * @param[out] organisation that owns a valid key; NULL for other keys.
+ */
+enum eg_key_ruling
+eg_configuration_rule_on_key (const struct eg_configuration *self,
+                              struct eg_str key,
+                              const struct eg_organisation **organisation);
+
 /** Returns the index of a service, or SIZE_MAX. */
 size_t eg_configuration_find_service (const struct eg_configuration *self,
                                       struct eg_str name);
