crashes: a wrong verdict on a part can be cleared after a restart of all VMs

Where a part stands behind the deadly one in all prompts at the crashes, it is blamed in place of that one until a sound request is tried. If all VMs ended before, every sound request of the route was refused for ten minutes.

Cause: the store held the time of a verdict alone. A VM that starts did not know the crashes, and not what else may have caused them, and so could neither try a request that would tell them apart nor, once a part is cleared, blame the other.

"Not promised" in docs/design/crashes.md named it; the rule on sound requests knows no such exception.

Readers write a part with the suspects that collect_rivals() finds, in the format that VMs tell each other of them; a VM that does not know the crashes takes them over, ages counted from the time of writing. Trials and verdicts then go on as before the restart. Older builds read the time as before, and what they have written is not tried, as before.

--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -8,6 +8,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "entry/suspect_codec.h"
 
 /* What was in flight at so many crashes is refused. Parts are shared by more
  * requests, so that more of them are in flight by chance. */
@@ -327,91 +328,6 @@
   return false;
 }
 
-static json_t *
-encode_age (int64_t at_us, int64_t now_us)
-{
-  return json_integer (at_us > 0 ? (now_us - at_us) / EG_US_PER_MS : -1);
-}
-
-static int64_t
-decode_age (const json_t *age, int64_t now_us)
-{
-  json_int_t ms = json_integer_value (age);
-
-  if (!json_is_integer (age) || ms < 0)
-    return 0;
-  /* The clock of a VM that has just booted does not reach back so far. */
-  if (ms >= now_us / EG_US_PER_MS)
-    return 1;
-  return now_us - ms * EG_US_PER_MS;
-}
-
-static json_t *
-encode_suspect (const struct eg_suspect *suspect, int64_t now_us)
-{
-  json_t *crashes = json_array ();
-
-  for (unsigned i = 0; i < suspect->crash_count; i++)
-    json_array_append_new (
-        crashes,
-        json_pack ("[I, o, b]", (json_int_t) suspect->crashes[i].server,
-                   encode_age (suspect->crashes[i].at_us, now_us),
-                   suspect->crashes[i].delivered));
-  return json_pack (
-      "[i, I, o, o, o, I, I]", (int) suspect->subject.kind,
-      (json_int_t) suspect->subject.id, encode_age (suspect->served_us, now_us),
-      encode_age (suspect->blamed_us, now_us), crashes,
-      (json_int_t) suspect->place, (json_int_t) suspect->requests);
-}
-
-/* Older builds do not say where a part was found; that is then not known. */
-static void
-decode_uses (const json_t *document, struct eg_suspect *suspect)
-{
-  json_int_t place = json_integer_value (json_array_get (document, 5));
-
-  if (place <= 0 || place > UINT32_MAX)
-    return;
-  suspect->place = (uint32_t) place;
-  suspect->requests =
-      (uint64_t) json_integer_value (json_array_get (document, 6));
-}
-
-static bool
-decode_suspect (const json_t *document,
-                int64_t now_us,
-                struct eg_suspect *suspect)
-{
-  json_int_t kind = json_integer_value (json_array_get (document, 0));
-  const json_t *id = json_array_get (document, 1);
-  const json_t *crashes = json_array_get (document, 4);
-  const json_t *crash;
-  size_t index;
-
-  *suspect = (struct eg_suspect){
-      .subject = {(enum eg_subject_kind) kind,
-                  (uint64_t) json_integer_value (id)},
-      .served_us = decode_age (json_array_get (document, 2), now_us),
-      .blamed_us = decode_age (json_array_get (document, 3), now_us)};
-  if (kind < 0 || kind >= EG_SUBJECT_KINDS || !json_is_integer (id)
-      || !json_is_array (crashes)
-      || json_array_size (crashes) > EG_SUSPECT_CRASHES_MAX)
-    return false;
-  decode_uses (document, suspect);
-  json_array_foreach (crashes, index, crash)
-  {
-    const json_t *server = json_array_get (crash, 0);
-    int64_t at_us = decode_age (json_array_get (crash, 1), now_us);
-
-    if (!json_is_integer (server) || at_us == 0)
-      return false;
-    suspect->crashes[suspect->crash_count++] =
-        (struct eg_crash){(uint64_t) json_integer_value (server), at_us,
-                          json_is_true (json_array_get (crash, 2))};
-  }
-  return true;
-}
-
 static void
 on_message (void *context,
             struct eg_endpoint from,
@@ -428,7 +344,7 @@
   {
     struct eg_suspect suspect;
 
-    if (decode_suspect (document, now_us, &suspect))
+    if (eg_suspect_decode (&suspect, document, now_us))
       eg_crash_blame_merge (&self->blame, &suspect, now_us);
     else
       eg_log (EG_LOG_WARNING, "crashes", "event=message-unreadable");
@@ -446,7 +362,7 @@
   char *text;
 
   for (size_t i = 0; i < count; i++)
-    json_array_append_new (list, encode_suspect (suspects[i], now_us));
+    json_array_append_new (list, eg_suspect_encode (suspects[i], now_us));
   message =
       json_pack ("{s:s, s:o}", "kind", CRASH_MESSAGE_KIND, "suspects", list);
   text = json_dumps (message, JSON_COMPACT);
--- a/entry/quarantine_store.c
+++ b/entry/quarantine_store.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "entry/suspect_codec.h"
 
 #define QUARANTINE_KIND "eelgrasswood-quarantines"
 #define CALL_TIMEOUT_US (1500 * EG_US_PER_MS)
@@ -76,6 +77,40 @@
                 <= (eg_clock_wall_us () + EG_QUARANTINE_US) / EG_US_PER_MS;
 }
 
+/* Adds the crashes of a blamed part, and what may have caused them in its
+ * place. A VM that knows them has them from runs of its own or from other VMs.
+ */
+static void
+apply_suspects (struct eg_quarantine_store *self,
+                struct eg_subject subject,
+                const json_t *spec,
+                int64_t now_us)
+{
+  struct eg_crash_blame *blame = &self->entry->crash_watch.blame;
+  const json_t *written = json_object_get (spec, "written_ms");
+  const json_t *document;
+  int64_t age_us;
+  size_t index;
+
+  if (!is_time (written) || eg_crash_blame_crash_count (blame, subject) > 0
+      || !eg_crash_blame_is_blamed (blame, subject, now_us, NULL))
+    return;
+  age_us = eg_clock_wall_us () - json_integer_value (written) * EG_US_PER_MS;
+  if (age_us < 0)
+    age_us = 0;
+  json_array_foreach (json_object_get (spec, "suspects"), index, document)
+  {
+    struct eg_suspect suspect;
+
+    if (eg_suspect_decode (&suspect, document, now_us - age_us))
+      eg_crash_blame_merge (blame, &suspect, now_us);
+    else
+      eg_log (EG_LOG_WARNING, "crashes",
+              "event=suspect-unreadable part=%016" PRIx64 " position=%zu",
+              subject.id, index);
+  }
+}
+
 /* The age is kept as a time of day, the only clock that VMs share. */
 static void
 apply_object (struct eg_quarantine_store *self,
@@ -83,8 +118,8 @@
               int64_t now_us)
 {
   const char *name = eg_store_object_name (object);
-  const json_t *blamed =
-      json_object_get (eg_store_object_spec (object), "blamed_ms");
+  const json_t *spec = eg_store_object_spec (object);
+  const json_t *blamed = json_object_get (spec, "blamed_ms");
   struct eg_suspect suspect = {.blamed_us = 1};
   int64_t age_us;
 
@@ -106,6 +141,7 @@
   if (now_us > age_us)
     suspect.blamed_us = now_us - age_us;
   eg_crash_blame_merge (&self->entry->crash_watch.blame, &suspect, now_us);
+  apply_suspects (self, suspect.subject, spec, now_us);
 }
 
 static void
@@ -199,6 +235,32 @@
                                self);
 }
 
+static int64_t
+wall_ms (int64_t age_us)
+{
+  return (eg_clock_wall_us () - age_us) / EG_US_PER_MS;
+}
+
+static json_t *
+pack_quarantine (const struct eg_quarantine_store *self,
+                 const struct eg_quarantine_change *change,
+                 int64_t now_us)
+{
+  const struct eg_suspect *suspects[EG_QUARANTINE_SUSPECTS_MAX];
+  json_t *list = json_array ();
+  size_t count = 0;
+
+  if (change->subject.kind == EG_SUBJECT_PART)
+    count = eg_crash_blame_collect_rivals (&self->entry->crash_watch.blame,
+                                           change->subject, suspects,
+                                           EG_QUARANTINE_SUSPECTS_MAX);
+  for (size_t i = 0; i < count; i++)
+    json_array_append_new (list, eg_suspect_encode (suspects[i], now_us));
+  return json_pack ("{s:I, s:I, s:o}", "blamed_ms",
+                    (json_int_t) wall_ms (now_us - change->blamed_us),
+                    "written_ms", (json_int_t) wall_ms (0), "suspects", list);
+}
+
 static bool
 start_change (struct eg_quarantine_store *self, int64_t now_us)
 {
@@ -210,12 +272,7 @@
 
   format_name (change->subject, name, sizeof name);
   if (change->blamed_us > 0)
-    object = eg_store_object (
-        name, 0,
-        json_pack (
-            "{s:I}", "blamed_ms",
-            (json_int_t) ((eg_clock_wall_us () - (now_us - change->blamed_us))
-                          / EG_US_PER_MS)));
+    object = eg_store_object (name, 0, pack_quarantine (self, change, now_us));
   snprintf (path, sizeof path, QUARANTINE_KIND "%s%s", object ? "" : "/",
             object ? "" : name);
   started = eg_store_call_start (&self->call, object ? "POST" : "DELETE", path,
--- a/entry/quarantine_store.h
+++ b/entry/quarantine_store.h
@@ -4,8 +4,9 @@
  * cannot tell of them: all that start again at the same time, and those of a
  * failure domain that is cut off from the other ones.
  *
- * Readers write a quarantine when they decide on it. A VM reads the list when
- * it starts; readers also while they do not hear all failure domains.
+ * Readers write a quarantine when they decide on it, that of a part with the
+ * suspects that may have caused the crashes in its place. A VM reads the list
+ * when it starts; readers also while they do not hear all failure domains.
  */
 #ifndef EG_ENTRY_QUARANTINE_STORE_H
 #define EG_ENTRY_QUARANTINE_STORE_H
@@ -15,6 +16,10 @@
 
 struct eg_entry;
 
+/** Most suspects stored with a quarantine; an object of the store holds as many
+ *  with all their crashes. */
+#define EG_QUARANTINE_SUSPECTS_MAX 1024
+
 /** Most changes that wait to be written; further ones are dropped. */
 #define EG_QUARANTINE_CHANGES_MAX 64
 
--- a/policy/crash_blame.c
+++ b/policy/crash_blame.c
@@ -884,6 +884,30 @@
          && count_misses (other, blamed) <= misses_max;
 }
 
+size_t
+eg_crash_blame_collect_rivals (const struct eg_crash_blame *self,
+                               struct eg_subject subject,
+                               const struct eg_suspect **suspects,
+                               size_t max)
+{
+  const struct entry *entry = find_entry (self, subject);
+  size_t count = 0;
+
+  if (!entry || entry->suspect.blamed_us == 0 || !entry->is_repeated
+      || max == 0)
+    return 0;
+  suspects[count++] = &entry->suspect;
+  for (const struct eg_list *at = self->repeated.next;
+       at != &self->repeated && count < max; at = at->next)
+    {
+      const struct eg_suspect *other = &repeated_entry (at)->suspect;
+
+      if (explains_as_well (other, &entry->suspect))
+        suspects[count++] = other;
+    }
+  return count;
+}
+
 /* Returns whether a run of the request would tell whether the blamed part or
  * another one crashes servers. */
 static bool
--- a/policy/crash_blame.h
+++ b/policy/crash_blame.h
@@ -194,6 +194,17 @@
                                int64_t now_us,
                                int64_t *retry_after_us);
 
+/**
+ * Collects a blamed part and what may have crashed the servers in its place:
+ * with these a VM that starts can clear the part, and blame the right one.
+ * @return the number of suspects, the part itself first; 0 if it is not blamed
+ * or none of its crashes is known.
+ */
+size_t eg_crash_blame_collect_rivals (const struct eg_crash_blame *self,
+                                      struct eg_subject subject,
+                                      const struct eg_suspect **suspects,
+                                      size_t max);
+
 /** Returns the number of crashes at which a suspect is known to have been. */
 unsigned eg_crash_blame_crash_count (const struct eg_crash_blame *self,
                                      struct eg_subject subject);
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -580,6 +580,58 @@
   assert_part_refused (self, 1);
 }
 
+/* Makes a request with @p part between two parts that all have. */
+static const struct streams_request *
+vary_between (struct varied_request *self, unsigned vm, const char *part)
+{
+  static unsigned number = 0x10000;
+
+  number++;
+  snprintf (self->body, sizeof self->body, "body %u", number);
+  snprintf (self->parts, sizeof self->parts, "aa:40,%s:100,cc:100,%x:200", part,
+            number);
+  self->request = (struct streams_request){
+      .vm = vm, .body = self->body, .parts = self->parts};
+  return &self->request;
+}
+
+/* Guards against a route that is refused as a whole after all VMs have started
+ * again: of a quarantine in the store it was not known what else may have
+ * crashed the servers, so that the wrong part could not be cleared. */
+static void
+test_part_blamed_in_place_of_another_is_cleared_after_a_restart (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct varied_request varied;
+  unsigned arrivals;
+
+  streams_run (self, MEMBERS_READ_MS);
+  self->deadly_part = "dead";
+  for (unsigned i = 0; i < SENDS_MAX && self->crashes < 5; i++)
+    {
+      streams_client_send (self, 0, vary_between (&varied, i % 2, "dead"));
+      streams_run (self, 200);
+      streams_client_leave (self, 0);
+      streams_run (self, 400);
+    }
+  streams_run (self, SPREAD_MS);
+  assert_true (
+      streams_count_log (self, 0, "event=quarantined kind=part subject=cc")
+      > 0);
+  streams_vms_restart (self);
+  streams_run (self, SPREAD_MS);
+  arrivals = self->deadly_arrivals;
+  assert_int_equal (
+      streams_client_request (self, 0, vary_between (&varied, 0, "dead")), 503);
+  for (unsigned vm = 0; vm < 2; vm++)
+    assert_served (self, vary_between (&varied, vm, "50"));
+  for (unsigned i = 0; i < 2 * REPEATS; i++)
+    assert_int_equal (
+        streams_client_request (self, 0, vary_between (&varied, i % 2, "dead")),
+        503);
+  assert_int_equal (self->deadly_arrivals, arrivals);
+}
+
 /* A request with thirteen parts, of which the tenth crashes servers. */
 struct long_request
 {
@@ -707,6 +759,8 @@
       CRASH_TEST (vms_that_restart_together_refuse_what_crashed_three_servers,
                   start_two_vms),
       CRASH_TEST (undecodable_quarantine_leaves_the_others, start_two_vms),
+      CRASH_TEST (part_blamed_in_place_of_another_is_cleared_after_a_restart,
+                  start_two_vms),
       CRASH_TEST (
           vms_that_do_not_hear_each_other_share_quarantines_by_the_store,
           start_two_vms),
