crashes: a run whose caller has just left counts when its server ends

A part that crashes servers was not found while the callers of its requests left before the servers ended: each request ended a server, without end.

Cause: when a caller leaves, the VM ends the run, and from then on nothing tied the request to the server, which may end all the same some moments later.

The crash watch keeps runs whose callers left before they showed to be sound for a second, and counts them if the server is found to have ended meanwhile. It asks no server for that, does not hold trials for it and drops none of the lost runs.

--- a/entry/call.c
+++ b/entry/call.c
@@ -170,11 +170,34 @@
          + self->subjects.part_count * sizeof *self->parts;
 }
 
+/* Returns whether the run has delivered too little to show that the request
+ * does not crash its servers. */
+static bool
+is_young (const struct eg_attempt *attempt, int64_t now_us)
+{
+  return !attempt->progress.begun
+         || now_us - attempt->first_event_us < EG_SOUND_RUN_US;
+}
+
+/* The server may end under a run though its caller has left. */
+static void
+watch_left_run (struct eg_call *self)
+{
+  const struct eg_attempt *attempt = &self->attempt;
+  int64_t now_us = eg_clock_now_us ();
+
+  if (attempt->active && !attempt->by_peer && is_young (attempt, now_us))
+    eg_crash_watch_run_left (&self->entry->crash_watch,
+                             eg_call_first_server (self), &self->subjects,
+                             attempt->progress.begun, now_us);
+}
+
 void
 eg_call_cancel (struct eg_call *self)
 {
   eg_metrics_count (&self->entry->metrics, EG_COUNT_ABANDONED);
   eg_call_log_end (self, "caller-left", 0);
+  watch_left_run (self);
   eg_call_close (self);
 }
 
@@ -534,15 +557,6 @@
   eg_call_attempt_failed (self, misdirected ? "misdirected" : "server-refused");
 }
 
-/* Returns whether the run has delivered too little to show that the request
- * does not crash its servers. */
-static bool
-is_young (const struct eg_attempt *attempt, int64_t now_us)
-{
-  return !attempt->progress.begun
-         || now_us - attempt->first_event_us < EG_SOUND_RUN_US;
-}
-
 /* The server may have ended under a run. */
 static void
 suspect_young_run (struct eg_call *self, int64_t now_us)
--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -29,6 +29,9 @@
 /* A server that has not ended this long after a short run was not crashed by
  * it: the end of a server shows within a few hundred milliseconds. */
 #define SHORT_RUN_PROOF_US (1 * EG_US_PER_S)
+/* A server that ends this long after the caller of a run has left has dropped
+ * the run before. */
+#define LEFT_RUN_PROOF_US (1 * EG_US_PER_S)
 /* Runs beyond that are dropped, the oldest first. */
 #define RUNS_MAX 1024
 /* Parts of prompts of all runs; beyond that the oldest runs are dropped, too.
@@ -47,14 +50,22 @@
 #define FANOUT_ALL_MAX 16
 #define FANOUT 6
 
+/* How a run ended. */
+enum run_end
+{
+  RUN_LOST,     /* Its connection ended. */
+  RUN_COMPLETE, /* Well, but soon after it began. */
+  RUN_LEFT,     /* Its caller left. */
+};
+
 /* A run whose server may have crashed under it or soon after. */
 struct watched_run
 {
   struct eg_list link;
   struct eg_backend *backend; /* Referenced. */
   int64_t start_ms;           /* Of the server. */
-  int64_t ended_us;           /* When it was lost or complete. */
-  bool complete;
+  int64_t ended_us;
+  enum run_end end;
   bool delivered;                    /* Something, before it ended. */
   struct eg_crash_subjects subjects; /* Its parts follow. */
   uint64_t parts[];
@@ -101,7 +112,8 @@
 {
   self->run_count--;
   self->run_part_count -= run->subjects.part_count;
-  eg_crash_blame_record_confirmed (&self->blame, &run->subjects);
+  if (run->end != RUN_LEFT)
+    eg_crash_blame_record_confirmed (&self->blame, &run->subjects);
   eg_backend_unref (run->backend);
   free (run);
 }
@@ -227,11 +239,19 @@
   eg_crash_blame_record_not_run (&self->blame, subjects, sent_us);
 }
 
+/* Returns whether a run with so many parts has no room. */
+static bool
+is_full (const struct eg_crash_watch *self, size_t part_count)
+{
+  return self->run_count >= RUNS_MAX
+         || self->run_part_count + part_count > RUN_PARTS_MAX;
+}
+
 static void
 watch_run (struct eg_crash_watch *self,
            struct eg_backend *backend,
            const struct eg_crash_subjects *subjects,
-           bool complete,
+           enum run_end end,
            bool delivered,
            int64_t now_us)
 {
@@ -240,23 +260,25 @@
 
   if (eg_backend_is_leaving (backend))
     return;
-  while (self->run_count > 0
-         && (self->run_count >= RUNS_MAX
-             || self->run_part_count + part_count > RUN_PARTS_MAX))
+  /* Many callers may leave at the same time; that says little. */
+  if (end == RUN_LEFT && is_full (self, part_count))
+    return;
+  while (self->run_count > 0 && is_full (self, part_count))
     free_run (self, run_from_link (eg_list_pop_front (&self->runs)));
   run = calloc (1, sizeof *run + part_count * sizeof *run->parts);
   EG_INVARIANT (run);
   run->backend = backend;
   run->start_ms = backend->record.start_ms;
   run->ended_us = now_us;
-  run->complete = complete;
+  run->end = end;
   run->delivered = delivered;
   if (part_count > 0)
     memcpy (run->parts, subjects->parts, part_count * sizeof *run->parts);
   run->subjects =
       (struct eg_crash_subjects){subjects->request, run->parts, part_count};
   self->run_part_count += part_count;
-  eg_crash_blame_record_unconfirmed (&self->blame, &run->subjects);
+  if (end != RUN_LEFT)
+    eg_crash_blame_record_unconfirmed (&self->blame, &run->subjects);
   eg_backend_ref (backend);
   eg_list_append (&self->runs, &run->link);
   self->run_count++;
@@ -269,7 +291,7 @@
                          bool delivered,
                          int64_t now_us)
 {
-  watch_run (self, backend, subjects, false, delivered, now_us);
+  watch_run (self, backend, subjects, RUN_LOST, delivered, now_us);
 }
 
 void
@@ -278,7 +300,17 @@
                           const struct eg_crash_subjects *subjects,
                           int64_t now_us)
 {
-  watch_run (self, backend, subjects, true, true, now_us);
+  watch_run (self, backend, subjects, RUN_COMPLETE, true, now_us);
+}
+
+void
+eg_crash_watch_run_left (struct eg_crash_watch *self,
+                         struct eg_backend *backend,
+                         const struct eg_crash_subjects *subjects,
+                         bool delivered,
+                         int64_t now_us)
+{
+  watch_run (self, backend, subjects, RUN_LEFT, delivered, now_us);
 }
 
 static bool
@@ -307,6 +339,19 @@
   return true;
 }
 
+/* Counts a run whose caller left if its server is found to have ended soon
+ * after. Nobody asks for that: many callers leave, and few servers end. */
+static bool
+check_left_run (struct eg_crash_watch *self,
+                const struct watched_run *run,
+                int64_t now_us)
+{
+  if (!has_ended (run))
+    return now_us - run->ended_us >= LEFT_RUN_PROOF_US;
+  count_crash (self, run, now_us);
+  return true;
+}
+
 /* Counts a lost run whose server is known to have ended. Returns whether
  * nothing more is to be found out about it. */
 static bool
@@ -466,13 +511,20 @@
 void
 eg_crash_watch_check (struct eg_crash_watch *self, int64_t now_us)
 {
+  static bool (*const checks[]) (struct eg_crash_watch * self,
+                                 const struct watched_run *run,
+                                 int64_t now_us) = {
+      [RUN_LOST] = check_lost_run,
+      [RUN_COMPLETE] = check_complete_run,
+      [RUN_LEFT] = check_left_run,
+  };
+
   for (struct eg_list *at = self->runs.next; at != &self->runs;)
     {
       struct watched_run *run = run_from_link (at);
 
       at = at->next;
-      if (run->complete ? check_complete_run (self, run, now_us)
-                        : check_lost_run (self, run, now_us))
+      if (checks[run->end](self, run, now_us))
         {
           eg_list_remove (&run->link);
           free_run (self, run);
--- a/entry/crash_watch.h
+++ b/entry/crash_watch.h
@@ -29,7 +29,7 @@
 {
   struct eg_entry *entry;
   struct eg_crash_blame blame;
-  struct eg_list runs; /**< Lost or ended early, the oldest first. */
+  struct eg_list runs; /**< Lost, left or ended early, the oldest first. */
   size_t run_count;
   size_t run_part_count; /**< Of the prompts of all these runs. */
   int64_t summary_sent_us;
@@ -62,6 +62,16 @@
                                const struct eg_crash_subjects *subjects,
                                int64_t now_us);
 
+/**
+ * Takes note that the caller of a run has left, and the run was ended for that,
+ * before it showed to be sound: it counts if the server ends soon after.
+ */
+void eg_crash_watch_run_left (struct eg_crash_watch *self,
+                              struct eg_backend *backend,
+                              const struct eg_crash_subjects *subjects,
+                              bool delivered,
+                              int64_t now_us);
+
 /** Takes note that a request was served well. */
 void eg_crash_watch_served (struct eg_crash_watch *self,
                             const struct eg_crash_subjects *subjects,
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -690,6 +690,34 @@
     assert_served (self, vary_long (&varied, vm, "50"));
 }
 
+/* Servers end 60 ms after the run began. */
+#define IMPATIENCE_MS 30
+
+/* Guards against runs that are not counted because their callers left just
+ * before the servers ended: such requests ended servers without end. */
+static void
+test_part_is_found_though_callers_leave_before_servers_end (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct varied_request varied;
+
+  streams_run (self, MEMBERS_READ_MS);
+  self->deadly_part = "dead";
+  for (unsigned i = 0; i < SENDS_MAX && self->crashes < 5; i++)
+    {
+      streams_client_send (self, 0, vary (&varied, i % 2, "dead"));
+      streams_run (self, IMPATIENCE_MS);
+      streams_client_leave (self, 0);
+      streams_run (self, 700);
+    }
+  assert_true (self->crashes >= 5);
+  streams_run (self, SPREAD_MS);
+  assert_part_refused (self, 0);
+  assert_part_refused (self, 1);
+  for (unsigned vm = 0; vm < 2; vm++)
+    assert_served (self, vary (&varied, vm, "50"));
+}
+
 #define BURST 3
 #define BURSTS 5
 #define BURST_INTERVAL_MS 4500
@@ -759,6 +787,8 @@
       CRASH_TEST (vms_that_restart_together_refuse_what_crashed_three_servers,
                   start_two_vms),
       CRASH_TEST (undecodable_quarantine_leaves_the_others, start_two_vms),
+      CRASH_TEST (part_is_found_though_callers_leave_before_servers_end,
+                  start_two_vms),
       CRASH_TEST (part_blamed_in_place_of_another_is_cleared_after_a_restart,
                   start_two_vms),
       CRASH_TEST (
