crashes: a server that leaves unannounced is no crash of a run that was left

Cause: has_ended() holds for a removed record, too. A server that crashed is removed after three heartbeats only, so that a record that goes within a second is that of one that leaves.

Such runs count only while the record is there. As nothing else may tell of the end so soon at a quiet VM, the server is checked after 0.2 and 0.7 s, unless something came from it.

--- a/entry/crash_watch.c
+++ b/entry/crash_watch.c
@@ -32,6 +32,9 @@
 /* A server that ends this long after the caller of a run has left has dropped
  * the run before. */
 #define LEFT_RUN_PROOF_US (1 * EG_US_PER_S)
+/* When the server of such a run is checked, unless something came from it. */
+#define LEFT_RUN_CHECK_US (200 * EG_US_PER_MS)
+#define LEFT_RUN_CHECK_AGAIN_US (700 * EG_US_PER_MS)
 /* Runs beyond that are dropped, the oldest first. */
 #define RUNS_MAX 1024
 /* Parts of prompts of all runs; beyond that the oldest runs are dropped, too.
@@ -340,16 +343,27 @@
 }
 
 /* Counts a run whose caller left if its server is found to have ended soon
- * after. Nobody asks for that: many callers leave, and few servers end. */
+ * after. A record that is removed so soon is that of a server that leaves. */
 static bool
 check_left_run (struct eg_crash_watch *self,
                 const struct watched_run *run,
                 int64_t now_us)
 {
-  if (!has_ended (run))
-    return now_us - run->ended_us >= LEFT_RUN_PROOF_US;
-  count_crash (self, run, now_us);
-  return true;
+  int64_t age_us = now_us - run->ended_us;
+  int64_t since_us =
+      run->ended_us
+      + (age_us < LEFT_RUN_CHECK_AGAIN_US ? LEFT_RUN_CHECK_US
+                                          : LEFT_RUN_CHECK_AGAIN_US);
+
+  if (has_ended (run))
+    {
+      if (run->backend->listed)
+        count_crash (self, run, now_us);
+      return true;
+    }
+  if (now_us > since_us && !eg_backend_is_seen (run->backend, since_us))
+    eg_backend_check_alive (run->backend, since_us, now_us);
+  return age_us >= LEFT_RUN_PROOF_US;
 }
 
 /* Counts a lost run whose server is known to have ended. Returns whether
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -693,6 +693,15 @@
 /* Servers end 60 ms after the run began. */
 #define IMPATIENCE_MS 30
 
+/* Lets servers that have ended stay away for longer. */
+static void
+delay_restarts (struct streams_fixture *self)
+{
+  for (unsigned n = 0; n < STREAMS_ENGINES; n++)
+    if (self->engines[n].restart_us > 0)
+      self->engines[n].restart_us = eg_clock_now_us () + 1500 * EG_US_PER_MS;
+}
+
 /* Guards against runs that are not counted because their callers left just
  * before the servers ended: such requests ended servers without end. */
 static void
@@ -708,7 +717,9 @@
       streams_client_send (self, 0, vary (&varied, i % 2, "dead"));
       streams_run (self, IMPATIENCE_MS);
       streams_client_leave (self, 0);
-      streams_run (self, 700);
+      streams_run (self, 100);
+      delay_restarts (self);
+      streams_run (self, 2500);
     }
   assert_true (self->crashes >= 5);
   streams_run (self, SPREAD_MS);
@@ -718,6 +729,35 @@
     assert_served (self, vary (&varied, vm, "50"));
 }
 
+/* Guards against runs that count as crashed because their callers left just
+ * before the servers left, too, without announcing it. */
+static void
+test_server_that_leaves_after_a_caller_has_not_crashed (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct varied_request varied;
+
+  streams_run (self, MEMBERS_READ_MS);
+  for (unsigned i = 0; i < 5; i++)
+    {
+      streams_client_send (self, 0, vary (&varied, 0, "50"));
+      streams_run (self, 100);
+      streams_client_leave (self, 0);
+      streams_run (self, 100);
+      for (unsigned n = 0; n < STREAMS_ENGINES; n++)
+        streams_engine_withdraw (&self->engines[n]);
+      streams_run (self, 500);
+      for (unsigned n = 0; n < STREAMS_ENGINES; n++)
+        {
+          self->engines[n].start_ms++;
+          streams_engine_publish (&self->engines[n], false);
+        }
+      streams_run (self, 500);
+    }
+  assert_int_equal (streams_count_log (self, 0, "event=suspected"), 0);
+  assert_served (self, vary (&varied, 0, "50"));
+}
+
 #define BURST 3
 #define BURSTS 5
 #define BURST_INTERVAL_MS 4500
@@ -789,6 +829,8 @@
       CRASH_TEST (undecodable_quarantine_leaves_the_others, start_two_vms),
       CRASH_TEST (part_is_found_though_callers_leave_before_servers_end,
                   start_two_vms),
+      CRASH_TEST (server_that_leaves_after_a_caller_has_not_crashed,
+                  start_one_vm),
       CRASH_TEST (part_blamed_in_place_of_another_is_cleared_after_a_restart,
                   start_two_vms),
       CRASH_TEST (
