--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -510,17 +510,22 @@
   assert_int_equal (self->deadly_arrivals, arrivals);
 }
 
-/* Sends requests with the deadly part to each VM in turn until servers have
- * crashed under them @p crashes times. */
+/* Sends requests with the deadly part, made by @p make, to each VM in turn
+ * until servers have crashed under them @p crashes times. */
 static void
-send_part_until_crashed (struct streams_fixture *self, unsigned crashes)
+send_part_until_crashed (
+    struct streams_fixture *self,
+    unsigned crashes,
+    const struct streams_request *(*make) (struct varied_request *request,
+                                           unsigned vm,
+                                           const char *part))
 {
   struct varied_request varied;
 
   self->deadly_part = "dead";
   for (unsigned i = 0; i < SENDS_MAX && self->crashes < crashes; i++)
     {
-      streams_client_send (self, 0, vary (&varied, i % self->vm_count, "dead"));
+      streams_client_send (self, 0, make (&varied, i % self->vm_count, "dead"));
       streams_run (self, 200);
       streams_client_leave (self, 0);
       streams_run (self, 400);
@@ -537,7 +542,7 @@
   streams_run (self, MEMBERS_READ_MS);
   assert_served (self, vary (&varied, 0, "50"));
   self->store.mode = SOAK_STORE_UNAVAILABLE;
-  send_part_until_crashed (self, 5);
+  send_part_until_crashed (self, 5, vary);
   streams_run (self, SPREAD_MS);
   assert_part_refused (self, 0);
   assert_part_refused (self, 1);
@@ -553,7 +558,7 @@
   streams_run (self, MEMBERS_READ_MS);
   assert_served (self, vary (&varied, 0, "50"));
   assert_served (self, vary (&varied, 1, "51"));
-  send_part_until_crashed (self, 5);
+  send_part_until_crashed (self, 5, vary);
   streams_run (self, SPREAD_MS);
   assert_part_refused (self, 0);
   for (unsigned vm = 0; vm < 2; vm++)
@@ -572,7 +577,7 @@
   struct varied_request varied;
 
   streams_run (self, MEMBERS_READ_MS);
-  send_part_until_crashed (self, 5);
+  send_part_until_crashed (self, 5, vary);
   streams_run (self, SPREAD_MS);
   for (unsigned vm = 0; vm < 2; vm++)
     assert_served (self, vary (&varied, vm, "50"));
@@ -606,14 +611,7 @@
   unsigned arrivals;
 
   streams_run (self, MEMBERS_READ_MS);
-  self->deadly_part = "dead";
-  for (unsigned i = 0; i < SENDS_MAX && self->crashes < 5; i++)
-    {
-      streams_client_send (self, 0, vary_between (&varied, i % 2, "dead"));
-      streams_run (self, 200);
-      streams_client_leave (self, 0);
-      streams_run (self, 400);
-    }
+  send_part_until_crashed (self, 5, vary_between);
   streams_run (self, SPREAD_MS);
   assert_true (
       streams_count_log (self, 0, "event=quarantined kind=part subject=cc")
