entry: signals that arrive while the process exits do not end it

Cause: the log of the process ends with event=stopped, without a report of the sanitizers. The handles of the signals were on the stack of run(), which has returned by then, while their handlers stay in place: a SIGHUP that arrives until the process has ended made the library follow pointers into that stack, with all signals blocked, so that the process ends by signal 11 at once. With the sanitizers' last checks an exit takes some 100 ms, without them far less; callers have been served by then.

The handles are static.

--- a/entry/main.c
+++ b/entry/main.c
@@ -394,7 +394,8 @@
                                                    on_availability_changed,
                                                .limit_named = on_limit_named,
                                                .context = self};
-  uv_signal_t signals[HANDLED_SIGNALS];
+  /* Their handlers stay in place until the process has ended. */
+  static uv_signal_t signals[HANDLED_SIGNALS];
   struct eg_error error;
   bool opened;
 
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -624,8 +624,8 @@
 {
   struct streams_vm *self = process->data;
 
-  (void) status;
-  (void) number;
+  self->exit_status = status;
+  self->exit_signal = number;
   self->running = false;
   uv_close ((uv_handle_t *) process, NULL);
 }
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -135,6 +135,8 @@
   struct streams_fixture *fixture;
   uv_process_t process;
   bool running;
+  int64_t exit_status; /**< Of the last process that has ended. */
+  int exit_signal;     /**< That ended it; 0: none. */
   unsigned number;
   uint16_t callers_port;
   uint16_t readiness_port;
--- a/test/test_slow_readers.c
+++ b/test/test_slow_readers.c
@@ -1,5 +1,6 @@
 /* Tests of what clients on slow links get, with a real daemon. */
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -326,6 +327,27 @@
   assert_false (self->vms[0].running);
 }
 
+/* Guards against a process that is ended by a signal while it exits: the
+ * handles of its signals were gone before their handlers. */
+static void
+test_signals_during_a_planned_stop_do_not_end_the_process (void **state)
+{
+  struct streams_fixture *self = *state;
+  struct streams_vm *vm = &self->vms[0];
+
+  streams_vm_stop (self, 0);
+  for (int64_t i = 0; vm->running && i < GRACE_MS; i++)
+    {
+      if (streams_count_log (self, 0, "event=stopped") > 0)
+        uv_process_kill (&vm->process, SIGHUP);
+      usleep (1000);
+      uv_run (&self->loop, UV_RUN_NOWAIT);
+    }
+  assert_false (vm->running);
+  assert_int_equal (vm->exit_signal, 0);
+  assert_int_equal (vm->exit_status, 0);
+}
+
 /* Sends a request with a long field on the first connection; returns the
  * status. */
 static unsigned
@@ -444,6 +466,7 @@
       SLOW_TEST (client_that_goes_on_sending_gets_all_of_its_answer),
       SLOW_TEST (client_that_does_not_read_its_answer_is_dropped),
       SLOW_TEST (planned_stop_does_not_wait_for_what_was_received),
+      SLOW_TEST (signals_during_a_planned_stop_do_not_end_the_process),
       SLOW_TEST (changed_limit_of_heads_holds_for_open_connections),
       SLOW_TEST (body_on_a_slow_link_is_served),
       SLOW_TEST (trickled_body_is_refused_in_time),
