--- a/test/test_configuration.c
+++ b/test/test_configuration.c
@@ -28,35 +28,33 @@
                                              .body = "body",
                                              .path = "/keyed/x"};
 
+/* Starts VMs of one failure domain; the second one reads from the first. */
 static int
-start (void **state)
+start_vms (void **state, unsigned vms)
 {
   const struct streams_options options = {.retry_ratio = 0.2,
                                           .retry_extra = 200,
                                           .retry_window_ms = 10000,
                                           .engines = 1,
-                                          .plain = 2};
+                                          .plain = 2,
+                                          .vms = vms,
+                                          .one_domain = true};
 
   streams_fixture_init (&fixture, &options);
   *state = &fixture;
   return 0;
 }
 
-/* The second VM reads from the first one. */
 static int
-start_two_vms (void **state)
+start (void **state)
 {
-  const struct streams_options options = {.retry_ratio = 0.2,
-                                          .retry_extra = 200,
-                                          .retry_window_ms = 10000,
-                                          .engines = 1,
-                                          .plain = 2,
-                                          .vms = 2,
-                                          .one_domain = true};
+  return start_vms (state, 1);
+}
 
-  streams_fixture_init (&fixture, &options);
-  *state = &fixture;
-  return 0;
+static int
+start_two_vms (void **state)
+{
+  return start_vms (state, 2);
 }
 
 static int
