--- a/entry/configuration_spread.c
+++ b/entry/configuration_spread.c
@@ -1,5 +1,6 @@
 #include "entry/configuration_spread.h"
 
+#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,11 +21,14 @@
 on_fetched (void *context, enum eg_store_outcome outcome, json_t *document)
 {
   struct eg_configuration_spread *self = context;
+  struct in_addr from = {self->peer.endpoint.ip};
 
   eg_version_spread_fetch_ended (&self->versions);
   eg_log (EG_LOG_INFO, "configuration",
-          "event=configuration-fetched outcome=%s offered=%" PRId64,
-          eg_store_outcome_name (outcome), self->versions.offered);
+          "event=configuration-fetched outcome=%s offered=%" PRId64
+          " from=%s:%u",
+          eg_store_outcome_name (outcome), self->versions.offered,
+          inet_ntoa (from), ntohs (self->peer.endpoint.port));
   if (outcome != EG_STORE_OK)
     return;
   /* Keys are not outdated by a reply that is no configuration. */
