test: large configurations over narrow links, failing

Callers were served by an older configuration seconds after a newer one had been confirmed (CONFIG). An answer that stalls, and one that trickles, are given up today and have to be.

The stand-in for the store can answer over a narrow link that its responses share.

--- a/test/soak/http_server.c
+++ b/test/soak/http_server.c
@@ -7,6 +7,9 @@
 
 #include "base/status.h"
 
+/* Time between two pieces of a response over a narrow link. */
+#define PIECE_MS 5
+
 void
 soak_format_address (struct eg_endpoint endpoint, char *text, size_t capacity)
 {
@@ -21,6 +24,7 @@
   eg_list_remove (&self->link);
   eg_http_reader_finish (&self->reader);
   eg_buffer_finish (&self->body);
+  eg_buffer_finish (&self->unsent);
   free (self->state);
   free (self);
 }
@@ -45,6 +49,8 @@
     return;
   self->closed = true;
   self->closing_handles = 2;
+  if (self->unsent.len > 0)
+    self->server->sending--;
   uv_close ((uv_handle_t *) &self->timer, on_timer_closed);
   close_socket (&self->socket);
 }
@@ -237,6 +243,31 @@
     close_connection (self, eg_socket_close_after_writes);
 }
 
+/* Sends the next piece of a response over a narrow link. */
+static void
+send_piece (struct soak_http_connection *self)
+{
+  const struct soak_http_server *server = self->server;
+  size_t end = self->sent + server->bytes_per_ms * PIECE_MS / server->sending;
+
+  if (end > self->unsent.len)
+    end = self->unsent.len;
+  if (server->stalls_after > 0 && end > server->stalls_after)
+    end = server->stalls_after;
+  eg_socket_write (&self->socket,
+                   (struct eg_str){eg_buffer_text (&self->unsent) + self->sent,
+                                   end - self->sent});
+  self->sent = end;
+  if (end < self->unsent.len)
+    {
+      soak_http_schedule (self, PIECE_MS, send_piece);
+      return;
+    }
+  self->server->sending--;
+  eg_buffer_finish (&self->unsent);
+  soak_http_finish_request (self);
+}
+
 void
 soak_http_respond (struct soak_http_connection *self,
                    unsigned status,
@@ -252,6 +283,14 @@
       &out, "HTTP/1.1 %u X\r\nContent-Length: %zu\r\n%.*s%.*s\r\n", status,
       body.len, EG_STR_ARGS (connection_field), EG_STR_ARGS (fields));
   eg_buffer_append (&out, body);
+  if (self->server->bytes_per_ms > 0)
+    {
+      self->unsent = out;
+      self->sent = 0;
+      self->server->sending++;
+      send_piece (self);
+      return;
+    }
   eg_socket_write (&self->socket, eg_buffer_view (&out));
   eg_buffer_finish (&out);
   soak_http_finish_request (self);
--- a/test/soak/http_server.h
+++ b/test/soak/http_server.h
@@ -20,7 +20,10 @@
   struct eg_socket socket;
   struct eg_http_reader reader;
   struct eg_buffer body; /**< Of the request. */
-  uv_timer_t timer;      /**< For soak_http_schedule(). */
+  /** Of the response, over a narrow link; sent up to @c sent. */
+  struct eg_buffer unsent;
+  size_t sent;
+  uv_timer_t timer; /**< For soak_http_schedule(). */
   void (*on_schedule) (struct soak_http_connection *self);
   void *state; /**< Of the handler; freed with free() after the request. */
   unsigned closing_handles;
@@ -37,6 +40,10 @@
   struct eg_endpoint endpoint;
   bool listening;
   bool closes_connections; /**< Responses have Connection: close. */
+  /** Of the link that all responses share; 0: as many as possible. */
+  size_t bytes_per_ms;
+  size_t stalls_after; /**< Bytes of each response; 0: none stalls. */
+  size_t sending;      /**< Connections whose responses share the link. */
   struct eg_list connections;
   /** Called with each complete request. */
   void (*handle) (void *context, struct soak_http_connection *connection);
--- a/test/test_configuration.c
+++ b/test/test_configuration.c
@@ -21,6 +21,11 @@
 #define LONG_NAME_BYTES 3000
 /* More than the former maximum of 8 targets of a route and 8 accelerators. */
 #define MANY 200
+/* As many routes as fill most of an object of the store, what callers leave of
+ * a narrow link, and the time in which such routes have to be in force. */
+#define ROUTES_MAX 4000
+#define NARROW_LINK_BYTES_PER_MS 600
+#define LARGE_APPLY_MS 3000
 
 static struct streams_fixture fixture;
 
@@ -479,6 +484,46 @@
   assert_int_equal (fetch_configuration (self, "nowhere"), 503);
 }
 
+/* Adds routes with names and prefixes as operators' programs make them. */
+static void
+add_routes (struct streams_fixture *self, json_t *spec, unsigned count)
+{
+  json_t *routes = json_object_get (spec, "routes");
+  json_t *pattern = find_route (spec, "/plain/");
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      json_t *route = json_deep_copy (pattern);
+      char text[32];
+
+      snprintf (text, sizeof text, "/%08" PRIx64 "/",
+                eg_random_below (&self->random, UINT32_MAX));
+      json_object_set_new (route, "pathPrefix", json_string (text));
+      json_object_set_new (route, "goalLatencyMs", json_integer (500));
+      json_object_set_new (route, "priority", json_integer (1));
+      json_object_set_new (route, "sticky", json_true ());
+      json_object_set_new (route, "gapGoalMs", json_integer (250));
+      json_array_append_new (routes, route);
+    }
+}
+
+/* A configuration that takes a narrow link longer than a call may last did not
+ * come into force: each attempt began anew. */
+static void
+test_large_configuration_over_a_narrow_link_is_in_force (void **state)
+{
+  struct streams_fixture *self = *state;
+  json_t *spec = streams_pack_configuration (self, 2);
+  struct streams_request added = {
+      .plain = true, .body = "body", .path = "/v2/x"};
+
+  add_routes (self, spec, ROUTES_MAX);
+  self->store.server.bytes_per_ms = NARROW_LINK_BYTES_PER_MS;
+  soak_store_put (&self->store, "config", "main", spec);
+  streams_run (self, LARGE_APPLY_MS);
+  assert_int_equal (streams_client_request (self, 0, &added), 200);
+}
+
 #define CONFIGURATION_TEST(name)                                               \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -492,6 +537,7 @@
       cmocka_unit_test_setup_teardown (
           test_unread_value_does_not_affect_the_configuration, start_two_vms,
           stop),
+      CONFIGURATION_TEST (large_configuration_over_a_narrow_link_is_in_force),
       CONFIGURATION_TEST (fractions_and_large_numbers_do_not_affect_keys),
       CONFIGURATION_TEST (invalid_elements_leave_the_rest_in_force),
       CONFIGURATION_TEST (messages_of_strangers_are_dropped),
