platform, net: VMs send each other large objects coded, and code them once

Callers were served by an older configuration many seconds after a newer one had been confirmed (CONFIG). This is what brought them there: a reader sends each version whole to each VM that reads from it, 17 times 819 KB for a VM of 14 Mbit/s each, and a VM that is asked for its configuration wrote the text anew for each that asked (15 ms of a whole core; worked out, 0.18 s of a VM with 0.084).

Change: a VM that asks another one accepts the content coding zstd (RFC 8878). Answers of 4 KB or more are coded then; the coded text of an object of 64 KB or more is made once and sent to all, as a frame of its own between those of what differs. Old builds neither ask for it nor send it, and are answered as before.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -128,8 +128,8 @@
     eg_configuration_drop_keys (configuration->current);
   eg_configuration_unref (configuration->current);
   configuration->current = decoded;
-  json_decref (configuration->object);
-  configuration->object = json_incref (object);
+  eg_object_text_finish (&configuration->text);
+  eg_object_text_init (&configuration->text, object);
   /* Any newer one replaces one whose version could not be read. */
   if (configuration->unapplied <= decoded->version
       || configuration->unapplied == INT64_MAX)
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -25,6 +25,7 @@
 #include "entry/source_selector.h"
 #include "entry/vm_messages.h"
 #include "entry/wait_queue.h"
+#include "platform/object_text.h"
 #include "platform/store.h"
 #include "policy/retry_window.h"
 #include "policy/shortage.h"
@@ -48,7 +49,7 @@
 {
   /** NULL until a configuration has been received. */
   struct eg_configuration *current;
-  json_t *object; /**< As it was read; NULL: none. */
+  struct eg_object_text text; /**< As it was read. */
   /** Time at which the store was last known to have no newer version. */
   int64_t as_of_us;
   /** The newest version that was read but cannot be applied; INT64_MAX if it
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "net/content_coding.h"
 #include "net/http_reader.h"
 #include "platform/configuration.h"
 #include "platform/headers.h"
@@ -1136,7 +1137,7 @@
   struct eg_mirror mirror;
   struct eg_mirror_kind *kind;
   struct eg_mirror_query query;
-  struct eg_buffer body = {0};
+  struct eg_mirror_body body = {0};
   json_t *object =
       json_pack ("{s:{s:s}, s:i}", "metadata", "name", "a", "spec", 1);
 
@@ -1153,14 +1154,157 @@
       assert_int_equal (eg_mirror_answer_query (&query, 0, &body),
                         EG_MIRROR_ANSWERED);
       assert_non_null (strstr (
-          eg_buffer_text (&body),
+          eg_buffer_text (&body.bytes),
           "[{\"metadata\":{\"name\":\"a\"},\"spec\":1}],\"hasMore\":false"));
     }
   json_decref (object);
-  eg_buffer_finish (&body);
+  eg_buffer_finish (&body.bytes);
   eg_mirror_finish (&mirror);
 }
 
+/* Object with many members, like a configuration with many routes. */
+static json_t *
+pack_large_object (const char *name)
+{
+  json_t *routes = json_array ();
+  char prefix[32];
+
+  for (int i = 0; i < 4000; i++)
+    {
+      snprintf (prefix, sizeof prefix, "/%08x/", (unsigned) i * 2654435761U);
+      json_array_append_new (routes,
+                             json_pack ("{s:s, s:s, s:i, s:b}", "pathPrefix",
+                                        prefix, "service", "model", "timeoutMs",
+                                        20000, "public", false));
+    }
+  return json_pack ("{s:{s:s}, s:{s:o}}", "metadata", "name", name, "spec",
+                    "routes", routes);
+}
+
+/* Answers a query with and without coding; both must be the same text. Returns
+ * the number of bytes of the coded answer. */
+static size_t
+check_coded_answer (struct eg_mirror *mirror, const char *target)
+{
+  struct eg_mirror_query query;
+  struct eg_mirror_body plain = {0};
+  struct eg_mirror_body coded = {0};
+  struct eg_buffer text = {0};
+  size_t len;
+
+  assert_true (eg_mirror_parse (mirror, eg_str_from (target), 0, &query));
+  assert_int_equal (eg_mirror_answer_query (&query, 0, &plain),
+                    EG_MIRROR_ANSWERED);
+  assert_false (plain.is_coded);
+  query.accepts_coding = true;
+  assert_int_equal (eg_mirror_answer_query (&query, 0, &coded),
+                    EG_MIRROR_ANSWERED);
+  len = coded.bytes.len;
+  if (coded.is_coded)
+    {
+      assert_false (eg_content_decode (eg_buffer_view (&coded.bytes),
+                                       plain.bytes.len - 1, &text));
+      eg_buffer_clear (&text);
+      assert_true (eg_content_decode (eg_buffer_view (&coded.bytes),
+                                      plain.bytes.len, &text));
+      eg_buffer_finish (&coded.bytes);
+      coded.bytes = text;
+    }
+  assert_true (eg_str_equal (eg_buffer_view (&coded.bytes),
+                             eg_buffer_view (&plain.bytes)));
+  eg_buffer_finish (&coded.bytes);
+  eg_buffer_finish (&plain.bytes);
+  return len;
+}
+
+/* Each VM got the whole text of a large configuration, 17 times 1 MB from a
+ * reader, which arrived too late over narrow links. */
+static void
+test_large_answers_of_a_mirror_are_coded (void **state)
+{
+  struct eg_mirror mirror;
+  struct eg_mirror_kind *kind;
+  json_t *small =
+      json_pack ("{s:{s:s}, s:i}", "metadata", "name", "a", "spec", 1);
+  json_t *large = pack_large_object ("main");
+  size_t large_len = json_dumpb (large, NULL, 0, JSON_COMPACT);
+
+  (void) state;
+  eg_mirror_init (&mirror);
+  kind = eg_mirror_add (&mirror, "things");
+  kind->revision = 9;
+  kind->is_direct = true;
+  eg_mirror_put (kind, small, false, 5);
+  check_coded_answer (&mirror, "/eelgrasswood/objects/things");
+  eg_mirror_put (kind, large, false, 8);
+  for (int i = 0; i < 2; i++)
+    {
+      assert_true (check_coded_answer (&mirror, "/eelgrasswood/objects/things")
+                   < large_len / 4);
+      assert_true (
+          check_coded_answer (&mirror, "/eelgrasswood/objects/things?watch=6")
+          < large_len / 4);
+    }
+  json_decref (small);
+  json_decref (large);
+  eg_mirror_finish (&mirror);
+}
+
+static void
+test_malformed_coded_body_is_rejected (void **state)
+{
+  static const char text[] = "a text that is coded, coded, coded and coded";
+  struct eg_buffer coded = {0};
+  struct eg_buffer decoded = {0};
+
+  (void) state;
+  eg_content_encode (EG_STR (text), &coded);
+  eg_content_encode (EG_STR (text), &coded);
+  assert_true (eg_content_decode (eg_buffer_view (&coded), SIZE_MAX, &decoded));
+  assert_int_equal (decoded.len, 2 * (sizeof text - 1));
+  for (size_t len = 1; len < coded.len; len++)
+    {
+      eg_buffer_clear (&decoded);
+      if (eg_content_decode ((struct eg_str){coded.data, len}, SIZE_MAX,
+                             &decoded))
+        assert_int_equal (decoded.len, sizeof text - 1);
+    }
+  coded.data[0] ^= 1;
+  eg_buffer_clear (&decoded);
+  assert_false (
+      eg_content_decode (eg_buffer_view (&coded), SIZE_MAX, &decoded));
+  eg_buffer_finish (&coded);
+  eg_buffer_finish (&decoded);
+}
+
+static void
+test_coding_is_used_where_it_is_accepted (void **state)
+{
+  static const struct
+  {
+    const char *field;
+    bool accepted;
+  } cases[] = {{"Accept-Encoding: zstd", true},
+               {"Accept-Encoding: gzip, ZSTD", true},
+               {"Accept-Encoding: zstandard", false},
+               {"Accept-Encoding:", false},
+               {"Accept: zstd", false}};
+
+  (void) state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct eg_http_reader reader;
+      char text[128];
+
+      snprintf (text, sizeof text, "GET / HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n",
+                cases[i].field);
+      read_head (&reader, EG_HTTP_REQUEST, text);
+      assert_int_equal (eg_content_coding_is_accepted (&reader.head),
+                        cases[i].accepted);
+      eg_http_reader_finish (&reader);
+    }
+}
+
 int
 main (void)
 {
@@ -1192,6 +1336,9 @@
       cmocka_unit_test (test_reports_and_orders),
       cmocka_unit_test (test_move_refusal_names_a_server),
       cmocka_unit_test (test_mirror_caches_serialised_objects),
+      cmocka_unit_test (test_large_answers_of_a_mirror_are_coded),
+      cmocka_unit_test (test_malformed_coded_body_is_rejected),
+      cmocka_unit_test (test_coding_is_used_where_it_is_accepted),
       cmocka_unit_test (test_undecodable_stalled_stream_leaves_the_report),
       cmocka_unit_test (test_age_of_a_mirrored_answer_is_checked),
       cmocka_unit_test (test_wait_of_a_query_is_limited),
