--- a/test/test_json_splitter.c
+++ b/test/test_json_splitter.c
@@ -524,6 +524,36 @@
   print_message ("seed %llu: %u rounds\n", (unsigned long long) seed, rounds);
 }
 
+static size_t allocations;
+
+static void *
+count_allocation (size_t size)
+{
+  allocations++;
+  return malloc (size);
+}
+
+/* The members of an object were decoded to find out that it is no list, and the
+ * object once more. */
+static void
+test_single_object_is_decoded_once (void **state)
+{
+  const struct eg_str object = EG_STR (
+      "{\"metadata\":{\"name\":\"a\"},\"spec\":[1,2,3,4,5,6,7,8,9,10]}");
+  uint64_t undecodable;
+  size_t once;
+
+  (void) state;
+  json_set_alloc_funcs (count_allocation, free);
+  allocations = 0;
+  json_decref (json_loadb (object.data, object.len, 0, NULL));
+  once = allocations;
+  allocations = 0;
+  json_decref (decode (object.data, &undecodable));
+  json_set_alloc_funcs (malloc, free);
+  assert_int_equal (allocations, once);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -533,6 +563,7 @@
       cmocka_unit_test (test_undecodable_event_keeps_its_name),
       cmocka_unit_test (test_incomplete_answer_is_not_used),
       cmocka_unit_test (test_single_object_keeps_its_revision),
+      cmocka_unit_test (test_single_object_is_decoded_once),
       cmocka_unit_test (test_depth_is_limited),
       cmocka_unit_test (test_undecodable_values_are_dropped_down_to_a_level),
       cmocka_unit_test (test_undecodable_values_are_replaced),
