--- a/test/soak/canary.c
+++ b/test/soak/canary.c
@@ -13,6 +13,8 @@
 /* A version that one daemon serves is in force on all within this time, unless
  * a daemon was paused meanwhile. */
 #define IN_FORCE_US (2 * EG_US_PER_S)
+/* A version in the store is in force within this time without any fault. */
+#define READ_US (6 * EG_US_PER_S)
 
 static void send_next (uv_timer_t *timer);
 
@@ -53,6 +55,26 @@
          && has_teller (self);
 }
 
+static int64_t
+later (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
+/* Returns whether the node has had the time to read the version that was asked
+ * for from the store. */
+static bool
+must_have_read (const struct soak_canary *self)
+{
+  int64_t calm_us =
+      later (self->soak->unplanned_us,
+             later (self->node->started_us, self->node->last_fault_us));
+
+  return self->node->started_us == self->node_started_us
+         && self->node->sigterm_us == 0
+         && self->sent_us - later (calm_us, self->published_us) >= READ_US;
+}
+
 static void
 finish_request (struct soak_canary *self)
 {
@@ -78,6 +100,13 @@
                     (double) (self->sent_us - self->newest_us) / EG_US_PER_S,
                     (double) (self->sent_us - self->node_started_us)
                         / EG_US_PER_S);
+  else if (self->status == 404 && must_have_read (self))
+    soak_violation (soak,
+                    "daemon %u does not know the route of version %" PRId64
+                    ", %.2f s after it was written",
+                    self->node->number, self->version,
+                    (double) (self->sent_us - self->published_us)
+                        / EG_US_PER_S);
   if (!soak->stopping)
     uv_timer_start (&self->timer, send_next, INTERVAL_MS, 0);
 }
@@ -135,11 +164,15 @@
 
   self->node = &soak->nodes[eg_random_below (&soak->random, SOAK_NODES)];
   self->node_started_us = self->node->started_us;
-  /* The present version half of the time, and else one known to be in force. */
+  /* The present version, one before it, or one known to be in force. */
   self->version = soak->configuration_version;
   if (self->newest + SOAK_VERSION_ROUTES > soak->configuration_version
       && self->newest > 0 && eg_random_below (&soak->random, 2) == 0)
     self->version = self->newest;
+  else if (soak->configuration_version >= SOAK_VERSION_ROUTES)
+    self->version -=
+        (int64_t) eg_random_below (&soak->random, SOAK_VERSION_ROUTES);
+  self->published_us = soak->published_us[self->version % SOAK_VERSION_ROUTES];
   self->status = 0;
   self->sent_us = eg_clock_now_us ();
   snprintf (head, sizeof head,
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -38,6 +38,12 @@
 #define DEADLY_PART_PERIOD 3
 /* What happens to daemons, by the remainder of the seed. */
 #define DAEMON_FAULTS_PERIOD 16
+/* In runs with this remainder of the period, the configuration fills most of an
+ * object of the store, whose link is narrow. */
+#define LARGE_PERIOD 7
+#define LARGE_REMAINDER 4
+#define LARGE_ROUTES 3500
+#define NARROW_BYTES_PER_MS 1000
 /* If this process pauses for longer, its backend servers do not respond. */
 #define PAUSE_US EG_US_PER_S
 /* Of requests sent after the recovery time, except those sent while all servers
@@ -91,6 +97,14 @@
       json_array_append_new (json_object_get (spec, "routes"),
                              route (prefix, "idempotent", false));
     }
+  for (unsigned i = 0; i < self->routes_added; i++)
+    {
+      char prefix[32];
+
+      snprintf (prefix, sizeof prefix, "/added-%u/", i);
+      json_array_append_new (json_object_get (spec, "routes"),
+                             route (prefix, "idempotent", false));
+    }
   if (self->engines)
     json_object_set_new (
         json_array_get (json_object_get (spec, "services"), 0), "engine",
@@ -103,6 +117,8 @@
 soak_publish_configuration (struct soak *self)
 {
   self->configuration_version++;
+  self->published_us[self->configuration_version % SOAK_VERSION_ROUTES] =
+      eg_clock_now_us ();
   soak_write_configuration (self);
 }
 
@@ -260,6 +276,11 @@
   self->last_check_us = self->start_us;
   self->faults_end_us = self->start_us + seconds * EG_US_PER_S;
   soak_store_open (&self->store, &self->loop, &self->random);
+  if (seed % LARGE_PERIOD == LARGE_REMAINDER)
+    {
+      self->routes_added = LARGE_ROUTES;
+      self->store.server.bytes_per_ms = NARROW_BYTES_PER_MS;
+    }
   soak_publish_configuration (self);
   soak_backends_init (self);
   soak_backends_publish (self);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -159,6 +159,7 @@
   struct soak_node *node;
   int64_t node_started_us; /**< Start of the node that was asked. */
   int64_t version;         /**< That was asked for. */
+  int64_t published_us;    /**< When it was first written. */
   unsigned status;
   int64_t sent_us;
   int64_t newest; /**< Served by any node. */
@@ -213,6 +214,9 @@
   int64_t store_fault_until_us;
   int64_t backend_fault_us; /**< Last crash or abort fault of a backend. */
   int64_t configuration_version;
+  /** When the last versions were first written, by version. */
+  int64_t published_us[SOAK_VERSION_ROUTES];
+  unsigned routes_added;    /**< To those that requests use. */
   json_t *reported_not_run; /**< Ids of writes refused with 429 or 503. */
   bool stopping;
   unsigned fault_count;
