--- a/entry/explain_query.c
+++ b/entry/explain_query.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "net/percent.h"
+
 /** Types of parameters, with the type of their target. */
 enum kind
 {
@@ -28,42 +30,15 @@
   return eg_str_equal (eg_str_cut (&target, '?'), EG_STR ("/explain"));
 }
 
-static int
-hex_digit (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F')
-    return c - 'A' + 10;
-  return -1;
-}
-
-/* Appends @p text with its %XX sequences decoded, and sets @p decoded to it;
- * false if one is not valid, or is a zero byte. The memory of @p out is large
- * enough for all decoded text, so that earlier strings stay valid. */
+/* Decodes a value into @p out, whose memory is large enough for all values, so
+ * that earlier ones stay valid; false if it is not valid. */
 static bool
 decode (struct eg_str text, struct eg_buffer *out, struct eg_str *decoded)
 {
   size_t start = out->len;
 
-  for (size_t i = 0; i < text.len; i++)
-    {
-      char c = text.data[i];
-
-      if (c == '%')
-        {
-          int high = i + 2 < text.len ? hex_digit (text.data[i + 1]) : -1;
-          int low = i + 2 < text.len ? hex_digit (text.data[i + 2]) : -1;
-
-          if (i + 2 >= text.len || high < 0 || low < 0 || high + low == 0)
-            return false;
-          c = (char) (high * 16 + low);
-          i += 2;
-        }
-      eg_buffer_append (out, (struct eg_str){&c, 1});
-    }
+  if (!eg_percent_decode (text, out))
+    return false;
   *decoded = (struct eg_str){out->data + start, out->len - start};
   return true;
 }
--- a/test/test_slow_answers.c
+++ b/test/test_slow_answers.c
@@ -1,13 +1,16 @@
-/* Tests of calls to a store or a mirror whose answers arrive slowly. */
+/* Tests of calls to a store or a mirror whose answers are long, or arrive
+ * slowly. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <cmocka.h>
 
 #include "base/clock.h"
+#include "net/content_coding.h"
 #include "platform/store.h"
 #include "test/soak/http_server.h"
 
@@ -17,6 +20,10 @@
 #define TIMEOUT_US (300 * EG_US_PER_MS)
 /* A call whose answer does not come has to end in this time. */
 #define GIVEN_UP_MAX_US (2 * EG_US_PER_S)
+/* Servers of a fleet as large as docs/CAPACITY.md says, and the time in which
+ * their records have to be read. */
+#define RECORDS 12000
+#define LISTED_MAX_US (5 * EG_US_PER_S)
 
 /** A server with a long answer, and one call to it. */
 struct fixture
@@ -28,6 +35,12 @@
   struct eg_store store;
   struct eg_store_call call;
   struct eg_buffer answer;
+  struct eg_mirror mirror; /**< Answers if it has a kind. */
+  struct eg_mirror copy;   /**< Of the feed. */
+  struct eg_store_feed feed;
+  struct eg_random random;
+  size_t listed; /**< Objects that the feed has delivered. */
+  bool synced;
   bool replied;
   enum eg_store_outcome outcome;
 };
@@ -36,9 +49,27 @@
 on_request (void *context, struct soak_http_connection *connection)
 {
   struct fixture *self = context;
+  struct eg_str target = eg_http_head_target (&connection->reader.head);
+  struct eg_mirror_query query;
+  struct eg_mirror_body body = {0};
 
-  soak_http_respond (connection, 200, EG_STR (""),
-                     eg_buffer_view (&self->answer));
+  if (self->mirror.count == 0)
+    {
+      soak_http_respond (connection, 200, EG_STR (""),
+                         eg_buffer_view (&self->answer));
+      return;
+    }
+  assert_true (
+      eg_mirror_parse (&self->mirror, target, eg_clock_now_us (), &query));
+  query.accepts_coding =
+      eg_content_coding_is_accepted (&connection->reader.head);
+  if (eg_mirror_answer_query (&query, eg_clock_now_us (), &body)
+      == EG_MIRROR_ANSWERED)
+    soak_http_respond (connection, 200,
+                       body.is_coded ? EG_STR ("Content-Encoding: zstd\r\n")
+                                     : EG_STR (""),
+                       eg_buffer_view (&body.bytes));
+  eg_buffer_finish (&body.bytes);
 }
 
 static void
@@ -57,6 +88,8 @@
   struct fixture *self = timer->data;
 
   eg_store_call_check (&self->call, eg_clock_now_us ());
+  if (self->feed.mirror)
+    eg_store_feed_check (&self->feed, eg_clock_now_us ());
 }
 
 static void
@@ -100,6 +133,9 @@
   struct fixture *self = *state;
 
   eg_store_call_finish (&self->call);
+  eg_store_feed_finish (&self->feed);
+  eg_mirror_finish (&self->mirror);
+  eg_mirror_finish (&self->copy);
   soak_http_server_stop (&self->server);
   eg_exchange_pool_finish (&self->pool);
   uv_close ((uv_handle_t *) &self->tick, NULL);
@@ -155,6 +191,111 @@
   assert_int_equal (self->outcome, EG_STORE_NO_REPLY);
 }
 
+static struct eg_store *
+choose (void *context, struct eg_store_feed *feed)
+{
+  (void) feed;
+  return &((struct fixture *) context)->store;
+}
+
+static void
+on_outcome (void *context,
+            struct eg_store *store,
+            enum eg_store_outcome outcome)
+{
+  (void) context;
+  (void) store;
+  (void) outcome;
+}
+
+static void
+on_list_begins (void *context)
+{
+  ((struct fixture *) context)->listed = 0;
+}
+
+static void
+on_object (void *context, json_t *object, bool deleted)
+{
+  (void) object;
+  (void) deleted;
+  ((struct fixture *) context)->listed++;
+}
+
+static void
+on_synced (void *context, int64_t as_of_us, bool listed)
+{
+  (void) as_of_us;
+  ((struct fixture *) context)->synced |= listed;
+}
+
+static void
+on_lost (void *context, enum eg_store_outcome outcome)
+{
+  (void) context;
+  (void) outcome;
+}
+
+/* Puts the record of a server into a mirror, as long as those of engines. */
+static void
+put_record (struct eg_mirror_kind *kind, unsigned number)
+{
+  char name[32];
+  char address[32];
+  json_t *record;
+
+  snprintf (name, sizeof name, "i-%08x", number * 2654435761U);
+  snprintf (address, sizeof address, "10.%u.%u.%u:8080", number >> 16,
+            number >> 8 & 255, number & 255);
+  record = json_pack (
+      "{s:{s:s, s:i, s:i, s:[], s:b}, s:{s:s, s:s, s:s, s:s, s:i, s:s, s:i, "
+      "s:s, s:[{s:s, s:i, s:[]}], s:{s:i, s:i, s:i}, s:s, s:i, s:I}}",
+      "metadata", "name", name, "revision", (int) number, "created", 1,
+      "finalizers", "deletionPending", false, "spec", "service", "model",
+      "address", address, "zone", "a-failure-domain", "version", "v1", "slots",
+      192, "state", "ready", "coldRemainingMs", 0, "stage", "combined",
+      "models", "name", "model-name", "version", 1, "adapters", "layers",
+      "from", 0, "to", 80, "version", 1, "kind", "accelerator", "sequence", 4,
+      "born", (json_int_t) 1800000000000);
+  assert_non_null (record);
+  eg_mirror_put (kind, record, false, number + 1);
+  json_decref (record);
+}
+
+/* The list of a large fleet was longer than any answer may be, so that no VM
+ * could read it from its reader. */
+static void
+test_large_fleet_is_listed_from_a_mirror (void **state)
+{
+  struct fixture *self = *state;
+  const struct eg_feed_source source = {choose, on_outcome, self};
+  const struct eg_feed_events events = {.list_begins = on_list_begins,
+                                        .object = on_object,
+                                        .synced = on_synced,
+                                        .lost = on_lost,
+                                        .context = self};
+  int64_t until_us;
+
+  eg_random_init (&self->random, 1);
+  self->store.is_peer = true;
+  eg_mirror_init (&self->mirror);
+  eg_mirror_init (&self->copy);
+  eg_mirror_add (&self->mirror, "servers");
+  for (unsigned i = 0; i < RECORDS; i++)
+    put_record (&self->mirror.kinds[0], i);
+  self->mirror.kinds[0].revision = RECORDS;
+  self->mirror.kinds[0].is_direct = true;
+  self->mirror.kinds[0].as_of_us = eg_clock_now_us ();
+  eg_store_feed_init (&self->feed, &source,
+                      eg_mirror_add (&self->copy, "servers"), 100, 0,
+                      &self->random, &events);
+  until_us = eg_clock_now_us () + LISTED_MAX_US;
+  while (!self->synced && eg_clock_now_us () < until_us)
+    uv_run (&self->loop, UV_RUN_ONCE);
+  assert_true (self->synced);
+  assert_int_equal (self->listed, RECORDS);
+}
+
 #define SLOW_ANSWER_TEST(name)                                                 \
   cmocka_unit_test_setup_teardown (test_##name, start, stop)
 
@@ -165,6 +306,7 @@
       SLOW_ANSWER_TEST (answer_that_keeps_arriving_is_not_given_up),
       SLOW_ANSWER_TEST (answer_that_stalls_is_given_up),
       SLOW_ANSWER_TEST (answer_that_trickles_is_given_up),
+      SLOW_ANSWER_TEST (large_fleet_is_listed_from_a_mirror),
   };
 
   if (argc > 1)
