http, platform: reads and writes of the platform last as long as they make progress

Change: such transfers have their time-out until the answer begins, and then go on while 8 KB move in each half second, either way. Other transfers, to engines for instance, keep a time-out for the whole. The limits of libcurl for slow transfers were tried first: they look at an average of 5 s, and gave a stalled answer up after 6 s.

--- a/http/client.c
+++ b/http/client.c
@@ -16,6 +16,9 @@
 #define IDLE_HANDLES_MAX 256
 #define CACHED_CONNECTIONS_MAX 2048
 #define RECEIVE_BUFFER_BYTES 4096L
+/* A transfer that may last goes on if so many bytes move in each interval. */
+#define PROGRESS_INTERVAL_US (500 * EG_US_PER_MS)
+#define PROGRESS_BYTES_MIN 8192
 
 struct eg_http_transfer
 {
@@ -24,8 +27,10 @@
   struct curl_slist *headers;
   char *body;
   size_t body_max;
-  int64_t send_by_us;    /* Monotonic time, or 0 for no limit. */
-  bool missed_send_time; /* Not sent, as send_by_us had passed. */
+  int64_t deadline_us;    /* Of a transfer that may last; 0: not of this one. */
+  int64_t interval_start; /* Bytes moved before this interval. */
+  int64_t send_by_us;     /* Monotonic time, or 0 for no limit. */
+  bool missed_send_time;  /* Not sent, as send_by_us had passed. */
   struct eg_buffer response;
   char etag[EG_HTTP_VALUE_BYTES];
   void (*on_data) (void *context, struct eg_str bytes);
@@ -123,10 +128,10 @@
 static void
 unlink_transfer (struct eg_http_client *self, struct eg_http_transfer *transfer)
 {
-  if (transfer->previous)
-    transfer->previous->next = transfer->next;
-  else
+  if (self->transfers == transfer)
     self->transfers = transfer->next;
+  else
+    transfer->previous->next = transfer->next;
   if (transfer->next)
     transfer->next->previous = transfer->previous;
 }
@@ -185,6 +190,25 @@
   return view.len;
 }
 
+/* Returns the number of bytes sent and received of the two bodies. */
+static int64_t
+count_moved (const struct eg_http_transfer *transfer)
+{
+  curl_off_t sent = 0;
+  curl_off_t received = 0;
+
+  curl_easy_getinfo (transfer->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  curl_easy_getinfo (transfer->easy, CURLINFO_SIZE_DOWNLOAD_T, &received);
+  return sent + received;
+}
+
+static void
+begin_interval (struct eg_http_transfer *transfer, int64_t now_us)
+{
+  transfer->deadline_us = now_us + PROGRESS_INTERVAL_US;
+  transfer->interval_start = count_moved (transfer);
+}
+
 static size_t
 on_header (char *bytes, size_t size, size_t count, void *context)
 {
@@ -192,6 +216,8 @@
   struct eg_http_transfer *transfer = context;
   struct eg_str line = {bytes, size * count};
 
+  if (transfer->deadline_us > 0)
+    begin_interval (transfer, eg_clock_now_us ());
   if (line.len > name.len && strncasecmp (bytes, name.data, name.len) == 0)
     {
       line.data += name.len;
@@ -291,7 +317,11 @@
   curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, RECEIVE_BUFFER_BYTES);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     timeout_ms (request->connect_timeout_us));
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout_ms (request->timeout_us));
+  if (request->lasts_while_arriving)
+    transfer->deadline_us = eg_clock_now_us () + request->timeout_us;
+  else
+    curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
+                      timeout_ms (request->timeout_us));
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT,
                     request->at_most_once ? 1L : 0);
   /* The next such request uses a new connection too, so a cached one would only
@@ -371,24 +401,22 @@
 }
 
 static void
-finish_transfer (struct eg_http_client *self, CURLMsg *message)
+finish_transfer (struct eg_http_client *self,
+                 struct eg_http_transfer *transfer,
+                 CURLcode code)
 {
-  struct eg_http_transfer *transfer = NULL;
   struct eg_http_result result = {0};
   const char *content_type = NULL;
   long status = 0;
 
-  curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE,
-                     (char **) &transfer);
   curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (transfer->easy, CURLINFO_CONTENT_TYPE, &content_type);
-  result.outcome =
-      transfer->missed_send_time
-          ? EG_HTTP_NOT_SENT
-          : classify_outcome (transfer->easy, message->data.result);
+  result.outcome = transfer->missed_send_time
+                       ? EG_HTTP_NOT_SENT
+                       : classify_outcome (transfer->easy, code);
   result.status = (int) status;
-  result.timed_out = message->data.result == CURLE_OPERATION_TIMEDOUT;
-  result.detail = curl_easy_strerror (message->data.result);
+  result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  result.detail = curl_easy_strerror (code);
   result.body = eg_buffer_view (&transfer->response);
   eg_str_copy (eg_str_from (content_type), result.content_type,
                sizeof result.content_type);
@@ -401,12 +429,47 @@
 static void
 finish_completed (struct eg_http_client *self)
 {
+  struct eg_http_transfer *transfer;
   CURLMsg *message;
   int remaining;
 
   while ((message = curl_multi_info_read (self->multi, &remaining)))
     if (message->msg == CURLMSG_DONE)
-      finish_transfer (self, message);
+      {
+        CURLcode code = message->data.result;
+
+        curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE,
+                           (char **) &transfer);
+        finish_transfer (self, transfer, code);
+      }
+}
+
+/* Returns a transfer that may last and has made no progress, or NULL. */
+static struct eg_http_transfer *
+find_stalled (struct eg_http_client *self, int64_t now_us)
+{
+  for (struct eg_http_transfer *transfer = self->transfers; transfer;
+       transfer = transfer->next)
+    {
+      if (transfer->deadline_us == 0 || now_us < transfer->deadline_us)
+        continue;
+      if (count_moved (transfer) - transfer->interval_start
+          < PROGRESS_BYTES_MIN)
+        return transfer;
+      begin_interval (transfer, now_us);
+    }
+  return NULL;
+}
+
+static void
+finish_stalled (struct eg_http_client *self)
+{
+  int64_t now_us = eg_clock_now_us ();
+  struct eg_http_transfer *transfer;
+
+  /* The callback may start and abort other transfers. */
+  while ((transfer = find_stalled (self, now_us)))
+    finish_transfer (self, transfer, CURLE_OPERATION_TIMEDOUT);
 }
 
 static void
@@ -486,4 +549,5 @@
   handle_events (self, events, count);
   handle_timer (self);
   finish_completed (self);
+  finish_stalled (self);
 }
--- a/http/client.h
+++ b/http/client.h
@@ -61,6 +61,10 @@
   struct eg_str body; /**< No body if `data` is NULL. */
   int64_t connect_timeout_us;
   int64_t timeout_us; /**< For the whole transfer; 0 for no timeout. */
+  /** Whether @c timeout_us, not 0, ends when the response begins; the transfer
+   *  then lasts as long as it goes on arriving, and the same holds while the
+   *  request's body is being sent. */
+  bool lasts_while_arriving;
   /** Nothing is sent after this monotonic time; 0 for no limit. */
   int64_t send_by_us;
   size_t body_max; /**< Longest response body in bytes; 0 for no limit. */
