--- a/entry/configuration_spread.c
+++ b/entry/configuration_spread.c
@@ -12,7 +12,8 @@
 #include "platform/configuration.h"
 
 #define VERSION_MESSAGE_KIND "version"
-/* A large configuration takes some hundred milliseconds on a small VM. */
+/* Time until the answer begins: a small VM that has just read a large
+ * configuration answers nobody for some hundred milliseconds. */
 #define FETCH_TIMEOUT_US (700 * EG_US_PER_MS)
 /* Starts of servers in an answer, some 35 bytes each. */
 #define LEFT_PER_MESSAGE_MAX 96
