--- a/test/test_orders.c
+++ b/test/test_orders.c
@@ -442,7 +442,7 @@
 }
 
 int
-main (void)
+main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (test_checking_engine_refuses_former_holder),
@@ -452,5 +452,7 @@
       cmocka_unit_test (test_rule_is_executed),
   };
 
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
   return cmocka_run_group_tests (tests, set_up, tear_down);
 }
