--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -24,7 +24,7 @@
 for name in orders empty bodies; do
   build "$name" test/soak/ports.c
 done
-for name in again held head; do
+for name in again held head older-vms; do
   # shellcheck disable=SC2086
   build "$name" $deployment
 done
--- a/review/standin-2/deployment.c
+++ b/review/standin-2/deployment.c
@@ -57,6 +57,7 @@
 struct vm
 {
   pid_t pid;
+  const char *older; /**< Program of an older build, or NULL. */
   uint16_t callers;
   uint16_t readiness;
   uint16_t peers;
@@ -598,6 +599,8 @@
                 bool first_start)
 {
   FILE *file = fopen (path, "w");
+  const char *grace = vm->older ? "grace_ms = 8000" : "grace_s = 8";
+  const char *window = vm->older ? "window_ms = 10000" : "window_s = 10";
 
   if (!file)
     review_cannot_run ("no settings file");
@@ -609,17 +612,18 @@
            "[store]\naddress = \"127.0.0.1:%u\"\n\n"
            "[limits]\nmemory_mb = 260\ndescriptors = 4100\n"
            "link_mbps = 1000.0\ncpu_share = 0.25\n\n"
-           "[stop]\ngrace_s = 8\n\n"
+           "[stop]\n%s\n\n"
            "[keys]\nrevocation_bounded = true\nrevocation_ms = 5000\n\n"
-           "[retry]\nratio = 0.2\nwindow_s = 10\nextra = 202\n\n"
+           "[retry]\nratio = 0.2\n%s\nextra = 202\n\n"
            "[engines]\nstall_ms = 2000\nfenced = false\n",
            number, number, first_start ? "true" : "false", vm->callers,
-           vm->readiness, vm->peers, ntohs (self.store.server.endpoint.port));
+           vm->readiness, vm->peers, ntohs (self.store.server.endpoint.port),
+           grace, window);
   fclose (file);
 }
 
 static void
-run_daemon (const char *settings, const char *log)
+run_daemon (const char *program, const char *settings, const char *log)
 {
   int out = open (log, O_WRONLY | O_CREAT | O_APPEND, 0666);
 
@@ -627,7 +631,7 @@
   dup2 (out, STDOUT_FILENO);
   dup2 (out, STDERR_FILENO);
   setenv ("EELGRASSWOOD_SETTINGS", settings, 1);
-  execl (DAEMON, DAEMON, (char *) NULL);
+  execl (program, program, (char *) NULL);
   _exit (127);
 }
 
@@ -644,14 +648,21 @@
   write_settings (settings, vm, number, first_start);
   vm->pid = fork ();
   if (vm->pid == 0)
-    run_daemon (settings, log);
+    run_daemon (vm->older ? vm->older : DAEMON, settings, log);
   while (!is_ready (vm))
     {
       if (review_now_ms () > until_ms)
         review_cannot_run ("an entry VM is not ready");
       review_sleep_ms (100);
     }
-  review_note ("entry VM %u is ready", number);
+  review_note ("entry VM %u is ready%s", number,
+               vm->older ? "; it runs the older build" : "");
+}
+
+void
+review_use_older_build (unsigned number, const char *program)
+{
+  self.vms[number].older = program;
 }
 
 void
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -75,6 +75,10 @@
 /** Lets the store answer no call, or all calls again. */
 void review_set_store_down (bool down);
 
+/** Lets an entry VM run the program of a build from before the settings grace_s
+ *  and window_s. */
+void review_use_older_build (unsigned number, const char *program);
+
 /** Starts an entry VM in a failure domain of its own and waits until it is
  *  ready. */
 void review_start_vm (unsigned number);
