--- a/review/standin-2/orders.c
+++ b/review/standin-2/orders.c
@@ -27,7 +27,8 @@
 #define REQUESTS_PER_CONNECTION 12
 #define WORK_MS 40
 /* Time to load the whole model; loads before the first request take a tenth. */
-#define LOAD_S 0.6
+#define LOAD_S 14.0
+#define EARLY_LOAD 0.1
 /* Sizes of the clients' bodies. */
 #define BODY_MIN 300
 #define BODY_MAX 900
@@ -37,12 +38,13 @@
 /* Events, in seconds since the start. */
 #define TRAFFIC_S 6.0
 #define SCALE_IN_S 8.0
-#define SCALE_OUT_S 9.6
-#define SCALE_IN_AGAIN_S 10.8
+#define SCALE_OUT_S 15.0
+#define SCALE_IN_NEW_S 20.5
+#define SCALE_IN_AGAIN_S 26.0
 /* Time for which a server that leaves goes on serving after its entry was
  * removed: drainMs and a little more. */
 #define DRAIN_S 2.1
-#define END_S 16.0
+#define END_S 31.0
 
 #define CONFIGURATION                                                          \
   "{\"version\":3,\"routes\":["                                                \
@@ -58,7 +60,7 @@
   "{\"name\":\"llm\",\"healthPath\":\"/healthz\",\"maxConnections\":1000,"     \
   "\"engine\":{\"slots\":64,\"kvCapacityTokens\":100000,\"kvBytes\":426000,"   \
   "\"linkMbps\":480000,\"stride\":2,"                                          \
-  "\"models\":[{\"name\":\"m\",\"pace\":1.0,\"loadS\":0.6,\"warmS\":0}],"      \
+  "\"models\":[{\"name\":\"m\",\"pace\":1.0,\"loadS\":14.0,\"warmS\":0}],"     \
   "\"step_ms\":0.85,\"read_per_s\":272000,\"chunk\":512,"                      \
   "\"report_lag_ms\":200,\"loads_at_once\":6,"                                 \
   "\"usual\":{\"prompt\":772,\"answer\":150},\"layers\":8,\"layerMb\":1750,"   \
@@ -217,6 +219,7 @@
   int kept_from = from > engine->from ? from : engine->from;
   int kept_to = to < engine->to ? to : engine->to;
   int loaded = to - from - (kept_to > kept_from ? kept_to - kept_from : 0);
+  double load_us;
 
   if (!operation || strcmp (operation, "place") != 0)
     return 404;
@@ -228,8 +231,10 @@
   engine->sequence++;
   engine->next_from = from;
   engine->next_to = to;
-  engine->load_end_us = eg_clock_now_us () + 1
-                        + (int64_t) (LOAD_S * EG_US_PER_S * loaded / LAYERS);
+  load_us = LOAD_S * EG_US_PER_S * loaded / LAYERS;
+  if (self.step == 0)
+    load_us *= EARLY_LOAD;
+  engine->load_end_us = eg_clock_now_us () + 1 + (int64_t) load_us;
   note ("%s begins order %" PRId64 ": layers %d-%d, held %d-%d", engine->id,
         engine->sequence, from, to, engine->from, engine->to);
   return 202;
@@ -246,9 +251,9 @@
   if (engine == self.silent && status == 202)
     self.ordered_again = true;
   /* One order while the engines are scaled: the first that makes an engine
-   * hold more than before. */
-  if (status == 202 && !self.silent && self.step == 2 && engine->sequence > 1
-      && engine->next_from <= engine->from && engine->next_to >= engine->to)
+   * give up layers and load none. */
+  if (status == 202 && !self.silent && self.step > 0
+      && engine->next_from >= engine->from && engine->next_to <= engine->to)
     {
       self.silent = engine;
       if (self.trouble)
@@ -588,16 +593,20 @@
     check_clients ();
   if (is_due (1, SCALE_IN_S, time_s))
     withdraw (&self.engines[1]);
-  if (is_due (2, SCALE_OUT_S, time_s))
+  if (is_due (2, SCALE_IN_S + DRAIN_S, time_s))
+    end_engine (&self.engines[1]);
+  if (is_due (3, SCALE_OUT_S, time_s))
     {
       note ("i-e%u is added", FIRST_ENGINES);
       start_engine (FIRST_ENGINES);
     }
-  if (is_due (3, SCALE_IN_S + DRAIN_S, time_s))
-    end_engine (&self.engines[1]);
-  if (is_due (4, SCALE_IN_AGAIN_S, time_s) && self.silent)
+  if (is_due (4, SCALE_IN_NEW_S, time_s))
+    withdraw (&self.engines[FIRST_ENGINES]);
+  if (is_due (5, SCALE_IN_NEW_S + DRAIN_S, time_s))
+    end_engine (&self.engines[FIRST_ENGINES]);
+  if (is_due (6, SCALE_IN_AGAIN_S, time_s) && self.silent)
     withdraw (self.silent);
-  if (is_due (5, SCALE_IN_AGAIN_S + DRAIN_S, time_s) && self.silent)
+  if (is_due (7, SCALE_IN_AGAIN_S + DRAIN_S, time_s) && self.silent)
     end_engine (self.silent);
   if (time_s >= END_S)
     uv_stop (&self.loop);
