explain: no conversion whose result depends on the sign of char

Both arms of the conditional expression were promoted to int and converted back to char.

The bytes written are the same.

--- a/entry/explain.c
+++ b/entry/explain.c
@@ -75,7 +75,10 @@
   if (packed)
     return packed;
   for (size_t i = 0; i < len; i++)
-    copy[i] = (unsigned char) text.data[i] < 0x80 ? text.data[i] : '?';
+    if ((unsigned char) text.data[i] < 0x80)
+      copy[i] = text.data[i];
+    else
+      copy[i] = '?';
   return json_stringn (copy, len);
 }
 
