planner: an order's exchange ends with the order

Cause: check_order() took an order as completed once the server's record showed its layers and forgot its range, but left its exchange in progress, without a time-out. send_order() initialised the exchange again for the next order. The first connection still referred to it: its late answer or its end was taken for that of the second order, and after the server was freed its end wrote to freed memory.

Evidence: under the address sanitizer, a heap-use-after-free in close_connection(), in the block freed by free_backend(), at its exchange for orders; in the log two order-sent of that server without an answer or a loss of the first one between them. The same happens where a server starts again under its id while an order to its earlier start hangs; found by the second test.

Change: eg_backend_end_order() cancels the exchange and clears the range, and is the only place that clears it. A server that has carried out an order without an answer has accepted one more than was counted, so its count is requested before the next order, which was refused before. event=order-unanswered says that an order was completed without an answer.

--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -376,7 +376,7 @@
 {
   eg_exchange_cancel (&self->probe.exchange);
   eg_exchange_cancel (&self->port_check);
-  eg_exchange_cancel (&self->order);
+  eg_backend_end_order (self);
   eg_buffer_finish (&self->probe.body);
   eg_server_record_finish (&self->record);
   eg_hash_table_remove (&self->fleet->by_id, &self->by_id);
@@ -589,7 +589,7 @@
       self->slowness = 1;
       self->report_us = 0;
       self->orders = 0;
-      self->ordered = (struct eg_layer_range){0, 0};
+      eg_backend_end_order (self);
       self->orders_resume_us = 0;
       self->room = (struct eg_server_room){0};
       self->rate = (struct eg_server_rate){0};
@@ -1157,6 +1157,13 @@
   request_report (self, false, PROBE_TIMEOUT_US, now_us);
 }
 
+void
+eg_backend_end_order (struct eg_backend *self)
+{
+  eg_exchange_cancel (&self->order);
+  self->ordered = (struct eg_layer_range){0, 0};
+}
+
 void
 eg_backend_pause_orders (struct eg_backend *self, int64_t now_us)
 {
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -108,7 +108,8 @@
   /** Last event of a run that passed it; see eg_backend_is_seen(). */
   int64_t seen_us;
   struct eg_probe probe;
-  struct eg_exchange order; /**< Pending order of the planner. */
+  /** Pending order of the planner; ends with @c ordered at the latest. */
+  struct eg_exchange order;
   /** Orders the engine has accepted since its start; negative: unknown. */
   int64_t orders;
   /** Layers of the order in progress; from == to: none. */
@@ -377,6 +378,12 @@
 /** Requests an engine's report as part of regular monitoring. */
 void eg_backend_poll_report (struct eg_backend *self, int64_t now_us);
 
+/**
+ * Ends the order in progress, if there is one; a response that arrives later is
+ * ignored.
+ */
+void eg_backend_end_order (struct eg_backend *self);
+
 /** Suspends orders to a server that is executing one or has refused one. */
 void eg_backend_pause_orders (struct eg_backend *self, int64_t now_us);
 
--- a/entry/planner.c
+++ b/entry/planner.c
@@ -220,7 +220,7 @@
   if (begun)
     return;
   eg_backend_pause_orders (backend, eg_clock_now_us ());
-  backend->ordered = (struct eg_layer_range){0, 0};
+  eg_backend_end_order (backend);
   eg_backend_probe (backend, eg_clock_now_us ());
 }
 
@@ -234,7 +234,7 @@
           backend->record.id, backend->ordered.from, backend->ordered.to,
           eg_exchange_fault_name (fault));
   if (fault == EG_EXCHANGE_UNREACHABLE)
-    backend->ordered = (struct eg_layer_range){0, 0};
+    eg_backend_end_order (backend);
   eg_backend_probe (backend, eg_clock_now_us ());
 }
 
@@ -260,6 +260,7 @@
                         eg_str_from (backend->record.id), body.len);
   request.head = eg_buffer_view (&head);
   request.body = eg_buffer_view (&body);
+  eg_backend_end_order (backend);
   backend->ordered = range;
   backend->ordered_us = now_us;
   eg_exchange_init (&backend->order, &order_events, backend);
@@ -271,11 +272,27 @@
           backend->record.layers.to, backend->orders,
           eg_lease_fencing (&self->lease));
   if (!eg_exchange_start (&backend->order, &self->entry->pool, &request))
-    backend->ordered = (struct eg_layer_range){0, 0};
+    eg_backend_end_order (backend);
   eg_buffer_finish (&head);
   eg_buffer_finish (&body);
 }
 
+/* Ends an order whose layers are loaded. The server has accepted it even if it
+ * has not answered; its count of orders is not known then. */
+static void
+complete_order (struct eg_backend *backend)
+{
+  if (eg_exchange_is_active (&backend->order))
+    {
+      eg_log (EG_LOG_NOTICE, "planner",
+              "event=order-unanswered server=%s layers=%u-%u orders=%" PRId64,
+              backend->record.id, backend->ordered.from, backend->ordered.to,
+              backend->orders);
+      backend->orders = -1;
+    }
+  eg_backend_end_order (backend);
+}
+
 /* Completes orders whose layers are loaded, and drops overdue ones. */
 static void
 check_order (struct eg_backend *backend,
@@ -296,7 +313,7 @@
     }
   if (held->from == ordered->from && held->to == ordered->to)
     {
-      backend->ordered = (struct eg_layer_range){0, 0};
+      complete_order (backend);
       return;
     }
   timeout_us = (int64_t) (engine->load_us * (ordered->to - ordered->from)
@@ -307,7 +324,7 @@
   eg_log (EG_LOG_NOTICE, "planner",
           "event=order-overdue server=%s layers=%u-%u held=%u-%u",
           backend->record.id, ordered->from, ordered->to, held->from, held->to);
-  backend->ordered = (struct eg_layer_range){0, 0};
+  eg_backend_end_order (backend);
   eg_backend_probe (backend, now_us);
 }
 
--- a/net/exchange.h
+++ b/net/exchange.h
@@ -103,7 +103,10 @@
 void eg_exchange_pool_close_idle (struct eg_exchange_pool *self,
                                   struct eg_endpoint endpoint);
 
-/** Initialises an exchange; nothing is sent yet. */
+/**
+ * Initialises an exchange; nothing is sent yet. One that is in progress must be
+ * cancelled before: its connection refers to it until then.
+ */
 void eg_exchange_init (struct eg_exchange *self,
                        const struct eg_exchange_events *events,
                        void *context);
--- a/test/soak/http_server.c
+++ b/test/soak/http_server.c
@@ -224,6 +224,22 @@
   return false;
 }
 
+unsigned
+soak_http_server_count_requests (const struct soak_http_server *self)
+{
+  unsigned count = 0;
+
+  for (const struct eg_list *at = self->connections.next;
+       at != &self->connections; at = at->next)
+    {
+      const struct soak_http_connection *connection =
+          EG_CONTAINER_OF (at, struct soak_http_connection, link);
+
+      count += connection->handling && !connection->closed;
+    }
+  return count;
+}
+
 struct eg_str
 soak_http_connection_field (struct soak_http_connection *self)
 {
--- a/test/soak/http_server.h
+++ b/test/soak/http_server.h
@@ -77,6 +77,10 @@
 /** Returns whether requests are in progress. */
 bool soak_http_server_is_busy (const struct soak_http_server *self);
 
+/** Returns the number of requests without a complete response on connections
+ *  that are open. */
+unsigned soak_http_server_count_requests (const struct soak_http_server *self);
+
 /** Returns the Connection field for the head of a response, or nothing. */
 struct eg_str soak_http_connection_field (struct soak_http_connection *self);
 
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -143,10 +143,10 @@
   char body[256];
 
   snprintf (body, sizeof body,
-            "{\"busy\":false,\"sequence\":1,\"queued\":0,\"active\":0,"
+            "{\"busy\":false,\"sequence\":%u,\"queued\":0,\"active\":0,"
             "\"kvUsed\":0,\"kvTotal\":400000,\"born\":%" PRId64 ","
             "\"layers\":{\"from\":0,\"to\":%d,\"version\":1}}",
-            self->start_ms, MODEL_LAYERS);
+            self->accepted, self->start_ms, self->layers_to);
   soak_http_respond (connection, 200,
                      write_notice (self, notice, sizeof notice),
                      eg_str_from (body));
@@ -398,6 +398,32 @@
                                 EG_STR ("deadly"));
 }
 
+static void
+handle_order (struct streams_engine *self,
+              struct soak_http_connection *connection)
+{
+  json_t *order =
+      json_loadb (connection->body.data, connection->body.len, 0, NULL);
+  int64_t expected =
+      json_integer_value (json_object_get (order, "expectedRevision"));
+  int to = (int) json_integer_value (json_object_get (order, "to"));
+
+  json_decref (order);
+  self->orders++;
+  if (self->on_order == STREAMS_ORDER_LOST)
+    return;
+  if (self->on_order == STREAMS_ORDER_REFUSED || expected != self->accepted)
+    {
+      soak_http_respond (connection, 409, EG_STR (""), EG_STR ("{}"));
+      return;
+    }
+  self->accepted++;
+  self->layers_to = to;
+  streams_engine_publish (self, false);
+  if (self->on_order == STREAMS_ORDER_ANSWERED)
+    soak_http_respond (connection, 202, EG_STR (""), EG_STR ("{}"));
+}
+
 static void
 on_engine_request (void *context, struct soak_http_connection *connection)
 {
@@ -425,7 +451,7 @@
     }
   if (eg_str_starts_with (target, EG_STR ("/eelgrasswood/")))
     {
-      soak_http_respond (connection, 409, EG_STR (""), EG_STR ("{}"));
+      handle_order (self, connection);
       return;
     }
   self->arrivals++;
@@ -501,7 +527,7 @@
                              "room", "kind", "card", "slots", 64, "state",
                              draining ? "draining" : "ready", "sequence", 1,
                              "born", self->start_ms, "models", "layers", "from",
-                             0, "to", MODEL_LAYERS, "version", 1));
+                             0, "to", self->layers_to, "version", 1));
 }
 
 void
@@ -994,6 +1020,8 @@
 
       engine->fixture = self;
       engine->start_ms = 1;
+      engine->accepted = 1;
+      engine->layers_to = MODEL_LAYERS;
       engine->plain = i >= STREAMS_ENGINES;
       engine->number = engine->plain ? i - STREAMS_ENGINES : i;
       name_engine (engine);
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -51,6 +51,15 @@
   STREAMS_ANSWER_UNSIGNED_UNAVAILABLE,
 };
 
+/** What an engine does with an order to hold layers. */
+enum streams_order
+{
+  STREAMS_ORDER_REFUSED,
+  STREAMS_ORDER_ANSWERED,   /**< Carried out at once. */
+  STREAMS_ORDER_UNANSWERED, /**< Carried out at once, but not answered. */
+  STREAMS_ORDER_LOST,       /**< Neither carried out nor answered. */
+};
+
 /** An engine or a plain server; refuses or accepts requests as the test says.
  */
 struct streams_engine
@@ -73,10 +82,14 @@
   int64_t start_ms;      /**< Of its record and reports. */
   const char *pause;     /**< Retry-After of its refusals; NULL: none. */
   const char *limit;     /**< Server-Limit of its responses; NULL: none. */
-  unsigned requests;     /**< All requests received, also for reports. */
-  unsigned arrivals;     /**< Stream requests received. */
-  unsigned runs;         /**< Stream requests not refused. */
-  unsigned once_runs;    /**< Those that must not be repeated. */
+  enum streams_order on_order;
+  int layers_to;      /**< It holds the layers up to this one. */
+  unsigned orders;    /**< Orders received. */
+  unsigned accepted;  /**< Orders accepted since its start. */
+  unsigned requests;  /**< All requests received, also for reports. */
+  unsigned arrivals;  /**< Stream requests received. */
+  unsigned runs;      /**< Stream requests not refused. */
+  unsigned once_runs; /**< Those that must not be repeated. */
 };
 
 /** A client with one stream. */
