net: a response without a valid status is malformed

No client got 000 here, but a kept connection held the request up beside servers that would have served it: an idempotent request took 6.1 s, one that must not be repeated got 504 at its deadline. Statuses above 599 were passed on to the client.

Cause: the exchange takes each status below 200 for an interim response and waits for another one. Nothing checked the upper bound.

Change: the reader of heads treats a response whose status is not 100 to 599 (RFC 9110, 15) as malformed, and 101 too, since no request asks for an upgrade. Idempotent requests and streams go to another server at once, others end with 502. The reader is that of all responses: of servers, of other VMs, and of the store.

The loop of test_exchange has a timer now: without one, its deadline did not hold while no event came.

--- a/net/http_reader.c
+++ b/net/http_reader.c
@@ -108,6 +108,14 @@
                                "chunked");
 }
 
+/* Returns whether a response has a status of HTTP (RFC 9110, 15). No request
+ * asks for an upgrade, so that none is answered by 101. */
+static bool
+is_status_valid (unsigned status)
+{
+  return status >= 100 && status <= 599 && status != 101;
+}
+
 static int
 on_head (http_parser *parser)
 {
@@ -120,6 +128,8 @@
     return set_fault (self, EG_HTTP_HEAD_TOO_LARGE);
   if (!is_framing_unambiguous (head))
     return set_fault (self, EG_HTTP_MALFORMED);
+  if (parser->type == HTTP_RESPONSE && !is_status_valid (parser->status_code))
+    return set_fault (self, EG_HTTP_MALFORMED);
   head->status = parser->status_code;
   head->minor_version = parser->http_minor;
   head->keep_alive = http_should_keep_alive (parser);
--- a/net/http_reader.h
+++ b/net/http_reader.h
@@ -25,7 +25,7 @@
 enum eg_http_fault
 {
   EG_HTTP_NO_FAULT,       /**< No error. */
-  EG_HTTP_MALFORMED,      /**< Invalid HTTP, or ambiguous framing. */
+  EG_HTTP_MALFORMED,      /**< Invalid HTTP or status, or ambiguous framing. */
   EG_HTTP_HEAD_TOO_LARGE, /**< Too many bytes or fields. */
 };
 
--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -278,6 +278,20 @@
   send_endless (connection);
 }
 
+static void
+respond_bad_status (struct soak_http_connection *connection)
+{
+  const struct engine_stream *stream = connection->state;
+  char text[192];
+
+  snprintf (text, sizeof text,
+            "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n"
+            "Content-Length: 4\r\n\r\ndone",
+            stream->engine->fixture->bad_status, stream->id);
+  eg_socket_write (&connection->socket, eg_str_from (text));
+  soak_http_finish_request (connection);
+}
+
 static void
 abort_response (struct soak_http_connection *connection)
 {
@@ -490,6 +504,8 @@
     }
   else if (stream->answer == STREAMS_ANSWER_ENDLESS)
     respond_endless (connection);
+  else if (stream->answer == STREAMS_ANSWER_BAD_STATUS)
+    respond_bad_status (connection);
   else if (self->plain)
     soak_http_schedule (connection, self->fixture->plain_ms, respond_plain);
   else
--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -45,6 +45,8 @@
   STREAMS_ANSWER_EMPTY,
   /** A body without end and without a signature. */
   STREAMS_ANSWER_ENDLESS,
+  /** Well, but with streams_fixture.bad_status as its status. */
+  STREAMS_ANSWER_BAD_STATUS,
   /** Status 500 without a signature, after the request has run. */
   STREAMS_ANSWER_UNSIGNED_ERROR,
   /** The same with status 503. */
@@ -179,6 +181,8 @@
   unsigned next_id;
   /** Of the next run on any server; those after it are answered well. */
   enum streams_answer next_answer;
+  /** Status and reason phrase for STREAMS_ANSWER_BAD_STATUS. */
+  const char *bad_status;
   /** Part of a prompt that ends servers; NULL: none. */
   const char *deadly_part;
   int64_t id_step;    /**< Between the ids of events; 0: one. */
--- a/test/test_exchange.c
+++ b/test/test_exchange.c
@@ -21,6 +21,7 @@
 #define REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 /* Time limit for an exchange. */
 #define TEST_TIMEOUT_US (5 * EG_US_PER_S)
+#define TICK_MS 100
 /* More than the kernel takes for a connection that is not read. */
 #define LONG_BODY_BYTES ((size_t) 32 << 20)
 /* Delay before reading, so that data and the reset both arrive first. */
@@ -189,13 +190,22 @@
 struct client
 {
   uv_loop_t loop;
+  uv_timer_t tick; /**< Lets a loop that waits see its deadline. */
   struct eg_exchange_pool pool;
 };
 
+static void
+on_tick (uv_timer_t *timer)
+{
+  (void) timer;
+}
+
 static void
 client_init (struct client *self)
 {
   assert_int_equal (uv_loop_init (&self->loop), 0);
+  uv_timer_init (&self->loop, &self->tick);
+  uv_timer_start (&self->tick, on_tick, TICK_MS, TICK_MS);
   eg_exchange_pool_init (&self->pool, &self->loop, EG_US_PER_S);
 }
 
@@ -203,6 +213,7 @@
 client_finish (struct client *self)
 {
   eg_exchange_pool_finish (&self->pool);
+  uv_close ((uv_handle_t *) &self->tick, NULL);
   uv_run (&self->loop, UV_RUN_DEFAULT);
   assert_int_equal (uv_loop_close (&self->loop), 0);
 }
@@ -558,6 +569,57 @@
     }
 }
 
+/* A head with a status that is none is not taken for an interim response, after
+ * which another one would be waited for. */
+static void
+test_status_that_is_none_fails_the_exchange (void **state)
+{
+  static const char *const statuses[] = {"000 X", "099 X", "20 X", "101 X",
+                                         "600 X", "999 X", "000",  "099"};
+
+  (void) state;
+  for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
+    {
+      struct client client;
+      struct test_server server;
+      struct result result;
+      char response[96];
+
+      snprintf (response, sizeof response,
+                "HTTP/1.1 %s\r\nContent-Length: 4\r\n\r\nbody", statuses[i]);
+      client_init (&client);
+      server_init (&server, response, KEEP_OPEN);
+      run_exchange (&client, server.endpoint, &result);
+      assert_true (result.failed);
+      assert_int_equal (result.fault, EG_EXCHANGE_MALFORMED);
+      eg_buffer_finish (&result.body);
+      client_finish (&client);
+      server_finish (&server);
+    }
+}
+
+static void
+test_interim_responses_are_skipped (void **state)
+{
+  struct client client;
+  struct test_server server;
+  struct result result;
+
+  (void) state;
+  client_init (&client);
+  server_init (&server,
+               "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n"
+               "Link: x\r\n\r\nHTTP/1.1 199 X\r\n\r\n"
+               "HTTP/1.1 599 X\r\nContent-Length: 4\r\n\r\nbody",
+               KEEP_OPEN);
+  run_exchange (&client, server.endpoint, &result);
+  assert_true (result.done);
+  assert_int_equal (result.body.len, 4);
+  eg_buffer_finish (&result.body);
+  client_finish (&client);
+  server_finish (&server);
+}
+
 static void
 test_refused_connection (void **state)
 {
@@ -591,6 +653,8 @@
       cmocka_unit_test (test_connection_is_kept_as_long_as_the_server_states),
       cmocka_unit_test (
           test_bytes_without_end_that_are_no_response_fail_the_exchange),
+      cmocka_unit_test (test_status_that_is_none_fails_the_exchange),
+      cmocka_unit_test (test_interim_responses_are_skipped),
       cmocka_unit_test (test_refused_connection),
   };
 
