--- a/test/streams_fixture.c
+++ b/test/streams_fixture.c
@@ -438,6 +438,32 @@
     soak_http_respond (connection, 202, EG_STR (""), EG_STR ("{}"));
 }
 
+/* Answers a request that runs, as the test says for this one. */
+static void
+begin_answer (struct soak_http_connection *connection)
+{
+  struct engine_stream *stream = connection->state;
+  struct streams_engine *self = stream->engine;
+
+  stream->answer = self->fixture->next_answer;
+  self->fixture->next_answer = STREAMS_ANSWER_WELL;
+  if (self->aborting)
+    {
+      if (self->crash_us == 0)
+        self->crash_us =
+            eg_clock_now_us () + ABORT_MS * EG_US_PER_MS + END_AFTER_ABORT_US;
+      soak_http_schedule (connection, ABORT_MS, abort_response);
+    }
+  else if (stream->answer == STREAMS_ANSWER_ENDLESS)
+    respond_endless (connection);
+  else if (stream->answer == STREAMS_ANSWER_BAD_STATUS)
+    respond_bad_status (connection);
+  else if (self->plain)
+    soak_http_schedule (connection, self->fixture->plain_ms, respond_plain);
+  else
+    begin_stream (connection);
+}
+
 static void
 on_engine_request (void *context, struct soak_http_connection *connection)
 {
@@ -493,23 +519,7 @@
       if (self->crash_us == 0)
         self->crash_us = eg_clock_now_us () + CRASH_DELAY_US;
     }
-  stream->answer = self->fixture->next_answer;
-  self->fixture->next_answer = STREAMS_ANSWER_WELL;
-  if (self->aborting)
-    {
-      if (self->crash_us == 0)
-        self->crash_us =
-            eg_clock_now_us () + ABORT_MS * EG_US_PER_MS + END_AFTER_ABORT_US;
-      soak_http_schedule (connection, ABORT_MS, abort_response);
-    }
-  else if (stream->answer == STREAMS_ANSWER_ENDLESS)
-    respond_endless (connection);
-  else if (stream->answer == STREAMS_ANSWER_BAD_STATUS)
-    respond_bad_status (connection);
-  else if (self->plain)
-    soak_http_schedule (connection, self->fixture->plain_ms, respond_plain);
-  else
-    begin_stream (connection);
+  begin_answer (connection);
 }
 
 static void
