--- a/test/streams_fixture.h
+++ b/test/streams_fixture.h
@@ -84,14 +84,14 @@
   int64_t start_ms;      /**< Of its record and reports. */
   const char *pause;     /**< Retry-After of its refusals; NULL: none. */
   const char *limit;     /**< Server-Limit of its responses; NULL: none. */
-  enum streams_order on_order;
-  int layers_to;      /**< It holds the layers up to this one. */
-  unsigned orders;    /**< Orders received. */
-  unsigned accepted;  /**< Orders accepted since its start. */
-  unsigned requests;  /**< All requests received, also for reports. */
-  unsigned arrivals;  /**< Stream requests received. */
-  unsigned runs;      /**< Stream requests not refused. */
-  unsigned once_runs; /**< Those that must not be repeated. */
+  enum streams_order on_order; /**< What it does with its orders. */
+  int layers_to;               /**< It holds the layers up to this one. */
+  unsigned orders;             /**< Orders received. */
+  unsigned accepted;           /**< Orders accepted since its start. */
+  unsigned requests;           /**< All requests received, also for reports. */
+  unsigned arrivals;           /**< Stream requests received. */
+  unsigned runs;               /**< Stream requests not refused. */
+  unsigned once_runs;          /**< Those that must not be repeated. */
 };
 
 /** A client with one stream. */
