test: one check for responses that are malformed

Two loops of test_exchange differed only in what the server sends and in whether it closes; assert_malformed() serves both, with the same cases and assertions. The comment of soak_http_server_is_busy() said that it looks at requests: it looks at connections, idle ones too, and soak_http_server_count_requests() at requests.

--- a/test/soak/http_server.h
+++ b/test/soak/http_server.h
@@ -74,7 +74,8 @@
  *  their request has finished. */
 void soak_http_server_drain (struct soak_http_server *self);
 
-/** Returns whether requests are in progress. */
+/** Returns whether connections are open: after soak_http_server_drain(), as
+ *  long as requests are in progress. */
 bool soak_http_server_is_busy (const struct soak_http_server *self);
 
 /** Returns the number of requests without a complete response on connections
--- a/test/test_exchange.c
+++ b/test/test_exchange.c
@@ -531,6 +531,28 @@
     }
 }
 
+/* Asserts that an exchange fails for what a server sends; @p repeated as in
+ * struct test_server. */
+static void
+assert_malformed (const char *response,
+                  const char *repeated,
+                  enum close_mode close_mode)
+{
+  struct client client;
+  struct test_server server;
+  struct result result;
+
+  client_init (&client);
+  server_init (&server, response, close_mode);
+  server.repeated = repeated;
+  run_exchange (&client, server.endpoint, &result);
+  assert_true (result.failed);
+  assert_int_equal (result.fault, EG_EXCHANGE_MALFORMED);
+  eg_buffer_finish (&result.body);
+  client_finish (&client);
+  server_finish (&server);
+}
+
 static void
 test_bytes_without_end_that_are_no_response_fail_the_exchange (void **state)
 {
@@ -552,21 +574,7 @@
 
   (void) state;
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
-    {
-      struct client client;
-      struct test_server server;
-      struct result result;
-
-      client_init (&client);
-      server_init (&server, cases[i].response, CLOSE_NORMALLY);
-      server.repeated = cases[i].repeated;
-      run_exchange (&client, server.endpoint, &result);
-      assert_true (result.failed);
-      assert_int_equal (result.fault, EG_EXCHANGE_MALFORMED);
-      eg_buffer_finish (&result.body);
-      client_finish (&client);
-      server_finish (&server);
-    }
+    assert_malformed (cases[i].response, cases[i].repeated, CLOSE_NORMALLY);
 }
 
 /* A head with a status that is none is not taken for an interim response, after
@@ -580,21 +588,11 @@
   (void) state;
   for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
     {
-      struct client client;
-      struct test_server server;
-      struct result result;
       char response[96];
 
       snprintf (response, sizeof response,
                 "HTTP/1.1 %s\r\nContent-Length: 4\r\n\r\nbody", statuses[i]);
-      client_init (&client);
-      server_init (&server, response, KEEP_OPEN);
-      run_exchange (&client, server.endpoint, &result);
-      assert_true (result.failed);
-      assert_int_equal (result.fault, EG_EXCHANGE_MALFORMED);
-      eg_buffer_finish (&result.body);
-      client_finish (&client);
-      server_finish (&server);
+      assert_malformed (response, NULL, KEEP_OPEN);
     }
 }
 
