--- a/review/standin-3/rig.c
+++ b/review/standin-3/rig.c
@@ -430,7 +430,8 @@
                   rig_handler handle,
                   void *context)
 {
-  snprintf (self->ip, sizeof self->ip, "%s", ip);
+  if (ip != self->ip)
+    snprintf (self->ip, sizeof self->ip, "%s", ip);
   self->port = port;
   self->handle = handle;
   self->context = context;
