--- a/review/standin-3/popular.c
+++ b/review/standin-3/popular.c
@@ -1,10 +1,12 @@
 /**
  * @file
  * A part of prompts crashes each server that begins to write an answer on it.
- * A tenant sends batches: some requests that are alike, and for a while also
- * some with that part, no two alike. Exits with 1 if, from twice the stable
- * window after the fifth crash on, the tenant's sound requests begin at the
- * first attempt less than half as often as before.
+ * Tenants send batches. Those of one hold some requests that are alike, a share
+ * of 0.27 of all, and later also some with that part, no two alike; those of
+ * the others hold requests of which no two are alike. Exits with 1 if, from
+ * twice the stable window after the fifth crash on, the sound requests with the
+ * key of the deadly ones begin at the first attempt less than half as often as
+ * before.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -29,6 +31,8 @@
 #define FIRST_DEADLY_BATCH 4
 #define BATCH_INTERVAL_US (8 * RIG_US_PER_S)
 #define SOUND_OF_BATCH 6
+#define OTHERS_OF_BATCH 16
+#define OTHERS_MAX (BATCHES * OTHERS_OF_BATCH)
 #define DEADLY_OF_BATCH 8
 #define REQUEST_GAP_US (60 * RIG_US_PER_MS)
 #define DEADLY_COUNT (BATCHES * DEADLY_OF_BATCH)
@@ -54,6 +58,7 @@
   unsigned status;
   unsigned events;
   unsigned reached; /**< Servers that have begun to run it. */
+  char letter;      /**< Its kind: s sound, d deadly, o of another tenant. */
   bool deadly;
   bool complete;
   bool ended;
@@ -64,7 +69,9 @@
 static struct server servers[SERVERS];
 static struct stream deadly[DEADLY_COUNT];
 static struct stream sound[SOUND_MAX];
+static struct stream others[OTHERS_MAX]; /**< Of the other tenants. */
 static unsigned sound_count;
+static unsigned others_count;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static unsigned crash_count;
 /** When the part had crashed the fifth server; the last one, if there are
@@ -81,6 +88,8 @@
     return &deadly[number];
   if (sscanf (id, "s%u", &number) == 1 && number < SOUND_MAX)
     return &sound[number];
+  if (sscanf (id, "o%u", &number) == 1 && number < OTHERS_MAX)
+    return &others[number];
   return NULL;
 }
 
@@ -198,6 +207,7 @@
 {
   static const char *const zones[] = {"room-a", "room-b", "room-c"};
   struct rig_backend *all[SERVERS];
+  json_t *configuration;
   json_t *routes = json_array ();
   json_t *route = rig_route ("/digest/", "streaming", "draft");
   char name[32];
@@ -206,12 +216,14 @@
   rig_store_start (&store);
   json_object_set_new (route, "resumable", json_false ());
   json_array_append_new (routes, route);
-  rig_store_put (
-      &store, "config", "main",
-      rig_configuration (7, routes,
-                         json_pack ("[{s:s, s:s, s:i}]", "name", "draft",
-                                    "healthPath", "/healthz", "maxConnections",
-                                    400)));
+  configuration = rig_configuration (
+      7, routes,
+      json_pack ("[{s:s, s:s, s:i}]", "name", "draft", "healthPath", "/healthz",
+                 "maxConnections", 400));
+  json_array_append_new (json_object_get (configuration, "tenants"),
+                         json_pack ("{s:s, s:[s], s:i}", "name", "archive",
+                                    "apiKeys", "k2", "priority", 1));
+  rig_store_put (&store, "config", "main", configuration);
   for (unsigned i = 0; i < SERVERS; i++)
     {
       snprintf (name, sizeof name, "i-draft-%u", i + 1);
@@ -245,7 +257,7 @@
   return count;
 }
 
-/* The sound requests are alike; of those with the part no two are. */
+/* The sound requests are alike; of the others no two are. */
 static void *
 run_stream (void *context)
 {
@@ -262,12 +274,19 @@
       snprintf (parts, sizeof parts, "aa:40,dead:100,%x:50",
                 0x1000 + self->number);
     }
+  else if (self->letter == 'o')
+    {
+      snprintf (path, sizeof path, "/digest/other-%u", self->number);
+      snprintf (parts, sizeof parts, "ff:40,bb:100,%x:50",
+                0x5000 + self->number);
+    }
   snprintf (head, sizeof head,
             "POST %s HTTP/1.1\r\nHost: review.example\r\n"
-            "X-Attempt-Id: %c%u\r\nX-Deadline-Ms: 8000\r\nApi-Key: k1\r\n"
+            "X-Attempt-Id: %c%u\r\nX-Deadline-Ms: 8000\r\nApi-Key: %s\r\n"
             "X-Prefix-Hash: %s\r\nX-Token-Usage: 190,60\r\n"
             "Content-Length: 5\r\nConnection: close\r\n\r\n",
-            path, self->deadly ? 'd' : 's', self->number, parts);
+            path, self->letter, self->number, self->letter == 'o' ? "k2" : "k1",
+            parts);
   self->sent_us = rig_now_us ();
   if (rig_call (node->ip, node->callers_port, head, "draft", TIMEOUT_US,
                 &response))
@@ -282,13 +301,14 @@
 }
 
 static void
-start_stream (struct stream *stream, unsigned number, bool is_deadly)
+start_stream (struct stream *stream, unsigned number, char letter)
 {
   pthread_t thread;
 
   stream->number = number;
   stream->node = number % NODES;
-  stream->deadly = is_deadly;
+  stream->letter = letter;
+  stream->deadly = letter == 'd';
   if (pthread_create (&thread, NULL, run_stream, stream) != 0)
     rig_end (RIG_NOT_RUN);
   pthread_detach (thread);
@@ -301,16 +321,21 @@
 
   for (unsigned i = 0; i < SOUND_OF_BATCH; i++)
     {
-      start_stream (&sound[sound_count], sound_count, false);
+      start_stream (&sound[sound_count], sound_count, 's');
       sound_count++;
       rig_sleep_us (REQUEST_GAP_US / 6);
     }
+  for (unsigned i = 0; i < OTHERS_OF_BATCH; i++)
+    {
+      start_stream (&others[others_count], others_count, 'o');
+      others_count++;
+    }
   while (batch >= FIRST_DEADLY_BATCH && poisoned < DEADLY_OF_BATCH)
     {
       unsigned number =
           (batch - FIRST_DEADLY_BATCH) * DEADLY_OF_BATCH + poisoned++;
 
-      start_stream (&deadly[number], number, true);
+      start_stream (&deadly[number], number, 'd');
       rig_sleep_us (REQUEST_GAP_US);
     }
 }
@@ -323,16 +348,19 @@
 };
 
 static struct share
-count_sound (int64_t from_us, int64_t to_us)
+count_begun (const struct stream *streams,
+             unsigned count,
+             int64_t from_us,
+             int64_t to_us)
 {
   struct share share = {0, 0};
 
-  for (unsigned i = 0; i < sound_count; i++)
+  for (unsigned i = 0; i < count; i++)
     {
-      if (sound[i].sent_us < from_us || sound[i].sent_us >= to_us)
+      if (streams[i].sent_us < from_us || streams[i].sent_us >= to_us)
         continue;
       share.sent++;
-      share.begun += sound[i].reached > 0;
+      share.begun += streams[i].reached > 0;
     }
   return share;
 }
@@ -359,9 +387,11 @@
 {
   struct share before;
   struct share after;
+  struct share other;
   pthread_t thread;
   int64_t begin_us;
   int64_t first_us;
+  int64_t from_us;
 
   rig_begin (argc, argv);
   start_all ();
@@ -377,14 +407,16 @@
   rig_sleep_us (TIMEOUT_US);
   note_streams ();
   first_us = deadly[0].sent_us;
-  before = count_sound (0, first_us);
-  after = count_sound (decisive_us > 0 ? decisive_us + 2 * STABLE_US : first_us,
-                       INT64_MAX);
+  from_us = decisive_us > 0 ? decisive_us + 2 * STABLE_US : first_us;
+  before = count_begun (sound, sound_count, 0, first_us);
+  after = count_begun (sound, sound_count, from_us, INT64_MAX);
+  other = count_begun (others, others_count, from_us, INT64_MAX);
   rig_note ("%u crashes, the fifth, or the last of fewer, at %.3f", crash_count,
             (double) decisive_us / RIG_US_PER_S);
   rig_note ("sound requests begun at the first attempt: %u of %u before, %u of "
             "%u from twice the stable window after that crash on",
             before.begun, before.sent, after.begun, after.sent);
+  rig_note ("of the other tenants then: %u of %u", other.begun, other.sent);
   if (before.sent < REQUESTS_MIN || after.sent < REQUESTS_MIN)
     rig_end (RIG_NOT_RUN);
   rig_end (2.0 * after.begun / after.sent < (double) before.begun / before.sent
